Take SIGHUP: reread the configuration, move discovery, keep all that is under way

Cause: main.rs took SIGTERM alone, so SIGHUP had its default effect; discovery.rs knew one address for life. Ruled out: a lost list, as the program ended before any list was due. Now: SIGHUP rereads the file; the former watch is heard until its successor has told the list, so no drain falls between; an unusable file is logged and changes nothing. The exchange 'reload' fails without the change (the program dies).

--- a/crates/gradeshunt/src/discovery.rs
+++ b/crates/gradeshunt/src/discovery.rs
@@ -49,6 +49,8 @@
 
 struct Call {
     ask: Ask,
+    /// A watch at the former address: it is listened to until its successor has told the list.
+    former: bool,
     polled: Polled,
     inbound: Ring,
     outbound: Ring,
@@ -88,12 +90,9 @@
 
     /// Asks; a failure is told as news.
     pub fn ask(&mut self, turn: &mut Turn, ask: Ask, news: &mut Vec<News>) {
-        if ask == Ask::Watch {
-            // One watch at a time: what this one replaces would only tell the same again.
-            let old = self.calls.iter().find(|(_, c)| c.ask == Ask::Watch).map(|(id, _)| *id);
-            if let Some(call) = old.and_then(|id| self.calls.remove(&id)) {
-                call.polled.close(turn);
-            }
+        // One watch at a time: another would only tell the same again.
+        if ask == Ask::Watch && self.calls.values().any(|c| c.ask == Ask::Watch && !c.former) {
+            return;
         }
         if let Err(e) = self.call(turn, ask) {
             warn!(turn.log, "discovery cannot be reached"; "error" => e.to_string());
@@ -101,6 +100,17 @@
         }
     }
 
+    /// Discovery is elsewhere from now on. The watch that stands goes on being heard until the new one has
+    /// told the list, so that no drain falls between the two.
+    pub fn move_to(&mut self, turn: &mut Turn, addr: SocketAddr, silence: Micros, news: &mut Vec<News>) {
+        self.silence = silence;
+        if std::mem::replace(&mut self.addr, addr) == addr {
+            return;
+        }
+        self.calls.values_mut().for_each(|c| c.former = true);
+        self.ask(turn, Ask::Watch, news);
+    }
+
     fn call(&mut self, turn: &mut Turn, ask: Ask) -> io::Result<()> {
         let id = CallId(self.next);
         self.next += 1;
@@ -118,7 +128,8 @@
         let due = turn.now + self.silence;
         turn.deadlines.set(due, Due::Call(id));
         let inbound = Ring::default();
-        let call = Call { ask, polled, inbound, outbound, part: Part::Head, body: Vec::new(), due };
+        let call =
+            Call { ask, former: false, polled, inbound, outbound, part: Part::Head, body: Vec::new(), due };
         self.calls.insert(id, call);
         Ok(())
     }
@@ -162,6 +173,7 @@
                 return self.fail(turn, id, "ended by discovery", news);
             }
             if news.len() > before {
+                self.end_former(turn, id);
                 info!(turn.log, "list of db hosts"; "generation" => self.reader.generation,
                     "entries" => news[before..].iter().map(|n| n.entries.len()).sum::<usize>());
             }
@@ -239,11 +251,24 @@
     }
 
     fn fail(&mut self, turn: &mut Turn, id: CallId, why: &str, news: &mut Vec<News>) {
-        warn!(turn.log, "call to discovery failed"; "why" => why);
+        let former = self.calls.get(&id).is_some_and(|c| c.former);
         self.end(turn, id);
+        // Its successor is under way, or the module knows that that one has failed.
+        if former {
+            return info!(turn.log, "former watch ended"; "why" => why);
+        }
+        warn!(turn.log, "call to discovery failed"; "why" => why);
         news.push(failed());
     }
 
+    /// The call `id` has told the list: where it is the successor, what was asked elsewhere is no longer heard.
+    fn end_former(&mut self, turn: &mut Turn, id: CallId) {
+        if self.calls.get(&id).is_some_and(|c| !c.former) {
+            let former = self.calls.iter().filter(|(_, c)| c.former).map(|(id, _)| *id).collect::<Vec<_>>();
+            former.into_iter().for_each(|id| self.end(turn, id));
+        }
+    }
+
     fn end(&mut self, turn: &mut Turn, id: CallId) {
         if let Some(call) = self.calls.remove(&id) {
             turn.deadlines.clear(call.due, Due::Call(id));
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -81,6 +81,7 @@
             Source::Server(id) => self.backend.ready(turn, exchange, id),
             Source::Call(id) => self.discovery.ready(turn, id, &mut self.news),
             Source::Terminate => self.terminate(),
+            Source::Reload => self.reload(),
         }
         self.settle();
     }
@@ -138,6 +139,18 @@
         self.turn.deadlines.set(now + self.longest + LEAVE_AFTER, Due::Leave);
     }
 
+    /// Rereads the configuration after SIGHUP. What is under way is left alone, and so is everything where the
+    /// new file can't be used: an operator's slip must not cost more than a line in the log.
+    fn reload(&mut self) {
+        match Config::load() {
+            Ok(config) => {
+                info!(self.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
+                self.discovery.move_to(&mut self.turn, config.discovery, config.silence, &mut self.news);
+            }
+            Err(why) => warn!(self.turn.log, "configuration kept, the new one can't be used"; "why" => why),
+        }
+    }
+
     fn is_done(&self) -> bool {
         self.leave || (self.frontend.is_done() && self.exchange.is_idle())
     }
@@ -166,10 +179,14 @@
 fn start() -> Result<(), String> {
     let config = Config::load()?;
     let event_loop = EventLoop::try_new().map_err(|e| format!("cannot poll: {e}"))?;
-    // Before the log's thread starts, so that it inherits the mask: only the loop hears of SIGTERM.
-    let signals = Signals::new(&[Signal::SIGTERM]).map_err(|e| format!("cannot take signals: {e}"))?;
+    // Before the log's thread starts, so that it inherits the mask: only the loop hears of signals.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]);
+    let signals = signals.map_err(|e| format!("cannot take signals: {e}"))?;
     let handle = event_loop.handle();
-    let told = handle.insert_source(signals, move |_, (), ready: &mut Ready| ready.push(Source::Terminate));
+    let told = handle.insert_source(signals, move |event, (), ready: &mut Ready| {
+        let reload = event.signal() == Signal::SIGHUP;
+        ready.push(if reload { Source::Reload } else { Source::Terminate });
+    });
     told.map_err(|e| format!("cannot take signals: {e}"))?;
     // Lines that the log's reader is too slow for are dropped and counted: it must never hold up the loop.
     let plain = slog_term::PlainDecorator::new(std::io::stderr());
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -21,6 +21,7 @@
     Server(ServerId),
     Call(CallId),
     Terminate,
+    Reload,
 }
 
 /// What the loop's callbacks collect; the turn works it off afterwards, so that nothing is re-entered.
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -8,7 +8,8 @@
 //! - `a> Q|text`: a message with its length filled in; `a> startup|text`, `a> raw|bytes`, `a> chunk|text`;
 //!   `Q 1000|text` puts so many spaces before it; `a+ ...`: the same, kept back to go in one piece with the next; `{1}` stands for a db host's address;
 //! - `a< Z`: whole messages up to this one; `a< startup`, `a< head`, `a< 1` (bytes) and `a< end`;
-//! - `a closes`, `a resets`, `SIGTERM`, `exits`.
+//! - `a closes`, `a resets`, `SIGTERM`, `exits`;
+//! - `SIGHUP moved`: the configuration names discovery at another address (`moved`); `SIGHUP text` makes it that text.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -41,6 +42,8 @@
 /// The program and everyone who speaks with it.
 struct Stage {
     program: Child,
+    config: Value,
+    file: PathBuf,
     address: String,
     listeners: BTreeMap<String, TcpListener>,
     peers: BTreeMap<String, TcpStream>,
@@ -58,7 +61,7 @@
 impl Stage {
     fn open(hosts: &str, memory_mb: u32) -> Stage {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a port");
-        let mut listeners = BTreeMap::from([("discovery".to_owned(), listen())]);
+        let mut listeners = BTreeMap::from(["discovery", "moved"].map(|n| (n.to_owned(), listen())));
         let mut known = Vec::new();
         for (name, role) in hosts.split_whitespace().filter_map(|h| h.split_once('=')) {
             let listener = listen();
@@ -88,7 +91,7 @@
         // Someone has to go on reading the log, or the program could not write it.
         std::thread::spawn(move || log.for_each(drop));
         let (peers, kept_back) = (BTreeMap::new(), Vec::new());
-        Stage { program, address, listeners, peers, kept_back, record: String::new() }
+        Stage { program, config, file, address, listeners, peers, kept_back, record: String::new() }
     }
 
     fn play(&mut self, line: &str) {
@@ -124,9 +127,15 @@
                 let zero = Some(std::time::Duration::ZERO);
                 socket2::SockRef::from(&peer).set_linger(zero).expect("it can be set");
             }
-            _ if who == "SIGTERM" => {
-                let kill = Command::new("kill").arg("-TERM").arg(self.program.id().to_string()).status();
-                assert!(kill.is_ok_and(|s| s.success()));
+            _ if who == "SIGTERM" => self.signal("-TERM"),
+            _ if who == "SIGHUP" => {
+                if let Some(moved) = self.listeners.get(rest) {
+                    self.config["discovery"] = json!(moved.local_addr().expect("an address").to_string());
+                }
+                let known = self.listeners.contains_key(rest);
+                let text = if known { self.config.to_string() } else { rest.to_owned() };
+                std::fs::write(&self.file, text).expect("a file");
+                self.signal("-HUP");
             }
             _ if who == "exits" => {
                 let status = self.program.wait().expect("it can be waited for");
@@ -136,6 +145,11 @@
         }
     }
 
+    fn signal(&self, signal: &str) {
+        let kill = Command::new("kill").arg(signal).arg(self.program.id().to_string()).status();
+        assert!(kill.is_ok_and(|s| s.success()));
+    }
+
     fn fill_in(&self, text: &str) -> String {
         let addresses = self.listeners.iter().filter_map(|(n, l)| Some((n, l.local_addr().ok()?)));
         addresses.fold(text.to_owned(), |t, (n, a)| t.replace(&format!("{{{n}}}"), &a.to_string()))
@@ -281,4 +295,5 @@
     probe
     long_pipeline
     memory
+    reload
 }
