Serve only whole answers; bound silent clients; refuse unusable statements; forget gone hosts

Seen in the code, then in exchanges that hang or fail without the change: a lone CommandComplete was served (Reply::take); a second copy behind an answer reached the next request (Backend::up handed the connection on before looking at the ring); a noise header was waited for as long as its length claimed (pg::message); half a message was waited for without end and silent starts for 10 s; close_oldest_idle spared silent connections and closed usual ones; an open request's id, a missing id or key went on to db hosts; d had no bound; hosts, names and members never shrank. Now: T, one D of one column, C, in this order, or the attempt is an error that may have run and tells nothing; it makes no suspect. Positions from the future are noise. A verdict on a statement no longer counts against its host. Checked: spoilt, surplus and mute hang on the old sources, unusable and crowd fail there; members and names are counted in unit tests.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -38,13 +38,23 @@
 struct Reply {
     bytes: Vec<u8>,
     held: Held,
-    complete: bool,
+    shape: Shape,
     error: Option<String>,
     row: Option<Vec<u8>>,
     position: Option<Micros>,
     primary: Option<bool>,
 }
 
+/// How far the one row of an answer has come: anything in another order is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Shape {
+    #[default]
+    Nothing,
+    Described,
+    Row,
+    Complete,
+}
+
 #[derive(Debug)]
 enum Stage {
     /// Coming up: connecting, then exchanging startup messages.
@@ -75,7 +85,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
     Open,
-    Closed,
+    Draining,
+    /// Not listed any more: it is forgotten once nothing of ours is left there.
+    Gone,
 }
 
 struct Host {
@@ -84,6 +96,8 @@
     /// The most recently used last.
     idle: Vec<ServerId>,
     starting: usize,
+    /// All connections to it.
+    servers: usize,
     /// Jobs that wait for a connection, oldest first.
     waiting: VecDeque<Job>,
 }
@@ -151,21 +165,29 @@
     pub fn list(&mut self, turn: &mut Turn, exchange: &mut Exchange, kind: ListKind, listed: &[Listed]) {
         let mut closed = Vec::new();
         if matches!(kind, ListKind::Full | ListKind::Saved) {
-            let gone = |m: &&MemberId| !listed.iter().any(|l| l.member == **m);
-            closed.extend(self.hosts.keys().filter(gone).copied());
+            let gone = |m: &MemberId| !listed.iter().any(|l| l.member == *m);
+            for (member, host) in self.hosts.iter_mut().filter(|(m, _)| gone(m)) {
+                host.standing = Standing::Gone;
+                closed.push(*member);
+            }
         }
         for l in listed {
-            let standing = if l.phase == Phase::Up { Standing::Open } else { Standing::Closed };
+            let standing = match l.phase {
+                Phase::Up => Standing::Open,
+                Phase::Draining => Standing::Draining,
+                Phase::Removed => Standing::Gone,
+            };
             let host = self.hosts.entry(l.member).or_insert_with(|| Host {
                 addr: l.addr,
                 standing,
                 idle: Vec::new(),
                 starting: 0,
+                servers: 0,
                 waiting: VecDeque::new(),
             });
             let moved = host.addr != l.addr;
             (host.addr, host.standing) = (l.addr, standing);
-            if standing == Standing::Closed {
+            if standing != Standing::Open {
                 closed.push(l.member);
             } else if moved {
                 self.close_idle(turn, l.member);
@@ -173,11 +195,19 @@
         }
         for member in closed {
             let Some(host) = self.hosts.get_mut(&member) else { continue };
-            host.standing = Standing::Closed;
             for job in std::mem::take(&mut host.waiting) {
                 self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
             }
             self.close_idle(turn, member);
+            self.forget_if_gone(member);
+        }
+    }
+
+    /// Guards a long life's memory: hosts are replaced by others under new names, again and again.
+    fn forget_if_gone(&mut self, member: MemberId) {
+        let gone = |h: &Host| h.standing == Standing::Gone && h.servers == 0;
+        if self.hosts.get(&member).is_some_and(gone) {
+            self.hosts.remove(&member);
         }
     }
 
@@ -222,7 +252,7 @@
                 Err(e) => Some(e.to_string()),
             };
             if let Err(Malformed(what)) = self.read(turn, exchange, id) {
-                return self.broke(turn, exchange, id, what);
+                return self.spoilt(turn, exchange, id, what);
             }
             if let Some(why) = end {
                 return self.broke(turn, exchange, id, &why);
@@ -235,7 +265,7 @@
     fn read(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> Result<(), Malformed> {
         loop {
             let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
-            let Some(message) = pg::message(s.inbound.bytes())? else { return Ok(()) };
+            let Some(message) = pg::message(s.inbound.bytes(), pg::BACKEND)? else { return Ok(()) };
             let (tag, size) = (message.tag, message.size);
             let up = match &mut s.stage {
                 Stage::Starting { .. } => match tag {
@@ -310,9 +340,7 @@
         loop {
             let id = *self.hosts.get(&member)?.idle.last()?;
             let polled = &self.servers.get(&id)?.polled;
-            let alive =
-                matches!(polled.socket.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-            if alive {
+            if polled.is_quiet() {
                 self.take_idle(turn, id);
                 return Some(id);
             }
@@ -337,6 +365,7 @@
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         host.starting += 1;
+        host.servers += 1;
         turn.deadlines.set(by, Due::Server(id));
         self.servers.insert(id, s);
         Ok(())
@@ -362,9 +391,13 @@
                 self.end(turn, exchange, member, job, ending, reply);
             }
         }
+        // What comes behind an answer belongs to no request, least of all to the next: a second copy would pass
+        // for its value. The answer before it stands; the connection is of no further use.
+        let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty() || !s.polled.is_quiet());
         let Some(host) = self.hosts.get_mut(&member) else { return };
-        if host.standing == Standing::Closed {
+        if host.standing != Standing::Open || surplus {
             self.close(turn, id);
+            self.unserved(turn, exchange, member, Ending::ConnectFailed);
         } else if let Some(job) = host.waiting.pop_front() {
             self.take_idle(turn, id);
             self.write(turn, exchange, id, job);
@@ -501,6 +534,22 @@
         }
     }
 
+    /// What came is no answer. The request has run, for all that is known; nothing of it is believed, and the
+    /// connection is of no further use. A db host that is not heard rightly once is not ill for that.
+    fn spoilt(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, what: &str) {
+        let Some((member, unsent, job, reply)) = self.take_job(id) else {
+            return self.broke(turn, exchange, id, what);
+        };
+        info!(turn.log, "db host's answer is spoilt"; "member" => member.0, "what" => what);
+        self.close(turn, id);
+        let (ending, reply) = match reply.ending() {
+            Some(ending) => (ending, reply),
+            None if unsent => (Ending::ConnectFailed, Reply::default()),
+            None => (Ending::Error, Reply::default()),
+        };
+        self.end(turn, exchange, member, job, ending, reply);
+    }
+
     /// Takes the job from a busy connection, with whether some of the request is still unsent.
     fn take_job(&mut self, id: ServerId) -> Option<(MemberId, bool, Job, Reply)> {
         let s = self.servers.get_mut(&id)?;
@@ -528,6 +577,11 @@
     fn failed_start(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, ending: Ending) {
         let Some(member) = self.servers.get(&id).map(|s| s.member) else { return };
         self.close(turn, id);
+        self.unserved(turn, exchange, member, ending);
+    }
+
+    /// Ends the oldest waiting job where fewer connections come up than jobs wait.
+    fn unserved(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId, ending: Ending) {
         let Some(host) = self.hosts.get_mut(&member) else { return };
         if host.waiting.len() > host.starting {
             if let Some(job) = host.waiting.pop_front() {
@@ -540,11 +594,15 @@
     fn close(&mut self, turn: &mut Turn, id: ServerId) {
         self.take_idle(turn, id);
         let Some(s) = self.servers.remove(&id) else { return };
-        if let (Stage::Starting { by }, Some(host)) = (&s.stage, self.hosts.get_mut(&s.member)) {
-            host.starting -= 1;
-            turn.deadlines.clear(*by, Due::Server(id));
+        if let Some(host) = self.hosts.get_mut(&s.member) {
+            host.servers -= 1;
+            if let Stage::Starting { by } = s.stage {
+                host.starting -= 1;
+                turn.deadlines.clear(by, Due::Server(id));
+            }
         }
         s.polled.close(turn);
+        self.forget_if_gone(s.member);
     }
 
     /// Takes a connection out of the pool.
@@ -577,33 +635,41 @@
     /// Takes one message; true at ReadyForQuery, which ends the reply.
     fn take(&mut self, message: &pg::Message, turn: &Turn) -> Result<bool, Malformed> {
         match message.tag {
-            b'Z' if self.ending().is_none() => return Err(Malformed("ReadyForQuery without an answer")),
+            b'Z' if self.ending().is_none() || !matches!(message.body, b"I" | b"T" | b"E") => {
+                return Err(Malformed("ReadyForQuery without an answer"))
+            }
             b'Z' => return Ok(true),
-            b'S' => {
-                let (name, value) = pg::parameter_status(message.body)?;
-                match name {
-                    "log_position" => self.position = value.parse().ok().map(|ms| turn.clock.at_unix_ms(ms)),
-                    "replication_role" => self.primary = role(value),
-                    _ => {}
+            b'S' => match pg::parameter_status(message.body) {
+                Some(("log_position", value)) => {
+                    self.position = value.parse().ok().and_then(|ms| turn.clock.position(ms));
                 }
-            }
+                Some(("replication_role", value)) => self.primary = role(value),
+                _ => {}
+            },
+            b'N' | b'A' => {}
+            _ if self.ending().is_some() => return Err(Malformed("more than one answer")),
             b'E' => {
                 self.error = Some(pg::error_code(message.body)?.to_owned());
                 self.bytes.clear();
                 self.append(message)?;
             }
-            b'D' => {
+            b'T' if self.shape == Shape::Nothing => {
+                pg::check_description(message.body)?;
+                self.shape = Shape::Described;
+                self.append(message)?;
+            }
+            b'D' if self.shape == Shape::Described => {
                 pg::check_row(message.body)?;
                 self.row = pg::first_column(message.body).ok().map(<[u8]>::to_vec);
+                self.shape = Shape::Row;
                 self.append(message)?;
             }
-            b'C' | b'I' => {
-                self.complete = true;
+            b'C' if self.shape == Shape::Row => {
+                pg::string(message.body)?;
+                self.shape = Shape::Complete;
                 self.append(message)?;
             }
-            b'T' => self.append(message)?,
-            b'N' | b'A' => {}
-            _ => return Err(Malformed("unexpected message in an answer")),
+            _ => return Err(Malformed("not one row of one column")),
         }
         Ok(false)
     }
@@ -620,7 +686,7 @@
     /// How the attempt has ended, by what has come; `None` while the answer is not whole.
     fn ending(&self) -> Option<Ending> {
         match self.error.as_deref() {
-            None => self.complete.then_some(Ending::Ok),
+            None => (self.shape == Shape::Complete).then_some(Ending::Ok),
             Some(sqlstate::READ_ONLY | sqlstate::SNAPSHOT_TOO_OLD) => Some(Ending::Miss),
             Some(sqlstate::TOO_MANY_CONNECTIONS | sqlstate::CANNOT_CONNECT_NOW) => Some(Ending::Full),
             Some(_) => Some(Ending::Error),
@@ -640,17 +706,19 @@
     }
 }
 
-/// Reads a load report, `x0=1767225600.123,x1=1`: a position in Unix seconds, and the role.
+/// Reads a load report, `x0=1767225600.123,x1=1`: a position in Unix seconds, and the role. One that can't be
+/// read throughout tells nothing.
 fn report_of(row: &[u8], fields: &[String], turn: &Turn) -> Option<Report> {
     let mut report = Report::default();
-    for (name, value) in std::str::from_utf8(row).ok()?.split(',').filter_map(|pair| pair.split_once('=')) {
+    for pair in std::str::from_utf8(row).ok()?.split(',') {
+        let (name, value) = pair.split_once('=')?;
         let name = name.trim();
-        let Ok(value) = value.trim().parse::<f64>() else { continue };
         if !fields.iter().any(|f| f == name) {
             continue;
         }
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
         match name {
-            "x0" => report.position = Some(turn.clock.at_unix_ms(value * 1000.0)),
+            "x0" => report.position = Some(turn.clock.position(value * 1000.0)?),
             "x1" => report.primary = Some(value == 1.0),
             "concurrent" => report.inflight = Some(value),
             "depth" => report.queue = Some(value),
--- a/crates/gradeshunt/src/discovery.rs
+++ b/crates/gradeshunt/src/discovery.rs
@@ -63,7 +63,9 @@
 /// Reads lists in discovery's form, and numbers db hosts in the order met.
 struct Reader {
     names: Names,
+    /// Those listed now; one that is gone gives its name back, and gets a new number should it return.
     numbers: HashMap<String, MemberId>,
+    next: u32,
     generation: u64,
 }
 
@@ -78,7 +80,7 @@
 
 impl Discovery {
     pub fn new(addr: SocketAddr, silence: Micros, names: Names) -> Self {
-        let reader = Reader { names, numbers: HashMap::new(), generation: 0 };
+        let reader = Reader { names, numbers: HashMap::new(), next: 0, generation: 0 };
         Discovery { addr, silence, reader, calls: BTreeMap::new(), next: 0 }
     }
 
@@ -337,6 +339,12 @@
                 Err(what) => news.unreadable.push(what),
             }
         }
+        // Guards a long life's memory: names come and go all the time.
+        let listed = |m: MemberId| news.entries.iter().rev().find(|e| e.member == m).map(|e| e.phase);
+        self.numbers.retain(|_, m| match listed(*m) {
+            Some(phase) => phase != Phase::Removed,
+            None => !full,
+        });
         self.generation = value.get("generation").and_then(Value::as_u64).unwrap_or(self.generation);
         Ok(news)
     }
@@ -362,8 +370,9 @@
             // Whatever else there may be one day: it is not ready.
             _ => Phase::Draining,
         };
-        let fresh = MemberId(self.numbers.len() as u32);
+        let fresh = MemberId(self.next);
         let member = *self.numbers.entry(id.to_owned()).or_insert(fresh);
+        self.next += u32::from(member == fresh);
         let since = v.get("startedAtMs").and_then(Value::as_f64).filter(|ms| *ms > 0.0);
         let entry = Entry {
             member,
@@ -378,3 +387,28 @@
         Ok((entry, addr))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards a long life's memory: a day replaces all db hosts under new names, many times over.
+    #[test]
+    fn forgets_names_that_are_gone() {
+        let names = Names { zones: vec!["a".into()], ..Names::default() };
+        let mut reader = Reader { names, numbers: HashMap::new(), next: 0, generation: 0 };
+        let mut told = |id: &str, lifecycle: &str, reset: bool| {
+            let list = serde_json::json!({"generation": 1, "reset": reset, "instances": [{"instanceId": id,
+                "hostPort": "127.0.0.1:1", "zone": "a", "cell": 1, "lifecycle": lifecycle}]});
+            let member = reader.news(&Clock::start(), &list).expect("a list").entries[0].member;
+            (member, reader.numbers.len())
+        };
+        for n in 0..100 {
+            assert_eq!(told(&format!("s-{n}"), "ready", false), (MemberId(n), 1));
+            assert_eq!(told(&format!("s-{n}"), "gone", false), (MemberId(n), 0));
+        }
+        assert_eq!(told("s-0", "ready", false), (MemberId(100), 1), "it returns as another");
+        assert_eq!(told("s-0", "draining", false), (MemberId(100), 1));
+        assert_eq!(told("s-1", "ready", true), (MemberId(101), 1));
+    }
+}
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -226,6 +226,9 @@
             self.finish(turn, id, answer);
         }
         self.forget_if_done(id);
+        // What is the statement's own fault must not cost the db host its standing.
+        let verdict = last && ending == Ending::Error && !over;
+        let ending = if verdict { Ending::Cancelled } else { ending };
         let elapsed = turn.now - out.since;
         self.outcome(turn, id, number, out.member, ending, last, elapsed, note);
     }
@@ -248,7 +251,8 @@
     pub fn sum_up(&mut self, turn: &Turn) {
         let t = std::mem::take(&mut self.tally);
         let endings: Vec<_> = t.endings.iter().map(|(name, n)| format!("{name}={n}")).collect();
-        info!(turn.log, "summary"; "open" => self.requests.len(), "requests" => t.requests,
+        info!(turn.log, "summary"; "open" => self.requests.len(), "members" => self.balancer.known(),
+            "requests" => t.requests,
             "served" => t.served, "refused" => t.refused, "failed" => t.failed, "gone" => t.gone,
             "attempts" => endings.join(","));
     }
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -1,11 +1,12 @@
 //! The client side: the listener and the clients' sessions.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::rc::Rc;
 
 use leadmast::settings::{fnv, Names};
-use leadmast::{GroupId, Micros, ReadLevel, RequestId, Settings};
+use leadmast::{Effect, GroupId, Micros, ReadLevel, RequestId, Settings};
 use slog::{debug, info, warn};
 
 use crate::deadlines::Due;
@@ -23,8 +24,12 @@
 const MESSAGES: usize = 32;
 /// No further request is begun while this much of earlier answers is unread: the ring has room for one more.
 const UNREAD: usize = LARGEST - LONGEST_ANSWER - 1024;
-/// How long a client may take over its startup message.
-const STARTUP: Micros = 10_000_000;
+/// How long a client may take over one message, its startup message too.
+const PATIENCE: Micros = 2_500_000;
+/// A client that has said nothing so long is the first to go where room is needed; one without a request so
+/// long expects to be closed.
+const MUTE: Micros = 50_000;
+const IDLE: Micros = 2_000_000;
 /// How long a closing connection is read on, so that what was written last is not lost to a reset.
 const LINGER: Micros = 1_000_000;
 /// Pause after connections could not be accepted.
@@ -54,6 +59,12 @@
     due: Option<Micros>,
 }
 
+/// Who waits for a request, and its id.
+struct Owner {
+    session: SessionId,
+    id: Rc<str>,
+}
+
 /// What is done after SIGTERM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Service {
@@ -70,7 +81,9 @@
     most: usize,
     most_memory: usize,
     sessions: BTreeMap<SessionId, Session>,
-    owners: HashMap<RequestId, SessionId>,
+    owners: HashMap<RequestId, Owner>,
+    /// The ids of open requests, as clients gave them.
+    ids: HashSet<Rc<str>>,
     next: u64,
     service: Service,
     /// Whether the proxy knows of db hosts at all.
@@ -101,6 +114,7 @@
             most_memory,
             sessions: BTreeMap::new(),
             owners: HashMap::new(),
+            ids: HashSet::new(),
             next: 0,
             service: Service::Running,
             able: false,
@@ -163,7 +177,7 @@
             due: None,
         };
         self.sessions.insert(id, session);
-        self.set_due(turn, id, Some(turn.now + STARTUP));
+        self.set_due(turn, id, Some(turn.now + PATIENCE));
         if full {
             warn!(turn.log, "too many clients, turning one away"; "clients" => self.sessions.len());
             let error =
@@ -191,32 +205,42 @@
         self.listener.is_none() && self.sessions.is_empty()
     }
 
+    /// Makes room: silent clients go first, so that a crowd of them can't shut out the usual ones, then those
+    /// that have been without a request for long.
     fn close_oldest_idle(&mut self, turn: &mut Turn) -> bool {
-        let idle = self.sessions.iter().filter(|(_, s)| {
-            let between = matches!(s.stage, Stage::Ready | Stage::Closing);
-            between && s.inbound.is_empty() && s.outbound.is_empty()
-        });
-        let mut idle: Vec<_> = idle.map(|(id, s)| (s.since, *id)).collect();
+        let rank = |s: &Session| match s.stage {
+            Stage::Closing => Some(0),
+            Stage::Startup => Some(if turn.now - s.since > MUTE { 0 } else { 2 }),
+            Stage::Ready if s.inbound.is_empty() && s.outbound.is_empty() => {
+                Some(if turn.now - s.since > IDLE { 1 } else { 3 })
+            }
+            Stage::Ready | Stage::Waiting(_) => None,
+        };
+        let idle = self.sessions.iter().filter_map(|(id, s)| Some((rank(s)?, s.since, *id)));
+        let mut idle: Vec<_> = idle.collect();
         idle.sort();
         // A request may stand unread in the socket: it counts as taken.
-        let unread = |id: &SessionId| {
-            let socket = self.sessions.get(id).map(|s| &s.polled.socket);
-            socket.is_some_and(|s| s.peek(&mut [0]).is_ok_and(|n| n > 0))
+        let quiet = |id: &SessionId| {
+            let s = self.sessions.get(id);
+            s.is_some_and(|s| matches!(s.stage, Stage::Closing) || s.polled.is_quiet())
         };
-        let oldest = idle.into_iter().find(|(_, id)| !unread(id));
-        oldest.into_iter().for_each(|(_, id)| self.close(turn, id));
+        let oldest = idle.into_iter().find(|(_, _, id)| quiet(id));
+        oldest.into_iter().for_each(|(_, _, id)| self.close(turn, id));
         oldest.is_some()
     }
 
     // ---- Sessions ----
 
-    /// A deadline of a session: it took too long to start or to close.
+    /// A deadline of a session: it took too long over a message, or to close.
     pub fn session_due(&mut self, turn: &mut Turn, id: SessionId) {
-        if let Some(s) = self.sessions.get(&id) {
-            if s.due.is_some_and(|due| due <= turn.now) {
-                self.close(turn, id);
-            }
+        let Some(s) = self.sessions.get(&id).filter(|s| s.due.is_some_and(|due| due <= turn.now)) else {
+            return;
+        };
+        if matches!(s.stage, Stage::Closing) {
+            return self.close(turn, id);
         }
+        let (code, what) = (sqlstate::PROTOCOL_VIOLATION, "no whole message in time");
+        self.last_word(turn, id, Writer::default().error("FATAL", code, what, None));
     }
 
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
@@ -256,7 +280,7 @@
 
     /// The final answer of a request.
     pub fn answer(&mut self, turn: &mut Turn, exchange: &mut Exchange, request: RequestId, answer: Final) {
-        let Some(id) = self.owners.remove(&request) else { return };
+        let Some(id) = self.disown(request) else { return };
         let Some(s) = self.sessions.get_mut(&id) else { return };
         (s.stage, s.since) = (Stage::Ready, turn.now);
         let w = Writer::default();
@@ -287,6 +311,7 @@
 
     /// Works off what has come, as far as the answers before it are out, and writes.
     fn work(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
+        let mut worked = false;
         for n in 0..=MESSAGES {
             let Some(s) = self.sessions.get_mut(&id) else { return };
             if s.ended {
@@ -305,7 +330,7 @@
                 Stage::Waiting(_) | Stage::Closing => break,
             };
             match step {
-                Ok(true) => {}
+                Ok(true) => worked = true,
                 Ok(false) => break,
                 Err(Malformed(what)) => {
                     info!(turn.log, "client broke the protocol"; "session" => id.0, "what" => what);
@@ -315,6 +340,7 @@
             }
         }
         self.flush(turn, id);
+        self.await_rest(turn, id, worked);
         let Some(s) = self.sessions.get(&id) else { return };
         let quiet = s.inbound.is_empty() && s.outbound.is_empty();
         if self.service == Service::Closing && quiet && matches!(s.stage, Stage::Startup | Stage::Ready) {
@@ -323,6 +349,21 @@
         }
     }
 
+    /// Sets the deadline for the rest of a message that has begun; each has its own, however slowly it drips.
+    fn await_rest(&mut self, turn: &mut Turn, id: SessionId, worked: bool) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        let part = match s.stage {
+            Stage::Startup | Stage::Closing => return,
+            Stage::Ready => !s.inbound.is_empty() && s.outbound.len() <= UNREAD,
+            Stage::Waiting(_) => false,
+        };
+        if !part {
+            self.set_due(turn, id, None);
+        } else if worked || s.due.is_none() {
+            self.set_due(turn, id, Some(turn.now + PATIENCE));
+        }
+    }
+
     fn flush(&mut self, turn: &mut Turn, id: SessionId) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
         loop {
@@ -378,7 +419,7 @@
         id: SessionId,
     ) -> Result<bool, Malformed> {
         let Some(s) = self.sessions.get_mut(&id) else { return Ok(false) };
-        let Some(message) = pg::message(s.inbound.bytes())? else { return Ok(false) };
+        let Some(message) = pg::message(s.inbound.bytes(), pg::FRONTEND)? else { return Ok(false) };
         let (tag, size) = (message.tag, message.size);
         let text = if tag == b'Q' { pg::string(message.body)?.to_vec() } else { Vec::new() };
         s.inbound.consume(size);
@@ -397,9 +438,10 @@
             _ if skipping => return Ok(true),
             b'Q' => match self.query(turn, text) {
                 Ok(Step::Reply(w)) => w,
-                Ok(Step::Call(call)) => {
+                Ok(Step::Call(call, name)) => {
                     let request = exchange.submit(turn, *call);
-                    self.owners.insert(request, id);
+                    self.ids.insert(Rc::clone(&name));
+                    self.owners.insert(request, Owner { session: id, id: name });
                     if let Some(s) = self.sessions.get_mut(&id) {
                         s.stage = Stage::Waiting(request);
                     }
@@ -440,17 +482,27 @@
         }
         let c = pg::comment(statement)?;
         let class = self.names.class(c.class).ok_or_else(|| format!("unknown class {:?}", c.class))?;
-        let read = self.settings.classes[class.0].read;
+        let (read, effect) = (self.settings.classes[class.0].read, self.settings.classes[class.0].effect);
+        // Another client waits for the answer that this id has: nobody may be served with it instead.
+        if self.ids.contains(c.id) {
+            return Err("the id is that of an open request".to_owned());
+        }
+        if matches!(effect, Effect::Keyed { .. }) && !c.keyed {
+            return Err(format!("a request of class {:?} needs a key k", c.class));
+        }
         let key = matches!(read, ReadLevel::Session | ReadLevel::Write).then(|| pg::first_literal(statement));
         let key = key.flatten().map(|k| u64::from_str_radix(k, 16).unwrap_or_else(|_| fnv(k)));
         let after = c.after.filter(|_| read == ReadLevel::Session);
         // Never below one: a commit of just now is still a commit.
         let since_write = after.map(|ms| (turn.now - turn.clock.at_unix_ms(ms as f64)).max(1));
-        let deadline = turn.now + Micros::from(c.wait_ms) * 1000;
+        // No client of a class waits longer than its class does, whatever it says.
+        let wait = (Micros::from(c.wait_ms) * 1000).min(self.settings.classes[class.0].deadline);
+        let deadline = turn.now + wait;
+        let id = Rc::from(c.id);
         let (group, repeat, wait_at) = (GroupId(c.cluster), c.repeat, c.wait_at);
         debug!(turn.log, "request"; "class" => class.0, "wait_ms" => c.wait_ms);
         let body = Body::new(text, wait_at);
-        Ok(Step::Call(Box::new(Call { class, group, key, deadline, since_write, repeat, body })))
+        Ok(Step::Call(Box::new(Call { class, group, key, deadline, since_write, repeat, body }), id))
     }
 
     /// Writes the last message of a connection and closes it once the client has had it.
@@ -470,12 +522,19 @@
             Stage::Startup | Stage::Ready | Stage::Closing => None,
         });
         if let Some(request) = waiting {
-            self.owners.remove(&request);
+            self.disown(request);
             exchange.gone(turn, request);
         }
         self.close(turn, id);
     }
 
+    /// A request is over: nobody waits for it, and its id is free.
+    fn disown(&mut self, request: RequestId) -> Option<SessionId> {
+        let owner = self.owners.remove(&request)?;
+        self.ids.remove(&owner.id);
+        Some(owner.session)
+    }
+
     fn set_due(&mut self, turn: &mut Turn, id: SessionId, due: Option<Micros>) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
         if let Some(at) = s.due {
@@ -498,5 +557,6 @@
 /// What a query comes to.
 enum Step {
     Reply(Writer),
-    Call(Box<Call>),
+    /// A request, and its id.
+    Call(Box<Call>, Rc<str>),
 }
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -11,6 +11,9 @@
 /// Longest startup packet, as in PostgreSQL.
 const LONGEST_STARTUP: usize = 10_000;
 
+/// Longest id taken: those of open requests are kept.
+const LONGEST_ID: usize = 64;
+
 const PROTOCOL_3: u32 = 3 << 16;
 const CANCEL_REQUEST: u32 = (1234 << 16) | 5678;
 const SSL_REQUEST: u32 = (1234 << 16) | 5679;
@@ -83,9 +86,18 @@
     Ok(Some((startup, size)))
 }
 
-/// Reads a message; `None` until it is whole.
-pub fn message(bytes: &[u8]) -> Result<Option<Message<'_>>, Malformed> {
-    let (Some(tag), Some(length)) = (bytes.first(), be32(bytes, 1)) else { return Ok(None) };
+/// What clients may send, and what db hosts may.
+pub const FRONTEND: &[u8] = b"QXSPBDECHFdcf";
+pub const BACKEND: &[u8] = b"RSKNvZETDCA";
+
+/// Reads a message of one of the kinds in `tags`; `None` until it is whole. Noise is known by its first bytes:
+/// nobody waits for as much as its length field claims.
+pub fn message<'a>(bytes: &'a [u8], tags: &[u8]) -> Result<Option<Message<'a>>, Malformed> {
+    let Some(tag) = bytes.first() else { return Ok(None) };
+    if !tags.contains(tag) {
+        return Err(Malformed("invalid message type"));
+    }
+    let Some(length) = be32(bytes, 1) else { return Ok(None) };
     let size = length as usize + 1;
     if !(5..=LONGEST_MESSAGE).contains(&size) {
         return Err(Malformed("invalid message length"));
@@ -101,13 +113,13 @@
     }
 }
 
-/// The name and value of a ParameterStatus.
-pub fn parameter_status(body: &[u8]) -> Result<(&str, &str), Malformed> {
-    let text = std::str::from_utf8(body).map_err(|_| Malformed("ParameterStatus is not UTF-8"))?;
-    let mut parts = text.split('\0');
+/// The name and value of a ParameterStatus; nothing where it can't be read. It comes beside an answer and
+/// must not spoil it.
+pub fn parameter_status(body: &[u8]) -> Option<(&str, &str)> {
+    let mut parts = std::str::from_utf8(body).ok()?.split('\0');
     match (parts.next(), parts.next(), parts.next(), parts.next()) {
-        (Some(name), Some(value), Some(""), None) => Ok((name, value)),
-        _ => Err(Malformed("invalid ParameterStatus")),
+        (Some(name), Some(value), Some(""), None) => Some((name, value)),
+        _ => None,
     }
 }
 
@@ -125,22 +137,30 @@
     body.get(6..6 + length).ok_or(Malformed("DataRow without a value"))
 }
 
-/// Whether a DataRow is whole: its columns fill it exactly.
+/// Whether a DataRow is whole: one column that fills it exactly.
 pub fn check_row(body: &[u8]) -> Result<(), Malformed> {
-    let columns = body.get(..2).map(|b| u16::from_be_bytes([b[0], b[1]]));
-    let mut at = 2;
-    for _ in 0..columns.ok_or(Malformed("invalid DataRow"))? {
-        let length = be32(body, at).ok_or(Malformed("invalid DataRow"))?;
+    let length = match be32(body, 2) {
         // Minus one stands for NULL.
-        at += 4 + if length == u32::MAX { 0 } else { length as usize };
-    }
-    if at == body.len() {
+        Some(u32::MAX) => Some(0),
+        length => length.map(|n| n as usize),
+    };
+    if body.starts_with(&[0, 1]) && length.is_some_and(|n| body.len() == 6 + n) {
         Ok(())
     } else {
         Err(Malformed("invalid DataRow"))
     }
 }
 
+/// Whether a RowDescription describes one column: its name, then 18 bytes on its type.
+pub fn check_description(body: &[u8]) -> Result<(), Malformed> {
+    let name = body.strip_prefix(&[0, 1]).and_then(|b| b.iter().position(|b| *b == 0));
+    if name.is_some_and(|n| body.len() == 2 + n + 1 + 18) {
+        Ok(())
+    } else {
+        Err(Malformed("invalid RowDescription"))
+    }
+}
+
 fn be32(bytes: &[u8], at: usize) -> Option<u32> {
     let b = bytes.get(at..at.checked_add(4)?)?;
     Some(u32::from_be_bytes([b[0], b[1], b[2], b[3]]))
@@ -213,6 +233,10 @@
 /// What the comment before a statement says.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Comment<'a> {
+    /// The request's id: one that is open has another client waiting for it.
+    pub id: &'a str,
+    /// Whether an idempotency key stands there.
+    pub keyed: bool,
     pub class: &'a str,
     /// The client's wait in milliseconds, and where in the statement it stands.
     pub wait_ms: u32,
@@ -229,7 +253,8 @@
     let inner = statement[start..].strip_prefix("/*").and_then(|s| s.split_once("*/"));
     let (inner, _) = inner.ok_or("the statement has no routing comment")?;
     let mut at = start + 2;
-    let (mut class, mut wait, mut repeat, mut cluster, mut after) = (None, None, false, None, None);
+    let (mut id, mut keyed, mut class, mut wait) = (None, false, None, None);
+    let (mut repeat, mut cluster, mut after) = (false, None, None);
     for pair in inner.split(',') {
         let from = at + (pair.len() - pair.trim_start().len());
         at += pair.len() + 1;
@@ -237,6 +262,8 @@
             pair.trim().split_once('=').ok_or("the routing comment has a name without a value")?;
         let bad = |_| format!("the routing comment's {name} is not a number");
         match name {
+            "id" => id = Some(value).filter(|v| (1..=LONGEST_ID).contains(&v.len())),
+            "k" => keyed = !value.is_empty(),
             "c" => class = Some(value),
             "d" => {
                 let at = from + 2;
@@ -245,14 +272,15 @@
             "r" => repeat = value == "1",
             "cluster" => cluster = Some(value.parse().map_err(bad)?),
             "after" => after = Some(value.parse().map_err(bad)?),
-            // The id, the key, and what later versions may add go on as they are.
+            // What later versions may add goes on as it is.
             _ => {}
         }
     }
     let (wait_ms, wait_at) = wait.ok_or("the routing comment has no d")?;
+    let id = id.ok_or("the routing comment has no usable id")?;
     let class = class.ok_or("the routing comment has no c")?;
     let cluster = cluster.ok_or("the routing comment has no cluster")?;
-    Ok(Comment { class, wait_ms, wait_at, repeat, cluster, after })
+    Ok(Comment { id, keyed, class, wait_ms, wait_at, repeat, cluster, after })
 }
 
 /// The first quoted literal: it names the session.
@@ -278,9 +306,14 @@
     /// Guards against statements that would be routed on guesses.
     #[test]
     fn refuses_what_it_cannot_route() {
-        for s in
-            ["SELECT 1", "/* c=a,d=5 */ x", "/* c=a,cluster=1 */ x", "/* c=a,d=-5,cluster=1 */ x", "/* c=a"]
-        {
+        for s in [
+            "SELECT 1",
+            "/* id=1,c=a,d=5 */ x",
+            "/* id=1,c=a,cluster=1 */ x",
+            "/* id=1,c=a,d=-5,cluster=1 */ x",
+            "/* c=a,d=5,cluster=1 */ x",
+            "/* c=a",
+        ] {
             assert!(comment(s).is_err(), "{s}");
         }
     }
@@ -288,12 +321,16 @@
     /// Guards the length fields: nothing outside may make the proxy buffer or read without bound.
     #[test]
     fn bounds_lengths() {
-        assert!(message(&[b'Q', 0, 0, 0, 3]).is_err());
-        assert!(message(&[b'Q', 0x7f, 0, 0, 0]).is_err());
+        assert!(message(&[b'Q', 0, 0, 0, 3], FRONTEND).is_err());
+        assert!(message(&[b'Q', 0x7f, 0, 0, 0], FRONTEND).is_err());
+        assert!(message(b"!", FRONTEND).is_err());
         assert!(startup(&[0, 0, 0, 7]).is_err());
         assert!(startup(&[1, 0, 0, 0]).is_err());
-        assert_eq!(message(&[b'Q', 0, 0, 0]), Ok(None));
+        assert_eq!(message(&[b'Q', 0, 0, 0], FRONTEND), Ok(None));
         assert!(check_row(&[0, 1, 0, 0, 0, 9, 1]).is_err());
+        assert!(check_row(&[0, 2, 0, 0, 0, 1, 7, 0, 0, 0, 1, 7]).is_err());
         assert!(first_column(&[0, 1, 0, 0, 0, 1, 7]) == Ok(&[7]));
+        assert!(check_description(&[&b"\0\x01data\0"[..], &[0; 18]].concat()).is_ok());
+        assert!(check_description(&[&b"\0\x01data\0"[..], &[0; 17]].concat()).is_err());
     }
 }
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -74,6 +74,11 @@
 }
 
 impl Polled {
+    /// Whether nothing stands unread: no bytes, no end, no error.
+    pub fn is_quiet(&self) -> bool {
+        matches!(self.socket.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// Starts a connection that comes up later.
     pub fn connect(turn: &Turn, to: std::net::SocketAddr, source: Source) -> std::io::Result<Self> {
         use socket2::{Domain, Protocol, Socket, Type};
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -1,11 +1,11 @@
 //! Recorded exchanges: the files under `tests/exchanges/` are played against the program, and all that it sends
 //! is compared with the snapshots. Every step waits for bytes, none for time.
 //!
-//! A file begins with the db hosts (`hosts: 1=primary 2=standby`, or none), maybe a `memory_mb:` of its own, and
-//! then holds a step a line:
+//! A file begins with the db hosts (`hosts: 1=primary 2=standby`, or none), maybe limits of its own (`memory_mb: 0`,
+//! `sockets: 64`), and then holds a step a line:
 //!
-//! - `a connects`: a client; `1 accepts x`, `discovery accepts w`: what the program opens;
-//! - `a> Q|text`: a message with its length filled in; `a> startup|text`, `a> raw|bytes`, `a> chunk|text`;
+//! - `a connects`: a client (`a connects 40`: so many); `1 accepts x`, `discovery accepts w`: what the program opens;
+//! - `a> Q|text`: a message with its length filled in; `a> startup|text`, `a> raw|bytes`, `a> chunk|text`, `a> row|value`;
 //!   `Q 1000|text` puts so many spaces before it; `a+ ...`: the same, kept back to go in one piece with the next; `{1}` stands for a db host's address;
 //! - `a< Z`: whole messages up to this one; `a< startup`, `a< head`, `a< 1` (bytes) and `a< end`;
 //! - `a closes`, `a resets`, `SIGTERM`, `exits`;
@@ -59,7 +59,7 @@
 }
 
 impl Stage {
-    fn open(hosts: &str, memory_mb: u32) -> Stage {
+    fn open(hosts: &str, memory_mb: u32, sockets: u32) -> Stage {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a port");
         let mut listeners = BTreeMap::from(["discovery", "moved"].map(|n| (n.to_owned(), listen())));
         let mut known = Vec::new();
@@ -73,7 +73,7 @@
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "settings": settings(),
             "discovery": listeners["discovery"].local_addr().expect("an address").to_string(),
             "watch_silence_ms": 600000,
-            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": {"generation": 41, "reset": true, "instances": known}});
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let port = listeners["discovery"].local_addr().expect("an address").port();
@@ -113,6 +113,12 @@
 
     fn step(&mut self, who: &str, rest: &str) {
         match rest.split_once(' ').unwrap_or((rest, "")) {
+            ("connects", many) if !many.is_empty() => {
+                for n in 0..many.parse().expect("a number") {
+                    let peer = TcpStream::connect(&self.address).expect("the program accepts");
+                    self.peers.insert(format!("{who}{n}"), peer);
+                }
+            }
             ("connects", _) => {
                 let peer = TcpStream::connect(&self.address).expect("the program accepts");
                 self.peers.insert(who.to_owned(), peer);
@@ -163,7 +169,7 @@
         let Some((before, after)) = text.split_once(",d=") else { return text };
         let rest = after.trim_start_matches(|c: char| c.is_ascii_digit());
         let wait: u32 = after[..after.len() - rest.len()].parse().expect("a wait");
-        assert!((1..=60_000).contains(&wait), "the wait {wait} is no client's");
+        assert!((1..=600_000).contains(&wait), "the wait {wait} is no client's");
         format!("{before},d=<wait>{rest}")
     }
 }
@@ -178,11 +184,23 @@
     match kind {
         "raw" => body,
         "chunk" => [format!("{:x}\r\n", body.len()).as_bytes(), &body, b"\r\n"].concat(),
+        "row" => row(&body),
         "startup" => [length(8), vec![0, 3, 0, 0], body].concat(),
         tag => [tag.as_bytes().to_vec(), length(4), body].concat(),
     }
 }
 
+/// An answer of one row of one column.
+fn row(value: &[u8]) -> Vec<u8> {
+    let message = |tag: u8, parts: &[&[u8]]| {
+        let body = parts.concat();
+        [&[tag], &(body.len() as u32 + 4).to_be_bytes()[..], &body].concat()
+    };
+    let description = message(b'T', &[b"\0\x01data\0", &[0; 18]]);
+    let data = message(b'D', &[b"\0\x01", &(value.len() as u32).to_be_bytes(), value]);
+    [description, data, message(b'C', &[b"SELECT 1\0"])].concat()
+}
+
 fn unescape(text: &str) -> Vec<u8> {
     let (mut bytes, mut rest) = (Vec::new(), text);
     while let Some((before, after)) = rest.split_once('\\') {
@@ -252,8 +270,12 @@
     let mut lines = text.lines().filter(|l| !l.is_empty() && !l.starts_with('#'));
     let hosts = lines.next().and_then(|l| l.strip_prefix("hosts:")).expect("the db hosts first");
     let mut lines = lines.peekable();
-    let memory = lines.next_if(|l| l.starts_with("memory_mb:")).and_then(|l| l[10..].trim().parse().ok());
-    let mut stage = Stage::open(hosts, memory.unwrap_or(192));
+    let mut limit = |name: &str| {
+        let line = lines.next_if(|l| l.starts_with(name));
+        line.map(|l| l[name.len()..].trim().parse().expect("a number"))
+    };
+    let (memory, sockets) = (limit("memory_mb:"), limit("sockets:"));
+    let mut stage = Stage::open(hosts, memory.unwrap_or(192), sockets.unwrap_or(1024));
     lines.for_each(|line| stage.play(line));
     insta::assert_snapshot!(name, stage.record);
 }
@@ -296,4 +318,9 @@
     long_pipeline
     memory
     reload
+    spoilt
+    surplus
+    unusable
+    mute
+    crowd
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -204,6 +204,11 @@
         }
     }
 
+    /// How many members it knows.
+    pub fn known(&self) -> usize {
+        self.members.len()
+    }
+
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         let due = now >= self.timer;
@@ -253,11 +258,26 @@
         }
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             let listed: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
-            for (_, m) in self.members.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                m.barred |= !self.settings.rules.dropped_stay_open;
+            let stay = self.settings.rules.dropped_stay_open;
+            for (_, m) in self.members.iter_mut().filter(|(id, _)| !stay && !listed.contains(id)) {
+                (m.barred, m.entry.phase) = (true, Phase::Removed);
             }
         }
         entries.into_iter().for_each(|entry| self.list(now, entry));
+        self.forget();
+    }
+
+    /// Members come and go as long as the driver lives: what is gone and owes nothing takes no more room.
+    fn forget(&mut self) {
+        let gone = |m: &Member| m.barred && m.entry.phase == Phase::Removed && m.out.is_empty();
+        let left = self.members.iter().filter(|(_, m)| gone(m)).map(|(id, m)| (*id, m.entry.group));
+        for (id, group) in left.collect::<Vec<_>>() {
+            self.members.remove(&id);
+            self.watched.remove(&id);
+            let g = self.groups.entry(group).or_default();
+            g.members.remove(&id);
+            g.primary = g.primary.filter(|p| *p != id);
+        }
     }
 
     fn list(&mut self, now: Micros, entry: Entry) {
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -153,6 +153,26 @@
     }
 }
 
+#[test]
+fn members_that_are_gone_are_forgotten_and_may_return() {
+    // Guards a long life's memory, and the time of each draw: members are replaced again and again.
+    let mut d = Driver::new(settings(vec![ANY]));
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    d.request(1, ANY, None);
+    assert_eq!(d.sent(1), vec![REPLICA]);
+    for n in 10..200 {
+        let gone = Entry { phase: Phase::Removed, ..entry(MemberId(n), false) };
+        d.list(ListKind::Incremental, vec![entry(MemberId(n), false)]);
+        d.list(ListKind::Incremental, vec![gone]);
+        d.list(ListKind::Full, vec![entry(PRIMARY, true)]);
+    }
+    assert_eq!(d.balancer.known(), 2, "one listed, one that still owes an answer");
+    d.ok((1, 0, REPLICA), None, false);
+    d.list(ListKind::Incremental, vec![entry(REPLICA, false)]);
+    d.request(2, ANY, None);
+    assert_eq!(d.sent(2), vec![REPLICA]);
+}
+
 #[test]
 fn vanished_member_stays_open_where_the_settings_say_so() {
     let mut s = settings(vec![FRESH]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -75,7 +75,7 @@
 }
 
 pub struct Driver {
-    balancer: Balancer,
+    pub balancer: Balancer,
     classes: Vec<Class>,
     now: Micros,
     timers: BTreeMap<Micros, TimerTag>,
