Spill reads to primaries with room; date repeats; give up silent first attempts

Seen in traces of the members and of each attempt's ending. Repeats with 40 to 60 ms left were sent and left by their clients: 250 to 280 attempts at each busy replica in 10 s. At fault in src/balance.rs: dispatch drew among replicas alone as soon as one qualified; on_request ignored the repeat mark; send set each attempt's time to all that was left.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,6 +29,10 @@
 const MEMORY: f64 = 10e6;
 /// Answers may take this share of their aim, in the mean, before a member counts as crowded.
 const CROWDED: f64 = 0.28;
+/// A first attempt may take so many usual answer times.
+const PATIENT: f64 = 16.0;
+/// Share of a primary's room that reads may fill which replicas could serve, had they room.
+const SPARE: f64 = 0.85;
 /// Turns that a thinned member grants in advance to what is worth more than most for its work.
 const AHEAD: f64 = 2.0;
 /// A read that earns this little when late is held for this share of its aim, then refused.
@@ -118,6 +122,8 @@
     group: GroupId,
     bucket: Option<usize>,
     arrived: Micros,
+    /// When its client first asked, as far as that can be told of a repeat.
+    began: Micros,
     deadline: Micros,
     /// A session read's needed position; `None` without one.
     need: Option<Micros>,
@@ -158,6 +164,8 @@
     due: BTreeSet<(Micros, RequestId)>,
     /// Work of each class: its median answer time, raised by members that are not crowded alone.
     work: Vec<f64>,
+    /// The usual wait of each class's clients.
+    waits: Vec<f64>,
     retries: f64,
     probes: f64,
     ask_at: Option<Micros>,
@@ -188,6 +196,7 @@
             requests: BTreeMap::new(),
             due: BTreeSet::new(),
             work: settings.classes.iter().map(|c| (c.aim as f64 / 4.0).max(1.0)).collect(),
+            waits: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             retries: RETRY_SAVED,
             probes: PROBE_SAVED,
             ask_at: settings.list_on_request.then_some(now),
@@ -308,11 +317,15 @@
     }
 
     fn on_request(&mut self, now: Micros, arrival: Arrival, actions: &mut Vec<Action>) {
-        let Arrival { request: id, class, group, key, deadline, since_write, repeat: _ } = arrival;
+        let Arrival { request: id, class, group, key, deadline, since_write, repeat } = arrival;
         let Some(c) = self.settings.classes.get(class.0) else {
             actions.push(Action::Fail { request: id });
             return;
         };
+        // A repeat has what its client's first try has left: clients of a class wait about equally long.
+        let (wait, usual) = ((deadline - now) as f64, &mut self.waits[class.0]);
+        *usual += if repeat { 0.0 } else { 0.05 * (wait - *usual) };
+        let began = if repeat { now - (*usual - wait).clamp(0.0, c.deadline as f64) as Micros } else { now };
         let write = c.read == ReadLevel::Write;
         let bucket = key.map(|k| (mix(k ^ mix(group.0)) % BUCKETS) as usize);
         let need = match self.settings.tokens {
@@ -325,6 +338,7 @@
             group,
             bucket,
             arrived: now,
+            began,
             deadline,
             need,
             sequence: if write { self.sequence } else { 0 },
@@ -540,6 +554,13 @@
         few && (now - m.turn) as f64 >= self.gap(class, room) * (1.0 - ahead)
     }
 
+    /// Whether a primary has more room than what only it can do is likely to need.
+    fn spares(&self, now: Micros, id: MemberId) -> bool {
+        self.members.get(&id).is_some_and(|m| {
+            m.usable() && m.strain <= CROWDED && m.out.len() as f64 + 1.0 <= self.room(now, m) * SPARE
+        })
+    }
+
     fn gap(&self, class: ClassId, room: f64) -> f64 {
         (self.work[class.0] / room).min(MEMORY)
     }
@@ -563,7 +584,12 @@
             // Reads that fall back on the primary leave its turns to what only it can do.
             let spare = lone && self.need(now, &r).is_some();
             let worth = if spare { worth / 2.0 } else { worth };
-            let target = self.draw(now, r.class, worth, &among);
+            let mut target = self.draw(now, r.class, worth, &among);
+            // Where the replicas that qualify have no room, a primary with room to spare takes reads too: a few
+            // that keep up while the others lag would else drown beside it.
+            if let (None, false, Some(p)) = (target, lone, primary.filter(|p| self.spares(now, *p))) {
+                target = self.draw(now, r.class, worth / 2.0, &[p]);
+            }
             let target = target.filter(|to| self.may_send(now, &r, self.members[to].entry.zone));
             self.requests.insert(id, r);
             if let Some(to) = target {
@@ -599,7 +625,7 @@
     fn merit(&self, now: Micros, r: &Request) -> f64 {
         let c = &self.settings.classes[r.class.0];
         // Judged by work: a queue at the primary must not make its writes look late.
-        let late = now + self.work[r.class.0] as Micros > r.arrived + c.aim;
+        let late = now + self.work[r.class.0] as Micros > r.began + c.aim;
         c.worth * if late { c.late_worth } else { 1.0 } / self.work[r.class.0]
     }
 
@@ -635,7 +661,12 @@
         if let (Some(b), true) = (r.bucket, r.sequence > 0) {
             self.buckets[b].open = self.buckets[b].open.max(Some(r.sequence));
         }
-        actions.push(Action::Send { request: id, member: to, timeout: r.deadline - now });
+        // One connection may fall silent while its member serves on: a first attempt is not waited for beyond
+        // what nearly all take. What is long of itself gets all its time on the next one.
+        let patience = (work * m.slow.max(1.0) * PATIENT) as Micros;
+        let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
+        let timeout = if first { patience.max(SWEEP).min(r.deadline - now) } else { r.deadline - now };
+        actions.push(Action::Send { request: id, member: to, timeout });
     }
 
     // ---- Failure handling ----
@@ -818,7 +849,8 @@
                 // Nor is one held for most of its time in vain.
                 let vain = r.arrived + ((r.deadline - r.arrived) as f64 * VAIN) as Micros;
                 let patient = if r.attempts.is_empty() { vain } else { r.deadline };
-                let end = if c.late_worth > LITTLE { patient } else { r.deadline.min(hold + best) };
+                let useful = r.deadline.min(hold + best).min(r.began + c.aim);
+                let end = if c.late_worth > LITTLE { patient } else { useful };
                 if r.out() == 0 && now + best + SWEEP > end {
                     lost.push(*id);
                 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -206,6 +206,22 @@
         self.arrive(id, class, GROUP, key, since_write);
     }
 
+    /// A client's repeat, with so much of its wait left.
+    pub fn repeat(&mut self, id: u64, kind: Kind, left: Micros) {
+        let class = self.classes.iter().position(|c| (c.read, c.effect) == kind).unwrap();
+        let (request, class, deadline) = (RequestId(id), ClassId(class), self.now + left);
+        let (group, key, since_write) = (GROUP, None, None);
+        self.handle(Event::Request(Arrival {
+            request,
+            class,
+            group,
+            key,
+            deadline,
+            since_write,
+            repeat: true,
+        }));
+    }
+
     pub fn request_in(&mut self, id: u64, class: usize, group: GroupId) {
         self.arrive(id, class, group, Some(id), None);
     }
