Convict no member by one broken connection; keep the pool unless connects fail again

At fault in src/balance.rs: judge made a suspect of a member for one reset or refused connection; on_probed then took the living suspect for one with a full table and closed its idle connections after every answer for 10 s. A suspect primary also holds its writes for 100 ms, most of their aim of 150 ms. Ruled out: the pool itself (backend.rs), which keeps what it is not told to close; the hosts' idle time. Now a lone break of a member heard within 100 ms is a strike; a second one without a word in between convicts, as a dead process breaks all at once. Politeness needs a third refused connect in about 10 s.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,6 +52,8 @@
 /// Gap between looks at a suspect, first and longest.
 const LOOK: Micros = 100_000;
 const LOOK_LONGEST: Micros = 4_000_000;
+/// Connects that a member refuses in a while by mere mishap, as when a network resets them.
+const FEW: f64 = 2.5;
 /// One that was away this long may have started anew; without an answer so long, a member is not active.
 const AWAY: Micros = 1_000_000;
 /// Waits before the member list is asked for again after a failed call.
@@ -85,6 +87,9 @@
     /// Since when it has not been well, and whether it refused connections, and so may come back cold.
     ill_since: Micros,
     down: bool,
+    /// When a connection of it last broke while it was heard otherwise; connects refused of late.
+    strike: Micros,
+    refused: Recent,
     look_at: Micros,
     /// When the probe that is still out was sent.
     probing: Option<Micros>,
@@ -408,7 +413,7 @@
         let group = m.entry.group;
         if ending == Ending::Ok {
             // It refused a connection and runs, too soon for a new start: its table is full of idle ones.
-            if m.suspect && m.down && now - m.ill_since < AWAY {
+            if m.suspect && m.down && now - m.ill_since < AWAY && fade(m.refused, now) > FEW {
                 self.polite = now + MEMORY as Micros;
             }
             m.recover(now);
@@ -686,6 +691,9 @@
         let fleet = f64::from(self.settings.fleet.max(1));
         let least = (m.entry.weight.max(0.01) * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
         let ratio = elapsed as f64 / self.work[class.0];
+        if ending == Ending::ConnectFailed && elapsed < LOOK {
+            m.refused = (fade(m.refused, now) + 1.0, now);
+        }
         match ending {
             Ending::Ok => {
                 self.served = (fade(self.served, now) + self.work[class.0], now);
@@ -703,6 +711,8 @@
                 (m.turn, m.pause) = (now, now + LOOK / 2);
             }
             Ending::ConnectFailed if now < self.polite => m.pause = now + LOOK,
+            // Connections break one by one, too, while the process serves on. It is gone if others break as well.
+            Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(now - LOOK) => m.strike = now,
             // A process that is gone refuses at once. One that never answers is out of reach, and need not have
             // started anew when it is heard again.
             Ending::ConnectFailed => self.convict(now, id, elapsed < LOOK),
@@ -912,6 +922,8 @@
             suspect: false,
             ill_since: NEVER,
             down: false,
+            strike: NEVER,
+            refused: (0.0, 0),
             look_at: NEVER,
             probing: None,
         }
