Wait for first attempts as long as nearly all answers take; for ReadyForQuery 3 ms

At fault: send (balance.rs) with a fixed multiple of the median; find_silent, which took an attempt older than the member's last word for as telling as a newer one; Backend::read, which gave a whole answer on only with ReadyForQuery. Ruled out: held writes (first attempts go out after 107 us, median), descriptors, CPU. Now the multiple follows the time that 99.7% of answers stay under; attempts older than the last word need twice the silence; a whole answer waits 3 ms for the rest. The exchange no_ready hangs without that.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -23,6 +23,8 @@
 /// The share of a db host's idle time after which a connection is dropped here: well before the host drops
 /// it, or a request would be written to a connection that is just being closed.
 const IDLE_SHARE: f64 = 0.6;
+/// How long ReadyForQuery may take behind a whole answer. What a db host tells of itself may come in between.
+const READY: Micros = 3_000;
 /// Reads of one connection in one turn.
 const READS: usize = 8;
 
@@ -68,6 +70,8 @@
     Busy {
         job: Job,
         reply: Reply,
+        /// By when ReadyForQuery has to follow an answer that is whole.
+        ready_by: Option<Micros>,
     },
     /// Its job was taken from it; it closes at once.
     Spent,
@@ -231,6 +235,9 @@
                 self.broke(turn, exchange, id, "not up in time")
             }
             Some(Stage::Idle { until, .. }) if *until <= turn.now => self.close(turn, id),
+            Some(Stage::Busy { ready_by: Some(by), .. }) if *by <= turn.now => {
+                self.spoilt(turn, exchange, id, "no ReadyForQuery behind it")
+            }
             _ => {}
         }
     }
@@ -265,7 +272,16 @@
     fn read(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> Result<(), Malformed> {
         loop {
             let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
-            let Some(message) = pg::message(s.inbound.bytes(), pg::BACKEND)? else { return Ok(()) };
+            let Some(message) = pg::message(s.inbound.bytes(), pg::BACKEND)? else {
+                // The client must not wait for what is not its answer.
+                if let Stage::Busy { reply, ready_by: ready_by @ None, .. } = &mut s.stage {
+                    if reply.ending().is_some() {
+                        *ready_by = Some(turn.now + READY);
+                        turn.deadlines.set(turn.now + READY, Due::Server(id));
+                    }
+                }
+                return Ok(());
+            };
             let (tag, size) = (message.tag, message.size);
             let up = match &mut s.stage {
                 Stage::Starting { .. } => match tag {
@@ -386,7 +402,7 @@
                 turn.deadlines.clear(by, Due::Server(id));
             }
             Stage::Idle { .. } | Stage::Spent => {}
-            Stage::Busy { job, reply } => {
+            Stage::Busy { job, reply, .. } => {
                 let ending = reply.ending().unwrap_or(Ending::Reset);
                 self.end(turn, exchange, member, job, ending, reply);
             }
@@ -422,7 +438,7 @@
                 s.outbound.push(&Writer::default().query(&[b"SHOW pressure"]).0)
             }
         };
-        s.stage = Stage::Busy { job, reply: Reply::default() };
+        s.stage = Stage::Busy { job, reply: Reply::default(), ready_by: None };
         let flushed = if pushed { self.flush(id) } else { Err(io::Error::other("the request is too long")) };
         if let Err(e) = flushed {
             self.broke(turn, exchange, id, &e.to_string());
@@ -554,7 +570,7 @@
     fn take_job(&mut self, id: ServerId) -> Option<(MemberId, bool, Job, Reply)> {
         let s = self.servers.get_mut(&id)?;
         match std::mem::replace(&mut s.stage, Stage::Spent) {
-            Stage::Busy { job, reply } => Some((s.member, !s.outbound.is_empty(), job, reply)),
+            Stage::Busy { job, reply, .. } => Some((s.member, !s.outbound.is_empty(), job, reply)),
             other => {
                 s.stage = other;
                 None
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -323,4 +323,5 @@
     unusable
     mute
     crowd
+    no_ready
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -29,8 +29,10 @@
 const MEMORY: f64 = 10e6;
 /// Answers may take this share of their aim, in the mean, before a member counts as crowded.
 const CROWDED: f64 = 0.28;
-/// A first attempt may take so many usual answer times.
-const PATIENT: f64 = 16.0;
+/// A first attempt may take so many usual answer times, at least and at most: as many as nearly all take.
+const PATIENT: (f64, f64) = (6.0, 24.0);
+/// Share of answers that may take longer.
+const TAIL: f64 = 0.003;
 /// Share of a primary's room that reads may fill which replicas could serve, had they room.
 const SPARE: f64 = 0.85;
 /// Turns that a thinned member grants in advance to what is worth more than most for its work.
@@ -171,6 +173,8 @@
     work: Vec<f64>,
     /// The usual wait of each class's clients.
     waits: Vec<f64>,
+    /// How many usual answer times nearly all answers take at most.
+    tail: f64,
     retries: f64,
     probes: f64,
     ask_at: Option<Micros>,
@@ -202,6 +206,7 @@
             due: BTreeSet::new(),
             work: settings.classes.iter().map(|c| (c.aim as f64 / 4.0).max(1.0)).collect(),
             waits: settings.classes.iter().map(|c| c.deadline as f64).collect(),
+            tail: (PATIENT.0 + PATIENT.1) / 2.0,
             retries: RETRY_SAVED,
             probes: PROBE_SAVED,
             ask_at: settings.list_on_request.then_some(now),
@@ -668,7 +673,9 @@
         }
         // One connection may fall silent while its member serves on: a first attempt is not waited for beyond
         // what nearly all take. What is long of itself gets all its time on the next one.
-        let patience = (work * m.slow.max(1.0) * PATIENT) as Micros;
+        // A queue grows faster than what is known of it.
+        let tail = if m.strain > CROWDED { PATIENT.1 } else { self.tail };
+        let patience = (work * m.slow.max(1.0) * tail) as Micros;
         let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
         let timeout = if first { patience.max(SWEEP).min(r.deadline - now) } else { r.deadline - now };
         actions.push(Action::Send { request: id, member: to, timeout });
@@ -698,6 +705,8 @@
             Ending::Ok => {
                 self.served = (fade(self.served, now) + self.work[class.0], now);
                 m.recover(now);
+                let long = ratio / m.slow.max(1.0) > self.tail;
+                self.tail = (self.tail + if long { 2.0 } else { -2.0 * TAIL }).clamp(PATIENT.0, PATIENT.1);
                 m.errors *= 0.9 - 0.2 * fresh;
                 m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow);
                 m.strain(now, elapsed, elapsed as f64 / aim, age, least);
@@ -833,9 +842,12 @@
     fn find_silent(&mut self, now: Micros) {
         let mut silent = Vec::new();
         for (id, m) in self.watched.iter().filter_map(|id| self.members.get(id).map(|m| (id, m))) {
-            let Some((&(sent, _, _), _)) = m.out.first_key_value() else { continue };
+            // What was sent before its last word may be a lone silent connection; what was sent since is not.
+            let since = m.out.range((m.heard, RequestId(0), 0)..).next().or(m.out.first_key_value());
+            let Some((&(sent, _, _), _)) = since else { continue };
             let usual = m.out.values().map(|c| self.work[c.0]).fold(0.0, f64::max);
             let patience = usual * m.slow.max(1.0) * (2.0 + 4.0 / m.out.len() as f64);
+            let patience = if sent < m.heard { 2.0 * patience } else { patience };
             if !m.suspect && (now - sent.max(m.heard).max(self.awake)) as f64 > patience {
                 silent.push(*id);
             }
