--- a/src/balance.rs
+++ b/src/balance.rs
@@ -14,9 +14,9 @@
 /// Before any time that a clock shows, with room to subtract.
 const NEVER: Micros = -(1 << 60);
 const FOREVER: Micros = 1 << 60;
-/// Pace of the rounds while anything is held, as a part of the shortest aim; and the shortest pace.
+/// Parts of the shortest aim: pace of the rounds while anything is held, and the shortest pace.
 const ROUND: i64 = 10;
-const SWEEP: Micros = 10_000;
+const SWEEP: i64 = 50;
 /// A member's share of attempts that fails before it loses its place in the draw.
 const BAD: f64 = 0.3;
 /// Attempts that all drivers may hold at a member that shows no crowding; each starts with two at least.
@@ -49,10 +49,10 @@
 /// Points that probes may cost, as a share of one; and probes that may be saved up.
 const PROBE_POINTS: f64 = 0.014;
 const PROBE_SAVED: f64 = 8.0;
-/// Longest wait of a read for a probe that may open a replica to it.
-const ENQUIRY: Micros = 25_000;
-/// Gap between looks at a suspect, first and longest.
-const LOOK: Micros = 100_000;
+/// Shortest paces in the longest wait of a read for a probe that may open a replica to it, and in the first gap
+/// between looks at a suspect; the longest such gap.
+const ENQUIRY: i64 = 5;
+const LOOK: i64 = 10;
 const LOOK_LONGEST: Micros = 4_000_000;
 /// Connects that a member refuses in a while by mere mishap, as when a network resets them.
 const FEW: f64 = 2.5;
@@ -181,6 +181,8 @@
     /// Members with work of ours, heard of lately or not well; groups that hold requests.
     watched: BTreeSet<MemberId>,
     holding: BTreeSet<GroupId>,
+    /// The shortest pace of the rounds: what is short beside the shortest aim.
+    pace: Micros,
     /// Until when connections count as scarce: idle ones are closed, and one refused convicts nobody.
     polite: Micros,
     /// When a suspect is looked at next, when the next round is due, and the end of the latest stall.
@@ -212,6 +214,7 @@
             ask_at: settings.list_on_request.then_some(now),
             watched: BTreeSet::new(),
             holding: BTreeSet::new(),
+            pace: (settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) / SWEEP).clamp(1_000, 10_000),
             polite: NEVER,
             look_at: FOREVER,
             timer: now,
@@ -232,7 +235,7 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         let due = now >= self.timer;
         // A driver that stood still finds all that came meanwhile at once: the silence was its own.
-        if now > self.timer + self.settings.tick + SWEEP {
+        if now > self.timer + self.settings.tick + self.pace {
             self.awake = now;
         }
         match event {
@@ -257,8 +260,8 @@
     /// Nothing due, no timer: an idle driver costs nothing. What is out is looked at as answers come.
     fn next_round(&self, now: Micros) -> Micros {
         let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
-        let held = if self.holding.is_empty() { FOREVER } else { now + (aim / ROUND).max(SWEEP) };
-        let out = if self.due.is_empty() { FOREVER } else { now + self.fastest().max(SWEEP) };
+        let held = if self.holding.is_empty() { FOREVER } else { now + (aim / ROUND).max(self.pace) };
+        let out = if self.due.is_empty() { FOREVER } else { now + self.fastest().max(self.pace) };
         let (due, ask) = (self.due.first().map_or(FOREVER, |d| d.0), self.ask_at.unwrap_or(FOREVER));
         held.min(out).min(due).min(ask).min(self.look_at)
     }
@@ -618,10 +621,10 @@
         let Some(need) = self.need(now, r).filter(|n| *n > NEVER && r.out() == 0) else { return false };
         if let Some(asked) = r.asked {
             let m = self.members.get(&asked);
-            return m.and_then(|m| m.probing).is_some_and(|sent| now - sent < ENQUIRY);
+            return m.and_then(|m| m.probing).is_some_and(|sent| now - sent < self.pace * ENQUIRY / 2);
         }
         // Drawn among those that should be recent enough: all drivers must not ask the same one.
-        let old = |m: &Member| m.outlook(now) >= need && now - m.heard_position > SWEEP * 2;
+        let old = |m: &Member| m.outlook(now) >= need && now - m.heard_position > self.pace * 2;
         let likely = self.replicas(r.group, old);
         let Some(to) = self.rng.choice(&likely).copied() else { return false };
         if self.members[&to].probing.is_none() && !self.probe(now, to, actions) {
@@ -677,7 +680,7 @@
         let tail = if m.strain > CROWDED { PATIENT.1 } else { self.tail };
         let patience = (work * m.slow.max(1.0) * tail) as Micros;
         let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
-        let timeout = if first { patience.max(SWEEP).min(r.deadline - now) } else { r.deadline - now };
+        let timeout = if first { patience.max(self.pace).min(r.deadline - now) } else { r.deadline - now };
         actions.push(Action::Send { request: id, member: to, timeout });
     }
 
@@ -698,7 +701,7 @@
         let fleet = f64::from(self.settings.fleet.max(1));
         let least = (m.entry.weight.max(0.01) * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
         let ratio = elapsed as f64 / self.work[class.0];
-        if ending == Ending::ConnectFailed && elapsed < LOOK {
+        if ending == Ending::ConnectFailed && elapsed < self.pace * LOOK {
             m.refused = (fade(m.refused, now) + 1.0, now);
         }
         match ending {
@@ -717,14 +720,16 @@
             Ending::Miss => m.recover(now),
             Ending::Full => {
                 m.cut(now, 0.7, least);
-                (m.turn, m.pause) = (now, now + LOOK / 2);
+                (m.turn, m.pause) = (now, now + self.pace * LOOK / 2);
             }
-            Ending::ConnectFailed if now < self.polite => m.pause = now + LOOK,
+            Ending::ConnectFailed if now < self.polite => m.pause = now + self.pace * LOOK,
             // Connections break one by one, too, while the process serves on. It is gone if others break as well.
-            Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(now - LOOK) => m.strike = now,
+            Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(now - self.pace * LOOK) => {
+                m.strike = now
+            }
             // A process that is gone refuses at once. One that never answers is out of reach, and need not have
             // started anew when it is heard again.
-            Ending::ConnectFailed => self.convict(now, id, elapsed < LOOK),
+            Ending::ConnectFailed => self.convict(now, id, elapsed < self.pace * LOOK),
             Ending::Reset => self.convict(now, id, true),
             Ending::Timeout => {
                 m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow).max(0.0);
@@ -742,7 +747,7 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         if !m.suspect {
             (m.suspect, m.down, m.ill_since) = (true, false, now);
-            m.look_at = now + LOOK;
+            m.look_at = now + self.pace * LOOK;
         }
         m.down |= down;
         for id in m.out.keys().map(|k| k.1).collect::<Vec<_>>() {
@@ -842,12 +847,9 @@
     fn find_silent(&mut self, now: Micros) {
         let mut silent = Vec::new();
         for (id, m) in self.watched.iter().filter_map(|id| self.members.get(id).map(|m| (id, m))) {
-            // What was sent before its last word may be a lone silent connection; what was sent since is not.
-            let since = m.out.range((m.heard, RequestId(0), 0)..).next().or(m.out.first_key_value());
-            let Some((&(sent, _, _), _)) = since else { continue };
+            let Some((&(sent, _, _), _)) = m.out.first_key_value() else { continue };
             let usual = m.out.values().map(|c| self.work[c.0]).fold(0.0, f64::max);
             let patience = usual * m.slow.max(1.0) * (2.0 + 4.0 / m.out.len() as f64);
-            let patience = if sent < m.heard { 2.0 * patience } else { patience };
             if !m.suspect && (now - sent.max(m.heard).max(self.awake)) as f64 > patience {
                 silent.push(*id);
             }
@@ -873,7 +875,7 @@
                 let patient = if r.attempts.is_empty() { vain } else { r.deadline };
                 let useful = r.deadline.min(hold + best).min(r.began + c.aim);
                 let end = if c.late_worth > LITTLE { patient } else { useful };
-                if r.out() == 0 && now + best + SWEEP > end {
+                if r.out() == 0 && now + best + self.pace > end {
                     lost.push(*id);
                 }
             }
@@ -889,7 +891,7 @@
         for id in &self.watched {
             let Some(m) = self.members.get_mut(id).filter(|m| m.suspect && !m.barred) else { continue };
             if now >= m.look_at {
-                m.look_at = now + (now - m.ill_since).clamp(LOOK, LOOK_LONGEST);
+                m.look_at = now + (now - m.ill_since).clamp(self.pace * LOOK, LOOK_LONGEST);
                 if now - m.ill_since > 2 * AWAY {
                     m.recover(now);
                 }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -595,6 +595,19 @@
     assert!(d.sent(3).len() == 1 && d.sent(4).is_empty(), "two in a row and nothing between: it is gone");
 }
 
+#[test]
+fn suspect_is_looked_at_sooner_where_aims_are_short() {
+    // Guards sites with short aims against gaps that suit one with long ones: writes wait for such a look.
+    let mut s = settings(vec![WRITE]);
+    s.classes[0].aim = 50_000;
+    let mut d = Driver::new(s);
+    d.members(&[PRIMARY], PRIMARY);
+    let write = d.write(1, 1);
+    d.end(write, Ending::Reset, None, false);
+    d.run_to(20_000);
+    assert!(d.log.iter().any(|(_, a)| *a == Action::Probe { member: PRIMARY }));
+}
+
 #[test]
 fn odd_settings_are_borne() {
     let mut s = settings(vec![ANY, WRITE]);
