Close idle clients where many are open, so that others find a connection

Clients counted by stage at 4 s: 128 open and asked, exactly the third of 384 descriptors that clients may hold for requests, 118 of them idle for 0.5 s and more, and 98 silent in startup. The requests that failed never reached a proxy: those that asked once and stayed held every connection. At fault: frontend.rs closed idle clients only at its own limit of 240. Now, from an eighth of the clients' share on, clients idle for 2 s are closed, from a quarter on after 0.1 s, silent ones after 1 s; never one with anything unread. The exchange idle_crowd hangs without it.

--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -27,6 +27,8 @@
     Call(CallId),
     /// Connections that could not be accepted are tried again.
     Accept,
+    /// Idle clients are looked over.
+    Reap,
     /// The listener closes after SIGTERM.
     CloseListener,
     /// A line in the log.
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -30,6 +30,10 @@
 /// long expects to be closed.
 const MUTE: Micros = 50_000;
 const IDLE: Micros = 2_000_000;
+/// Pace at which idle clients are looked over; and what is borne of them, and of silent ones, among many.
+const REAP: Micros = 50_000;
+const IDLE_AMONG_MANY: Micros = 100_000;
+const MUTE_AMONG_MANY: Micros = 1_000_000;
 /// How long a closing connection is read on, so that what was written last is not lost to a reset.
 const LINGER: Micros = 1_000_000;
 /// Pause after connections could not be accepted.
@@ -54,6 +58,8 @@
     /// An unsupported message was answered with an error: all is passed over until Sync.
     skipping: bool,
     ended: bool,
+    /// It has sent a query.
+    asked: bool,
     /// When it was last of use.
     since: Micros,
     due: Option<Micros>,
@@ -86,6 +92,8 @@
     ids: HashSet<Rc<str>>,
     next: u64,
     service: Service,
+    /// Clients closed to make room since the last summary, by how readily.
+    evicted: [u32; 5],
     /// Whether the proxy knows of db hosts at all.
     pub able: bool,
 }
@@ -117,6 +125,7 @@
             ids: HashSet::new(),
             next: 0,
             service: Service::Running,
+            evicted: [0; 5],
             able: false,
         })
     }
@@ -173,6 +182,7 @@
             stage: Stage::Startup,
             skipping: false,
             ended: false,
+            asked: false,
             since: turn.now,
             due: None,
         };
@@ -200,6 +210,37 @@
         }
     }
 
+    /// Sums up in the log who was closed to make room.
+    pub fn sum_up(&mut self, turn: &Turn) {
+        let [mute, unasked, idle, starting, between] = std::mem::take(&mut self.evicted);
+        info!(turn.log, "clients"; "open" => self.sessions.len(), "mute" => mute, "unasked" => unasked,
+            "idle" => idle, "starting" => starting, "between" => between);
+    }
+
+    /// Closes clients that have had their answers and keep their connection for good, or that connect and say
+    /// nothing. Together they would hold all that clients may hold, and nobody else's request would get through. Where few are open, as with a
+    /// person at a prompt, none is closed.
+    pub fn reap(&mut self, turn: &mut Turn) {
+        turn.deadlines.set(turn.now + REAP, Due::Reap);
+        let borne = match self.sessions.len() {
+            n if n > self.most / 4 => IDLE_AMONG_MANY,
+            n if n > self.most / 8 => IDLE,
+            _ => return,
+        };
+        let idle = |s: &Session| {
+            let borne = match s.stage {
+                Stage::Startup => borne.max(MUTE_AMONG_MANY),
+                Stage::Ready if s.asked => borne,
+                Stage::Ready | Stage::Waiting(_) | Stage::Closing => return false,
+            };
+            let silent = s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet();
+            turn.now - s.since > borne && silent
+        };
+        let idle: Vec<_> = self.sessions.iter().filter(|(_, s)| idle(s)).map(|(id, _)| *id).collect();
+        self.evicted[2] += idle.len() as u32;
+        idle.into_iter().for_each(|id| self.close(turn, id));
+    }
+
     /// Whether the listener is closed and every client has had its answers.
     pub fn is_done(&self) -> bool {
         self.listener.is_none() && self.sessions.is_empty()
@@ -210,9 +251,14 @@
     fn close_oldest_idle(&mut self, turn: &mut Turn) -> bool {
         let rank = |s: &Session| match s.stage {
             Stage::Closing => Some(0),
-            Stage::Startup => Some(if turn.now - s.since > MUTE { 0 } else { 2 }),
+            Stage::Startup => Some(if turn.now - s.since > MUTE { 0 } else { 3 }),
             Stage::Ready if s.inbound.is_empty() && s.outbound.is_empty() => {
-                Some(if turn.now - s.since > IDLE { 1 } else { 3 })
+                let idle = turn.now - s.since;
+                Some(match s.asked {
+                    false if idle > MUTE => 1,
+                    _ if idle > IDLE => 2,
+                    _ => 4,
+                })
             }
             Stage::Ready | Stage::Waiting(_) => None,
         };
@@ -225,7 +271,10 @@
             s.is_some_and(|s| matches!(s.stage, Stage::Closing) || s.polled.is_quiet())
         };
         let oldest = idle.into_iter().find(|(_, _, id)| quiet(id));
-        oldest.into_iter().for_each(|(_, _, id)| self.close(turn, id));
+        if let Some((rank, _, id)) = oldest {
+            self.evicted[rank] += 1;
+            self.close(turn, id);
+        }
         oldest.is_some()
     }
 
@@ -424,6 +473,7 @@
         let text = if tag == b'Q' { pg::string(message.body)?.to_vec() } else { Vec::new() };
         s.inbound.consume(size);
         s.since = turn.now;
+        s.asked |= tag == b'Q';
         let skipping = s.skipping;
         let w = Writer::default();
         let reply = match tag {
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -66,6 +66,7 @@
         let frontend = Frontend::listen(&turn, listen, facts.settings, facts.names, most_clients, memory / 3)
             .map_err(|e| format!("cannot listen at {listen}: {e}"))?;
         turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
+        turn.deadlines.set(turn.now, Due::Reap);
         let mut proxy =
             Proxy { turn, exchange, frontend, backend, discovery, news: Vec::new(), longest, leave: false };
         proxy.news.extend(known);
@@ -97,9 +98,11 @@
             Due::Session(id) => self.frontend.session_due(turn, id),
             Due::Call(id) => self.discovery.call_due(turn, id, &mut self.news),
             Due::Accept => self.frontend.accept(turn),
+            Due::Reap => self.frontend.reap(turn),
             Due::CloseListener => self.frontend.close_listener(turn, exchange),
             Due::Summary => {
                 exchange.sum_up(turn);
+                self.frontend.sum_up(turn);
                 turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
             }
             Due::Leave => self.leave = true,
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -324,4 +324,5 @@
     mute
     crowd
     no_ready
+    idle_crowd
 }
