Close only the longest idle clients beyond two fifths of the clients' share

Cause, as far as checked: usual clients reuse connections after longer gaps than that, and a close may cross a request (frontend.rs, reap). Now only what exceeds two fifths of the share goes, the longest idle first; what is idle for 2 s goes from an eighth on.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -222,23 +222,29 @@
     /// person at a prompt, none is closed.
     pub fn reap(&mut self, turn: &mut Turn) {
         turn.deadlines.set(turn.now + REAP, Due::Reap);
-        let borne = match self.sessions.len() {
-            n if n > self.most / 4 => IDLE_AMONG_MANY,
-            n if n > self.most / 8 => IDLE,
-            _ => return,
-        };
-        let idle = |s: &Session| {
+        let open = self.sessions.len();
+        if open <= self.most / 8 {
+            return;
+        }
+        // One at a time beyond so many, the longest idle first: a close may cross a request.
+        let excess = open.saturating_sub(self.most * 2 / 5);
+        let idle = self.sessions.iter().filter_map(|(id, s)| {
             let borne = match s.stage {
-                Stage::Startup => borne.max(MUTE_AMONG_MANY),
-                Stage::Ready if s.asked => borne,
-                Stage::Ready | Stage::Waiting(_) | Stage::Closing => return false,
+                Stage::Startup => MUTE_AMONG_MANY,
+                Stage::Ready if s.asked => IDLE_AMONG_MANY,
+                Stage::Ready | Stage::Waiting(_) | Stage::Closing => return None,
             };
             let silent = s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet();
-            turn.now - s.since > borne && silent
-        };
-        let idle: Vec<_> = self.sessions.iter().filter(|(_, s)| idle(s)).map(|(id, _)| *id).collect();
-        self.evicted[2] += idle.len() as u32;
-        idle.into_iter().for_each(|id| self.close(turn, id));
+            (silent && turn.now - s.since > borne).then_some((s.since, *id))
+        });
+        let mut idle: Vec<_> = idle.collect();
+        idle.sort();
+        let over = |n: usize, since: Micros| n < excess || turn.now - since > IDLE;
+        let idle = idle.into_iter().enumerate().filter(|(n, (since, _))| over(*n, *since));
+        for (_, (_, id)) in idle.collect::<Vec<_>>() {
+            self.evicted[2] += 1;
+            self.close(turn, id);
+        }
     }
 
     /// Whether the listener is closed and every client has had its answers.
