--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -97,6 +97,8 @@
 struct Host {
     addr: SocketAddr,
     standing: Standing,
+    /// Operators hold it out, whatever the list says.
+    held_out: bool,
     /// The most recently used last.
     idle: Vec<ServerId>,
     starting: usize,
@@ -106,6 +108,12 @@
     waiting: VecDeque<Job>,
 }
 
+impl Host {
+    fn takes_jobs(&self) -> bool {
+        self.standing == Standing::Open && !self.held_out
+    }
+}
+
 /// Where a job stands.
 #[derive(Clone, Copy, Debug)]
 enum Place {
@@ -115,6 +123,8 @@
 
 /// A db host as discovery tells of it.
 pub struct Listed {
+    /// Its name, which stays when a number is given back.
+    pub id: String,
     pub member: MemberId,
     pub addr: SocketAddr,
     pub phase: Phase,
@@ -184,6 +194,7 @@
             let host = self.hosts.entry(l.member).or_insert_with(|| Host {
                 addr: l.addr,
                 standing,
+                held_out: false,
                 idle: Vec::new(),
                 starting: 0,
                 servers: 0,
@@ -198,15 +209,29 @@
             }
         }
         for member in closed {
-            let Some(host) = self.hosts.get_mut(&member) else { continue };
-            for job in std::mem::take(&mut host.waiting) {
-                self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
-            }
-            self.close_idle(turn, member);
+            self.stop(turn, exchange, member);
             self.forget_if_gone(member);
         }
     }
 
+    /// Operators hold a db host out, or readmit it.
+    pub fn maintain(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId, out: bool) {
+        let Some(host) = self.hosts.get_mut(&member) else { return };
+        host.held_out = out;
+        if out {
+            self.stop(turn, exchange, member);
+        }
+    }
+
+    /// Ends what waits for a connection to a host, and closes its idle ones.
+    fn stop(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId) {
+        let Some(host) = self.hosts.get_mut(&member) else { return };
+        for job in std::mem::take(&mut host.waiting) {
+            self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
+        }
+        self.close_idle(turn, member);
+    }
+
     /// Guards a long life's memory: hosts are replaced by others under new names, again and again.
     fn forget_if_gone(&mut self, member: MemberId) {
         let gone = |h: &Host| h.standing == Standing::Gone && h.servers == 0;
@@ -245,7 +270,7 @@
     // ---- Readiness ----
 
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        if let Err(e) = self.flush(id) {
+        if let Err(e) = self.flush(exchange, id) {
             return self.broke(turn, exchange, id, &e.to_string());
         }
         for _ in 0..READS {
@@ -311,7 +336,7 @@
     // ---- Jobs ----
 
     fn begin(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId, job: Job) {
-        let open = self.hosts.get(&member).is_some_and(|h| h.standing == Standing::Open);
+        let open = self.hosts.get(&member).is_some_and(Host::takes_jobs);
         if !open || matches!(&job, Job::Attempt { until, .. } if *until <= turn.now) {
             return self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
         }
@@ -411,7 +436,7 @@
         // for its value. The answer before it stands; the connection is of no further use.
         let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty() || !s.polled.is_quiet());
         let Some(host) = self.hosts.get_mut(&member) else { return };
-        if host.standing != Standing::Open || surplus {
+        if !host.takes_jobs() || surplus {
             self.close(turn, id);
             self.unserved(turn, exchange, member, Ending::ConnectFailed);
         } else if let Some(job) = host.waiting.pop_front() {
@@ -439,17 +464,23 @@
             }
         };
         s.stage = Stage::Busy { job, reply: Reply::default(), ready_by: None };
-        let flushed = if pushed { self.flush(id) } else { Err(io::Error::other("the request is too long")) };
+        let flushed =
+            if pushed { self.flush(exchange, id) } else { Err(io::Error::other("the request is too long")) };
         if let Err(e) = flushed {
             self.broke(turn, exchange, id, &e.to_string());
         }
     }
 
-    fn flush(&mut self, id: ServerId) -> io::Result<()> {
+    fn flush(&mut self, exchange: &mut Exchange, id: ServerId) -> io::Result<()> {
         let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
         loop {
             match s.outbound.drain(&s.polled.socket) {
-                Ok(Moved::Some(_)) => {}
+                Ok(Moved::Some(_)) => {
+                    let attempt = matches!(s.stage, Stage::Busy { job: Job::Attempt { .. }, .. });
+                    if attempt && s.outbound.is_empty() {
+                        exchange.dispatched();
+                    }
+                }
                 Ok(_) => return Ok(()),
                 // Still connecting.
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(()),
--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -14,6 +14,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub control: Option<SocketAddr>,
     pub seed: u64,
     /// File descriptors that the proxy may hold.
     pub sockets: usize,
@@ -41,6 +43,13 @@
             let text = text(key)?;
             text.parse().map_err(|_| format!("{key} is not an address: {text:?}"))
         };
+        // The processes of an upgrade may read one file, and differ in this address only by their environment.
+        let named = std::env::var("ROUTER_CONTROL").ok().filter(|a| !a.is_empty());
+        let control = match named {
+            Some(a) => Some(a.parse().map_err(|_| format!("ROUTER_CONTROL is not an address: {a:?}"))?),
+            None if value.get("control").is_none_or(Value::is_null) => None,
+            None => Some(addr("control")?),
+        };
         let seed = text("seed")?;
         let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
         if sockets < 64 {
@@ -51,6 +60,7 @@
             name: text("name")?.to_owned(),
             listen: addr("listen")?,
             discovery: addr("discovery")?,
+            control,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not hex: {seed:?}"))?,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
             memory: usize::try_from(memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20),
--- /dev/null
+++ b/crates/gradeshunt/src/control.rs
@@ -0,0 +1,286 @@
+//! The operators' address: HTTP/1.1, one call a connection. Here calls are read and answers written; what a
+//! call asks for is done by the parts that own it.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+
+use leadmast::Micros;
+use slog::warn;
+
+use crate::deadlines::Due;
+use crate::exchange::Figures;
+use crate::ids::CallerId;
+use crate::ring::{Moved, Ring};
+use crate::turn::{self, Polled, Source, Turn};
+
+/// Longest call taken, and its most headers.
+const LONGEST_CALL: usize = 8 * 1024;
+const HEADERS: usize = 64;
+/// How long a caller may take over its call, and how long it is read on after the answer.
+const PATIENCE: Micros = 3_000_000;
+const LINGER: Micros = 500_000;
+/// Pause after callers could not be accepted.
+const ACCEPT_AGAIN: Micros = 20_000;
+
+/// What an operator asks for.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Command {
+    Status,
+    Figures,
+    /// Nothing new to the db host of this name, until it is readmitted.
+    HoldOut(String),
+    Readmit(String),
+    /// Clients are to be sent away, or served again.
+    Standby,
+    Active,
+}
+
+/// What a caller is told.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Answer {
+    status: u16,
+    /// The one method that the path has, where the call used another.
+    allow: Option<&'static str>,
+    body: String,
+}
+
+impl Answer {
+    pub fn new(status: u16, body: impl Into<String>) -> Self {
+        Answer { status, allow: None, body: body.into() }
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            431 => "Request Header Fields Too Large",
+            503 => "Service Unavailable",
+            _ => "Internal Server Error",
+        };
+        let allow = self.allow.map(|m| format!("Allow: {m}\r\n")).unwrap_or_default();
+        let (status, length) = (self.status, self.body.len());
+        let head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain; version=0.0.4\r\n");
+        format!("{head}{allow}Content-Length: {length}\r\nConnection: close\r\n\r\n{}", self.body)
+            .into_bytes()
+    }
+}
+
+enum Stage {
+    /// Its call is not whole yet.
+    Asking,
+    /// Its answer is given; whatever still comes is discarded until it closes too.
+    Answered,
+}
+
+struct Caller {
+    polled: Polled,
+    inbound: Ring,
+    outbound: Ring,
+    stage: Stage,
+    due: Micros,
+}
+
+/// The operators' side.
+pub struct Control {
+    listener: Polled<TcpListener>,
+    most: usize,
+    callers: BTreeMap<CallerId, Caller>,
+    next: u64,
+}
+
+impl Control {
+    /// Listens at `addr` and holds `most` callers at most.
+    pub fn listen(turn: &Turn, addr: SocketAddr, most: usize) -> io::Result<Self> {
+        let listener = Polled::new(turn, turn::listener(addr)?, Source::Control)?;
+        Ok(Control { listener, most, callers: BTreeMap::new(), next: 0 })
+    }
+
+    pub fn local_addr(&self) -> Option<SocketAddr> {
+        self.listener.socket.local_addr().ok()
+    }
+
+    pub fn accept(&mut self, turn: &mut Turn) {
+        // As many as there may be at a time: those that come after them have their turn, too.
+        for _ in 0..self.most {
+            match self.listener.socket.accept() {
+                Ok((socket, _)) => {
+                    if let Err(e) = self.welcome(turn, socket) {
+                        warn!(turn.log, "cannot serve an operator's connection"; "error" => e.to_string());
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) => {
+                    warn!(turn.log, "cannot accept an operator's connection"; "error" => e.to_string());
+                    turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::AcceptCallers);
+                    return;
+                }
+            }
+        }
+        turn.again.push(Source::Control);
+    }
+
+    fn welcome(&mut self, turn: &mut Turn, socket: TcpStream) -> io::Result<()> {
+        if self.callers.len() >= self.most {
+            // Whoever has been silent longest makes room; one whose call stands unread is spared.
+            let silent = |c: &Caller| matches!(c.stage, Stage::Answered) || c.polled.is_quiet();
+            let oldest = self.callers.iter().find(|(_, c)| silent(c)).map(|(id, _)| *id);
+            match oldest.or(self.callers.keys().next().copied()) {
+                Some(id) => self.close(turn, id),
+                None => return Err(io::Error::other("no descriptors for operators")),
+            }
+        }
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        let id = CallerId(self.next);
+        self.next += 1;
+        let polled = Polled::new(turn, socket, Source::Caller(id))?;
+        let due = turn.now + PATIENCE;
+        turn.deadlines.set(due, Due::Caller(id));
+        let (inbound, outbound) = (Ring::default(), Ring::default());
+        self.callers.insert(id, Caller { polled, inbound, outbound, stage: Stage::Asking, due });
+        Ok(())
+    }
+
+    /// Reads on; a whole call is handed out once, and owed [`Control::answer`].
+    pub fn ready(&mut self, turn: &mut Turn, id: CallerId) -> Option<Command> {
+        loop {
+            let c = self.callers.get_mut(&id)?;
+            let moved = c.outbound.drain(&c.polled.socket).and_then(|_| c.inbound.fill(&c.polled.socket));
+            match (moved, &c.stage) {
+                (Ok(Moved::Nothing), Stage::Answered) if c.outbound.is_empty() => {
+                    // Closing at once would reset what the caller has yet to read.
+                    let _ = c.polled.socket.shutdown(Shutdown::Write);
+                    return None;
+                }
+                (Ok(Moved::Nothing), _) => return None,
+                (Ok(Moved::Some(n)), Stage::Answered) => c.inbound.consume(n),
+                (Ok(Moved::Some(_)), Stage::Asking) => match read(c.inbound.bytes()) {
+                    Ok(None) => {}
+                    Ok(Some(command)) => return Some(command),
+                    Err(answer) => self.answer(turn, id, &answer),
+                },
+                (Ok(Moved::End) | Err(_), _) => {
+                    self.close(turn, id);
+                    return None;
+                }
+            }
+        }
+    }
+
+    pub fn answer(&mut self, turn: &mut Turn, id: CallerId, answer: &Answer) {
+        let Some(c) = self.callers.get_mut(&id) else { return };
+        (c.stage, c.inbound) = (Stage::Answered, Ring::default());
+        let _ = c.outbound.push(&answer.bytes());
+        turn.deadlines.clear(c.due, Due::Caller(id));
+        c.due = turn.now + LINGER;
+        turn.deadlines.set(c.due, Due::Caller(id));
+        self.ready(turn, id);
+    }
+
+    /// A caller took too long over its call, or to close.
+    pub fn due(&mut self, turn: &mut Turn, id: CallerId) {
+        match self.callers.get(&id).map(|c| &c.stage) {
+            Some(Stage::Asking) => self.answer(turn, id, &Answer::new(408, "no whole call in time\n")),
+            Some(Stage::Answered) => self.close(turn, id),
+            None => {}
+        }
+    }
+
+    fn close(&mut self, turn: &mut Turn, id: CallerId) {
+        if let Some(c) = self.callers.remove(&id) {
+            turn.deadlines.clear(c.due, Due::Caller(id));
+            c.polled.close(turn);
+        }
+    }
+}
+
+/// Reads a call; `None` until its head is whole. A body asks for nothing here.
+fn read(bytes: &[u8]) -> Result<Option<Command>, Answer> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Partial) if bytes.len() < LONGEST_CALL => return Ok(None),
+        Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+            return Err(Answer::new(431, "the call is too long\n"))
+        }
+        Err(e) => return Err(Answer::new(400, format!("not HTTP/1.1: {e}\n"))),
+    }
+    let (method, target) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+    let path = target.split('?').next().unwrap_or_default();
+    let parts: Vec<_> = path.split('/').skip(1).collect();
+    let id = |id: &str| decode(id).ok_or_else(|| Answer::new(400, "the id can't be read\n"));
+    let (allow, command) = match parts[..] {
+        ["status"] => ("GET", Command::Status),
+        ["status", "metrics"] => ("GET", Command::Figures),
+        ["maintenance", "enter", name] => ("PUT", Command::HoldOut(id(name)?)),
+        ["maintenance", "exit", name] => ("PUT", Command::Readmit(id(name)?)),
+        ["standby"] => ("PUT", Command::Standby),
+        ["active"] => ("PUT", Command::Active),
+        _ => return Err(Answer::new(404, "no such call\n")),
+    };
+    if method != allow {
+        return Err(Answer { status: 405, allow: Some(allow), body: format!("only {allow}\n") });
+    }
+    Ok(Some(command))
+}
+
+/// Undoes percent-encoding.
+fn decode(text: &str) -> Option<String> {
+    let mut pieces = text.split('%');
+    let mut bytes = pieces.next()?.as_bytes().to_vec();
+    for piece in pieces {
+        let code = piece.get(..2).filter(|c| c.bytes().all(|b| b.is_ascii_hexdigit()))?;
+        bytes.push(u8::from_str_radix(code, 16).ok()?);
+        bytes.extend(&piece.as_bytes()[2..]);
+    }
+    String::from_utf8(bytes).ok().filter(|id| !id.is_empty())
+}
+
+/// The figures as text: a line each, by class where a class has its own.
+pub fn exposition(figures: &Figures, classes: &[String]) -> String {
+    let mut text = String::from("# TYPE app_replies counter\n");
+    for (class, count) in classes.iter().zip(&figures.classes) {
+        let counts = [("success", count.served), ("overload", count.refused), ("error", count.failed)];
+        for (status, n) in counts {
+            let _ = writeln!(text, "app_replies{{type=\"{class}\",status=\"{status}\"}} {n}");
+        }
+    }
+    let totals = [
+        ("dispatches", "counter", figures.dispatches),
+        ("concurrent", "gauge", figures.concurrent),
+        ("targets", "gauge", figures.targets),
+        ("targets_disabled", "gauge", figures.avoided),
+    ];
+    for (name, kind, n) in totals {
+        let _ = writeln!(text, "# TYPE app_{name} {kind}\napp_{name} {n}");
+    }
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the paths: an id comes decoded, and what is no call gets the 4xx that says why.
+    #[test]
+    fn reads_calls() {
+        let call = |line: &str| read(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
+        assert_eq!(call("GET /status?full"), Ok(Some(Command::Status)));
+        assert_eq!(call("PUT /maintenance/enter/s%2D5%2f"), Ok(Some(Command::HoldOut("s-5/".into()))));
+        let refused = |line: &str| call(line).map_err(|a| (a.status, a.allow));
+        assert_eq!(refused("GET /standby"), Err((405, Some("PUT"))));
+        assert_eq!(refused("GET /"), Err((404, None)));
+        assert_eq!(refused("PUT /maintenance/exit/%f"), Err((400, None)));
+        assert_eq!(refused("PUT /maintenance/exit/"), Err((400, None)));
+        assert_eq!(read(b"GET /status HTTP/1.1\r\nHost"), Ok(None));
+        assert_eq!(read(b"\0\0\r\n").map_err(|a| a.status), Err(400));
+        assert_eq!(read(&[b'A'; LONGEST_CALL]).map_err(|a| a.status), Err(431));
+    }
+}
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -5,7 +5,7 @@
 use leadmast::{Micros, TimerTag};
 
 use crate::exchange::AttemptId;
-use crate::ids::{CallId, ServerId, SessionId};
+use crate::ids::{CallId, CallerId, ServerId, SessionId};
 use leadmast::{MemberId, RequestId};
 
 /// What falls due.
@@ -25,8 +25,13 @@
     Session(SessionId),
     /// A call to discovery that is silent.
     Call(CallId),
+    /// An operator that should have made its call by now, or closed.
+    Caller(CallerId),
     /// Connections that could not be accepted are tried again.
     Accept,
+    AcceptCallers,
+    /// The folder that the processes of this proxy share is looked at.
+    Look,
     /// Idle clients are looked over.
     Reap,
     /// The listener closes after SIGTERM.
--- a/crates/gradeshunt/src/discovery.rs
+++ b/crates/gradeshunt/src/discovery.rs
@@ -90,6 +90,11 @@
         Ok(News { kind: ListKind::Saved, ..news })
     }
 
+    /// The number of a db host that is listed now.
+    pub fn member(&self, id: &str) -> Option<MemberId> {
+        self.reader.numbers.get(id).copied()
+    }
+
     /// Asks; a failure is told as news.
     pub fn ask(&mut self, turn: &mut Turn, ask: Ask, news: &mut Vec<News>) {
         // One watch at a time: another would only tell the same again.
@@ -332,8 +337,8 @@
         for v in list {
             // One odd entry must not keep a drain among the others from being heard.
             match self.entry(clock, v) {
-                Ok((entry, addr)) => {
-                    news.listed.push(Listed { member: entry.member, addr, phase: entry.phase });
+                Ok((id, entry, addr)) => {
+                    news.listed.push(Listed { id, member: entry.member, addr, phase: entry.phase });
                     news.entries.push(entry);
                 }
                 Err(what) => news.unreadable.push(what),
@@ -357,7 +362,7 @@
         })
     }
 
-    fn entry(&mut self, clock: &Clock, v: &Value) -> Result<(Entry, SocketAddr), String> {
+    fn entry(&mut self, clock: &Clock, v: &Value) -> Result<(String, Entry, SocketAddr), String> {
         let text = |key: &str| {
             v.get(key).and_then(Value::as_str).ok_or_else(|| format!("an instance without {key}"))
         };
@@ -384,7 +389,7 @@
             phase,
             leader: v.get("replication").and_then(Value::as_str) == Some("primary"),
         };
-        Ok((entry, addr))
+        Ok((id.to_owned(), entry, addr))
     }
 }
 
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -110,6 +110,7 @@
 }
 
 struct Request {
+    class: ClassId,
     deadline: Micros,
     body: Rc<Body>,
     sends: u32,
@@ -130,6 +131,27 @@
     endings: BTreeMap<&'static str, u32>,
 }
 
+/// How a class's requests have ended, since the start.
+#[derive(Clone, Copy, Default)]
+pub struct Count {
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+/// What operators are shown: counts since the start, and what is now.
+#[derive(Clone, Default)]
+pub struct Figures {
+    pub classes: Vec<Count>,
+    /// Attempts written whole to db hosts.
+    pub dispatches: u64,
+    /// Requests taken and not ended.
+    pub concurrent: u64,
+    /// Db hosts on the list, and those of them that get nothing new.
+    pub targets: u64,
+    pub avoided: u64,
+}
+
 /// The exchange.
 pub struct Exchange {
     balancer: Balancer,
@@ -141,6 +163,7 @@
     telling: bool,
     actions: Vec<Action>,
     tally: Tally,
+    figures: Figures,
     /// What is asked of the server side, of discovery, and of the client side.
     pub orders: VecDeque<Order>,
     pub asks: VecDeque<Ask>,
@@ -150,6 +173,10 @@
 impl Exchange {
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
         Exchange {
+            figures: Figures {
+                classes: vec![Count::default(); settings.classes.len()],
+                ..Figures::default()
+            },
             slack: settings.rules.answer_slack,
             max_attempts: settings.allowed.attempts,
             balancer: Balancer::new(settings, seed, now),
@@ -175,7 +202,7 @@
         // The module answers by the deadline. Should it not, the client gets its answer all the same.
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
         let request =
-            Request { deadline, body: Rc::new(body), sends: 0, out: None, over: false, error: None };
+            Request { class, deadline, body: Rc::new(body), sends: 0, out: None, over: false, error: None };
         self.requests.insert(id, request);
         self.tell(
             turn,
@@ -237,7 +264,23 @@
         self.tell(turn, Event::Probed(probed));
     }
 
-    // ---- From discovery, and the clock ----
+    /// An attempt is written whole.
+    pub fn dispatched(&mut self) {
+        self.figures.dispatches += 1;
+    }
+
+    // ---- From discovery, operators and the clock ----
+
+    /// A db host is held out by hand, or readmitted.
+    pub fn maintain(&mut self, turn: &mut Turn, member: MemberId, out: bool) {
+        self.tell(turn, Event::Maintenance { member, out });
+    }
+
+    pub fn figures(&self) -> Figures {
+        let t = self.balancer.targets();
+        let concurrent = self.requests.values().filter(|r| !r.over).count() as u64;
+        Figures { concurrent, targets: t.listed as u64, avoided: t.avoided as u64, ..self.figures.clone() }
+    }
 
     pub fn members(&mut self, turn: &mut Turn, kind: ListKind, entries: Vec<Entry>) {
         self.tell(turn, Event::Members { kind, entries });
@@ -251,7 +294,7 @@
     pub fn sum_up(&mut self, turn: &Turn) {
         let t = std::mem::take(&mut self.tally);
         let endings: Vec<_> = t.endings.iter().map(|(name, n)| format!("{name}={n}")).collect();
-        info!(turn.log, "summary"; "open" => self.requests.len(), "members" => self.balancer.known(),
+        info!(turn.log, "summary"; "open" => self.requests.len(), "members" => self.balancer.targets().known,
             "requests" => t.requests,
             "served" => t.served, "refused" => t.refused, "failed" => t.failed, "gone" => t.gone,
             "attempts" => endings.join(","));
@@ -336,14 +379,19 @@
     }
 
     fn finish(&mut self, turn: &mut Turn, id: RequestId, answer: Final) {
+        let class = self.requests.get(&id).map(|r| r.class.0);
         if !self.end(turn, id) {
             return;
         }
-        match &answer {
-            Final::Served(_) => self.tally.served += 1,
-            Final::Refused { .. } => self.tally.refused += 1,
-            Final::Failed(_) => self.tally.failed += 1,
-        }
+        let mut unknown = Count::default();
+        let count = class.and_then(|c| self.figures.classes.get_mut(c)).unwrap_or(&mut unknown);
+        let (tally, total) = match &answer {
+            Final::Served(_) => (&mut self.tally.served, &mut count.served),
+            Final::Refused { .. } => (&mut self.tally.refused, &mut count.refused),
+            Final::Failed(_) => (&mut self.tally.failed, &mut count.failed),
+        };
+        *tally += 1;
+        *total += 1;
         self.finals.push_back((id, answer));
     }
 
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -15,7 +15,7 @@
 use crate::memory;
 use crate::pg::{self, sqlstate, Malformed, Startup, Writer, LONGEST_ANSWER};
 use crate::ring::{Moved, Ring, LARGEST, SMALL};
-use crate::turn::{Polled, Source, Turn};
+use crate::turn::{self, Polled, Source, Turn};
 
 /// Connections accepted, and reads of one connection, in one turn.
 const ACCEPTS: usize = 64;
@@ -34,6 +34,8 @@
 const REAP: Micros = 50_000;
 const IDLE_AMONG_MANY: Micros = 100_000;
 const MUTE_AMONG_MANY: Micros = 1_000_000;
+/// How long a new client may take to ask while clients are sent away.
+const FRESH: Micros = 1_500_000;
 /// How long a closing connection is read on, so that what was written last is not lost to a reset.
 const LINGER: Micros = 1_000_000;
 /// Pause after connections could not be accepted.
@@ -71,11 +73,13 @@
     id: Rc<str>,
 }
 
-/// What is done after SIGTERM.
+/// Whom the proxy serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Service {
     Running,
-    /// Clients are closed between requests.
+    /// Operators drain it: clients are served, and closed between requests.
+    Standby,
+    /// After SIGTERM likewise, and for good.
     Closing,
 }
 
@@ -108,14 +112,8 @@
         most: usize,
         most_memory: usize,
     ) -> io::Result<Self> {
-        use socket2::{Domain, Protocol, Socket, Type};
-        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&addr.into())?;
-        socket.listen(1024)?;
         Ok(Frontend {
-            listener: Some(Polled::new(turn, socket.into(), Source::Listener)?),
+            listener: Some(Polled::new(turn, turn::listener(addr)?, Source::Listener)?),
             settings,
             names,
             most,
@@ -204,12 +202,39 @@
         if let Some(listener) = self.listener.take() {
             listener.close(turn);
         }
-        self.service = Service::Closing;
+        self.send_away(turn, exchange, Service::Closing);
+    }
+
+    /// Clients are sent away between requests, or served on.
+    pub fn stand_by(&mut self, turn: &mut Turn, exchange: &mut Exchange, standby: bool) {
+        match self.service {
+            Service::Closing => {}
+            _ if standby => self.send_away(turn, exchange, Service::Standby),
+            _ => self.service = Service::Running,
+        }
+    }
+
+    fn send_away(&mut self, turn: &mut Turn, exchange: &mut Exchange, service: Service) {
+        self.service = service;
         for id in self.sessions.keys().copied().collect::<Vec<_>>() {
             self.ready(turn, exchange, id);
         }
     }
 
+    /// Closes a client that is sent away, once it is quiet: nothing unread, nothing unanswered. One that has yet
+    /// to ask gets its time; its request is on its way, as a rule.
+    fn dismiss(&mut self, turn: &mut Turn, id: SessionId) {
+        let Some(s) = self.sessions.get(&id).filter(|_| self.service != Service::Running) else { return };
+        let between = match s.stage {
+            Stage::Startup => turn.now - s.since > FRESH,
+            Stage::Ready => s.asked || turn.now - s.since > FRESH,
+            Stage::Waiting(_) | Stage::Closing => false,
+        };
+        if between && s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet() {
+            self.last_word(turn, id, Writer::default());
+        }
+    }
+
     /// Sums up in the log who was closed to make room.
     pub fn sum_up(&mut self, turn: &Turn) {
         let [mute, unasked, idle, starting, between] = std::mem::take(&mut self.evicted);
@@ -222,6 +247,15 @@
     /// person at a prompt, none is closed.
     pub fn reap(&mut self, turn: &mut Turn) {
         turn.deadlines.set(turn.now + REAP, Due::Reap);
+        if self.service != Service::Running {
+            return self
+                .sessions
+                .keys()
+                .copied()
+                .collect::<Vec<_>>()
+                .into_iter()
+                .for_each(|id| self.dismiss(turn, id));
+        }
         let open = self.sessions.len();
         if open <= self.most / 8 {
             return;
@@ -396,12 +430,7 @@
         }
         self.flush(turn, id);
         self.await_rest(turn, id, worked);
-        let Some(s) = self.sessions.get(&id) else { return };
-        let quiet = s.inbound.is_empty() && s.outbound.is_empty();
-        if self.service == Service::Closing && quiet && matches!(s.stage, Stage::Startup | Stage::Ready) {
-            self.last_word(turn, id, Writer::default());
-            self.flush(turn, id);
-        }
+        self.dismiss(turn, id);
     }
 
     /// Sets the deadline for the rest of a message that has begun; each has its own, however slowly it drips.
@@ -524,8 +553,13 @@
         let w = Writer::default();
         let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
         let words = statement.trim().trim_end_matches(';').trim();
-        if words.is_empty() && !self.able {
-            let error = w.error("ERROR", sqlstate::CANNOT_CONNECT_NOW, "no db host is known yet", None);
+        let unable = match self.service {
+            _ if !self.able => Some("no db host is known yet"),
+            Service::Running | Service::Closing => None,
+            Service::Standby => Some("the proxy is in standby"),
+        };
+        if let (true, Some(why)) = (words.is_empty(), unable) {
+            let error = w.error("ERROR", sqlstate::CANNOT_CONNECT_NOW, why, None);
             return Ok(Step::Reply(error.ready()));
         }
         if words.is_empty() {
--- a/crates/gradeshunt/src/ids.rs
+++ b/crates/gradeshunt/src/ids.rs
@@ -8,6 +8,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
+/// An operator's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallerId(pub u64);
+
 /// A call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod clock;
 mod config;
+mod control;
 mod deadlines;
 mod discovery;
 mod exchange;
@@ -11,6 +12,7 @@
 mod memory;
 mod pg;
 mod ring;
+mod shared;
 mod turn;
 
 use std::process::ExitCode;
@@ -23,10 +25,13 @@
 
 use backend::Backend;
 use config::Config;
+use control::{Answer, Command, Control};
 use deadlines::Due;
 use discovery::{Discovery, News};
 use exchange::Exchange;
 use frontend::Frontend;
+use ids::CallerId;
+use shared::Shared;
 use turn::{Ready, Source, Turn};
 
 /// New connections go on coming for a while after SIGTERM.
@@ -34,8 +39,12 @@
 /// What is left when the longest deadline and this much more have passed after SIGTERM is lost anyway.
 const LEAVE_AFTER: Micros = 650_000;
 const SUMMARY: Micros = 10_000_000;
+/// Pace of the looks at what the processes of this proxy share.
+const LOOK: Micros = 50_000;
 /// Descriptors kept for the log, the poll, the signals and discovery.
 const RESERVED: usize = 24;
+/// Descriptors for operators' connections.
+const OPERATORS: usize = 12;
 
 /// The program: its parts, and what passes between them.
 struct Proxy {
@@ -44,6 +53,10 @@
     frontend: Frontend,
     backend: Backend,
     discovery: Discovery,
+    control: Option<Control>,
+    shared: Shared,
+    /// Names of the classes, for the figures.
+    classes: Vec<String>,
     news: Vec<News>,
     longest: Micros,
     leave: bool,
@@ -51,24 +64,45 @@
 
 impl Proxy {
     fn new(config: Config, event_loop: &EventLoop<'static, Ready>, log: Logger) -> Result<Proxy, String> {
-        let Config { listen, discovery, seed, sockets, memory, silence, known, facts, .. } = config;
+        let Config { name, listen, discovery, control, seed, sockets, memory, silence, known, facts } =
+            config;
         let mut turn = Turn::new(event_loop.handle(), log);
         // A third of the descriptors for db hosts: an attempt needs one only while it is out, a client for
         // as long as it likes.
-        let most_servers = (sockets - RESERVED) / 3;
-        let most_clients = sockets - RESERVED - most_servers;
+        let sockets = sockets - RESERVED - OPERATORS;
+        let most_servers = sockets / 3;
+        let most_clients = sockets - most_servers;
         // Rings may still grow when a third of the memory is held: by what is under way.
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let classes = facts.names.classes.clone();
         let mut discovery = Discovery::new(discovery, silence, facts.names.clone());
         let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
         let exchange = Exchange::new(facts.settings.clone(), seed, turn.now);
         let backend = Backend::new(facts.connections, &facts.names, most_servers);
         let frontend = Frontend::listen(&turn, listen, facts.settings, facts.names, most_clients, memory / 3)
             .map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+        let listen = |addr| {
+            Control::listen(&turn, addr, OPERATORS).map_err(|e| format!("cannot listen at {addr}: {e}"))
+        };
+        let control = control.map(listen).transpose()?;
+        let shared = Shared::open(&name).map_err(|e| format!("cannot use $TMPDIR: {e}"))?;
         turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
         turn.deadlines.set(turn.now, Due::Reap);
-        let mut proxy =
-            Proxy { turn, exchange, frontend, backend, discovery, news: Vec::new(), longest, leave: false };
+        turn.deadlines.set(turn.now, Due::Look);
+        let mut proxy = Proxy {
+            turn,
+            exchange,
+            frontend,
+            backend,
+            discovery,
+            control,
+            shared,
+            classes,
+            news: Vec::new(),
+            longest,
+            leave: false,
+        };
+        proxy.look();
         proxy.news.extend(known);
         proxy.settle();
         Ok(proxy)
@@ -81,6 +115,8 @@
             Source::Session(id) => self.frontend.ready(turn, exchange, id),
             Source::Server(id) => self.backend.ready(turn, exchange, id),
             Source::Call(id) => self.discovery.ready(turn, id, &mut self.news),
+            Source::Control => self.control.iter_mut().for_each(|c| c.accept(turn)),
+            Source::Caller(id) => self.call(id),
             Source::Terminate => self.terminate(),
             Source::Reload => self.reload(),
         }
@@ -98,6 +134,9 @@
             Due::Session(id) => self.frontend.session_due(turn, id),
             Due::Call(id) => self.discovery.call_due(turn, id, &mut self.news),
             Due::Accept => self.frontend.accept(turn),
+            Due::Caller(id) => self.control.iter_mut().for_each(|c| c.due(turn, id)),
+            Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
+            Due::Look => self.look(),
             Due::Reap => self.frontend.reap(turn),
             Due::CloseListener => self.frontend.close_listener(turn, exchange),
             Due::Summary => {
@@ -123,6 +162,11 @@
                 self.frontend.able |= !news.entries.is_empty();
                 exchange.members(turn, news.kind, news.entries);
                 self.backend.list(turn, exchange, news.kind, &news.listed);
+                // The ban on a name outlasts whatever the list says of it.
+                for l in news.listed.iter().filter(|l| self.shared.is_held_out(&l.id)) {
+                    exchange.maintain(turn, l.member, true);
+                    self.backend.maintain(turn, exchange, l.member, true);
+                }
             } else if let Some(order) = exchange.orders.pop_front() {
                 self.backend.carry_out(turn, exchange, order);
             } else if let Some((request, answer)) = exchange.finals.pop_front() {
@@ -135,6 +179,63 @@
         }
     }
 
+    // ---- Operators ----
+
+    fn call(&mut self, id: CallerId) {
+        let Some(command) = self.control.as_mut().and_then(|c| c.ready(&mut self.turn, id)) else { return };
+        let answer = self.carry_out(command);
+        if let Some(control) = &mut self.control {
+            control.answer(&mut self.turn, id, &answer);
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) -> Answer {
+        let (turn, exchange) = (&mut self.turn, &mut self.exchange);
+        match command {
+            Command::Status if self.frontend.able => Answer::new(200, "serving\n"),
+            Command::Status => Answer::new(503, "no db host is known yet\n"),
+            Command::Figures => Answer::new(200, control::exposition(&exchange.figures(), &self.classes)),
+            Command::Standby | Command::Active => {
+                let standby = command == Command::Standby;
+                info!(turn.log, "told by an operator"; "standby" => standby);
+                self.frontend.stand_by(turn, exchange, standby);
+                Answer::new(200, if standby { "sending clients away\n" } else { "serving\n" })
+            }
+            Command::HoldOut(id) => self.hold_out(&id, true),
+            Command::Readmit(id) => self.hold_out(&id, false),
+        }
+    }
+
+    fn hold_out(&mut self, id: &str, out: bool) -> Answer {
+        // One held out may be off the list by now.
+        if self.discovery.member(id).is_none() && !self.shared.is_held_out(id) {
+            return Answer::new(404, "no such db host\n");
+        }
+        // It stands where the other process looks, and will be found after this one, before it is confirmed.
+        if let Err(e) = self.shared.hold_out(id, out) {
+            warn!(self.turn.log, "cannot keep what an operator says"; "error" => e.to_string());
+            return Answer::new(500, "cannot be kept\n");
+        }
+        self.maintain(id, out);
+        Answer::new(200, if out { "held out\n" } else { "readmitted\n" })
+    }
+
+    fn maintain(&mut self, id: &str, out: bool) {
+        info!(self.turn.log, "db host held out or readmitted"; "id" => id, "out" => out);
+        let Some(member) = self.discovery.member(id) else { return };
+        self.exchange.maintain(&mut self.turn, member, out);
+        self.backend.maintain(&mut self.turn, &mut self.exchange, member, out);
+    }
+
+    /// Looks at what the processes of this proxy share.
+    fn look(&mut self) {
+        self.turn.deadlines.set(self.turn.now + LOOK, Due::Look);
+        match self.shared.look() {
+            Ok(changed) => changed.into_iter().for_each(|(id, out)| self.maintain(&id, out)),
+            Err(e) => warn!(self.turn.log, "cannot look at $TMPDIR"; "error" => e.to_string()),
+        }
+    }
+
     fn terminate(&mut self) {
         info!(self.turn.log, "terminating: serving on until all is answered");
         let now = self.turn.now;
@@ -168,7 +269,10 @@
         event_loop.dispatch(timeout, &mut ready).map_err(|e| format!("cannot poll: {e}"))?;
         proxy.turn.now = proxy.turn.clock.now();
         let again = std::mem::take(&mut proxy.turn.again);
-        for source in again.into_iter().chain(ready.drain(..)) {
+        let mut sources: Vec<_> = again.into_iter().chain(ready.drain(..)).collect();
+        // Operators' calls are few and owed an answer whatever the load.
+        sources.sort_by_key(|s| !matches!(s, Source::Control | Source::Caller(_)));
+        for source in sources {
             proxy.event(source);
         }
         while let Some(due) = proxy.turn.deadlines.pop(proxy.turn.now) {
@@ -197,7 +301,8 @@
     let (drain, _guard) = slog_async::Async::new(format).chan_size(4096).build_with_guard();
     let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
     let proxy = Proxy::new(config, &event_loop, log.clone())?;
-    info!(log, "serving"; "listen" => proxy.frontend.local_addr().map(|a| a.to_string()));
+    info!(log, "serving"; "control" => proxy.control.as_ref().and_then(Control::local_addr).map(|a| a.to_string()),
+        "listen" => proxy.frontend.local_addr().map(|a| a.to_string()));
     run(event_loop, proxy)
 }
 
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -1,6 +1,6 @@
 //! What every part of the proxy shares during one turn of the loop: the time, the deadlines, the poll, the log.
 
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
 use std::rc::Rc;
 
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use crate::deadlines::Deadlines;
-use crate::ids::{CallId, ServerId, SessionId};
+use crate::ids::{CallId, CallerId, ServerId, SessionId};
 
 /// What has become ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +20,8 @@
     Session(SessionId),
     Server(ServerId),
     Call(CallId),
+    Control,
+    Caller(CallerId),
     Terminate,
     Reload,
 }
@@ -55,6 +57,17 @@
     }
 }
 
+/// A socket that listens at an address.
+pub fn listener(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&addr.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
 /// A socket that the loop polls, until [`Polled::close`].
 pub struct Polled<S = TcpStream> {
     pub socket: Rc<S>,
@@ -80,7 +93,7 @@
     }
 
     /// Starts a connection that comes up later.
-    pub fn connect(turn: &Turn, to: std::net::SocketAddr, source: Source) -> std::io::Result<Self> {
+    pub fn connect(turn: &Turn, to: SocketAddr, source: Source) -> std::io::Result<Self> {
         use socket2::{Domain, Protocol, Socket, Type};
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -4,7 +4,7 @@
 //! A file begins with the db hosts (`hosts: 1=primary 2=standby`, or none), maybe limits of its own (`memory_mb: 0`,
 //! `sockets: 64`), and then holds a step a line:
 //!
-//! - `a connects`: a client (`a connects 40`: so many); `1 accepts x`, `discovery accepts w`: what the program opens;
+//! - `a connects`: a client (`a connects 40`: so many); `o calls`: an operator (`o calls 40`); `1 accepts x`, `discovery accepts w`: what the program opens;
 //! - `a> Q|text`: a message with its length filled in; `a> startup|text`, `a> raw|bytes`, `a> chunk|text`, `a> row|value`;
 //!   `Q 1000|text` puts so many spaces before it; `a+ ...`: the same, kept back to go in one piece with the next; `{1}` stands for a db host's address;
 //! - `a< Z`: whole messages up to this one; `a< startup`, `a< head`, `a< 1` (bytes) and `a< end`;
@@ -45,6 +45,7 @@
     config: Value,
     file: PathBuf,
     address: String,
+    control: String,
     listeners: BTreeMap<String, TcpListener>,
     peers: BTreeMap<String, TcpStream>,
     kept_back: Vec<u8>,
@@ -79,19 +80,27 @@
         let port = listeners["discovery"].local_addr().expect("an address").port();
         let file = dir.join(format!("config-{}-{port}.json", std::process::id()));
         std::fs::write(&file, config.to_string()).expect("a file");
+        let shared = file.with_extension("d");
+        let _ = std::fs::remove_dir_all(&shared);
+        std::fs::create_dir_all(&shared).expect("a folder");
         let mut program = Command::new(env!("CARGO_BIN_EXE_gradeshunt"))
             .env("ROUTER_CONFIG", &file)
+            .env("ROUTER_CONTROL", "127.0.0.1:0")
+            .env("TMPDIR", &shared)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
         let mut log = BufReader::new(program.stderr.take().expect("a pipe")).lines();
         let serving =
             log.find_map(|l| l.ok().and_then(|l| Some(l.split_once("serving, listen: ")?.1.to_owned())));
-        let address = serving.expect("the program serves").split(',').next().unwrap_or_default().to_owned();
+        let serving = serving.expect("the program serves");
+        let (address, control) = serving.split_once(", control: ").expect("two addresses");
+        let control = control.split(',').next().unwrap_or_default();
+        let (address, control) = (address.to_owned(), control.to_owned());
         // Someone has to go on reading the log, or the program could not write it.
         std::thread::spawn(move || log.for_each(drop));
         let (peers, kept_back) = (BTreeMap::new(), Vec::new());
-        Stage { program, config, file, address, listeners, peers, kept_back, record: String::new() }
+        Stage { program, config, file, address, control, listeners, peers, kept_back, record: String::new() }
     }
 
     fn play(&mut self, line: &str) {
@@ -113,16 +122,16 @@
 
     fn step(&mut self, who: &str, rest: &str) {
         match rest.split_once(' ').unwrap_or((rest, "")) {
-            ("connects", many) if !many.is_empty() => {
-                for n in 0..many.parse().expect("a number") {
-                    let peer = TcpStream::connect(&self.address).expect("the program accepts");
-                    self.peers.insert(format!("{who}{n}"), peer);
+            (what @ ("connects" | "calls"), many) => {
+                let to = if what == "calls" { &self.control } else { &self.address };
+                let names: Vec<_> = match many.parse::<u32>() {
+                    Ok(many) => (0..many).map(|n| format!("{who}{n}")).collect(),
+                    Err(_) => vec![who.to_owned()],
+                };
+                for name in names {
+                    self.peers.insert(name, TcpStream::connect(to).expect("the program accepts"));
                 }
             }
-            ("connects", _) => {
-                let peer = TcpStream::connect(&self.address).expect("the program accepts");
-                self.peers.insert(who.to_owned(), peer);
-            }
             ("accepts", name) => {
                 let (peer, _) = self.listeners[who].accept().expect("the program connects");
                 self.peers.insert(name.to_owned(), peer);
@@ -325,4 +334,7 @@
     crowd
     no_ready
     idle_crowd
+    control
+    held_out
+    standby
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -65,6 +65,8 @@
     entry: Entry,
     /// The rule on drains forbids sends: listed as draining, or gone where that binds.
     barred: bool,
+    /// Held out by hand.
+    held_out: bool,
     position: Micros,
     heard_position: Micros,
     /// Its last word on its role, and as of when.
@@ -226,9 +228,11 @@
         }
     }
 
-    /// How many members it knows.
-    pub fn known(&self) -> usize {
-        self.members.len()
+    /// How many members it knows, and of these how it stands with them.
+    pub fn targets(&self) -> Targets {
+        let listed = self.members.values().filter(|m| m.entry.phase != Phase::Removed);
+        let avoided = listed.clone().filter(|m| !m.usable()).count();
+        Targets { known: self.members.len(), listed: listed.count(), avoided }
     }
 
     /// Takes one event and appends what is to be done about it.
@@ -244,6 +248,7 @@
             Event::Outcome(outcome) => self.on_outcome(now, outcome, actions),
             Event::Gone { request } => self.close(now, request, actions),
             Event::Probed(probed) => self.on_probed(now, probed, actions),
+            Event::Maintenance { member, out } => self.on_maintenance(now, member, out),
             Event::Timer { tag: _ } | Event::Peer { from: _, body: _ } => {}
         }
         if due {
@@ -289,6 +294,14 @@
         self.forget();
     }
 
+    /// Nothing new goes there until the call back. Restarted meanwhile, it is no suspect, cold, and has its turn.
+    fn on_maintenance(&mut self, now: Micros, id: MemberId, out: bool) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if std::mem::replace(&mut m.held_out, out) && !out {
+            (m.suspect, m.entry.since, m.turn) = (false, m.entry.since.max(Some(now)), NEVER);
+        }
+    }
+
     /// Members come and go as long as the driver lives: what is gone and owes nothing takes no more room.
     fn forget(&mut self) {
         let gone = |m: &Member| m.barred && m.entry.phase == Phase::Removed && m.out.is_empty();
@@ -381,8 +394,8 @@
             let asked = now - elapsed;
             self.learn(asked, report.position.map_or(asked, |p| p.min(asked)), member, report);
         }
-        let class = self.requests.get(&id).map(|r| r.class);
-        let write = class.is_some_and(|c| self.settings.classes[c.0].read == ReadLevel::Write);
+        let class = self.requests.get(&id).map(|r| &self.settings.classes[r.class.0]);
+        let write = class.is_some_and(|c| c.read == ReadLevel::Write);
         if let Some(note) = note {
             // A served write's position was rounded up.
             let position = note.position.map(|p| if write && ending == Ending::Ok { p - UNIT } else { p });
@@ -492,11 +505,7 @@
             None => Vec::new(),
         };
         // Where members check reads themselves, one slightly behind is tried: a miss costs less than a probe.
-        let slack = match self.settings.behind {
-            Behind::Silent => None,
-            Behind::Refuse => Some(0),
-            Behind::Wait(t) => Some(t),
-        };
+        let slack = self.settings.behind.slack();
         if let (true, Some(need), Some(slack)) = (found.is_empty(), self.need(now, r), slack) {
             found = self.replicas(r.group, |m| m.outlook(now) + slack >= need);
         }
@@ -520,14 +529,13 @@
             let errors = if errors > BAD { 0.02 } else { 1.0 - errors };
             m.entry.weight.max(0.01) * self.share(now, m) * errors / m.slow.max(0.2)
         };
-        let ids = among.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m)));
-        let open = ids.filter(|(_, m)| now >= m.pause && self.has_room(now, m, class, merit));
+        let open = among.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m)));
+        let open = open.filter(|(_, m)| now >= m.pause && self.has_room(now, m, class, merit));
         let open: Vec<_> = open.map(|(id, m)| (weigh(m), m.out.len(), id)).collect();
         let mut lots: Vec<_> = open.iter().map(|o| (-self.rng.f64().max(1e-12).ln() / o.0, o)).collect();
         lots.sort_by(|a, b| a.0.total_cmp(&b.0));
         let load = |o: &(f64, usize, MemberId)| o.1 as f64 / o.0;
-        let two = lots.iter().take(2).map(|l| l.1);
-        two.min_by(|a, b| load(a).total_cmp(&load(b))).map(|o| o.2)
+        lots.iter().take(2).map(|l| l.1).min_by(|a, b| load(a).total_cmp(&load(b))).map(|o| o.2)
     }
 
     /// Share of its capacity that a member may have reached since its start.
@@ -636,8 +644,8 @@
 
     /// Worth for work; what is late already counts with what it still earns.
     fn merit(&self, now: Micros, r: &Request) -> f64 {
-        let c = &self.settings.classes[r.class.0];
         // Judged by work: a queue at the primary must not make its writes look late.
+        let c = &self.settings.classes[r.class.0];
         let late = now + self.work[r.class.0] as Micros > r.began + c.aim;
         c.worth * if late { c.late_worth } else { 1.0 } / self.work[r.class.0]
     }
@@ -818,8 +826,7 @@
             return;
         }
         // A lost write answer must not park its bucket's reads: replicas past this moment have it.
-        let bucket = r.bucket.map(|b| &mut self.buckets[b]);
-        if let Some(b) = bucket.filter(|b| b.open == Some(r.sequence)) {
+        if let Some(b) = r.bucket.map(|b| &mut self.buckets[b]).filter(|b| b.open == Some(r.sequence)) {
             (b.open, b.position) = (None, b.position.max(now));
         }
         self.requests.remove(&id);
@@ -835,11 +842,9 @@
             self.ask_at = None;
             actions.push(Action::Watch);
         }
-        for group in self.holding.iter().copied().collect::<Vec<_>>() {
-            self.dispatch(now, group, actions);
-        }
-        let idle = |m: &Member| m.out.is_empty() && !m.suspect && now - m.heard > AWAY;
-        self.watched.retain(|id| self.members.get(id).is_some_and(|m| !idle(m)));
+        self.holding.clone().into_iter().for_each(|group| self.dispatch(now, group, actions));
+        let active = |m: &Member| !m.out.is_empty() || m.suspect || now - m.heard <= AWAY;
+        self.watched.retain(|id| self.members.get(id).is_some_and(active));
     }
 
     /// A member that holds work of ours and says nothing for several usual answer times is a suspect. If
@@ -889,7 +894,9 @@
     fn look(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let mut wanted = Vec::new();
         for id in &self.watched {
-            let Some(m) = self.members.get_mut(id).filter(|m| m.suspect && !m.barred) else { continue };
+            let Some(m) = self.members.get_mut(id).filter(|m| m.suspect && !m.barred && !m.held_out) else {
+                continue;
+            };
             if now >= m.look_at {
                 m.look_at = now + (now - m.ill_since).clamp(self.pace * LOOK, LOOK_LONGEST);
                 if now - m.ill_since > 2 * AWAY {
@@ -920,6 +927,7 @@
         Member {
             entry,
             barred: false,
+            held_out: false,
             position: NEVER,
             heard_position: NEVER,
             role: None,
@@ -971,7 +979,7 @@
     }
 
     fn usable(&self) -> bool {
-        !self.barred && !self.suspect
+        !self.barred && !self.suspect && !self.held_out
     }
 
     /// An answer clears a suspect; one that was down that long may have started anew, and counts as cold.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -93,6 +93,17 @@
     Wait(Micros),
 }
 
+impl Behind {
+    /// By how much a member may lag and still be tried; `None` where it would not say so.
+    pub fn slack(self) -> Option<Micros> {
+        match self {
+            Behind::Silent => None,
+            Behind::Refuse => Some(0),
+            Behind::Wait(t) => Some(t),
+        }
+    }
+}
+
 /// How the member list tells roles.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListedRole {
@@ -257,6 +268,17 @@
     Failed,
 }
 
+/// How many members a balancer knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Targets {
+    /// All, with those that are gone and still owe an answer.
+    pub known: usize,
+    /// On the list.
+    pub listed: usize,
+    /// Of those listed, such as get nothing new: by the list's word, by hand or by suspicion.
+    pub avoided: usize,
+}
+
 /// How an attempt or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -379,6 +401,13 @@
     Request(Arrival),
     /// An attempt has ended.
     Outcome(Outcome),
+    /// An operator holds a member out, or readmits it after its restart; the list has no say in this.
+    Maintenance {
+        /// Which.
+        member: MemberId,
+        /// Nothing new may go there.
+        out: bool,
+    },
     /// The client has left; nothing is owed any more.
     Gone {
         /// The request.
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -166,13 +166,35 @@
         d.list(ListKind::Incremental, vec![gone]);
         d.list(ListKind::Full, vec![entry(PRIMARY, true)]);
     }
-    assert_eq!(d.balancer.known(), 2, "one listed, one that still owes an answer");
+    assert_eq!(d.balancer.targets().known, 2, "one listed, one that still owes an answer");
     d.ok((1, 0, REPLICA), None, false);
     d.list(ListKind::Incremental, vec![entry(REPLICA, false)]);
     d.request(2, ANY, None);
     assert_eq!(d.sent(2), vec![REPLICA]);
 }
 
+#[test]
+fn member_held_out_gets_nothing_until_the_call_back_whatever_the_list_says() {
+    // Guards maintenance by hand: it stands beside the list's word, and ends with a cold member.
+    let mut d = Driver::new(settings(vec![ANY]));
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    let maintain = |d: &mut Driver, out| d.handle(Event::Maintenance { member: REPLICA, out });
+    maintain(&mut d, true);
+    maintain(&mut d, true);
+    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Draining, ..entry(REPLICA, false) }]);
+    d.list(ListKind::Full, vec![entry(PRIMARY, true), entry(REPLICA, false)]);
+    d.request(1, ANY, None);
+    assert_eq!(d.sent(1), vec![PRIMARY]);
+    assert_eq!(d.balancer.targets(), Targets { known: 2, listed: 2, avoided: 1 });
+    maintain(&mut d, false);
+    assert_eq!(d.balancer.targets().avoided, 0);
+    for id in 10..40 {
+        d.request(id, ANY, None);
+    }
+    let at_replica = (10..40).filter(|id| d.sent(*id) == vec![REPLICA]).count();
+    assert!((1..10).contains(&at_replica), "it is cold: {at_replica}");
+}
+
 #[test]
 fn vanished_member_stays_open_where_the_settings_say_so() {
     let mut s = settings(vec![FRESH]);
