Take over under load: a second process serves on the platform's socket

A first trial ended at once, too: is_done took a listener not yet open for a closed one (frontend.rs); the log said so (leaving right after starting).

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -143,12 +143,11 @@
 }
 
 impl Backend {
-    /// A server side that holds `most` connections at most.
-    pub fn new(connections: Connections, names: &Names, most: usize) -> Self {
+    pub fn new(connections: Connections, names: &Names) -> Self {
         Backend {
             connections,
             fields: names.fields.clone(),
-            most,
+            most: 0,
             hosts: BTreeMap::new(),
             servers: BTreeMap::new(),
             attempts: BTreeMap::new(),
@@ -157,6 +156,12 @@
         }
     }
 
+    /// Holds `most` connections at most.
+    pub fn limit(&mut self, turn: &mut Turn, most: usize) {
+        self.most = most;
+        while self.servers.len() > most && self.close_oldest_idle(turn) {}
+    }
+
     // ---- Orders ----
 
     pub fn carry_out(&mut self, turn: &mut Turn, exchange: &mut Exchange, order: Order) {
--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -13,6 +13,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// The descriptor on which the platform holds the clients' socket, where it does.
+    pub listen_fd: Option<i32>,
     pub discovery: SocketAddr,
     /// Where operators call, if anywhere.
     pub control: Option<SocketAddr>,
@@ -50,6 +52,8 @@
             None if value.get("control").is_none_or(Value::is_null) => None,
             None => Some(addr("control")?),
         };
+        let fd = std::env::var("ROUTER_LISTEN_FD").ok().filter(|fd| !fd.is_empty());
+        let fd = fd.map(|fd| fd.parse().map_err(|_| format!("ROUTER_LISTEN_FD is no descriptor: {fd:?}")));
         let seed = text("seed")?;
         let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
         if sockets < 64 {
@@ -59,6 +63,7 @@
         Ok(Config {
             name: text("name")?.to_owned(),
             listen: addr("listen")?,
+            listen_fd: fd.transpose()?,
             discovery: addr("discovery")?,
             control,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not hex: {seed:?}"))?,
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -32,6 +32,8 @@
     AcceptCallers,
     /// The folder that the processes of this proxy share is looked at.
     Look,
+    /// A new process waits no longer for discovery before it serves beside another.
+    Serve,
     /// Idle clients are looked over.
     Reap,
     /// The listener closes after SIGTERM.
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
 
 use leadmast::settings::{fnv, Names};
@@ -15,7 +15,7 @@
 use crate::memory;
 use crate::pg::{self, sqlstate, Malformed, Startup, Writer, LONGEST_ANSWER};
 use crate::ring::{Moved, Ring, LARGEST, SMALL};
-use crate::turn::{self, Polled, Source, Turn};
+use crate::turn::{Polled, Source, Turn};
 
 /// Connections accepted, and reads of one connection, in one turn.
 const ACCEPTS: usize = 64;
@@ -35,7 +35,7 @@
 const IDLE_AMONG_MANY: Micros = 100_000;
 const MUTE_AMONG_MANY: Micros = 1_000_000;
 /// How long a new client may take to ask while clients are sent away.
-const FRESH: Micros = 1_500_000;
+const FRESH: Micros = 2_300_000;
 /// How long a closing connection is read on, so that what was written last is not lost to a reset.
 const LINGER: Micros = 1_000_000;
 /// Pause after connections could not be accepted.
@@ -103,21 +103,14 @@
 }
 
 impl Frontend {
-    /// Listens at `addr` and holds `most` clients at most; none gets more memory once `most_memory` is held.
-    pub fn listen(
-        turn: &Turn,
-        addr: SocketAddr,
-        settings: Settings,
-        names: Names,
-        most: usize,
-        most_memory: usize,
-    ) -> io::Result<Self> {
-        Ok(Frontend {
-            listener: Some(Polled::new(turn, turn::listener(addr)?, Source::Listener)?),
+    /// A client side that has yet to be opened.
+    pub fn new(settings: Settings, names: Names) -> Self {
+        Frontend {
+            listener: None,
             settings,
             names,
-            most,
-            most_memory,
+            most: 0,
+            most_memory: 0,
             sessions: BTreeMap::new(),
             owners: HashMap::new(),
             ids: HashSet::new(),
@@ -125,11 +118,20 @@
             service: Service::Running,
             evicted: [0; 5],
             able: false,
-        })
+        }
+    }
+
+    /// Holds `most` clients at most; none gets more memory once `most_memory` is held.
+    pub fn limit(&mut self, most: usize, most_memory: usize) {
+        (self.most, self.most_memory) = (most, most_memory);
     }
 
-    pub fn local_addr(&self) -> Option<SocketAddr> {
-        self.listener.as_ref().and_then(|l| l.socket.local_addr().ok())
+    /// Accepts clients from now on.
+    pub fn open(&mut self, turn: &mut Turn, listener: TcpListener) -> io::Result<()> {
+        self.listener = Some(Polled::new(turn, listener, Source::Listener)?);
+        // What came before the socket was polled is told to nobody.
+        turn.again.push(Source::Listener);
+        Ok(())
     }
 
     // ---- The listener ----
@@ -195,10 +197,11 @@
         Ok(())
     }
 
-    /// Stops accepting after SIGTERM, and begins to close clients between requests.
-    pub fn close_listener(&mut self, turn: &mut Turn, exchange: &mut Exchange) {
+    /// Stops accepting after SIGTERM, and begins to close clients between requests. What waits on the socket is a
+    /// successor's where there is one; it is the same socket, and must not be shut down.
+    pub fn close_listener(&mut self, turn: &mut Turn, exchange: &mut Exchange, succeeded: bool) {
         // Connections that the kernel has accepted count as the proxy's.
-        while self.accept_some(turn) {}
+        while !succeeded && self.accept_some(turn) {}
         if let Some(listener) = self.listener.take() {
             listener.close(turn);
         }
@@ -283,7 +286,7 @@
 
     /// Whether the listener is closed and every client has had its answers.
     pub fn is_done(&self) -> bool {
-        self.listener.is_none() && self.sessions.is_empty()
+        self.service == Service::Closing && self.sessions.is_empty()
     }
 
     /// Makes room: silent clients go first, so that a crowd of them can't shut out the usual ones, then those
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -15,12 +15,13 @@
 mod shared;
 mod turn;
 
+use std::net::TcpListener;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
-use leadmast::Micros;
+use leadmast::{ListKind, Micros};
 use slog::{info, o, warn, Drain, Logger};
 
 use backend::Backend;
@@ -31,7 +32,7 @@
 use exchange::Exchange;
 use frontend::Frontend;
 use ids::CallerId;
-use shared::Shared;
+use shared::{Duty, Shared};
 use turn::{Ready, Source, Turn};
 
 /// New connections go on coming for a while after SIGTERM.
@@ -43,6 +44,9 @@
 const LOOK: Micros = 50_000;
 /// Descriptors kept for the log, the poll, the signals and discovery.
 const RESERVED: usize = 24;
+/// A process that starts beside another waits for discovery so much longer than discovery may be silent, well within
+/// the 6 s that it has.
+const HEAR: Micros = 1_000_000;
 /// Descriptors for operators' connections.
 const OPERATORS: usize = 12;
 
@@ -55,32 +59,48 @@
     discovery: Discovery,
     control: Option<Control>,
     shared: Shared,
+    /// What this proxy may hold, with another process of it where there is one.
+    sockets: usize,
+    memory: usize,
+    /// The clients' socket, until it is served.
+    waiting: Option<TcpListener>,
+    /// What the other process of this proxy does.
+    other: Option<Duty>,
     /// Names of the classes, for the figures.
     classes: Vec<String>,
     news: Vec<News>,
     longest: Micros,
+    terminating: bool,
     leave: bool,
 }
 
 impl Proxy {
     fn new(config: Config, event_loop: &EventLoop<'static, Ready>, log: Logger) -> Result<Proxy, String> {
-        let Config { name, listen, discovery, control, seed, sockets, memory, silence, known, facts } =
-            config;
+        let Config {
+            name,
+            listen,
+            listen_fd,
+            discovery,
+            control,
+            seed,
+            sockets,
+            memory,
+            silence,
+            known,
+            facts,
+        } = config;
         let mut turn = Turn::new(event_loop.handle(), log);
-        // A third of the descriptors for db hosts: an attempt needs one only while it is out, a client for
-        // as long as it likes.
-        let sockets = sockets - RESERVED - OPERATORS;
-        let most_servers = sockets / 3;
-        let most_clients = sockets - most_servers;
-        // Rings may still grow when a third of the memory is held: by what is under way.
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let classes = facts.names.classes.clone();
         let mut discovery = Discovery::new(discovery, silence, facts.names.clone());
         let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
         let exchange = Exchange::new(facts.settings.clone(), seed, turn.now);
-        let backend = Backend::new(facts.connections, &facts.names, most_servers);
-        let frontend = Frontend::listen(&turn, listen, facts.settings, facts.names, most_clients, memory / 3)
-            .map_err(|e| format!("cannot listen at {listen}: {e}"))?;
+        let backend = Backend::new(facts.connections, &facts.names);
+        let listener = match listen_fd {
+            Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
+            None => turn::listener(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?,
+        };
+        let frontend = Frontend::new(facts.settings, facts.names);
         let listen = |addr| {
             Control::listen(&turn, addr, OPERATORS).map_err(|e| format!("cannot listen at {addr}: {e}"))
         };
@@ -97,14 +117,27 @@
             discovery,
             control,
             shared,
+            sockets,
+            memory,
+            waiting: Some(listener),
+            other: None,
             classes,
             news: Vec::new(),
             longest,
+            terminating: false,
             leave: false,
         };
         proxy.look();
+        proxy.share_limits();
         proxy.news.extend(known);
         proxy.settle();
+        // Beside another process there is time to hear discovery first; alone, clients wait already.
+        if proxy.other.is_some() {
+            info!(proxy.turn.log, "starting beside another process"; "control" => proxy.operators());
+            proxy.turn.deadlines.set(proxy.turn.now + silence + HEAR, Due::Serve);
+        } else {
+            proxy.serve();
+        }
         Ok(proxy)
     }
 
@@ -136,9 +169,14 @@
             Due::Accept => self.frontend.accept(turn),
             Due::Caller(id) => self.control.iter_mut().for_each(|c| c.due(turn, id)),
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
-            Due::Look => self.look(),
+            Due::Look => {
+                turn.deadlines.set(turn.now + LOOK, Due::Look);
+                self.look();
+            }
             Due::Reap => self.frontend.reap(turn),
-            Due::CloseListener => self.frontend.close_listener(turn, exchange),
+            Due::CloseListener => self.frontend.close_listener(turn, exchange, false),
+            Due::Serve if self.frontend.able => self.serve(),
+            Due::Serve => turn.deadlines.set(turn.now + LOOK, Due::Serve),
             Due::Summary => {
                 exchange.sum_up(turn);
                 self.frontend.sum_up(turn);
@@ -151,8 +189,8 @@
 
     /// Carries what the parts have for each other, until none has anything left.
     fn settle(&mut self) {
-        let (turn, exchange) = (&mut self.turn, &mut self.exchange);
         loop {
+            let (turn, exchange) = (&mut self.turn, &mut self.exchange);
             // The module hears of a change before the pool acts on it, and before anything else is sent.
             if !self.news.is_empty() {
                 let news = self.news.remove(0);
@@ -160,6 +198,7 @@
                     warn!(turn.log, "unreadable entry in the list of db hosts"; "what" => what);
                 }
                 self.frontend.able |= !news.entries.is_empty();
+                let heard = matches!(news.kind, ListKind::Full | ListKind::Incremental);
                 exchange.members(turn, news.kind, news.entries);
                 self.backend.list(turn, exchange, news.kind, &news.listed);
                 // The ban on a name outlasts whatever the list says of it.
@@ -167,6 +206,9 @@
                     exchange.maintain(turn, l.member, true);
                     self.backend.maintain(turn, exchange, l.member, true);
                 }
+                if heard && self.frontend.able {
+                    self.serve();
+                }
             } else if let Some(order) = exchange.orders.pop_front() {
                 self.backend.carry_out(turn, exchange, order);
             } else if let Some((request, answer)) = exchange.finals.pop_front() {
@@ -192,8 +234,8 @@
     fn carry_out(&mut self, command: Command) -> Answer {
         let (turn, exchange) = (&mut self.turn, &mut self.exchange);
         match command {
-            Command::Status if self.frontend.able => Answer::new(200, "serving\n"),
-            Command::Status => Answer::new(503, "no db host is known yet\n"),
+            Command::Status if self.frontend.able && self.waiting.is_none() => Answer::new(200, "serving\n"),
+            Command::Status => Answer::new(503, "starting\n"),
             Command::Figures => Answer::new(200, control::exposition(&exchange.figures(), &self.classes)),
             Command::Standby | Command::Active => {
                 let standby = command == Command::Standby;
@@ -229,16 +271,64 @@
 
     /// Looks at what the processes of this proxy share.
     fn look(&mut self) {
-        self.turn.deadlines.set(self.turn.now + LOOK, Due::Look);
         match self.shared.look() {
-            Ok(changed) => changed.into_iter().for_each(|(id, out)| self.maintain(&id, out)),
+            Ok(seen) => {
+                seen.changed.into_iter().for_each(|(id, out)| self.maintain(&id, out));
+                if seen.other != self.other {
+                    info!(self.turn.log, "other process of this proxy"; "duty" => seen.other.map(Duty::name));
+                    self.other = seen.other;
+                    self.share_limits();
+                    self.hand_over();
+                }
+            }
             Err(e) => warn!(self.turn.log, "cannot look at $TMPDIR"; "error" => e.to_string()),
         }
     }
 
+    /// Two processes of a proxy share its limits while both live.
+    fn share_limits(&mut self) {
+        let processes = 1 + usize::from(self.other.is_some());
+        let sockets = (self.sockets / processes).saturating_sub(RESERVED + OPERATORS);
+        // A third of the descriptors for db hosts: an attempt needs one only while it is out, a client for
+        // as long as it likes.
+        let servers = sockets / 3;
+        self.backend.limit(&mut self.turn, servers);
+        // Rings may still grow when a third of the memory is held: by what is under way.
+        self.frontend.limit(sockets - servers, self.memory / processes / 3);
+    }
+
+    /// Serves clients from now on.
+    fn serve(&mut self) {
+        let Some(listener) = self.waiting.take() else { return };
+        let listen = listener.local_addr().map(|a| a.to_string()).ok();
+        let opened = self.frontend.open(&mut self.turn, listener);
+        if let Err(e) = opened.and_then(|()| self.shared.set_duty(Duty::Serving)) {
+            warn!(self.turn.log, "cannot serve as it should be"; "error" => e.to_string());
+        }
+        info!(self.turn.log, "serving"; "control" => self.operators(), "listen" => listen);
+    }
+
+    fn operators(&self) -> Option<String> {
+        self.control.as_ref().and_then(Control::local_addr).map(|a| a.to_string())
+    }
+
+    /// After SIGTERM, where a successor serves: what waits on the clients' socket is the successor's.
+    fn hand_over(&mut self) {
+        if self.terminating && self.other == Some(Duty::Serving) {
+            self.frontend.close_listener(&mut self.turn, &mut self.exchange, true);
+        }
+    }
+
     fn terminate(&mut self) {
         info!(self.turn.log, "terminating: serving on until all is answered");
+        if let Err(e) = self.shared.set_duty(Duty::Leaving) {
+            warn!(self.turn.log, "cannot tell the other process"; "error" => e.to_string());
+        }
         let now = self.turn.now;
+        self.terminating = true;
+        self.waiting = None;
+        self.look();
+        self.hand_over();
         self.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
         self.turn.deadlines.set(now + self.longest + LEAVE_AFTER, Due::Leave);
     }
@@ -300,9 +390,7 @@
     let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
     let (drain, _guard) = slog_async::Async::new(format).chan_size(4096).build_with_guard();
     let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
-    let proxy = Proxy::new(config, &event_loop, log.clone())?;
-    info!(log, "serving"; "control" => proxy.control.as_ref().and_then(Control::local_addr).map(|a| a.to_string()),
-        "listen" => proxy.frontend.local_addr().map(|a| a.to_string()));
+    let proxy = Proxy::new(config, &event_loop, log)?;
     run(event_loop, proxy)
 }
 
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -68,6 +68,16 @@
     Ok(socket.into())
 }
 
+/// A listening socket that the platform holds and this process has inherited. A descriptor by its number alone is
+/// nobody's, so safe code can't take it: this asks the system for another one of the same socket.
+pub fn inherited(fd: i32) -> std::io::Result<TcpListener> {
+    use rustix::process::{getpid, pidfd_getfd, pidfd_open, PidfdFlags, PidfdGetfdFlags};
+    let own = pidfd_open(getpid(), PidfdFlags::empty())?;
+    let listener = TcpListener::from(pidfd_getfd(own, fd, PidfdGetfdFlags::empty())?);
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
 /// A socket that the loop polls, until [`Polled::close`].
 pub struct Polled<S = TcpStream> {
     pub socket: Rc<S>,
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -2,20 +2,23 @@
 //! is compared with the snapshots. Every step waits for bytes, none for time.
 //!
 //! A file begins with the db hosts (`hosts: 1=primary 2=standby`, or none), maybe limits of its own (`memory_mb: 0`,
-//! `sockets: 64`), and then holds a step a line:
+//! `sockets: 64`) and `held: 1` where the platform holds the clients' socket, and then holds a step a line:
 //!
 //! - `a connects`: a client (`a connects 40`: so many); `o calls`: an operator (`o calls 40`); `1 accepts x`, `discovery accepts w`: what the program opens;
 //! - `a> Q|text`: a message with its length filled in; `a> startup|text`, `a> raw|bytes`, `a> chunk|text`, `a> row|value`;
 //!   `Q 1000|text` puts so many spaces before it; `a+ ...`: the same, kept back to go in one piece with the next; `{1}` stands for a db host's address;
 //! - `a< Z`: whole messages up to this one; `a< startup`, `a< head`, `a< 1` (bytes) and `a< end`;
 //! - `a closes`, `a resets`, `SIGTERM`, `exits`;
+//! - `upgrade`: a second process starts, and operators call it from now on; `serves`: it serves; SIGTERM and `exits` go to the first;
 //! - `SIGHUP moved`: the configuration names discovery at another address (`moved`); `SIGHUP text` makes it that text.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
 
 use serde_json::{json, Value};
 
@@ -42,6 +45,11 @@
 /// The program and everyone who speaks with it.
 struct Stage {
     program: Child,
+    /// The process before an upgrade, and the socket that both get.
+    former: Option<Child>,
+    held: Option<TcpListener>,
+    /// What the program logs.
+    log: Receiver<String>,
     config: Value,
     file: PathBuf,
     address: String,
@@ -54,13 +62,15 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        let _ = self.program.kill();
-        let _ = self.program.wait();
+        for program in self.former.iter_mut().chain([&mut self.program]) {
+            let _ = program.kill();
+            let _ = program.wait();
+        }
     }
 }
 
 impl Stage {
-    fn open(hosts: &str, memory_mb: u32, sockets: u32) -> Stage {
+    fn open(hosts: &str, memory_mb: u32, sockets: u32, held: bool) -> Stage {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a port");
         let mut listeners = BTreeMap::from(["discovery", "moved"].map(|n| (n.to_owned(), listen())));
         let mut known = Vec::new();
@@ -83,24 +93,35 @@
         let shared = file.with_extension("d");
         let _ = std::fs::remove_dir_all(&shared);
         std::fs::create_dir_all(&shared).expect("a folder");
-        let mut program = Command::new(env!("CARGO_BIN_EXE_gradeshunt"))
-            .env("ROUTER_CONFIG", &file)
-            .env("ROUTER_CONTROL", "127.0.0.1:0")
-            .env("TMPDIR", &shared)
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
-        let mut log = BufReader::new(program.stderr.take().expect("a pipe")).lines();
-        let serving =
-            log.find_map(|l| l.ok().and_then(|l| Some(l.split_once("serving, listen: ")?.1.to_owned())));
-        let serving = serving.expect("the program serves");
-        let (address, control) = serving.split_once(", control: ").expect("two addresses");
-        let control = control.split(',').next().unwrap_or_default();
-        let (address, control) = (address.to_owned(), control.to_owned());
-        // Someone has to go on reading the log, or the program could not write it.
-        std::thread::spawn(move || log.for_each(drop));
-        let (peers, kept_back) = (BTreeMap::new(), Vec::new());
-        Stage { program, config, file, address, control, listeners, peers, kept_back, record: String::new() }
+        let held = held.then(listen);
+        let (program, log) = start(&file, held.as_ref());
+        let mut stage = Stage {
+            program,
+            former: None,
+            held,
+            log,
+            config,
+            file,
+            address: String::new(),
+            control: String::new(),
+            listeners,
+            peers: BTreeMap::new(),
+            kept_back: Vec::new(),
+            record: String::new(),
+        };
+        let serving = stage.logged("serving");
+        (stage.address, stage.control) = (named(&serving, "listen"), named(&serving, "control"));
+        stage
+    }
+
+    /// Waits for a line of the program's log.
+    fn logged(&self, what: &str) -> String {
+        self.log.iter().find(|l| l.contains(what)).expect("the program logs it")
+    }
+
+    /// Whoever is told to end: the former process, once there are two.
+    fn former(&mut self) -> &mut Child {
+        self.former.as_mut().unwrap_or(&mut self.program)
     }
 
     fn play(&mut self, line: &str) {
@@ -152,16 +173,23 @@
                 std::fs::write(&self.file, text).expect("a file");
                 self.signal("-HUP");
             }
+            _ if who == "upgrade" => {
+                let (program, log) = start(&self.file, self.held.as_ref());
+                self.log = log;
+                self.former = Some(std::mem::replace(&mut self.program, program));
+                self.control = named(&self.logged("starting"), "control");
+            }
+            _ if who == "serves" => drop(self.logged("serving")),
             _ if who == "exits" => {
-                let status = self.program.wait().expect("it can be waited for");
+                let status = self.former().wait().expect("it can be waited for");
                 self.record += &format!("  {status}\n");
             }
             _ => panic!("not a step: {who} {rest}"),
         }
     }
 
-    fn signal(&self, signal: &str) {
-        let kill = Command::new("kill").arg(signal).arg(self.program.id().to_string()).status();
+    fn signal(&mut self, signal: &str) {
+        let kill = Command::new("kill").arg(signal).arg(self.former().id().to_string()).status();
         assert!(kill.is_ok_and(|s| s.success()));
     }
 
@@ -183,6 +211,35 @@
     }
 }
 
+/// Starts the program, on descriptor 7 where the platform holds its socket, and reads its log: someone has to, or it
+/// could not be written.
+fn start(file: &Path, held: Option<&TcpListener>) -> (Child, Receiver<String>) {
+    let mut command = Command::new("/bin/sh");
+    command.arg("-c").arg(if held.is_some() { "exec \"$0\" 7<&0 </dev/null" } else { "exec \"$0\"" });
+    if let Some(held) = held {
+        let socket = held.try_clone().expect("another descriptor");
+        command.env("ROUTER_LISTEN_FD", "7").stdin(Stdio::from(OwnedFd::from(socket)));
+    }
+    let mut program = command
+        .arg(env!("CARGO_BIN_EXE_gradeshunt"))
+        .env("ROUTER_CONFIG", file)
+        .env("ROUTER_CONTROL", "127.0.0.1:0")
+        .env("TMPDIR", file.with_extension("d"))
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let (tell, log) = channel();
+    let lines = BufReader::new(program.stderr.take().expect("a pipe")).lines();
+    std::thread::spawn(move || lines.for_each(|l| drop(tell.send(l.unwrap_or_default()))));
+    (program, log)
+}
+
+/// An address in a line of the log.
+fn named(line: &str, what: &str) -> String {
+    let text = line.split_once(&format!("{what}: ")).expect("the line names it").1;
+    text.split(',').next().unwrap_or_default().to_owned()
+}
+
 /// The bytes of one message in a file.
 fn encode(text: &str) -> Vec<u8> {
     let (kind, text) = text.split_once('|').expect("kind|text");
@@ -283,8 +340,8 @@
         let line = lines.next_if(|l| l.starts_with(name));
         line.map(|l| l[name.len()..].trim().parse().expect("a number"))
     };
-    let (memory, sockets) = (limit("memory_mb:"), limit("sockets:"));
-    let mut stage = Stage::open(hosts, memory.unwrap_or(192), sockets.unwrap_or(1024));
+    let (memory, sockets, held) = (limit("memory_mb:"), limit("sockets:"), limit("held:"));
+    let mut stage = Stage::open(hosts, memory.unwrap_or(192), sockets.unwrap_or(1024), held.is_some());
     lines.for_each(|line| stage.play(line));
     insta::assert_snapshot!(name, stage.record);
 }
@@ -337,4 +394,5 @@
     control
     held_out
     standby
+    upgrade
 }
