Pass long values on as they come; keep connections whose ReadyForQuery is late

Rows over 256 KiB were no message (pg.rs message), those over 192 KiB no answer (backend.rs append), and 3 ms without ReadyForQuery closed the connection (backend.rs server_due). Ruled out before: deadlines (the module's refusals were passed over), a host's close, statements.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -25,6 +25,11 @@
 const IDLE_SHARE: f64 = 0.6;
 /// How long ReadyForQuery may take behind a whole answer. What a db host tells of itself may come in between.
 const READY: Micros = 3_000;
+/// How long it may take until the connection is given up.
+const TRAIL: Micros = 500_000;
+/// How long no byte of a long answer may move; and how much of it is read at a time.
+const STALL: Micros = 5_000_000;
+const CHUNK: usize = 32 * 1024;
 /// Reads of one connection in one turn.
 const READS: usize = 8;
 
@@ -41,6 +46,8 @@
     bytes: Vec<u8>,
     held: Held,
     shape: Shape,
+    /// When bytes of a long answer were last passed on; it has begun then.
+    passed: Option<Micros>,
     error: Option<String>,
     row: Option<Vec<u8>>,
     position: Option<Micros>,
@@ -53,6 +60,8 @@
     #[default]
     Nothing,
     Described,
+    /// So much of a long row is yet to be passed on.
+    Passing(usize),
     Row,
     Complete,
 }
@@ -75,6 +84,10 @@
     },
     /// Its job was taken from it; it closes at once.
     Spent,
+    /// Its job has ended with a whole answer; ReadyForQuery is still to come.
+    Trailing {
+        by: Micros,
+    },
 }
 
 struct Server {
@@ -85,6 +98,13 @@
     stage: Stage,
 }
 
+impl Server {
+    /// Whether a long row is being passed on.
+    fn is_passing(&self) -> bool {
+        matches!(&self.stage, Stage::Busy { reply: Reply { shape: Shape::Passing(_), .. }, .. })
+    }
+}
+
 /// Whether anything new may go to a db host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Standing {
@@ -174,6 +194,14 @@
             Order::Probe(member) => {
                 self.begin(turn, exchange, member, Job::Probe { since: turn.now });
             }
+            Order::Resume(id) => {
+                if let Some((_, Place::On(server))) = self.attempts.get(&id).copied() {
+                    match self.read(turn, exchange, server) {
+                        Ok(()) => self.ready(turn, exchange, server),
+                        Err(Malformed(what)) => self.spoilt(turn, exchange, server, what),
+                    }
+                }
+            }
             Order::Abandon(id) => self.give_up(turn, exchange, id, Ending::Cancelled),
             Order::CloseIdle(member) => self.close_idle(turn, member),
         }
@@ -249,6 +277,17 @@
 
     /// An attempt has waited long enough.
     pub fn attempt_due(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: AttemptId) {
+        // A long answer that has begun is waited for as long as it moves.
+        if let Some((until, Place::On(server))) = self.attempts.get_mut(&id) {
+            let passed = self.servers.get(server).and_then(|s| match &s.stage {
+                Stage::Busy { reply, .. } => reply.passed,
+                _ => None,
+            });
+            if let Some(at) = passed.map(|at| at + STALL).filter(|at| *at > turn.now) {
+                *until = at;
+                return turn.deadlines.set(at, Due::Attempt(id));
+            }
+        }
         self.give_up(turn, exchange, id, Ending::Timeout);
     }
 
@@ -265,9 +304,8 @@
                 self.broke(turn, exchange, id, "not up in time")
             }
             Some(Stage::Idle { until, .. }) if *until <= turn.now => self.close(turn, id),
-            Some(Stage::Busy { ready_by: Some(by), .. }) if *by <= turn.now => {
-                self.spoilt(turn, exchange, id, "no ReadyForQuery behind it")
-            }
+            Some(Stage::Busy { ready_by: Some(by), .. }) if *by <= turn.now => self.trail(turn, exchange, id),
+            Some(Stage::Trailing { by }) if *by <= turn.now => self.close(turn, id),
             _ => {}
         }
     }
@@ -280,6 +318,13 @@
         }
         for _ in 0..READS {
             let Some(s) = self.servers.get_mut(&id) else { return };
+            if s.is_passing() {
+                // What the client side can't take yet stays with the db host; it says when it can.
+                if s.inbound.len() >= CHUNK {
+                    return;
+                }
+                s.inbound.reserve(CHUNK);
+            }
             let moved = s.inbound.fill(&s.polled.socket);
             let end = match moved {
                 Ok(Moved::Nothing) => return,
@@ -292,6 +337,10 @@
                 return self.spoilt(turn, exchange, id, what);
             }
             if let Some(why) = end {
+                // The end is met again once the client side has taken what came before it.
+                if self.servers.get(&id).is_some_and(|s| s.is_passing() && !s.inbound.is_empty()) {
+                    return;
+                }
                 return self.broke(turn, exchange, id, &why);
             }
         }
@@ -301,7 +350,22 @@
     /// Works off the whole messages that have come.
     fn read(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> Result<(), Malformed> {
         loop {
+            if self.pass(turn, exchange, id) {
+                continue;
+            }
             let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
+            if let Stage::Busy { job: Job::Attempt { .. }, reply, .. } = &mut s.stage {
+                match reply.shape {
+                    Shape::Described => {
+                        if let Some(size) = pg::long_row(s.inbound.bytes())? {
+                            reply.shape = Shape::Passing(size);
+                            continue;
+                        }
+                    }
+                    Shape::Passing(_) => return Ok(()),
+                    Shape::Nothing | Shape::Row | Shape::Complete => {}
+                }
+            }
             let Some(message) = pg::message(s.inbound.bytes(), pg::BACKEND)? else {
                 // The client must not wait for what is not its answer.
                 if let Stage::Busy { reply, ready_by: ready_by @ None, .. } = &mut s.stage {
@@ -325,7 +389,8 @@
                     b'Z' => true,
                     _ => return Err(Malformed("unexpected message during startup")),
                 },
-                Stage::Idle { .. } | Stage::Spent => match tag {
+                Stage::Trailing { .. } if tag == b'Z' => true,
+                Stage::Idle { .. } | Stage::Spent | Stage::Trailing { .. } => match tag {
                     b'S' | b'N' => false,
                     _ => return Err(Malformed("unexpected message between requests")),
                 },
@@ -338,6 +403,42 @@
         }
     }
 
+    /// Passes on what has come of a long answer, as far as the client side can take it; true where some was.
+    fn pass(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> bool {
+        let Some(s) = self.servers.get_mut(&id) else { return false };
+        let Stage::Busy { job: Job::Attempt { id: attempt, .. }, reply, .. } = &mut s.stage else {
+            return false;
+        };
+        let Shape::Passing(left) = reply.shape else { return false };
+        if s.inbound.is_empty() {
+            return false;
+        }
+        let n = left.min(s.inbound.len()).min(exchange.room(*attempt));
+        if n == 0 {
+            return false;
+        }
+        // What stands before the row goes first.
+        let mut bytes = std::mem::take(&mut reply.bytes);
+        reply.held.set(0);
+        bytes.extend(&s.inbound.bytes()[..n]);
+        s.inbound.consume(n);
+        reply.passed = Some(turn.now);
+        reply.shape = if n == left { Shape::Row } else { Shape::Passing(left - n) };
+        exchange.part(turn, *attempt, bytes);
+        true
+    }
+
+    /// An answer is whole, and its ReadyForQuery late: the client does not wait for that, the connection does.
+    fn trail(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
+        let Some((member, _, job, reply)) = self.take_job(id) else { return };
+        let by = turn.now + TRAIL;
+        if let (Some(ending), Some(s)) = (reply.ending(), self.servers.get_mut(&id)) {
+            s.stage = Stage::Trailing { by };
+            turn.deadlines.set(by, Due::Server(id));
+            self.end(turn, exchange, member, job, ending, reply);
+        }
+    }
+
     // ---- Jobs ----
 
     fn begin(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId, job: Job) {
@@ -431,6 +532,7 @@
                 host.starting -= 1;
                 turn.deadlines.clear(by, Due::Server(id));
             }
+            Stage::Trailing { by } => turn.deadlines.clear(by, Due::Server(id)),
             Stage::Idle { .. } | Stage::Spent => {}
             Stage::Busy { job, reply, .. } => {
                 let ending = reply.ending().unwrap_or(Ending::Reset);
@@ -648,9 +750,13 @@
         let Some(s) = self.servers.remove(&id) else { return };
         if let Some(host) = self.hosts.get_mut(&s.member) {
             host.servers -= 1;
-            if let Stage::Starting { by } = s.stage {
-                host.starting -= 1;
-                turn.deadlines.clear(by, Due::Server(id));
+            match s.stage {
+                Stage::Starting { by } => {
+                    host.starting -= 1;
+                    turn.deadlines.clear(by, Due::Server(id));
+                }
+                Stage::Trailing { by } => turn.deadlines.clear(by, Due::Server(id)),
+                Stage::Idle { .. } | Stage::Busy { .. } | Stage::Spent => {}
             }
         }
         s.polled.close(turn);
@@ -675,7 +781,7 @@
     pub fn close_oldest_idle(&mut self, turn: &mut Turn) -> bool {
         let idle = self.servers.iter().filter_map(|(id, s)| match s.stage {
             Stage::Idle { since, .. } => Some((since, *id)),
-            Stage::Starting { .. } | Stage::Busy { .. } | Stage::Spent => None,
+            Stage::Starting { .. } | Stage::Busy { .. } | Stage::Spent | Stage::Trailing { .. } => None,
         });
         let oldest = idle.min();
         oldest.into_iter().for_each(|(_, id)| self.close(turn, id));
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -15,6 +15,9 @@
 use crate::memory::Held;
 use crate::turn::Turn;
 
+/// How much of a long answer may be under way to a client.
+const ROOM: usize = 64 * 1024;
+
 /// One attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct AttemptId {
@@ -55,22 +58,39 @@
     pub body: Body,
 }
 
+/// What the client side is handed for a request.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// A part of a long answer; more follows.
+    Part(Vec<u8>),
+    Final(Final),
+}
+
 /// A final answer.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Final {
-    /// The answer as a db host gave it.
+    /// The answer as a db host gave it, or what is left of one that was passed on in parts.
     Served(Vec<u8>),
     /// Turned away; a repeat is harmless, after this long.
     Refused { retry_after: Option<Micros> },
     /// Failed, with the db host's own error where it gave one.
     Failed(Option<Vec<u8>>),
+    /// It broke off amid its parts: the client has to see that it is not whole.
+    Broken,
 }
 
 /// What the server side is to do.
 #[derive(Debug)]
 pub enum Order {
-    Start { attempt: AttemptId, member: MemberId, body: Rc<Body>, until: Micros },
+    Start {
+        attempt: AttemptId,
+        member: MemberId,
+        body: Rc<Body>,
+        until: Micros,
+    },
     Abandon(AttemptId),
+    /// The client side can take more of a long answer.
+    Resume(AttemptId),
     Probe(MemberId),
     CloseIdle(MemberId),
 }
@@ -118,6 +138,20 @@
     /// The final answer is given, or the client has gone.
     over: bool,
     error: Option<Vec<u8>>,
+    /// When the first part of a long answer was passed on: from then on it is this attempt's, without a deadline.
+    begun: Option<Micros>,
+    /// How much of it the client side can take now, how much is on its way there, and whether the server side waits
+    /// for more room.
+    room: usize,
+    queued: usize,
+    stalled: bool,
+}
+
+impl Request {
+    /// Whether its client is reading a long answer.
+    fn is_begun(&self) -> bool {
+        self.begun.is_some() && !self.over
+    }
 }
 
 /// What has come to pass since the last summary in the log.
@@ -167,7 +201,7 @@
     /// What is asked of the server side, of discovery, and of the client side.
     pub orders: VecDeque<Order>,
     pub asks: VecDeque<Ask>,
-    pub finals: VecDeque<(RequestId, Final)>,
+    pub answers: VecDeque<(RequestId, Answer)>,
 }
 
 impl Exchange {
@@ -188,7 +222,7 @@
             tally: Tally::default(),
             orders: VecDeque::new(),
             asks: VecDeque::new(),
-            finals: VecDeque::new(),
+            answers: VecDeque::new(),
         }
     }
 
@@ -201,8 +235,19 @@
         self.tally.requests += 1;
         // The module answers by the deadline. Should it not, the client gets its answer all the same.
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
-        let request =
-            Request { class, deadline, body: Rc::new(body), sends: 0, out: None, over: false, error: None };
+        let request = Request {
+            class,
+            deadline,
+            body: Rc::new(body),
+            sends: 0,
+            out: None,
+            over: false,
+            error: None,
+            begun: None,
+            room: ROOM,
+            queued: 0,
+            stalled: false,
+        };
         self.requests.insert(id, request);
         self.tell(
             turn,
@@ -227,20 +272,56 @@
         }
     }
 
+    /// The client side has got so much more of a long answer, and holds so much that its client has yet to read.
+    pub fn unread(&mut self, id: RequestId, got: usize, held: usize) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+        r.queued = r.queued.saturating_sub(got);
+        r.room = ROOM.saturating_sub(held + r.queued);
+        if let (Some(out), true) = (&r.out, r.stalled && r.room > 0) {
+            r.stalled = false;
+            self.orders.push_back(Order::Resume(AttemptId { request: id, number: out.number }));
+        }
+    }
+
     pub fn is_idle(&self) -> bool {
         self.requests.values().all(|r| r.over)
     }
 
     // ---- From the server side ----
 
+    /// How much of a long answer the client side can take. Where that is none, [`Order::Resume`] follows later.
+    pub fn room(&mut self, attempt: AttemptId) -> usize {
+        let Some(r) = self.requests.get_mut(&attempt.request).filter(|r| !r.over) else { return 0 };
+        r.stalled = r.room == 0;
+        r.room
+    }
+
+    /// A part of a long answer. The client has begun to read it: no deadline ends it any more.
+    pub fn part(&mut self, turn: &mut Turn, attempt: AttemptId, bytes: Vec<u8>) {
+        let id = attempt.request;
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+        if r.out.as_ref().is_none_or(|o| o.number != attempt.number) {
+            return;
+        }
+        if r.begun.is_none() {
+            r.begun = Some(turn.now);
+            turn.deadlines.clear(r.deadline + self.slack, Due::Overdue(id));
+        }
+        r.room = r.room.saturating_sub(bytes.len());
+        r.queued += bytes.len();
+        self.answers.push_back((id, Answer::Part(bytes)));
+    }
+
     pub fn ended(&mut self, turn: &mut Turn, ended: Ended) {
         let Ended { attempt: AttemptId { request: id, number }, ending, note, said } = ended;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(out) = r.out.take_if(|o| o.number == number) else { return };
         let over = r.over;
         r.error = None;
+        let begun = r.begun;
         let answer = match said {
             Said::Answer(bytes) => Some(Final::Served(bytes)),
+            _ if begun.is_some() => Some(Final::Broken),
             Said::Verdict(bytes) => Some(Final::Failed(Some(bytes))),
             Said::Error(bytes) => {
                 r.error = Some(bytes);
@@ -256,7 +337,8 @@
         // What is the statement's own fault must not cost the db host its standing.
         let verdict = last && ending == Ending::Error && !over;
         let ending = if verdict { Ending::Cancelled } else { ending };
-        let elapsed = turn.now - out.since;
+        // The length of a value says nothing of the db host: what counts is when its first bytes came.
+        let elapsed = begun.unwrap_or(turn.now) - out.since;
         self.outcome(turn, id, number, out.member, ending, last, elapsed, note);
     }
 
@@ -324,11 +406,15 @@
         match action {
             Action::Send { request, member, timeout } => self.send(turn, request, member, timeout),
             Action::Cancel { request, attempt } => {
-                let out = self.requests.get(&request).and_then(|r| r.out.as_ref());
+                let open = self.requests.get(&request).filter(|r| !r.is_begun());
+                let out = open.and_then(|r| r.out.as_ref());
                 if out.is_some_and(|o| o.number == attempt) {
                     self.orders.push_back(Order::Abandon(AttemptId { request, number: attempt }));
                 }
             }
+            // The module's time for it is over, but the client reads already.
+            Action::Refuse { request, .. } | Action::Fail { request }
+                if self.requests.get(&request).is_some_and(Request::is_begun) => {}
             Action::Refuse { request, retry_after } => {
                 self.finish(turn, request, Final::Refused { retry_after })
             }
@@ -388,11 +474,11 @@
         let (tally, total) = match &answer {
             Final::Served(_) => (&mut self.tally.served, &mut count.served),
             Final::Refused { .. } => (&mut self.tally.refused, &mut count.refused),
-            Final::Failed(_) => (&mut self.tally.failed, &mut count.failed),
+            Final::Failed(_) | Final::Broken => (&mut self.tally.failed, &mut count.failed),
         };
         *tally += 1;
         *total += 1;
-        self.finals.push_back((id, answer));
+        self.answers.push_back((id, Answer::Final(answer)));
     }
 
     /// Marks a request as over; false where it already was.
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -370,6 +370,24 @@
         }
     }
 
+    /// A part of a long answer.
+    pub fn part(&mut self, turn: &mut Turn, exchange: &mut Exchange, request: RequestId, bytes: &[u8]) {
+        let Some(id) = self.owners.get(&request).map(|o| o.session) else { return };
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        if !s.outbound.push(bytes) {
+            return self.leave(turn, exchange, id);
+        }
+        self.flush(turn, id);
+        self.tell_unread(exchange, id, bytes.len());
+    }
+
+    /// Lets the server side go on with a long answer as far as there is room for it here.
+    fn tell_unread(&self, exchange: &mut Exchange, id: SessionId, got: usize) {
+        if let Some(Session { stage: Stage::Waiting(request), outbound, .. }) = self.sessions.get(&id) {
+            exchange.unread(*request, got, outbound.len());
+        }
+    }
+
     /// The final answer of a request.
     pub fn answer(&mut self, turn: &mut Turn, exchange: &mut Exchange, request: RequestId, answer: Final) {
         let Some(id) = self.disown(request) else { return };
@@ -387,6 +405,8 @@
                     after.as_deref(),
                 )
             }
+            // An error would pass for bytes of the value that was cut.
+            Final::Broken => return self.last_word(turn, id, w),
             Final::Failed(Some(error)) => Writer(error),
             Final::Failed(None) => {
                 w.error("ERROR", sqlstate::SYSTEM_ERROR, "no db host has answered in time", None)
@@ -432,6 +452,7 @@
             }
         }
         self.flush(turn, id);
+        self.tell_unread(exchange, id, 0);
         self.await_rest(turn, id, worked);
         self.dismiss(turn, id);
     }
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -211,8 +211,11 @@
                 }
             } else if let Some(order) = exchange.orders.pop_front() {
                 self.backend.carry_out(turn, exchange, order);
-            } else if let Some((request, answer)) = exchange.finals.pop_front() {
-                self.frontend.answer(turn, exchange, request, answer);
+            } else if let Some((request, answer)) = exchange.answers.pop_front() {
+                match answer {
+                    exchange::Answer::Part(bytes) => self.frontend.part(turn, exchange, request, &bytes),
+                    exchange::Answer::Final(last) => self.frontend.answer(turn, exchange, request, last),
+                }
             } else if let Some(ask) = exchange.asks.pop_front() {
                 self.discovery.ask(turn, ask, &mut self.news);
             } else {
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -6,8 +6,11 @@
 
 /// Longest message taken, its length field included; a ring holds one and its type byte.
 pub const LONGEST_MESSAGE: usize = LARGEST - 1;
-/// Longest answer taken from a db host: a value has 64 KiB at most, twice that in hex.
-pub const LONGEST_ANSWER: usize = LARGEST / 4 * 3;
+/// Longest row that is taken whole before any of it is passed on, and longest one at all, with their framing.
+pub const WHOLE_ROW: usize = 64 * 1024 + 64;
+const LONGEST_ROW: usize = 4 * 1024 * 1024 + 64;
+/// Longest answer that is taken whole, with what stands around its row.
+pub const LONGEST_ANSWER: usize = 96 * 1024;
 /// Longest startup packet, as in PostgreSQL.
 const LONGEST_STARTUP: usize = 10_000;
 
@@ -105,6 +108,22 @@
     Ok(bytes.get(5..size).map(|body| Message { tag: *tag, body, size }))
 }
 
+/// The size of a DataRow of one column that is longer than [`WHOLE_ROW`], once its header has come; `None` where it
+/// has not, or where something else begins here.
+pub fn long_row(bytes: &[u8]) -> Result<Option<usize>, Malformed> {
+    let (Some(b'D'), Some(length), Some(value)) = (bytes.first(), be32(bytes, 1), be32(bytes, 7)) else {
+        return Ok(None);
+    };
+    let (size, value) = (length as usize + 1, value as usize);
+    if size <= WHOLE_ROW {
+        Ok(None)
+    } else if size > LONGEST_ROW || bytes[5..7] != [0, 1] || size != 11 + value {
+        Err(Malformed("invalid DataRow"))
+    } else {
+        Ok(Some(size))
+    }
+}
+
 /// The text of a body that holds one string and nothing else.
 pub fn string(body: &[u8]) -> Result<&[u8], Malformed> {
     match body.split_last() {
@@ -329,6 +348,14 @@
         assert_eq!(message(&[b'Q', 0, 0, 0], FRONTEND), Ok(None));
         assert!(check_row(&[0, 1, 0, 0, 0, 9, 1]).is_err());
         assert!(check_row(&[0, 2, 0, 0, 0, 1, 7, 0, 0, 0, 1, 7]).is_err());
+        let header = |length: u32, value: u32| {
+            [b"D", &length.to_be_bytes()[..], &[0, 1], &value.to_be_bytes()].concat()
+        };
+        assert_eq!(long_row(&header(100_010, 100_000)), Ok(Some(100_011)));
+        assert_eq!(long_row(&header(100_010, 100_000)[..10]), Ok(None));
+        assert_eq!(long_row(&header(1010, 1000)), Ok(None), "it is taken whole");
+        assert!(long_row(&header(100_010, 100_001)).is_err());
+        assert!(long_row(&header(3_000_000_010, 3_000_000_000)).is_err());
         assert!(first_column(&[0, 1, 0, 0, 0, 1, 7]) == Ok(&[7]));
         assert!(check_description(&[&b"\0\x01data\0"[..], &[0; 18]].concat()).is_ok());
         assert!(check_description(&[&b"\0\x01data\0"[..], &[0; 17]].concat()).is_err());
--- a/crates/gradeshunt/src/ring.rs
+++ b/crates/gradeshunt/src/ring.rs
@@ -58,6 +58,11 @@
         true
     }
 
+    /// Makes room for so many bytes in all, where more than a few are about to come.
+    pub fn reserve(&mut self, size: usize) {
+        self.grow(size);
+    }
+
     pub fn consume(&mut self, n: usize) {
         let n = n.min(self.len);
         self.len -= n;
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -42,6 +42,9 @@
     })
 }
 
+/// Written in one piece by the play itself.
+const AT_ONCE: usize = 16 * 1024;
+
 /// The program and everyone who speaks with it.
 struct Stage {
     program: Child,
@@ -131,7 +134,13 @@
             self.kept_back.extend(encode(&self.fill_in(rest)));
             if line.starts_with(&format!("{who}>")) {
                 let bytes = std::mem::take(&mut self.kept_back);
-                (&self.peers[who]).write_all(&bytes).expect("the program takes it");
+                if bytes.len() < AT_ONCE {
+                    (&self.peers[who]).write_all(&bytes).expect("the program takes it");
+                } else {
+                    // More than the program takes before somebody else reads what comes of it.
+                    let mut peer = self.peers[who].try_clone().expect("another descriptor");
+                    std::thread::spawn(move || peer.write_all(&bytes));
+                }
             }
         } else if let Some(who) = who.strip_suffix('<') {
             let heard = listen_until(&self.peers[who], rest);
@@ -198,11 +207,17 @@
         addresses.fold(text.to_owned(), |t, (n, a)| t.replace(&format!("{{{n}}}"), &a.to_string()))
     }
 
-    /// Takes out what differs from run to run: addresses, and what is left of the client's wait.
+    /// Takes out what differs from run to run, addresses and what is left of the client's wait, and long padding.
     fn make_plain(&self, heard: &str) -> String {
         let addresses = self.listeners.iter().filter_map(|(n, l)| Some((n, l.local_addr().ok()?)));
         let text =
             addresses.fold(heard.to_owned(), |t, (n, a)| t.replace(&a.to_string(), &format!("{{{n}}}")));
+        let padding = text.split(|c| c != ' ').map(str::len).max().unwrap_or(0);
+        let text = if padding < 100 {
+            text
+        } else {
+            text.replace(&" ".repeat(padding), &format!("<{padding} spaces>"))
+        };
         let Some((before, after)) = text.split_once(",d=") else { return text };
         let rest = after.trim_start_matches(|c: char| c.is_ascii_digit());
         let wait: u32 = after[..after.len() - rest.len()].parse().expect("a wait");
@@ -395,4 +410,5 @@
     held_out
     standby
     upgrade
+    long_value
 }
