Let idle clients make room before slow ones that have yet to ask

A log of each close: 121 of one proxy were startups, 101 of them with bytes, while 30 to 80 idle clients stood (frontend.rs close_oldest_idle ranked any startup over 50 ms first). Ruled out: the 2.5 s for a message (58 closes, all of bytes that never ended).

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -26,14 +26,16 @@
 const UNREAD: usize = LARGEST - LONGEST_ANSWER - 1024;
 /// How long a client may take over one message, its startup message too.
 const PATIENCE: Micros = 2_500_000;
-/// A client that has said nothing so long is the first to go where room is needed; one without a request so
-/// long expects to be closed.
-const MUTE: Micros = 50_000;
+/// A slow client may take so long over its first request; and so long a client may be new, or just have had an
+/// answer, before it goes where room is needed.
+const SLOW: Micros = 2_100_000;
+const JUST: Micros = 50_000;
+const GUEST: Micros = 500_000;
+/// A client without a request so long expects to be closed.
 const IDLE: Micros = 2_000_000;
-/// Pace at which idle clients are looked over; and what is borne of them, and of silent ones, among many.
+/// Pace at which idle clients are looked over, and what is borne of them among many.
 const REAP: Micros = 50_000;
 const IDLE_AMONG_MANY: Micros = 100_000;
-const MUTE_AMONG_MANY: Micros = 1_000_000;
 /// How long a new client may take to ask while clients are sent away.
 const FRESH: Micros = 2_300_000;
 /// How long a closing connection is read on, so that what was written last is not lost to a reset.
@@ -97,7 +99,7 @@
     next: u64,
     service: Service,
     /// Clients closed to make room since the last summary, by how readily.
-    evicted: [u32; 5],
+    evicted: [u32; 6],
     /// Whether the proxy knows of db hosts at all.
     pub able: bool,
 }
@@ -116,7 +118,7 @@
             ids: HashSet::new(),
             next: 0,
             service: Service::Running,
-            evicted: [0; 5],
+            evicted: [0; 6],
             able: false,
         }
     }
@@ -240,9 +242,9 @@
 
     /// Sums up in the log who was closed to make room.
     pub fn sum_up(&mut self, turn: &Turn) {
-        let [mute, unasked, idle, starting, between] = std::mem::take(&mut self.evicted);
-        info!(turn.log, "clients"; "open" => self.sessions.len(), "mute" => mute, "unasked" => unasked,
-            "idle" => idle, "starting" => starting, "between" => between);
+        let [closing, mute, idle, slow, fresh, between] = std::mem::take(&mut self.evicted);
+        info!(turn.log, "clients"; "open" => self.sessions.len(), "closing" => closing, "mute" => mute,
+            "idle" => idle, "slow" => slow, "between" => between, "new" => fresh);
     }
 
     /// Closes clients that have had their answers and keep their connection for good, or that connect and say
@@ -265,10 +267,12 @@
         }
         // One at a time beyond so many, the longest idle first: a close may cross a request.
         let excess = open.saturating_sub(self.most * 2 / 5);
+        // The fuller, the sooner: their clients, too, have only so many connections.
+        let idle_borne = if open > self.most * 3 / 5 { JUST } else { IDLE_AMONG_MANY };
         let idle = self.sessions.iter().filter_map(|(id, s)| {
             let borne = match s.stage {
-                Stage::Startup => MUTE_AMONG_MANY,
-                Stage::Ready if s.asked => IDLE_AMONG_MANY,
+                Stage::Startup => SLOW,
+                Stage::Ready if s.asked => idle_borne,
                 Stage::Ready | Stage::Waiting(_) | Stage::Closing => return None,
             };
             let silent = s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet();
@@ -289,21 +293,11 @@
         self.service == Service::Closing && self.sessions.is_empty()
     }
 
-    /// Makes room: silent clients go first, so that a crowd of them can't shut out the usual ones, then those
-    /// that have been without a request for long.
+    /// Makes room by closing the client that [`makes_room`] names first, the oldest of equals.
     fn close_oldest_idle(&mut self, turn: &mut Turn) -> bool {
-        let rank = |s: &Session| match s.stage {
-            Stage::Closing => Some(0),
-            Stage::Startup => Some(if turn.now - s.since > MUTE { 0 } else { 3 }),
-            Stage::Ready if s.inbound.is_empty() && s.outbound.is_empty() => {
-                let idle = turn.now - s.since;
-                Some(match s.asked {
-                    false if idle > MUTE => 1,
-                    _ if idle > IDLE => 2,
-                    _ => 4,
-                })
-            }
-            Stage::Ready | Stage::Waiting(_) => None,
+        let rank = |s: &Session| {
+            let empty = s.inbound.is_empty() && s.outbound.is_empty();
+            makes_room(&s.stage, s.asked, empty, turn.now - s.since)
         };
         let idle = self.sessions.iter().filter_map(|(id, s)| Some((rank(s)?, s.since, *id)));
         let mut idle: Vec<_> = idle.collect();
@@ -668,9 +662,54 @@
     }
 }
 
+/// How readily a client is closed where room is needed, 0 first; `None` where it is not. Those go first that are being
+/// closed or took longer over their first request than a slow client may; then those that have had their answer, to
+/// whom a close costs no more than a new connection; then the longest under way with a first request, since most of
+/// a crowd that never ends one are among them.
+fn makes_room(stage: &Stage, asked: bool, empty: bool, age: Micros) -> Option<usize> {
+    match stage {
+        Stage::Closing => Some(0),
+        Stage::Startup | Stage::Ready if !asked => {
+            // One that has introduced itself is no mere connection: it has a while for its request.
+            let welcome = matches!(stage, Stage::Ready);
+            Some(match age {
+                SLOW.. => 1,
+                GUEST.. => 3,
+                JUST.. if !welcome => 3,
+                _ if !welcome => 4,
+                _ => 5,
+            })
+        }
+        Stage::Ready if empty => Some(if age >= JUST { 2 } else { 5 }),
+        Stage::Startup | Stage::Ready | Stage::Waiting(_) => None,
+    }
+}
+
 /// What a query comes to.
 enum Step {
     Reply(Writer),
     /// A request, and its id.
     Call(Box<Call>, Rc<str>),
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards slow clients in a crowd: they may take 2 s over a request, and whoever has had an answer goes first.
+    #[test]
+    fn idle_clients_make_room_before_slow_ones() {
+        let slow = makes_room(&Stage::Startup, false, false, SLOW - 1);
+        let half = makes_room(&Stage::Ready, false, false, SLOW - 1);
+        let served = makes_room(&Stage::Ready, true, true, JUST);
+        let stuck = makes_room(&Stage::Startup, false, false, SLOW);
+        assert!(stuck < served && served < slow && slow == half && slow.is_some());
+        let new = makes_room(&Stage::Startup, false, true, 0);
+        assert!(
+            slow < new && new < makes_room(&Stage::Ready, false, true, 0),
+            "what came just now may ask yet"
+        );
+        assert_eq!(makes_room(&Stage::Ready, true, false, SLOW), None, "a request may be unread");
+        assert_eq!(makes_room(&Stage::Waiting(RequestId(0)), true, true, SLOW), None);
+    }
+}
