Give cold members their share from a young driver: its memory spans its own life

A dump of windows and rooms: after a start cold members have room 0.1 to 0.2 where older drivers grant 0.5. At fault: balance.rs borne, a sum that fades over 10 s divided by 10 s, though the driver lived for one. Ruled out: warm members' windows; they hardly differ by age.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -187,10 +187,11 @@
     pace: Micros,
     /// Until when connections count as scarce: idle ones are closed, and one refused convicts nobody.
     polite: Micros,
-    /// When a suspect is looked at next, when the next round is due, and the end of the latest stall.
+    /// When a suspect is looked at next, when the next round is due, the end of the latest stall, its own start.
     look_at: Micros,
     timer: Micros,
     awake: Micros,
+    born: Micros,
     /// Answered work of late, the weight of warm members as of some time, and the mean merit of requests.
     served: Recent,
     warm: (f64, Micros),
@@ -221,6 +222,7 @@
             look_at: FOREVER,
             timer: now,
             awake: now,
+            born: now,
             served: (0.0, now),
             warm: (1.0, NEVER),
             merit: 0.0,
@@ -509,9 +511,7 @@
         if let (true, Some(need), Some(slack)) = (found.is_empty(), self.need(now, r), slack) {
             found = self.replicas(r.group, |m| m.outlook(now) + slack >= need);
         }
-        if found.is_empty() {
-            found.extend(primary);
-        }
+        found.extend(primary.filter(|_| found.is_empty()));
         found
     }
 
@@ -559,11 +559,13 @@
 
     /// Attempts of ours that a warm member of weight one holds in the mean, as served of late.
     fn borne(&self, now: Micros) -> f64 {
-        fade(self.served, now) / MEMORY / self.warm.0.max(0.01)
+        // A young driver has seen only so much of the time that its memory spans.
+        let seen = MEMORY * (1.0 - (-((now - self.born).max(AWAY) as f64) / MEMORY).exp());
+        fade(self.served, now) / seen / self.warm.0.max(0.01)
     }
 
-    /// Room below one attempt thins in time, and the next waits for one that is still out there. What is
-    /// worth more than most for its work may go ahead of its time, so that the rest makes room for it.
+    /// Room below one attempt thins in time, and the next waits for one that is still out there. What is worth more
+    /// than most for its work may go ahead of its time: the rest makes room.
     fn has_room(&self, now: Micros, m: &Member, class: ClassId, merit: f64) -> bool {
         let room = self.room(now, m);
         if room >= 1.0 {
@@ -682,9 +684,8 @@
         if let (Some(b), true) = (r.bucket, r.sequence > 0) {
             self.buckets[b].open = self.buckets[b].open.max(Some(r.sequence));
         }
-        // One connection may fall silent while its member serves on: a first attempt is not waited for beyond
-        // what nearly all take. What is long of itself gets all its time on the next one.
-        // A queue grows faster than what is known of it.
+        // One connection may fall silent while its member serves on: a first attempt is not waited for beyond what
+        // nearly all take; the next one has all its time. A queue grows faster than what is known of it.
         let tail = if m.strain > CROWDED { PATIENT.1 } else { self.tail };
         let patience = (work * m.slow.max(1.0) * tail) as Micros;
         let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -389,6 +389,33 @@
     assert!(all.iter().all(|t| t.1 >= 5), "it warms up and takes its part");
 }
 
+#[test]
+fn young_driver_gives_a_cold_member_what_an_old_one_does() {
+    // Guards against a memory that counts the time before the driver's own start as idle: after an upgrade cold
+    // members would get next to nothing for many seconds.
+    let taken = |age: u64| {
+        let mut d = Driver::new(settings(vec![ANY]));
+        d.members(&[PRIMARY, THIRD], PRIMARY);
+        let (mut cold, mut out) = (0, Vec::new());
+        for id in 0..age * 100 + 200 {
+            d.at(id as i64 * 10_000);
+            if id == age * 100 {
+                d.list(ListKind::Incremental, vec![Entry { since: Some(d.now()), ..entry(REPLICA, false) }]);
+            }
+            for (id, to) in std::mem::take(&mut out) {
+                d.ok((id, 0, to), None, to == PRIMARY);
+            }
+            d.request(id, ANY, None);
+            let to = d.sent(id)[0];
+            cold += u64::from(to == REPLICA);
+            out.push((id, to));
+        }
+        cold
+    };
+    let (young, old) = (taken(1), taken(40));
+    assert!(old > 0 && young * 10 >= old * 7, "young {young}, old {old}");
+}
+
 #[test]
 fn failed_list_calls_are_asked_again_later_and_not_at_once() {
     let mut s = settings(vec![ANY]);
