Tell the module of a long value when it begins, not when it ends

At fault: the module held the attempt as out until its last byte (exchange.rs ended), took its db host for silent (balance.rs find_silent), sent nothing new there and probed it. Ruled out: the value's length in answer times (they were cut at the first bytes already).

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -424,7 +424,7 @@
         s.inbound.consume(n);
         reply.passed = Some(turn.now);
         reply.shape = if n == left { Shape::Row } else { Shape::Passing(left - n) };
-        exchange.part(turn, *attempt, bytes);
+        exchange.part(turn, *attempt, bytes, reply.note());
         true
     }
 
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -138,8 +138,8 @@
     /// The final answer is given, or the client has gone.
     over: bool,
     error: Option<Vec<u8>>,
-    /// When the first part of a long answer was passed on: from then on it is this attempt's, without a deadline.
-    begun: Option<Micros>,
+    /// The first part of a long answer was passed on: from then on it is this attempt's, without a deadline.
+    begun: bool,
     /// How much of it the client side can take now, how much is on its way there, and whether the server side waits
     /// for more room.
     room: usize,
@@ -147,13 +147,6 @@
     stalled: bool,
 }
 
-impl Request {
-    /// Whether its client is reading a long answer.
-    fn is_begun(&self) -> bool {
-        self.begun.is_some() && !self.over
-    }
-}
-
 /// What has come to pass since the last summary in the log.
 #[derive(Default)]
 struct Tally {
@@ -243,7 +236,7 @@
             out: None,
             over: false,
             error: None,
-            begun: None,
+            begun: false,
             room: ROOM,
             queued: 0,
             stalled: false,
@@ -258,7 +251,11 @@
 
     /// The client has left.
     pub fn gone(&mut self, turn: &mut Turn, id: RequestId) {
+        // Of a long answer that has begun the module knows no more.
+        let begun = self.requests.get(&id).filter(|r| r.begun).and_then(|r| r.out.as_ref());
+        let number = begun.map(|out| out.number);
         if self.end(turn, id) {
+            self.orders.extend(number.map(|number| Order::Abandon(AttemptId { request: id, number })));
             self.tally.gone += 1;
             self.tell(turn, Event::Gone { request: id });
         }
@@ -296,32 +293,32 @@
         r.room
     }
 
-    /// A part of a long answer. The client has begun to read it: no deadline ends it any more.
-    pub fn part(&mut self, turn: &mut Turn, attempt: AttemptId, bytes: Vec<u8>) {
+    /// A part of a long answer. The client has begun to read it: no deadline ends it any more. The module's outcome is
+    /// that of the first part: how long a value is says nothing of its db host, and one that is silent to others while
+    /// it sends would pass for ill.
+    pub fn part(&mut self, turn: &mut Turn, attempt: AttemptId, bytes: Vec<u8>, note: Option<Note>) {
         let id = attempt.request;
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
-        if r.out.as_ref().is_none_or(|o| o.number != attempt.number) {
-            return;
-        }
-        if r.begun.is_none() {
-            r.begun = Some(turn.now);
-            turn.deadlines.clear(r.deadline + self.slack, Due::Overdue(id));
-        }
+        let Some(out) = r.out.as_ref().filter(|o| o.number == attempt.number) else { return };
+        let (member, elapsed) = (out.member, turn.now - out.since);
         r.room = r.room.saturating_sub(bytes.len());
         r.queued += bytes.len();
         self.answers.push_back((id, Answer::Part(bytes)));
+        if !std::mem::replace(&mut r.begun, true) {
+            turn.deadlines.clear(r.deadline + self.slack, Due::Overdue(id));
+            self.outcome(turn, id, attempt.number, member, Ending::Ok, true, elapsed, note);
+        }
     }
 
     pub fn ended(&mut self, turn: &mut Turn, ended: Ended) {
         let Ended { attempt: AttemptId { request: id, number }, ending, note, said } = ended;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(out) = r.out.take_if(|o| o.number == number) else { return };
-        let over = r.over;
         r.error = None;
-        let begun = r.begun;
+        let (over, begun) = (r.over, r.begun);
         let answer = match said {
             Said::Answer(bytes) => Some(Final::Served(bytes)),
-            _ if begun.is_some() => Some(Final::Broken),
+            _ if begun => Some(Final::Broken),
             Said::Verdict(bytes) => Some(Final::Failed(Some(bytes))),
             Said::Error(bytes) => {
                 r.error = Some(bytes);
@@ -330,15 +327,20 @@
             Said::Nothing => None,
         };
         let last = over || answer.is_some();
+        let broken = answer == Some(Final::Broken);
         if let Some(answer) = answer {
             self.finish(turn, id, answer);
         }
         self.forget_if_done(id);
+        // The module has had its outcome when the answer began.
+        if begun {
+            *self.tally.endings.entry("broken").or_default() += u32::from(broken);
+            return;
+        }
         // What is the statement's own fault must not cost the db host its standing.
         let verdict = last && ending == Ending::Error && !over;
         let ending = if verdict { Ending::Cancelled } else { ending };
-        // The length of a value says nothing of the db host: what counts is when its first bytes came.
-        let elapsed = begun.unwrap_or(turn.now) - out.since;
+        let elapsed = turn.now - out.since;
         self.outcome(turn, id, number, out.member, ending, last, elapsed, note);
     }
 
@@ -406,15 +408,11 @@
         match action {
             Action::Send { request, member, timeout } => self.send(turn, request, member, timeout),
             Action::Cancel { request, attempt } => {
-                let open = self.requests.get(&request).filter(|r| !r.is_begun());
-                let out = open.and_then(|r| r.out.as_ref());
+                let out = self.requests.get(&request).and_then(|r| r.out.as_ref());
                 if out.is_some_and(|o| o.number == attempt) {
                     self.orders.push_back(Order::Abandon(AttemptId { request, number: attempt }));
                 }
             }
-            // The module's time for it is over, but the client reads already.
-            Action::Refuse { request, .. } | Action::Fail { request }
-                if self.requests.get(&request).is_some_and(Request::is_begun) => {}
             Action::Refuse { request, retry_after } => {
                 self.finish(turn, request, Final::Refused { retry_after })
             }
