Give warming members more room as they near warmth; pass over what finds no room

The bound now grows with the square of the share, up to eight times at the end; the window bounds it. Ruled out by reading: loops in accept, rings, deadlines; a slow turn is logged from now on.

--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -40,6 +40,8 @@
 /// What is left when the longest deadline and this much more have passed after SIGTERM is lost anyway.
 const LEAVE_AFTER: Micros = 650_000;
 const SUMMARY: Micros = 10_000_000;
+/// A turn that takes longer is told in the log: nobody is served meanwhile.
+const SLOW_TURN: Micros = 100_000;
 /// Pace of the looks at what the processes of this proxy share.
 const LOOK: Micros = 50_000;
 /// Descriptors kept for the log, the poll, the signals and discovery.
@@ -365,12 +367,17 @@
         let mut sources: Vec<_> = again.into_iter().chain(ready.drain(..)).collect();
         // Operators' calls are few and owed an answer whatever the load.
         sources.sort_by_key(|s| !matches!(s, Source::Control | Source::Caller(_)));
+        let many = sources.len();
         for source in sources {
             proxy.event(source);
         }
         while let Some(due) = proxy.turn.deadlines.pop(proxy.turn.now) {
             proxy.due(due);
         }
+        let took = proxy.turn.clock.now() - proxy.turn.now;
+        if took > SLOW_TURN {
+            warn!(proxy.turn.log, "a turn took long"; "ms" => took / 1000, "sources" => many);
+        }
     }
     info!(proxy.turn.log, "leaving");
     Ok(())
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -61,6 +61,7 @@
 /// Waits before the member list is asked for again after a failed call.
 const ASK_AGAIN: Micros = 1_000_000;
 
+#[derive(Default)]
 struct Member {
     entry: Entry,
     /// The rule on drains forbids sends: listed as draining, or gone where that binds.
@@ -126,6 +127,7 @@
     ending: Option<Ending>,
 }
 
+#[derive(Default)]
 struct Request {
     class: ClassId,
     group: GroupId,
@@ -370,11 +372,7 @@
             deadline,
             need,
             sequence: if write { self.sequence } else { 0 },
-            primary_only: false,
-            asked: None,
-            attempts: Vec::new(),
-            answered: false,
-            copied_from: None,
+            ..Request::default()
         };
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
         let per_request = (PROBE_POINTS / self.settings.prices.probe.max(PROBE_POINTS)).min(0.5);
@@ -553,7 +551,7 @@
         if share >= 1.0 {
             return m.window;
         }
-        let spare = self.settings.rules.fall_multiple / 2.0;
+        let spare = self.settings.rules.fall_multiple / 2.0 * (1.0 + 3.0 * share * share);
         m.window.min(share * m.entry.weight.max(0.01) * self.borne(now) * spare).max(1e-6)
     }
 
@@ -596,7 +594,13 @@
         let mut held: Vec<_> = requests.map(|(id, r)| (self.merit(now, r), (r.arrived, id))).collect();
         // Of equals the newest: under overload it has the most time left.
         held.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
+        let mut full = BTreeSet::new();
         for (worth, (_, id)) in held {
+            // What is worth no more than one of its kind that found no room finds none: many may wait for a primary.
+            let kind = self.requests.get(&id).map(|r| (r.class, r.primary_only));
+            if full.contains(&kind) {
+                continue;
+            }
             let Some(mut r) = self.requests.remove(&id) else { continue };
             let among = self.eligible(now, &r);
             let lone = among.iter().all(|to| primary == Some(*to));
@@ -613,6 +617,10 @@
             if let (None, false, Some(p)) = (target, lone, primary.filter(|p| self.spares(now, *p))) {
                 target = self.draw(now, r.class, worth / 2.0, &[p]);
             }
+            // Session reads differ in what they need.
+            if target.is_none() && self.settings.classes[r.class.0].read != ReadLevel::Session {
+                full.insert(kind);
+            }
             let target = target.filter(|to| self.may_send(now, &r, self.members[to].entry.zone));
             self.requests.insert(id, r);
             if let Some(to) = target {
@@ -927,28 +935,17 @@
     fn new(entry: Entry, fleet: u32) -> Self {
         Member {
             entry,
-            barred: false,
-            held_out: false,
             position: NEVER,
             heard_position: NEVER,
-            role: None,
-            out: BTreeMap::new(),
             heard: NEVER,
             slow: 1.0,
-            strain: 0.0,
-            errors: 0.0,
             window: (FIRST_WINDOW / f64::from(fleet.max(1))).max(2.0),
             turn: NEVER,
-            busy: (0.0, 0),
-            cut_at: 0,
             pause: NEVER,
-            suspect: false,
             ill_since: NEVER,
-            down: false,
             strike: NEVER,
-            refused: (0.0, 0),
             look_at: NEVER,
-            probing: None,
+            ..Member::default()
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -11,19 +11,19 @@
 pub struct RequestId(pub u64);
 
 /// A database member, numbered by the driver; the same member keeps its number for the driver's life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MemberId(pub u32);
 
 /// A group of one primary and its replicas.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct GroupId(pub u64);
 
 /// Index of a class in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub usize);
 
 /// Index of a zone among those that the driver knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub usize);
 
 /// A label that a timer carries back.
@@ -224,9 +224,10 @@
 }
 
 /// A member's state in the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
     /// Serving.
+    #[default]
     Up,
     /// Finishing its work.
     Draining,
@@ -235,7 +236,7 @@
 }
 
 /// One entry of the member list.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Entry {
     /// Which member.
     pub member: MemberId,
