Close clients beyond the halved share when another process starts

Seen by reading: the first process kept what it had until its clients went by themselves, so that both together could pass the limit (frontend.rs limit).

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -124,8 +124,10 @@
     }
 
     /// Holds `most` clients at most; none gets more memory once `most_memory` is held.
-    pub fn limit(&mut self, most: usize, most_memory: usize) {
+    pub fn limit(&mut self, turn: &mut Turn, most: usize, most_memory: usize) {
         (self.most, self.most_memory) = (most, most_memory);
+        // Another process has the rest from now on.
+        while self.sessions.len() > most && self.close_oldest_idle(turn) {}
     }
 
     /// Accepts clients from now on.
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -307,7 +307,7 @@
         let servers = sockets / 3;
         self.backend.limit(&mut self.turn, servers);
         // Rings may still grow when a third of the memory is held: by what is under way.
-        self.frontend.limit(sockets - servers, self.memory / processes / 3);
+        self.frontend.limit(&mut self.turn, sockets - servers, self.memory / processes / 3);
     }
 
     /// Serves clients from now on.
