--- a/crates/gradeshunt/tests/config.rs
+++ b/crates/gradeshunt/tests/config.rs
@@ -11,6 +11,7 @@
         ("not-json", "{".to_owned(), "not JSON"),
         ("no-listen", good.replace("\"listen\"", "\"lisen\""), "listen is missing"),
         ("odd-address", good.replace("127.0.0.1:8500", "localhost"), "discovery is not an address"),
+        ("odd-control", good.replace("127.0.0.1:5441", "5441"), "control is not an address"),
         ("few-sockets", good.replace("1024", "5"), "limits.sockets is too small"),
         ("odd-read", good.replace("\"causal\"", "\"casual\""), "casual"),
         ("odd-known", good.replace("\"instances\"", "\"instance\""), "a list without instances"),
@@ -20,6 +21,8 @@
         std::fs::write(&file, text).expect("a file");
         let run = Command::new(env!("CARGO_BIN_EXE_gradeshunt"))
             .env("ROUTER_CONFIG", &file)
+            .env_remove("ROUTER_CONTROL")
+            .env_remove("ROUTER_LISTEN_FD")
             .output()
             .expect("it runs");
         let said = String::from_utf8_lossy(&run.stderr);
@@ -30,6 +33,20 @@
             "{name}: {said}"
         );
     }
+    let file = dir.join("good.json");
+    std::fs::write(&file, good).expect("a file");
+    let odd = [
+        ("ROUTER_CONTROL", "localhost", "ROUTER_CONTROL is not an address"),
+        ("ROUTER_LISTEN_FD", "seven", "ROUTER_LISTEN_FD is no descriptor"),
+        ("ROUTER_LISTEN_FD", "1000000", "cannot listen on descriptor 1000000"),
+    ];
+    for (name, value, complaint) in odd {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gradeshunt"));
+        command.env("ROUTER_CONFIG", &file).env_remove("ROUTER_CONTROL").env_remove("ROUTER_LISTEN_FD");
+        let run = command.env(name, value).output().expect("it runs");
+        let said = String::from_utf8_lossy(&run.stderr);
+        assert!(run.status.code() == Some(1) && said.contains(complaint), "{name}: {said}");
+    }
     let run =
         Command::new(env!("CARGO_BIN_EXE_gradeshunt")).env_remove("ROUTER_CONFIG").output().expect("it runs");
     assert_eq!(
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -230,6 +230,7 @@
 /// could not be written.
 fn start(file: &Path, held: Option<&TcpListener>) -> (Child, Receiver<String>) {
     let mut command = Command::new("/bin/sh");
+    command.env_remove("ROUTER_LISTEN_FD");
     command.arg("-c").arg(if held.is_some() { "exec \"$0\" 7<&0 </dev/null" } else { "exec \"$0\"" });
     if let Some(held) = held {
         let socket = held.try_clone().expect("another descriptor");
