Do all file work off the loop; time each turn and tell what it was spent on

Need: nothing on the event loop may wait on a disk, and nothing told what a long turn was spent on when requests were lost at the door of an upgrade.

Change: shared becomes state without I/O (what is held out, what the other process does, what file work comes next), files the one interface through which files are touched, worker the thread between, with bounded queues. An operator's yes still follows the write; a call that cannot be kept in 3 s gets 504. The configuration is reread there too. A process leaves the socket only to a successor that a look begun after SIGTERM has shown. pace times turns and sources, strain reads the thread's CPU, wait and major faults; GET /status/loop shows them.

--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -29,6 +29,8 @@
 pub enum Command {
     Status,
     Figures,
+    /// How the loop has fared.
+    Loop,
     /// Nothing new to the db host of this name, until it is readmitted.
     HoldOut(String),
     Readmit(String),
@@ -60,6 +62,7 @@
             408 => "Request Timeout",
             431 => "Request Header Fields Too Large",
             503 => "Service Unavailable",
+            504 => "Gateway Timeout",
             _ => "Internal Server Error",
         };
         let allow = self.allow.map(|m| format!("Allow: {m}\r\n")).unwrap_or_default();
@@ -73,6 +76,8 @@
 enum Stage {
     /// Its call is not whole yet.
     Asking,
+    /// Its call is being carried out.
+    Owed,
     /// Its answer is given; whatever still comes is discarded until it closes too.
     Answered,
 }
@@ -128,7 +133,11 @@
     fn welcome(&mut self, turn: &mut Turn, socket: TcpStream) -> io::Result<()> {
         if self.callers.len() >= self.most {
             // Whoever has been silent longest makes room; one whose call stands unread is spared.
-            let silent = |c: &Caller| matches!(c.stage, Stage::Answered) || c.polled.is_quiet();
+            let silent = |c: &Caller| match c.stage {
+                Stage::Answered => true,
+                Stage::Owed => false,
+                Stage::Asking => c.polled.is_quiet(),
+            };
             let oldest = self.callers.iter().find(|(_, c)| silent(c)).map(|(id, _)| *id);
             match oldest.or(self.callers.keys().next().copied()) {
                 Some(id) => self.close(turn, id),
@@ -159,12 +168,17 @@
                     return None;
                 }
                 (Ok(Moved::Nothing), _) => return None,
-                (Ok(Moved::Some(n)), Stage::Answered) => c.inbound.consume(n),
+                (Ok(Moved::Some(n)), Stage::Answered | Stage::Owed) => c.inbound.consume(n),
                 (Ok(Moved::Some(_)), Stage::Asking) => match read(c.inbound.bytes()) {
                     Ok(None) => {}
-                    Ok(Some(command)) => return Some(command),
+                    Ok(Some(command)) => {
+                        (c.stage, c.inbound) = (Stage::Owed, Ring::default());
+                        return Some(command);
+                    }
                     Err(answer) => self.answer(turn, id, &answer),
                 },
+                // One that has said all it will still waits for its answer.
+                (Ok(Moved::End), Stage::Owed) => return None,
                 (Ok(Moved::End) | Err(_), _) => {
                     self.close(turn, id);
                     return None;
@@ -187,6 +201,10 @@
     pub fn due(&mut self, turn: &mut Turn, id: CallerId) {
         match self.callers.get(&id).map(|c| &c.stage) {
             Some(Stage::Asking) => self.answer(turn, id, &Answer::new(408, "no whole call in time\n")),
+            Some(Stage::Owed) => {
+                warn!(turn.log, "an operator's call is not carried out in time, but may be yet");
+                self.answer(turn, id, &Answer::new(504, "not carried out in time, but may be yet\n"));
+            }
             Some(Stage::Answered) => self.close(turn, id),
             None => {}
         }
@@ -219,6 +237,7 @@
     let (allow, command) = match parts[..] {
         ["status"] => ("GET", Command::Status),
         ["status", "metrics"] => ("GET", Command::Figures),
+        ["status", "loop"] => ("GET", Command::Loop),
         ["maintenance", "enter", name] => ("PUT", Command::HoldOut(id(name)?)),
         ["maintenance", "exit", name] => ("PUT", Command::Readmit(id(name)?)),
         ["standby"] => ("PUT", Command::Standby),
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -32,6 +32,8 @@
     AcceptCallers,
     /// The folder that the processes of this proxy share is looked at.
     Look,
+    /// A new process waits no longer to see that folder.
+    Begin,
     /// A new process waits no longer for discovery before it serves beside another.
     Serve,
     /// Idle clients are looked over.
@@ -44,6 +46,20 @@
     Leave,
 }
 
+impl Due {
+    /// Its name in the log and the figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Due::Module(_) => "module's timers",
+            Due::Overdue(_) | Due::Attempt(_) | Due::Probe(_) | Due::Server(_) => "db hosts' deadlines",
+            Due::Session(_) | Due::Accept | Due::Reap | Due::CloseListener => "clients' deadlines",
+            Due::Call(_) => "discovery's deadlines",
+            Due::Caller(_) | Due::AcceptCallers => "operators' deadlines",
+            Due::Look | Due::Begin | Due::Serve | Due::Summary | Due::Leave => "housekeeping",
+        }
+    }
+}
+
 /// The sorted deadlines.
 #[derive(Default)]
 pub struct Deadlines(BTreeSet<(Micros, Due)>);
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -10,9 +10,11 @@
 mod frontend;
 mod ids;
 mod memory;
+mod pace;
 mod pg;
 mod ring;
 mod shared;
+mod strain;
 mod turn;
 
 use std::net::TcpListener;
@@ -32,7 +34,9 @@
 use exchange::Exchange;
 use frontend::Frontend;
 use ids::CallerId;
-use shared::{Duty, Shared};
+use pace::Pace;
+use shared::worker::Worker;
+use shared::{Change, Duty, Shared};
 use turn::{Ready, Source, Turn};
 
 /// New connections go on coming for a while after SIGTERM.
@@ -40,11 +44,11 @@
 /// What is left when the longest deadline and this much more have passed after SIGTERM is lost anyway.
 const LEAVE_AFTER: Micros = 650_000;
 const SUMMARY: Micros = 10_000_000;
-/// A turn that takes longer is told in the log: nobody is served meanwhile.
-const SLOW_TURN: Micros = 100_000;
 /// Pace of the looks at what the processes of this proxy share.
 const LOOK: Micros = 50_000;
-/// Descriptors kept for the log, the poll, the signals and discovery.
+/// A new process waits so long to see what others of its proxy do.
+const SEE: Micros = 2_000_000;
+/// Descriptors kept for the log, the poll, the signals, discovery and files.
 const RESERVED: usize = 24;
 /// A process that starts beside another waits for discovery so much longer than discovery may be silent, well within
 /// the 6 s that it has.
@@ -61,15 +65,21 @@
     discovery: Discovery,
     control: Option<Control>,
     shared: Shared,
+    worker: Worker,
+    pace: Pace,
     /// What this proxy may hold, with another process of it where there is one.
     sockets: usize,
     memory: usize,
     /// The clients' socket, until it is served.
     waiting: Option<TcpListener>,
-    /// What the other process of this proxy does.
-    other: Option<Duty>,
-    /// When a folder that can't be read is told of again.
-    complain_at: Micros,
+    /// The list of db hosts from the configuration, until this process begins.
+    known: Option<News>,
+    /// When it begins at the latest, until it has.
+    begin_by: Option<Micros>,
+    /// How long discovery may be silent.
+    silence: Micros,
+    /// Why the program can't go on.
+    failed: Option<String>,
     /// Names of the classes, for the figures.
     classes: Vec<String>,
     news: Vec<News>,
@@ -109,10 +119,18 @@
             Control::listen(&turn, addr, OPERATORS).map_err(|e| format!("cannot listen at {addr}: {e}"))
         };
         let control = control.map(listen).transpose()?;
-        let shared = Shared::open(&name).map_err(|e| format!("cannot use $TMPDIR: {e}"))?;
+        let handle = event_loop.handle();
+        let (ping, pinged) = calloop::ping::make_ping().map_err(|e| format!("cannot poll: {e}"))?;
+        let told = handle.insert_source(pinged, |(), (), ready: &mut Ready| ready.push(Source::Files));
+        told.map_err(|e| format!("cannot poll: {e}"))?;
+        let worker = Worker::start(move || shared::files::open(&name), ping);
+        let worker = worker.map_err(|e| format!("cannot start a thread: {e}"))?;
         turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
         turn.deadlines.set(turn.now, Due::Reap);
-        turn.deadlines.set(turn.now, Due::Look);
+        turn.deadlines.set(turn.now + LOOK, Due::Look);
+        let begin_by = turn.now + SEE;
+        turn.deadlines.set(begin_by, Due::Begin);
+        let pace = Pace::new(turn.now);
         let mut proxy = Proxy {
             turn,
             exchange,
@@ -120,30 +138,41 @@
             backend,
             discovery,
             control,
-            shared,
+            shared: Shared::new(),
+            worker,
+            pace,
             sockets,
             memory,
             waiting: Some(listener),
-            other: None,
-            complain_at: 0,
+            known,
+            begin_by: Some(begin_by),
+            silence,
+            failed: None,
             classes,
             news: Vec::new(),
             longest,
             terminating: false,
             leave: false,
         };
-        proxy.look();
         proxy.share_limits();
-        proxy.news.extend(known);
         proxy.settle();
-        // Beside another process there is time to hear discovery first; alone, clients wait already.
-        if proxy.other.is_some() {
-            info!(proxy.turn.log, "starting beside another process"; "control" => proxy.operators());
-            proxy.turn.deadlines.set(proxy.turn.now + silence + HEAR, Due::Serve);
+        Ok(proxy)
+    }
+
+    /// Begins once it is known which db hosts are held out and whether another process serves, or when that takes too
+    /// long. Beside another process there is time to hear discovery first; alone, clients wait already.
+    fn begin(&mut self) {
+        let Some(by) = self.begin_by.take() else { return };
+        self.turn.deadlines.clear(by, Due::Begin);
+        self.share_limits();
+        self.news.extend(self.known.take());
+        self.settle();
+        if self.shared.is_alone() {
+            self.serve();
         } else {
-            proxy.serve();
+            info!(self.turn.log, "starting beside another process"; "control" => self.operators());
+            self.turn.deadlines.set(self.turn.now + self.silence + HEAR, Due::Serve);
         }
-        Ok(proxy)
     }
 
     fn event(&mut self, source: Source) {
@@ -156,7 +185,8 @@
             Source::Control => self.control.iter_mut().for_each(|c| c.accept(turn)),
             Source::Caller(id) => self.call(id),
             Source::Terminate => self.terminate(),
-            Source::Reload => self.reload(),
+            Source::Reload => self.shared.reread(),
+            Source::Files => self.file_work_done(),
         }
         self.settle();
     }
@@ -176,8 +206,10 @@
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
             Due::Look => {
                 turn.deadlines.set(turn.now + LOOK, Due::Look);
-                self.look();
+                let stands = self.shared.look(turn.now);
+                stands.into_iter().for_each(|c| self.change(c));
             }
+            Due::Begin => self.begin(),
             Due::Reap => self.frontend.reap(turn),
             Due::CloseListener => self.frontend.close_listener(turn, exchange, false),
             Due::Serve if self.frontend.able => self.serve(),
@@ -185,6 +217,7 @@
             Due::Summary => {
                 exchange.sum_up(turn);
                 self.frontend.sum_up(turn);
+                self.pace.sum_up(&turn.log);
                 turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
             }
             Due::Leave => self.leave = true,
@@ -223,6 +256,10 @@
                 }
             } else if let Some(ask) = exchange.asks.pop_front() {
                 self.discovery.ask(turn, ask, &mut self.news);
+            } else if let Some(task) = self.shared.next(turn.now) {
+                if !self.worker.ask(task) {
+                    warn!(turn.log, "file work is lost: its thread has ended or is too far behind");
+                }
             } else {
                 return;
             }
@@ -233,41 +270,44 @@
 
     fn call(&mut self, id: CallerId) {
         let Some(command) = self.control.as_mut().and_then(|c| c.ready(&mut self.turn, id)) else { return };
-        let answer = self.carry_out(command);
+        if let Some(answer) = self.carry_out(id, command) {
+            self.answer(id, &answer);
+        }
+    }
+
+    fn answer(&mut self, id: CallerId, answer: &Answer) {
         if let Some(control) = &mut self.control {
-            control.answer(&mut self.turn, id, &answer);
+            control.answer(&mut self.turn, id, answer);
         }
     }
 
-    fn carry_out(&mut self, command: Command) -> Answer {
+    /// Carries out what an operator asks for; the answer follows later where that is file work.
+    fn carry_out(&mut self, caller: CallerId, command: Command) -> Option<Answer> {
         let (turn, exchange) = (&mut self.turn, &mut self.exchange);
-        match command {
+        Some(match command {
             Command::Status if self.frontend.able && self.waiting.is_none() => Answer::new(200, "serving\n"),
             Command::Status => Answer::new(503, "starting\n"),
             Command::Figures => Answer::new(200, control::exposition(&exchange.figures(), &self.classes)),
+            Command::Loop => Answer::new(200, self.pace.exposition()),
             Command::Standby | Command::Active => {
                 let standby = command == Command::Standby;
                 info!(turn.log, "told by an operator"; "standby" => standby);
                 self.frontend.stand_by(turn, exchange, standby);
                 Answer::new(200, if standby { "sending clients away\n" } else { "serving\n" })
             }
-            Command::HoldOut(id) => self.hold_out(&id, true),
-            Command::Readmit(id) => self.hold_out(&id, false),
-        }
+            Command::HoldOut(id) => return self.hold_out(caller, &id, true),
+            Command::Readmit(id) => return self.hold_out(caller, &id, false),
+        })
     }
 
-    fn hold_out(&mut self, id: &str, out: bool) -> Answer {
+    /// It stands where the other process looks, and will be found after this one, before it is confirmed.
+    fn hold_out(&mut self, caller: CallerId, id: &str, out: bool) -> Option<Answer> {
         // One held out may be off the list by now.
         if self.discovery.member(id).is_none() && !self.shared.is_held_out(id) {
-            return Answer::new(404, "no such db host\n");
-        }
-        // It stands where the other process looks, and will be found after this one, before it is confirmed.
-        if let Err(e) = self.shared.hold_out(id, out) {
-            warn!(self.turn.log, "cannot keep what an operator says"; "error" => e.to_string());
-            return Answer::new(500, "cannot be kept\n");
+            return Some(Answer::new(404, "no such db host\n"));
         }
-        self.maintain(id, out);
-        Answer::new(200, if out { "held out\n" } else { "readmitted\n" })
+        let taken = self.shared.hold_out(caller, id, out);
+        (!taken).then(|| Answer::new(503, "too much file work is under way\n"))
     }
 
     fn maintain(&mut self, id: &str, out: bool) {
@@ -277,30 +317,51 @@
         self.backend.maintain(&mut self.turn, &mut self.exchange, member, out);
     }
 
-    /// Looks at what the processes of this proxy share.
-    fn look(&mut self) {
-        match self.shared.look() {
-            Ok(seen) => {
-                seen.changed.into_iter().for_each(|(id, out)| self.maintain(&id, out));
-                if seen.other != self.other {
-                    info!(self.turn.log, "other process of this proxy"; "duty" => seen.other.map(Duty::name));
-                    self.other = seen.other;
-                    self.share_limits();
-                    self.hand_over();
+    fn file_work_done(&mut self) {
+        while let Some(done) = self.worker.done() {
+            let changes = self.shared.done(self.turn.now, done);
+            changes.into_iter().for_each(|c| self.change(c));
+        }
+    }
+
+    /// Follows what file work has shown.
+    fn change(&mut self, change: Change) {
+        match change {
+            Change::Unusable(why) => self.failed = Some(why),
+            Change::Seen => {
+                self.begin();
+                // It may have begun without this, and be alone after all.
+                if self.shared.is_alone() {
+                    self.serve();
                 }
             }
-            // Twenty times a second the same line would help nobody.
-            Err(e) if self.turn.now >= self.complain_at => {
-                self.complain_at = self.turn.now + SUMMARY;
-                warn!(self.turn.log, "cannot look at $TMPDIR"; "error" => e.to_string());
+            Change::Ban { id, out } => self.maintain(&id, out),
+            Change::Other { anew } => {
+                if anew {
+                    let duty = self.shared.other().map(Duty::name);
+                    info!(self.turn.log, "other process of this proxy"; "duty" => duty);
+                }
+                self.share_limits();
+                self.hand_over();
             }
-            Err(_) => {}
+            Change::Kept { caller, out, kept } => {
+                let answer = match kept {
+                    Ok(()) => Answer::new(200, if out { "held out\n" } else { "readmitted\n" }),
+                    Err(e) => {
+                        warn!(self.turn.log, "cannot keep what an operator says"; "error" => e);
+                        Answer::new(500, "cannot be kept\n")
+                    }
+                };
+                self.answer(caller, &answer);
+            }
+            Change::Reread(config) => self.reload(config),
+            Change::Complain { what, why } => warn!(self.turn.log, "{}", what; "error" => why),
         }
     }
 
     /// Two processes of a proxy share its limits while both live.
     fn share_limits(&mut self) {
-        let processes = 1 + usize::from(self.other.is_some());
+        let processes = 1 + usize::from(!self.shared.is_alone());
         let sockets = (self.sockets / processes).saturating_sub(RESERVED + OPERATORS);
         // A third of the descriptors for db hosts: an attempt needs one only while it is out, a client for
         // as long as it likes.
@@ -315,7 +376,8 @@
         let Some(listener) = self.waiting.take() else { return };
         let listen = listener.local_addr().map(|a| a.to_string()).ok();
         let opened = self.frontend.open(&mut self.turn, listener);
-        if let Err(e) = opened.and_then(|()| self.shared.set_duty(Duty::Serving)) {
+        self.shared.turn_to(Duty::Serving);
+        if let Err(e) = opened {
             warn!(self.turn.log, "cannot serve as it should be"; "error" => e.to_string());
         }
         info!(self.turn.log, "serving"; "control" => self.operators(), "listen" => listen);
@@ -327,29 +389,25 @@
 
     /// After SIGTERM, where a successor serves: what waits on the clients' socket is the successor's.
     fn hand_over(&mut self) {
-        if self.terminating && self.other == Some(Duty::Serving) {
+        if self.terminating && self.shared.is_succeeded() {
             self.frontend.close_listener(&mut self.turn, &mut self.exchange, true);
         }
     }
 
     fn terminate(&mut self) {
         info!(self.turn.log, "terminating: serving on until all is answered");
-        if let Err(e) = self.shared.set_duty(Duty::Leaving) {
-            warn!(self.turn.log, "cannot tell the other process"; "error" => e.to_string());
-        }
+        self.shared.turn_to(Duty::Leaving);
         let now = self.turn.now;
         self.terminating = true;
         self.waiting = None;
-        self.look();
-        self.hand_over();
         self.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
         self.turn.deadlines.set(now + self.longest + LEAVE_AFTER, Due::Leave);
     }
 
     /// Rereads the configuration after SIGHUP. What is under way is left alone, and so is everything where the
     /// new file can't be used: an operator's slip must not cost more than a line in the log.
-    fn reload(&mut self) {
-        match Config::load() {
+    fn reload(&mut self, config: Result<Box<Config>, String>) {
+        match config {
             Ok(config) => {
                 info!(self.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
                 self.discovery.move_to(&mut self.turn, config.discovery, config.silence, &mut self.news);
@@ -366,26 +424,29 @@
 fn run(mut event_loop: EventLoop<'static, Ready>, mut proxy: Proxy) -> Result<(), String> {
     let mut ready = Ready::new();
     while !proxy.is_done() {
-        let until = proxy.turn.deadlines.next().map(|at| (at - proxy.turn.clock.now()).max(0));
-        let until = if proxy.turn.again.is_empty() { until } else { Some(0) };
-        let timeout = until.map(|t| Duration::from_micros(t as u64));
+        let until = proxy.turn.deadlines.next();
+        let wait = until.map(|at| (at - proxy.turn.clock.now()).max(0));
+        let wait = if proxy.turn.again.is_empty() { wait } else { Some(0) };
+        let timeout = wait.map(|t| Duration::from_micros(t as u64));
         event_loop.dispatch(timeout, &mut ready).map_err(|e| format!("cannot poll: {e}"))?;
         proxy.turn.now = proxy.turn.clock.now();
+        proxy.pace.begin(proxy.turn.now, until);
         let again = std::mem::take(&mut proxy.turn.again);
         let mut sources: Vec<_> = again.into_iter().chain(ready.drain(..)).collect();
         // Operators' calls are few and owed an answer whatever the load.
         sources.sort_by_key(|s| !matches!(s, Source::Control | Source::Caller(_)));
-        let many = sources.len();
         for source in sources {
             proxy.event(source);
+            proxy.pace.worked(source.name(), proxy.turn.clock.now());
         }
         while let Some(due) = proxy.turn.deadlines.pop(proxy.turn.now) {
             proxy.due(due);
+            proxy.pace.worked(due.name(), proxy.turn.clock.now());
         }
-        let took = proxy.turn.clock.now() - proxy.turn.now;
-        if took > SLOW_TURN {
-            warn!(proxy.turn.log, "a turn took long"; "ms" => took / 1000, "sources" => many);
+        if let Some(why) = proxy.failed.take() {
+            return Err(why);
         }
+        proxy.pace.end(&proxy.turn.log);
     }
     info!(proxy.turn.log, "leaving");
     Ok(())
--- /dev/null
+++ b/crates/gradeshunt/src/pace.rs
@@ -0,0 +1,198 @@
+//! How the loop fares: its turns, what they are spent on, and how late it wakes. While a turn lasts nobody else is
+//! served, so a long one is told, with what it was spent on and what the system says of it.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use leadmast::Micros;
+use slog::{info, warn, Logger};
+
+use crate::strain::{Account, Strain};
+
+/// A turn that takes longer is told in the log.
+const SLOW: Micros = 50_000;
+/// Age of the account beside a long turn, at most, as long as turns are short.
+const SAMPLE: Micros = 50_000;
+
+/// The longest of something in a span of the summary's length, and in the span before it: so that a scrape misses none.
+#[derive(Clone, Copy, Debug, Default)]
+struct Longest {
+    now: Micros,
+    before: Micros,
+    ever: Micros,
+}
+
+impl Longest {
+    fn add(&mut self, took: Micros) {
+        self.now = self.now.max(took);
+        self.ever = self.ever.max(took);
+    }
+
+    fn of_late(&self) -> Micros {
+        self.now.max(self.before)
+    }
+
+    fn pass(&mut self) {
+        self.before = std::mem::take(&mut self.now);
+    }
+}
+
+/// One turn as it was.
+#[derive(Debug, PartialEq, Eq)]
+struct Lap {
+    /// From the wake-up to the end.
+    took: Micros,
+    /// How long after it should have woken, and could have, it did.
+    late: Micros,
+    /// What it was spent on: each kind of source, its part, and how often it came.
+    parts: Vec<(&'static str, Micros, u32)>,
+}
+
+/// The account of turns.
+pub struct Pace {
+    strain: Strain,
+    sampled: (Micros, Account),
+    start: Micros,
+    last: Micros,
+    late: Micros,
+    spent: BTreeMap<&'static str, (Micros, u32)>,
+    turns: u64,
+    slow: u64,
+    longest: Longest,
+    latest: Longest,
+    by_source: BTreeMap<&'static str, Longest>,
+}
+
+impl Pace {
+    pub fn new(now: Micros) -> Self {
+        let strain = Strain::open();
+        Pace {
+            sampled: (now, strain.account()),
+            strain,
+            start: now,
+            last: now,
+            late: 0,
+            spent: BTreeMap::new(),
+            turns: 0,
+            slow: 0,
+            longest: Longest::default(),
+            latest: Longest::default(),
+            by_source: BTreeMap::new(),
+        }
+    }
+
+    /// A turn begins; it should have begun by `until`, where there was a deadline.
+    pub fn begin(&mut self, now: Micros, until: Option<Micros>) {
+        // What fell due while the turn before it lasted is that turn's fault.
+        self.late = until.map_or(0, |at| (now - at.max(self.last)).max(0));
+        (self.start, self.last) = (now, now);
+        if now - self.sampled.0 > SAMPLE {
+            self.sampled = (now, self.strain.account());
+        }
+    }
+
+    /// One source of it, or deadline, is worked off.
+    pub fn worked(&mut self, name: &'static str, now: Micros) {
+        let (took, times) = self.spent.entry(name).or_default();
+        *took += now - self.last;
+        *times += 1;
+        self.last = now;
+    }
+
+    /// The turn ends.
+    pub fn end(&mut self, log: &Logger) {
+        let lap = self.lap();
+        if lap.took <= SLOW && lap.late <= SLOW {
+            return;
+        }
+        let now = self.strain.account();
+        let since = now.since(self.sampled.1);
+        self.sampled = (self.last, now);
+        let parts: Vec<_> =
+            lap.parts.iter().map(|(name, took, n)| format!("{name}={}ms/{n}", took / 1000)).collect();
+        let what = if lap.took > SLOW { "a turn took long" } else { "the loop woke late" };
+        warn!(log, "{}", what; "ms" => lap.took / 1000, "late_ms" => lap.late / 1000, "spent" => parts.join(","),
+            "cpu_ms" => since.ran / 1000, "without_cpu_ms" => since.waited / 1000, "major_faults" => since.major_faults);
+    }
+
+    fn lap(&mut self) -> Lap {
+        let took = self.last - self.start;
+        let mut parts: Vec<_> =
+            std::mem::take(&mut self.spent).into_iter().map(|(name, (t, n))| (name, t, n)).collect();
+        parts.sort_by_key(|(_, took, _)| std::cmp::Reverse(*took));
+        for (name, took, _) in &parts {
+            self.by_source.entry(name).or_default().add(*took);
+        }
+        self.turns += 1;
+        self.slow += u64::from(took > SLOW);
+        self.longest.add(took);
+        self.latest.add(self.late);
+        Lap { took, late: self.late, parts }
+    }
+
+    /// Sums up in the log, and begins a new span.
+    pub fn sum_up(&mut self, log: &Logger) {
+        let worst = self.by_source.iter().max_by_key(|(_, l)| l.now);
+        info!(log, "loop"; "turns" => self.turns, "longest_us" => self.longest.now, "latest_us" => self.latest.now,
+            "most_by" => worst.map(|(name, _)| *name), "most_by_us" => worst.map(|(_, l)| l.now));
+        self.longest.pass();
+        self.latest.pass();
+        self.by_source.values_mut().for_each(Longest::pass);
+    }
+
+    /// The figures as text: times in microseconds, the longest of the last 10 to 20 s and since the start.
+    pub fn exposition(&self) -> String {
+        let mut text = format!(
+            "# TYPE app_loop_turns counter\napp_loop_turns {}\n# TYPE app_loop_slow_turns counter\napp_loop_slow_turns {}\n",
+            self.turns, self.slow
+        );
+        let mut gauge = |name: &str, label: &str, l: &Longest| {
+            let _ = writeln!(text, "app_loop_{name}_us{{{label}span=\"late\"}} {}", l.of_late());
+            let _ = writeln!(text, "app_loop_{name}_us{{{label}span=\"ever\"}} {}", l.ever);
+        };
+        gauge("longest_turn", "", &self.longest);
+        gauge("latest_wake", "", &self.latest);
+        for (name, longest) in &self.by_source {
+            gauge("longest_source", &format!("source=\"{name}\","), longest);
+        }
+        text
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards what a long turn is blamed on: the source that took most, and no lateness that was its own.
+    #[test]
+    fn a_turn_is_told_by_its_parts() {
+        let mut pace = Pace::new(0);
+        pace.begin(1_000, Some(900));
+        pace.worked("client", 3_000);
+        pace.worked("db host", 63_000);
+        pace.worked("client", 64_000);
+        let lap = pace.lap();
+        assert_eq!((lap.took, lap.late), (63_000, 100));
+        assert_eq!(lap.parts, [("db host", 60_000, 1), ("client", 3_000, 2)]);
+        pace.begin(64_500, Some(2_000));
+        assert_eq!(pace.lap().late, 500, "the turn before it was long; the poll was late by this much only");
+        assert_eq!((pace.turns, pace.slow, pace.longest.ever), (2, 1, 63_000));
+        let text = pace.exposition();
+        assert!(
+            text.contains("app_loop_longest_source_us{source=\"db host\",span=\"late\"} 60000\n"),
+            "{text}"
+        );
+    }
+
+    /// Guards a scrape that comes just behind a summary: the span before it is still shown, the one before that is not.
+    #[test]
+    fn figures_are_of_late() {
+        let mut longest = Longest::default();
+        longest.add(7);
+        longest.pass();
+        longest.add(3);
+        assert_eq!((longest.of_late(), longest.ever), (7, 7));
+        longest.pass();
+        assert_eq!((longest.of_late(), longest.ever), (3, 7));
+    }
+}
--- /dev/null
+++ b/crates/gradeshunt/src/shared/files.rs
@@ -0,0 +1,208 @@
+//! The folder in `$TMPDIR` that tells which db hosts are held out by hand, and what each process of this proxy does:
+//! the only place where the program touches files once it serves. All of it may wait on a disk, so it is called on the
+//! worker's thread alone.
+
+use std::collections::BTreeSet;
+use std::fs::{self, File, TryLockError};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+use super::{Duty, View};
+
+/// Names longer than this make no file name.
+const LONGEST: usize = 100;
+/// Process files, and how many there may be.
+const PROCESS: &str = "process-";
+const MOST: usize = 64;
+
+/// The file work of the processes of one proxy.
+pub trait Files: Send {
+    /// Tells the other processes what this one does.
+    fn tell(&mut self, duty: Duty) -> io::Result<()>;
+    /// Holds a db host out, or readmits it.
+    fn hold_out(&mut self, id: &str, out: bool) -> io::Result<()>;
+    /// What there is to see.
+    fn look(&mut self) -> io::Result<View>;
+}
+
+/// Without a folder all stays with this process.
+#[derive(Default)]
+pub struct Alone(View);
+
+impl Files for Alone {
+    fn tell(&mut self, _: Duty) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn hold_out(&mut self, id: &str, out: bool) -> io::Result<()> {
+        if out {
+            self.0.held_out.insert(id.to_owned());
+        } else {
+            self.0.held_out.remove(id);
+        }
+        Ok(())
+    }
+
+    fn look(&mut self) -> io::Result<View> {
+        Ok(self.0.clone())
+    }
+}
+
+/// Opens what this process shares with others: the folder of the proxy `name` in `$TMPDIR`, where that is set.
+pub fn open(name: &str) -> Result<Box<dyn Files>, String> {
+    let tmp = std::env::var_os("TMPDIR").filter(|d| !d.is_empty());
+    match tmp.map(|tmp| Folder::open(Path::new(&tmp), name)) {
+        None => Ok(Box::new(Alone::default())),
+        Some(Ok(folder)) => Ok(Box::new(folder)),
+        Some(Err(e)) => Err(format!("cannot use $TMPDIR: {e}")),
+    }
+}
+
+/// The real folder.
+pub struct Folder {
+    path: PathBuf,
+    /// This process's file, locked, and its number.
+    own: File,
+    number: usize,
+}
+
+impl Folder {
+    /// The folder of the proxy `name` in the folder `tmp`; it is made where it isn't there, and this process takes its
+    /// place in it.
+    pub fn open(tmp: &Path, name: &str) -> io::Result<Self> {
+        let path = tmp.join(format!("gradeshunt-{}", hex(name)));
+        fs::create_dir_all(&path)?;
+        let (own, number) = claim(&path)?;
+        let mut folder = Folder { path, own, number };
+        // What an earlier process has left in this file is not this one's duty.
+        folder.tell(Duty::Starting)?;
+        Ok(folder)
+    }
+}
+
+impl Files for Folder {
+    fn tell(&mut self, duty: Duty) -> io::Result<()> {
+        self.own.write_all_at(&[byte(duty)], 0)
+    }
+
+    fn hold_out(&mut self, id: &str, out: bool) -> io::Result<()> {
+        let file = self.path.join(format!("out-{}", hex(id)));
+        match (out, id.len() <= LONGEST) {
+            (true, false) => Err(io::ErrorKind::InvalidFilename.into()),
+            (true, true) => File::create(file).map(drop),
+            (false, _) => match fs::remove_file(file) {
+                Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+                _ => Ok(()),
+            },
+        }
+    }
+
+    fn look(&mut self) -> io::Result<View> {
+        let (mut held_out, mut other) = (BTreeSet::new(), None);
+        for file in fs::read_dir(&self.path)? {
+            let name = file?.file_name();
+            let name = name.to_str().unwrap_or_default();
+            held_out.extend(name.strip_prefix("out-").and_then(unhex));
+            let process = name.strip_prefix(PROCESS).and_then(|n| n.parse::<usize>().ok());
+            if process.is_some_and(|n| n != self.number) {
+                other = other.max(duty(&self.path.join(name))?);
+            }
+        }
+        Ok(View { held_out, other })
+    }
+}
+
+/// Locks the first process file that nobody holds. The files stay: to remove one could take it from under another.
+fn claim(folder: &Path) -> io::Result<(File, usize)> {
+    for n in 0..MOST {
+        let path = folder.join(format!("{PROCESS}{n}"));
+        let file = File::options().write(true).create(true).truncate(false).open(path)?;
+        match file.try_lock() {
+            Ok(()) => return Ok((file, n)),
+            Err(TryLockError::WouldBlock) => {}
+            Err(TryLockError::Error(e)) => return Err(e),
+        }
+    }
+    Err(io::Error::other("too many processes of this proxy"))
+}
+
+/// What the process of this file does, if it lives.
+fn duty(path: &Path) -> io::Result<Option<Duty>> {
+    let file = File::open(path)?;
+    match file.try_lock_shared() {
+        Ok(()) => Ok(None),
+        Err(TryLockError::Error(e)) => Err(e),
+        Err(TryLockError::WouldBlock) => {
+            let mut told = [0];
+            // One that has told nothing yet has only just begun.
+            Ok(Some(if file.read_at(&mut told, 0)? == 1 { of(told[0]) } else { Duty::Starting }))
+        }
+    }
+}
+
+/// The duty as it stands in the file of a process.
+fn byte(duty: Duty) -> u8 {
+    match duty {
+        Duty::Leaving => b'l',
+        Duty::Starting => b's',
+        Duty::Serving => b'r',
+    }
+}
+
+fn of(told: u8) -> Duty {
+    [Duty::Leaving, Duty::Serving].into_iter().find(|d| byte(*d) == told).unwrap_or(Duty::Starting)
+}
+
+/// Any name as part of a file name.
+fn hex(name: &str) -> String {
+    name.bytes().map(|b| format!("{b:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Option<String> {
+    let digits = text.as_bytes().chunks(2);
+    let bytes = digits.map(|d| u8::from_str_radix(std::str::from_utf8(d).ok()?, 16).ok());
+    String::from_utf8(bytes.collect::<Option<_>>()?).ok()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(test: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("gradeshunt-files-{test}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        fs::create_dir_all(&path).expect("a folder");
+        path
+    }
+
+    /// Guards the file's own story: a lock that is a process's, whose duty is its own from the first moment on.
+    #[test]
+    fn a_process_that_follows_another_has_none_of_its_duty() {
+        let tmp = folder("follows");
+        let mut first = Folder::open(&tmp, "n0").expect("it opens");
+        first.tell(Duty::Serving).expect("it is written");
+        let mut watcher = Folder::open(&tmp, "n0").expect("beside it");
+        assert_eq!(watcher.look().expect("it looks").other, Some(Duty::Serving));
+        drop(first);
+        assert_eq!(watcher.look().expect("it looks").other, None, "a lock ends with its holder");
+        let _third = Folder::open(&tmp, "n0").expect("it takes the first one's file");
+        assert_eq!(watcher.look().expect("it looks").other, Some(Duty::Starting));
+        fs::remove_dir_all(tmp).expect("it can be removed");
+    }
+
+    /// Guards bans: any name goes through a file name and back, and each process sees what the other has written.
+    #[test]
+    fn a_ban_by_one_is_seen_by_the_other() {
+        let tmp = folder("bans");
+        let mut one = Folder::open(&tmp, "n/0").expect("it opens");
+        let mut two = Folder::open(&tmp, "n/0").expect("beside it");
+        one.hold_out("s-ü/5", true).expect("it is kept");
+        assert_eq!(two.look().expect("it looks").held_out, BTreeSet::from(["s-ü/5".to_owned()]));
+        two.hold_out("s-ü/5", false).expect("it is kept");
+        two.hold_out("s-ü/5", false).expect("once more is no error");
+        assert!(one.look().expect("it looks").held_out.is_empty());
+        assert!(one.hold_out(&"x".repeat(LONGEST + 1), true).is_err());
+        fs::remove_dir_all(tmp).expect("it can be removed");
+    }
+}
--- /dev/null
+++ b/crates/gradeshunt/src/shared/worker.rs
@@ -0,0 +1,121 @@
+//! The thread that file work is done on, and the queues to and from it.
+
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::thread;
+
+use calloop::ping::Ping;
+
+use super::files::Files;
+use super::{Done, Task};
+use crate::config::Config;
+
+/// Tasks that may wait: more than [`super::Shared`] ever asks for at a time.
+const TASKS: usize = 32;
+
+/// The loop's end of the queues.
+pub struct Worker {
+    tasks: SyncSender<Task>,
+    done: Receiver<Done>,
+}
+
+impl Worker {
+    /// Starts the thread. It opens the files there, and pings the loop for all that is done.
+    pub fn start(
+        open: impl FnOnce() -> Result<Box<dyn Files>, String> + Send + 'static,
+        ping: Ping,
+    ) -> std::io::Result<Worker> {
+        let (tasks, to_do) = sync_channel::<Task>(TASKS);
+        let (tell, done) = sync_channel(TASKS + 1);
+        let work = move || {
+            let tell = |done| {
+                let told = tell.send(done).is_ok();
+                ping.ping();
+                told
+            };
+            match open() {
+                Err(why) => drop(tell(Done::Opened(Err(why)))),
+                Ok(mut files) => {
+                    let mut told = tell(Done::Opened(Ok(())));
+                    while let (true, Ok(task)) = (told, to_do.recv()) {
+                        told = tell(carry_out(&mut *files, task));
+                    }
+                }
+            }
+        };
+        thread::Builder::new().name("files".to_owned()).spawn(work)?;
+        Ok(Worker { tasks, done })
+    }
+
+    /// Never waits; false where the queue is full, and the task is lost.
+    #[must_use]
+    pub fn ask(&self, task: Task) -> bool {
+        self.tasks.try_send(task).is_ok()
+    }
+
+    /// What is done, one after the other.
+    pub fn done(&self) -> Option<Done> {
+        self.done.try_recv().ok()
+    }
+}
+
+fn carry_out(files: &mut dyn Files, task: Task) -> Done {
+    match task {
+        Task::Look => Done::Looked(files.look().map_err(|e| e.to_string())),
+        Task::Tell(duty) => Done::Told(files.tell(duty).map_err(|e| e.to_string())),
+        Task::HoldOut { caller, id, out } => {
+            let kept = files.hold_out(&id, out).map_err(|e| e.to_string());
+            Done::HeldOut { caller, id, out, kept }
+        }
+        Task::Reread => Done::Reread(Config::load().map(Box::new)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use std::io;
+    use std::sync::mpsc::Receiver;
+
+    use super::super::{Duty, View};
+    use super::*;
+    use crate::ids::CallerId;
+
+    /// A disk that stands until it is let go on, task by task.
+    struct Standing(Receiver<()>);
+
+    impl Files for Standing {
+        fn tell(&mut self, _: Duty) -> io::Result<()> {
+            self.0.recv().map_err(io::Error::other)
+        }
+
+        fn hold_out(&mut self, _: &str, _: bool) -> io::Result<()> {
+            self.0.recv().map_err(io::Error::other)
+        }
+
+        fn look(&mut self) -> io::Result<View> {
+            self.0.recv().map_err(io::Error::other).map(|()| View::default())
+        }
+    }
+
+    /// Guards the loop: while the disk stands it can go on asking, and is told of nothing that has not been done; what
+    /// is done is done in the order in which it was asked for.
+    #[test]
+    fn a_disk_that_stands_keeps_nobody_waiting() {
+        let (go_on, standing) = sync_channel(TASKS);
+        let (ping, _source) = calloop::ping::make_ping().expect("a ping");
+        let open = move || Ok(Box::new(Standing(standing)) as Box<dyn Files>);
+        let worker = Worker::start(open, ping).expect("a thread");
+        let ban = |n| Task::HoldOut { caller: CallerId(n), id: format!("s-{n}"), out: true };
+        assert!(worker.ask(Task::Look) && (0..16).all(|n| worker.ask(ban(n))));
+        assert!(
+            (0..TASKS).any(|_| !worker.ask(Task::Look)),
+            "the queue is bounded, and full it does not wait"
+        );
+        assert!(matches!(worker.done.recv(), Ok(Done::Opened(Ok(())))));
+        assert!(worker.done().is_none(), "nothing is done while it stands");
+        (0..3).for_each(|_| go_on.send(()).expect("the worker takes it"));
+        assert!(matches!(worker.done.recv(), Ok(Done::Looked(Ok(_)))));
+        assert!(matches!(worker.done.recv(), Ok(Done::HeldOut { caller: CallerId(0), kept: Ok(()), .. })));
+        assert!(matches!(worker.done.recv(), Ok(Done::HeldOut { caller: CallerId(1), kept: Ok(()), .. })));
+        assert!(worker.done().is_none());
+    }
+}
--- /dev/null
+++ b/crates/gradeshunt/src/strain.rs
@@ -0,0 +1,74 @@
+//! What the system tells of this thread: proc(5), `/proc/thread-self/schedstat` and `/proc/thread-self/stat`. These are
+//! no files of a disk, and reading them waits for nothing.
+
+use std::fs::File;
+use std::os::unix::fs::FileExt;
+
+use leadmast::Micros;
+
+/// A thread's account with the system since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Account {
+    /// On a CPU.
+    pub ran: Micros,
+    /// Runnable, without a CPU.
+    pub waited: Micros,
+    /// Page faults that had to be read from a disk.
+    pub major_faults: u64,
+}
+
+impl Account {
+    /// What has been added since an earlier account.
+    pub fn since(self, earlier: Account) -> Account {
+        Account {
+            ran: self.ran - earlier.ran,
+            waited: self.waited - earlier.waited,
+            major_faults: self.major_faults.saturating_sub(earlier.major_faults),
+        }
+    }
+}
+
+/// The open accounts of the thread that opened them; nothing where the system keeps none.
+pub struct Strain {
+    schedule: Option<File>,
+    stat: Option<File>,
+}
+
+impl Strain {
+    pub fn open() -> Self {
+        let open = |what| File::open(format!("/proc/thread-self/{what}")).ok();
+        Strain { schedule: open("schedstat"), stat: open("stat") }
+    }
+
+    pub fn account(&self) -> Account {
+        let text = |file: &Option<File>| {
+            let mut bytes = [0; 1024];
+            let n = file.as_ref().and_then(|f| f.read_at(&mut bytes, 0).ok()).unwrap_or(0);
+            String::from_utf8_lossy(&bytes[..n]).into_owned()
+        };
+        account(&text(&self.schedule), &text(&self.stat))
+    }
+}
+
+fn account(schedule: &str, stat: &str) -> Account {
+    let mut ns = schedule.split_whitespace().map(|n| n.parse::<Micros>().unwrap_or(0) / 1000);
+    // The name before it, in brackets, may hold anything; major faults are the tenth field behind that.
+    let fields = stat.rsplit_once(')').map_or("", |s| s.1);
+    let major_faults = fields.split_whitespace().nth(9).and_then(|n| n.parse().ok()).unwrap_or(0);
+    Account { ran: ns.next().unwrap_or(0), waited: ns.next().unwrap_or(0), major_faults }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reads_what_the_system_writes() {
+        let stat = "17 (a) b) S 1 2 3 4 5 6 70 80 9 100 11 12 13";
+        let read = account("5000000 2000999 17\n", stat);
+        assert_eq!(read, Account { ran: 5000, waited: 2000, major_faults: 9 });
+        assert_eq!(account("", ""), Account::default());
+        let now = Strain::open().account();
+        assert!(Strain::open().account().ran >= now.ran);
+    }
+}
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -24,6 +24,23 @@
     Caller(CallerId),
     Terminate,
     Reload,
+    /// File work is done.
+    Files,
+}
+
+impl Source {
+    /// Its name in the log and the figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            Source::Listener => "listener",
+            Source::Session(_) => "client",
+            Source::Server(_) => "db host",
+            Source::Call(_) => "discovery",
+            Source::Control | Source::Caller(_) => "operators",
+            Source::Terminate | Source::Reload => "signal",
+            Source::Files => "files",
+        }
+    }
 }
 
 /// What the loop's callbacks collect; the turn works it off afterwards, so that nothing is re-entered.
