Stand-ins for db hosts, discovery and the platform; measure upgrades under load

Need: the losses at the door of an upgrade were never reproduced in the project's own tests.

Change: crates/stand-ins (replica sets in memory, PostgreSQL hosts and clients, discovery, the platform that holds the socket, a checker of outcomes) and crates/measure with 'gradeshunt-measure upgrade': upgrades under load on several proxies, a tenth of them with a disk that stands for 2 s (a named pipe in the shared folder, which holds whoever opens it).

--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,80 @@
+//! Named measurements: `gradeshunt-measure NAME` prints a table, then one line `RESULT name=value ...`, and ends with
+//! status 1 where a bound is missed. Each ends within 45 s unless `--long` is given. They are no part of CI.
+
+mod upgrade;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Measures gradeshunt on this machine, with stand-ins on loopback addresses.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    name: Name,
+    /// Take as long as it takes: more rounds, or all of them with the hard case.
+    #[arg(long, global = true)]
+    long: bool,
+    /// The program to measure; the one beside this program, where it is not given.
+    #[arg(long, global = true)]
+    program: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Name {
+    /// Upgrades under load, with and without a disk that stands: what ends at the door.
+    Upgrade(upgrade::Options),
+}
+
+/// What a measurement came to.
+struct Report {
+    /// Lines of its table.
+    table: Vec<String>,
+    results: Vec<(&'static str, String)>,
+    /// Bounds that are missed.
+    missed: Vec<String>,
+}
+
+/// What a measurement is told.
+struct Setting {
+    long: bool,
+    program: PathBuf,
+    folder: PathBuf,
+}
+
+fn run(arguments: Arguments) -> Result<Report, String> {
+    let beside = || std::env::current_exe().map(|me| me.with_file_name("gradeshunt"));
+    let program = arguments.program.map_or_else(beside, Ok).map_err(|e| e.to_string())?;
+    if !program.exists() {
+        return Err(format!("no program at {}: build it, or name it by --program", program.display()));
+    }
+    let folder = std::env::temp_dir().join(format!("gradeshunt-measure-{}", std::process::id()));
+    let setting = Setting { long: arguments.long, program, folder };
+    let report = match arguments.name {
+        Name::Upgrade(options) => upgrade::measure(&setting, &options),
+    };
+    let _ = std::fs::remove_dir_all(&setting.folder);
+    report.map_err(|e| e.to_string())
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse()) {
+        Ok(Report { table, results, missed }) => {
+            table.iter().for_each(|line| println!("{line}"));
+            let results: Vec<_> = results.iter().map(|(name, value)| format!("{name}={value}")).collect();
+            println!("RESULT {}", results.join(" "));
+            missed.iter().for_each(|what| eprintln!("missed: {what}"));
+            if missed.is_empty() {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+        Err(why) => {
+            eprintln!("gradeshunt-measure: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/discovery.rs
@@ -0,0 +1,104 @@
+//! Discovery: the whole list over HTTP/1.1, and a watch that gets what changes, a line each.
+
+use std::collections::VecDeque;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use crate::lock;
+
+/// An idle watch gets an empty line so often.
+const BEAT: Duration = Duration::from_secs(2);
+
+#[derive(Default)]
+struct List {
+    generation: u64,
+    entries: Vec<Value>,
+    /// What has changed, each with the generation that it made.
+    changes: VecDeque<(u64, Value)>,
+}
+
+/// The service. Clones are the same one.
+#[derive(Clone)]
+pub struct Discovery {
+    addr: SocketAddr,
+    list: Arc<(Mutex<List>, Condvar)>,
+}
+
+impl Discovery {
+    /// Listens at a port that the system gives.
+    pub fn open(entries: Vec<Value>) -> io::Result<Self> {
+        Self::open_at("127.0.0.1:0", entries)
+    }
+
+    pub fn open_at(addr: &str, entries: Vec<Value>) -> io::Result<Self> {
+        let listener = TcpListener::bind(addr)?;
+        let list = List { generation: 1, entries, changes: VecDeque::new() };
+        let discovery =
+            Discovery { addr: listener.local_addr()?, list: Arc::new((Mutex::new(list), Condvar::new())) };
+        let served = discovery.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || served.serve(stream));
+            }
+        });
+        Ok(discovery)
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// The whole list as it is now.
+    pub fn whole(&self) -> Value {
+        let list = lock(&self.list.0);
+        json!({"generation": list.generation, "reset": true, "instances": list.entries})
+    }
+
+    /// Changes a field of an entry, and tells all that watch.
+    pub fn change(&self, id: &str, field: &str, to: Value) {
+        let mut list = lock(&self.list.0);
+        list.generation += 1;
+        let generation = list.generation;
+        let Some(entry) = list.entries.iter_mut().find(|e| e["instanceId"] == id) else { return };
+        entry[field] = to;
+        let entry = entry.clone();
+        list.changes.push_back((generation, entry));
+        self.list.1.notify_all();
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        let mut lines = BufReader::new(stream.try_clone()?).lines();
+        let request = lines.next().transpose()?.unwrap_or_default();
+        while lines.next().transpose()?.is_some_and(|l| !l.is_empty()) {}
+        let mut known = lock(&self.list.0).generation;
+        let whole = self.whole().to_string() + "\n";
+        if !request.contains("stream=1") {
+            return write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+        }
+        write!(
+            stream,
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{whole}\r\n",
+            whole.len()
+        )?;
+        loop {
+            let list = lock(&self.list.0);
+            let waited = self.list.1.wait_timeout_while(list, BEAT, |l| l.generation == known);
+            let (list, _) = waited.unwrap_or_else(|poisoned| poisoned.into_inner());
+            let news = list.changes.iter().filter(|(g, _)| *g > known);
+            let news: Vec<_> = news.map(|(_, entry)| entry.clone()).collect();
+            known = list.generation;
+            drop(list);
+            let line = match news.is_empty() {
+                true => "\n".to_owned(),
+                false => json!({"generation": known, "reset": false, "instances": news}).to_string() + "\n",
+            };
+            write!(stream, "{:x}\r\n{line}\r\n", line.len())?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/program.rs
@@ -0,0 +1,175 @@
+//! The platform: it holds the clients' socket, and starts, upgrades and ends the program.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+/// What the program needs around it.
+pub struct Platform {
+    /// The program's file.
+    pub program: PathBuf,
+    /// A folder of its own: its configuration, and what its processes share.
+    pub folder: PathBuf,
+    held: Option<TcpListener>,
+    /// More for its environment.
+    pub environment: Vec<(String, String)>,
+}
+
+/// One process of it.
+pub struct Process {
+    child: Child,
+    log: Receiver<String>,
+    /// What it has logged so far.
+    pub lines: Vec<String>,
+    pub control: SocketAddr,
+    pub listen: Option<SocketAddr>,
+}
+
+impl Platform {
+    /// `held`: the platform holds the clients' socket.
+    pub fn new(program: &Path, folder: &Path, held: bool) -> io::Result<Platform> {
+        let _ = std::fs::remove_dir_all(folder);
+        std::fs::create_dir_all(folder.join("tmp"))?;
+        let held = held.then(|| TcpListener::bind("127.0.0.1:0")).transpose()?;
+        if let Some(held) = &held {
+            // Crowds wait here while nobody accepts.
+            rustix::net::listen(held, 4096)?;
+        }
+        Ok(Platform { program: program.to_owned(), folder: folder.to_owned(), held, environment: Vec::new() })
+    }
+
+    pub fn configure(&self, config: &Value) -> io::Result<()> {
+        std::fs::write(self.config(), config.to_string())
+    }
+
+    pub fn config(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
+    /// Where clients connect, if the platform holds the socket.
+    pub fn held_addr(&self) -> Option<SocketAddr> {
+        self.held.as_ref().and_then(|h| h.local_addr().ok())
+    }
+
+    /// Starts a process, and waits until it has told its operators' address.
+    pub fn start(&self) -> io::Result<Process> {
+        let mut command = Command::new("/bin/sh");
+        command.env_remove("ROUTER_LISTEN_FD").env_remove("ROUTER_RULES");
+        let held = "exec \"$0\" 7<&0 </dev/null";
+        command.arg("-c").arg(if self.held.is_some() { held } else { "exec \"$0\" </dev/null" });
+        if let Some(held) = &self.held {
+            command.env("ROUTER_LISTEN_FD", "7").stdin(Stdio::from(OwnedFd::from(held.try_clone()?)));
+        }
+        let mut child = command
+            .arg(&self.program)
+            .envs(self.environment.iter().cloned())
+            .env("ROUTER_CONFIG", self.config())
+            .env("ROUTER_CONTROL", "127.0.0.1:0")
+            .env("TMPDIR", self.folder.join("tmp"))
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let (tell, log) = channel();
+        let lines = BufReader::new(child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| drop(tell.send(l))));
+        let mut process =
+            Process { child, log, lines: Vec::new(), control: ([0; 4], 0).into(), listen: None };
+        let line = process.until("control: ")?;
+        process.control = named(&line, "control").ok_or_else(|| io::Error::other(line.clone()))?;
+        process.listen = named(&line, "listen");
+        Ok(process)
+    }
+}
+
+impl Process {
+    /// Waits for a line of its log.
+    pub fn until(&mut self, what: &str) -> io::Result<String> {
+        loop {
+            let line = self.log.recv();
+            let line = line.map_err(|_| io::Error::other(format!("it ended: {}", self.lines.join("\n"))))?;
+            self.lines.push(line.clone());
+            if line.contains(what) {
+                return Ok(line);
+            }
+        }
+    }
+
+    /// What it has logged up to now.
+    pub fn logged(&mut self) -> &[String] {
+        self.lines.extend(self.log.try_iter());
+        &self.lines
+    }
+
+    /// Calls an operator's address: the status, and the body.
+    pub fn call(&self, method: &str, path: &str) -> io::Result<(u16, String)> {
+        let mut stream = TcpStream::connect(self.control)?;
+        write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        let (head, body) = text.split_once("\r\n\r\n").ok_or(io::ErrorKind::UnexpectedEof)?;
+        let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+        Ok((status.ok_or(io::ErrorKind::InvalidData)?, body.to_owned()))
+    }
+
+    /// Waits until it says that it serves.
+    pub fn ready(&self) -> io::Result<()> {
+        while self.call("GET", "/status")?.0 != 200 {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Ok(())
+    }
+
+    /// Sends a signal by name (`TERM`, `HUP`).
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        use rustix::process::{kill_process, Pid, Signal};
+        let signal = match name {
+            "TERM" => Signal::TERM,
+            "HUP" => Signal::HUP,
+            _ => return Err(io::ErrorKind::InvalidInput.into()),
+        };
+        let pid = Pid::from_child(&self.child);
+        Ok(kill_process(pid, signal)?)
+    }
+
+    /// Waits for its end, so long at most.
+    pub fn exits(&mut self, within: Duration) -> io::Result<Option<ExitStatus>> {
+        let since = Instant::now();
+        while since.elapsed() < within {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(Some(status));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        Ok(None)
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// CPU time that it has taken, in clock ticks of 10 ms: proc(5), fields 14 and 15 of `stat`.
+    pub fn cpu(&self) -> io::Result<Duration> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let fields: Vec<_> = text.rsplit_once(')').map_or("", |s| s.1).split_whitespace().collect();
+        let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
+        Ok(Duration::from_millis((ticks(11) + ticks(12)) * 10))
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An address in a line of the log.
+fn named(line: &str, what: &str) -> Option<SocketAddr> {
+    let text = line.split_once(&format!("{what}: "))?.1;
+    text.split([',', ' ']).next()?.parse().ok()
+}
