Count a request's wait from when it could first be read; tell stolen CPU time

Need: a request that stood unread while the loop was busy, or while this machine had no CPU, was held for 45% of its wait from when it was read: 60 ms of a stall put it over half of its wait, and it counted as lost at the door.

Change: what is read in a turn counts from the turn before it, or from when the loop should have woken, beyond 5 ms. The account beside a slow turn shows what the hypervisor took.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -607,7 +607,8 @@
         let since_write = after.map(|ms| (turn.now - turn.clock.at_unix_ms(ms as f64)).max(1));
         // No client of a class waits longer than its class does, whatever it says.
         let wait = (Micros::from(c.wait_ms) * 1000).min(self.settings.classes[class.0].deadline);
-        let deadline = turn.now + wait;
+        // It counts from when the request was there, not from when this process came to read it.
+        let deadline = turn.now + (wait - turn.unread).max(1);
         let id = Rc::from(c.id);
         let (group, repeat, wait_at) = (GroupId(c.cluster), c.repeat, c.wait_at);
         debug!(turn.log, "request"; "class" => class.0, "wait_ms" => c.wait_ms);
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -431,6 +431,7 @@
         event_loop.dispatch(timeout, &mut ready).map_err(|e| format!("cannot poll: {e}"))?;
         proxy.turn.now = proxy.turn.clock.now();
         proxy.pace.begin(proxy.turn.now, until);
+        proxy.turn.unread = proxy.pace.unread();
         let again = std::mem::take(&mut proxy.turn.again);
         let mut sources: Vec<_> = again.into_iter().chain(ready.drain(..)).collect();
         // Operators' calls are few and owed an answer whatever the load.
--- a/crates/gradeshunt/src/pace.rs
+++ b/crates/gradeshunt/src/pace.rs
@@ -11,6 +11,8 @@
 
 /// A turn that takes longer is told in the log.
 const SLOW: Micros = 50_000;
+/// What stands unread for less is not counted.
+const BRIEF: Micros = 5_000;
 /// Age of the account beside a long turn, at most, as long as turns are short.
 const SAMPLE: Micros = 50_000;
 
@@ -55,6 +57,8 @@
     start: Micros,
     last: Micros,
     late: Micros,
+    /// How long the turn before this one took.
+    former: Micros,
     spent: BTreeMap<&'static str, (Micros, u32)>,
     turns: u64,
     slow: u64,
@@ -72,6 +76,7 @@
             start: now,
             last: now,
             late: 0,
+            former: 0,
             spent: BTreeMap::new(),
             turns: 0,
             slow: 0,
@@ -85,12 +90,19 @@
     pub fn begin(&mut self, now: Micros, until: Option<Micros>) {
         // What fell due while the turn before it lasted is that turn's fault.
         self.late = until.map_or(0, |at| (now - at.max(self.last)).max(0));
+        self.former = self.last - self.start;
         (self.start, self.last) = (now, now);
         if now - self.sampled.0 > SAMPLE {
             self.sampled = (now, self.strain.account());
         }
     }
 
+    /// How long what is read in this turn may have stood unread: it has come at any time since the turn before it
+    /// began to work, or since the loop should have woken. Short times are no news, and count as none.
+    pub fn unread(&self) -> Micros {
+        Some(self.late.max(self.former)).filter(|t| *t > BRIEF).unwrap_or(0)
+    }
+
     /// One source of it, or deadline, is worked off.
     pub fn worked(&mut self, name: &'static str, now: Micros) {
         let (took, times) = self.spent.entry(name).or_default();
@@ -112,7 +124,8 @@
             lap.parts.iter().map(|(name, took, n)| format!("{name}={}ms/{n}", took / 1000)).collect();
         let what = if lap.took > SLOW { "a turn took long" } else { "the loop woke late" };
         warn!(log, "{}", what; "ms" => lap.took / 1000, "late_ms" => lap.late / 1000, "spent" => parts.join(","),
-            "cpu_ms" => since.ran / 1000, "without_cpu_ms" => since.waited / 1000, "major_faults" => since.major_faults);
+            "cpu_ms" => since.ran / 1000, "without_cpu_ms" => since.waited / 1000, "major_faults" => since.major_faults,
+            "stolen_ms" => since.stolen / 1000);
     }
 
     fn lap(&mut self) -> Lap {
@@ -176,6 +189,11 @@
         assert_eq!(lap.parts, [("db host", 60_000, 1), ("client", 3_000, 2)]);
         pace.begin(64_500, Some(2_000));
         assert_eq!(pace.lap().late, 500, "the turn before it was long; the poll was late by this much only");
+        assert_eq!(pace.unread(), 63_000, "what is read now may have come when that turn began");
+        pace.begin(70_000, Some(69_000));
+        assert_eq!(pace.unread(), 0);
+        pace.begin(90_000, Some(80_000));
+        assert_eq!(pace.unread(), 10_000);
         assert_eq!((pace.turns, pace.slow, pace.longest.ever), (2, 1, 63_000));
         let text = pace.exposition();
         assert!(
--- a/crates/gradeshunt/src/strain.rs
+++ b/crates/gradeshunt/src/strain.rs
@@ -1,5 +1,5 @@
-//! What the system tells of this thread: proc(5), `/proc/thread-self/schedstat` and `/proc/thread-self/stat`. These are
-//! no files of a disk, and reading them waits for nothing.
+//! What the system tells of this thread and its machine: proc(5), `/proc/thread-self/schedstat`, `/proc/thread-self/stat`
+//! and `/proc/stat`. These are no files of a disk, and reading them waits for nothing.
 
 use std::fs::File;
 use std::os::unix::fs::FileExt;
@@ -15,6 +15,9 @@
     pub waited: Micros,
     /// Page faults that had to be read from a disk.
     pub major_faults: u64,
+    /// Taken from all CPUs of this machine by the one that it runs on, where it is a virtual one: nothing of this
+    /// machine runs meanwhile, and no account of its own shows it.
+    pub stolen: Micros,
 }
 
 impl Account {
@@ -24,6 +27,7 @@
             ran: self.ran - earlier.ran,
             waited: self.waited - earlier.waited,
             major_faults: self.major_faults.saturating_sub(earlier.major_faults),
+            stolen: self.stolen - earlier.stolen,
         }
     }
 }
@@ -32,12 +36,14 @@
 pub struct Strain {
     schedule: Option<File>,
     stat: Option<File>,
+    machine: Option<File>,
 }
 
 impl Strain {
     pub fn open() -> Self {
-        let open = |what| File::open(format!("/proc/thread-self/{what}")).ok();
-        Strain { schedule: open("schedstat"), stat: open("stat") }
+        let open = |what| File::open(format!("/proc/{what}")).ok();
+        let (schedule, stat) = (open("thread-self/schedstat"), open("thread-self/stat"));
+        Strain { schedule, stat, machine: open("stat") }
     }
 
     pub fn account(&self) -> Account {
@@ -46,16 +52,19 @@
             let n = file.as_ref().and_then(|f| f.read_at(&mut bytes, 0).ok()).unwrap_or(0);
             String::from_utf8_lossy(&bytes[..n]).into_owned()
         };
-        account(&text(&self.schedule), &text(&self.stat))
+        account(&text(&self.schedule), &text(&self.stat), &text(&self.machine))
     }
 }
 
-fn account(schedule: &str, stat: &str) -> Account {
+fn account(schedule: &str, stat: &str, machine: &str) -> Account {
     let mut ns = schedule.split_whitespace().map(|n| n.parse::<Micros>().unwrap_or(0) / 1000);
     // The name before it, in brackets, may hold anything; major faults are the tenth field behind that.
     let fields = stat.rsplit_once(')').map_or("", |s| s.1);
     let major_faults = fields.split_whitespace().nth(9).and_then(|n| n.parse().ok()).unwrap_or(0);
-    Account { ran: ns.next().unwrap_or(0), waited: ns.next().unwrap_or(0), major_faults }
+    // The first line is of all CPUs together, in ticks of 10 ms; the eighth figure is what was stolen.
+    let stolen =
+        machine.split_whitespace().nth(8).and_then(|n| n.parse::<Micros>().ok()).unwrap_or(0) * 10_000;
+    Account { ran: ns.next().unwrap_or(0), waited: ns.next().unwrap_or(0), major_faults, stolen }
 }
 
 #[cfg(test)]
@@ -65,9 +74,9 @@
     #[test]
     fn reads_what_the_system_writes() {
         let stat = "17 (a) b) S 1 2 3 4 5 6 70 80 9 100 11 12 13";
-        let read = account("5000000 2000999 17\n", stat);
-        assert_eq!(read, Account { ran: 5000, waited: 2000, major_faults: 9 });
-        assert_eq!(account("", ""), Account::default());
+        let read = account("5000000 2000999 17\n", stat, "cpu  1 2 3 4 5 6 7 8 9\ncpu0 1");
+        assert_eq!(read, Account { ran: 5000, waited: 2000, major_faults: 9, stolen: 80_000 });
+        assert_eq!(account("", "", ""), Account::default());
         let now = Strain::open().account();
         assert!(Strain::open().account().ran >= now.ran);
     }
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -49,6 +49,8 @@
 /// One turn's surroundings.
 pub struct Turn {
     pub now: Micros,
+    /// How long what is read in this turn may have stood unread, while the loop was busy or had no CPU.
+    pub unread: Micros,
     pub clock: Clock,
     pub deadlines: Deadlines,
     pub log: Logger,
@@ -60,7 +62,15 @@
 impl Turn {
     pub fn new(handle: LoopHandle<'static, Ready>, log: Logger) -> Self {
         let clock = Clock::start();
-        Turn { now: clock.now(), clock, deadlines: Deadlines::default(), log, again: Vec::new(), handle }
+        Turn {
+            now: clock.now(),
+            unread: 0,
+            clock,
+            deadlines: Deadlines::default(),
+            log,
+            again: Vec::new(),
+            handle,
+        }
     }
 
     /// Polls a socket, edge-triggered: whoever is told has to go on until the socket would block.
