--- a/crates/stand-ins/src/upgrade.rs
+++ b/crates/stand-ins/src/upgrade.rs
@@ -17,7 +17,7 @@
 use crate::site::Site;
 
 /// A client's patience, beyond the wait of its request.
-const PATIENCE: Duration = Duration::from_secs(30);
+const PATIENCE: Duration = Duration::from_secs(20);
 
 /// A load of clients that each ask one request on a connection of its own, and the next at once.
 pub struct Load {
@@ -57,10 +57,11 @@
         Load { ends, threads, asked, checker }
     }
 
-    /// Waits until so many more requests have had their outcome.
+    /// Waits until so many more requests have had their outcome, or one has ended at the door: then there is nothing to
+    /// wait for.
     pub fn another(&self, requests: u64) {
         let until = self.asked.load(Ordering::Relaxed) + requests;
-        while self.asked.load(Ordering::Relaxed) < until {
+        while self.asked.load(Ordering::Relaxed) < until && self.checker.counts().at_the_door() == 0 {
             thread::sleep(Duration::from_millis(1));
         }
     }
