A command line with run, check and classify; make README's "Try it" start

Need: nobody could ask what a statement would be taken for, and the example configuration's operators' address was the toy site's primary, so that the one that started second ended at once.

The toy site stands on the stand-ins; a test starts the example configuration beside it at ports that the system gives, where equal addresses stay equal.

--- /dev/null
+++ b/crates/gradeshunt/src/cli.rs
@@ -0,0 +1,122 @@
+//! The command line. Without arguments the program serves, as the platform starts it.
+
+use std::io::{self, BufRead, BufWriter, Read, Write};
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use gradeshunt_classing::{Access, Catalogue, Classer, Key, Told};
+use serde_json::json;
+
+/// Bytes in which `classify` remembers shapes.
+const SHAPES: usize = 16 << 20;
+
+/// A proxy for replicated PostgreSQL.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+pub struct Arguments {
+    #[command(subcommand)]
+    pub command: Option<Command>,
+    /// How lines of the log are written.
+    #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
+    pub log_format: LogFormat,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Serve clients; the same as no command.
+    Run {
+        /// The configuration; $ROUTER_CONFIG where it is not given.
+        #[arg(long)]
+        config: Option<PathBuf>,
+    },
+    /// Check a configuration, without serving.
+    Check {
+        /// The file.
+        config: PathBuf,
+    },
+    /// Tell what statements do: from the arguments, or one a line from standard input.
+    Classify {
+        #[arg(long, value_enum, default_value_t = ClassFormat::Json)]
+        format: ClassFormat,
+        /// Statements on standard input are separated by NUL bytes, and may have several lines.
+        #[arg(long)]
+        null: bool,
+        sql: Vec<String>,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum ClassFormat {
+    Text,
+    Json,
+}
+
+/// Where a statement may go.
+fn target(access: Access) -> &'static str {
+    if access == Access::Read {
+        "replica"
+    } else {
+        "primary"
+    }
+}
+
+fn show(told: &Told, format: ClassFormat) -> String {
+    let verdict = &*told.verdict;
+    let shape = told.shape.map(|s| s.to_string());
+    let (access, target) = (verdict.access.name(), target(verdict.access));
+    match format {
+        ClassFormat::Json => {
+            // Without rules no statement has a class.
+            let cost = (f64::from(verdict.cost) * 100.0).round() / 100.0;
+            json!({"access": access, "target": target, "class": null, "shape": shape, "cost": cost, "why": verdict.why})
+                .to_string()
+        }
+        ClassFormat::Text => {
+            let shape = shape.as_deref().unwrap_or("-");
+            format!("{access:<8} {target:<8} {:>7.2} {shape} {}", verdict.cost, verdict.why)
+        }
+    }
+}
+
+/// Classes statements, in the order in which they come.
+///
+/// # Errors
+/// Where standard input can't be read, or standard output can't be written.
+pub fn classify(format: ClassFormat, null: bool, sql: Vec<String>) -> Result<(), String> {
+    // The same shape has the same number in every call: it is no secret here.
+    let mut classer = Classer::new(Key(0, 0), Catalogue::default(), SHAPES);
+    let mut out = BufWriter::new(io::stdout().lock());
+    let mut tell = |statement: &str| {
+        let line = show(&classer.class(statement), format);
+        writeln!(out, "{line}")
+    };
+    let mut told = Ok(());
+    if sql.is_empty() {
+        let mut input = io::stdin().lock();
+        let mut bytes = Vec::new();
+        loop {
+            bytes.clear();
+            let separator = if null { 0 } else { b'\n' };
+            let n = input.by_ref().read_until(separator, &mut bytes);
+            if n.map_err(|e| format!("cannot read standard input: {e}"))? == 0 {
+                break;
+            }
+            let end = if bytes.last() == Some(&separator) { bytes.len() - 1 } else { bytes.len() };
+            // What is no UTF-8 can't be a statement; its line is kept, so that answers and questions match.
+            told = told.and_then(|()| tell(std::str::from_utf8(&bytes[..end]).unwrap_or("\0")));
+        }
+    } else {
+        told = sql.iter().try_for_each(|s| tell(s));
+    }
+    match told.and_then(|()| out.flush()) {
+        // Whoever reads has enough.
+        Err(e) if e.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        told => told.map_err(|e| format!("cannot write standard output: {e}")),
+    }
+}
--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -1,6 +1,7 @@
 //! The configuration: a JSON file named by `ROUTER_CONFIG`.
 
 use std::net::SocketAddr;
+use std::path::Path;
 
 use leadmast::settings::{self, Facts};
 use leadmast::Micros;
@@ -30,11 +31,24 @@
 }
 
 impl Config {
-    /// Reads the file that the environment names.
-    pub fn load() -> Result<Config, String> {
-        let path = std::env::var("ROUTER_CONFIG").map_err(|_| "ROUTER_CONFIG is not set".to_owned())?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("cannot read {path}: {e}"))?;
-        Config::parse(&text).map_err(|e| format!("{path}: {e}"))
+    /// Reads a file, or the one that the environment names.
+    pub fn load(named: Option<&Path>) -> Result<Config, String> {
+        let path = match named {
+            Some(path) => path.to_owned(),
+            None => std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?.into(),
+        };
+        let text =
+            std::fs::read_to_string(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+    }
+
+    /// What a check of it tells.
+    pub fn summary(&self) -> String {
+        let classes = self.facts.names.classes.join(", ");
+        format!(
+            "{}: listens at {}, discovery at {}, classes {classes}",
+            self.name, self.listen, self.discovery
+        )
     }
 
     fn parse(text: &str) -> Result<Config, String> {
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -1,6 +1,7 @@
 //! gradeshunt: a proxy for replicated PostgreSQL. The module `leadmast` decides; this program is its sockets.
 
 mod backend;
+mod cli;
 mod clock;
 mod config;
 mod control;
@@ -18,17 +19,20 @@
 mod turn;
 
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
+use clap::Parser;
 use leadmast::{ListKind, Micros};
 use slog::{info, o, warn, Drain, Logger};
 
 use backend::Backend;
+use cli::{Arguments, Command, LogFormat};
 use config::Config;
-use control::{Answer, Command, Control};
+use control::{Answer, Control};
 use deadlines::Due;
 use discovery::{Discovery, News};
 use exchange::Exchange;
@@ -53,6 +57,8 @@
 /// A process that starts beside another waits for discovery so much longer than discovery may be silent, well within
 /// the 6 s that it has.
 const HEAR: Micros = 1_000_000;
+/// Lines of the log that may wait to be written.
+const LINES: usize = 4096;
 /// Descriptors for operators' connections.
 const OPERATORS: usize = 12;
 
@@ -89,7 +95,12 @@
 }
 
 impl Proxy {
-    fn new(config: Config, event_loop: &EventLoop<'static, Ready>, log: Logger) -> Result<Proxy, String> {
+    fn new(
+        config: Config,
+        file: Option<PathBuf>,
+        event_loop: &EventLoop<'static, Ready>,
+        log: Logger,
+    ) -> Result<Proxy, String> {
         let Config {
             name,
             listen,
@@ -123,7 +134,7 @@
         let (ping, pinged) = calloop::ping::make_ping().map_err(|e| format!("cannot poll: {e}"))?;
         let told = handle.insert_source(pinged, |(), (), ready: &mut Ready| ready.push(Source::Files));
         told.map_err(|e| format!("cannot poll: {e}"))?;
-        let worker = Worker::start(move || shared::files::open(&name), ping);
+        let worker = Worker::start(move || shared::files::open(&name), file, ping);
         let worker = worker.map_err(|e| format!("cannot start a thread: {e}"))?;
         turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
         turn.deadlines.set(turn.now, Due::Reap);
@@ -282,21 +293,25 @@
     }
 
     /// Carries out what an operator asks for; the answer follows later where that is file work.
-    fn carry_out(&mut self, caller: CallerId, command: Command) -> Option<Answer> {
+    fn carry_out(&mut self, caller: CallerId, command: control::Command) -> Option<Answer> {
         let (turn, exchange) = (&mut self.turn, &mut self.exchange);
         Some(match command {
-            Command::Status if self.frontend.able && self.waiting.is_none() => Answer::new(200, "serving\n"),
-            Command::Status => Answer::new(503, "starting\n"),
-            Command::Figures => Answer::new(200, control::exposition(&exchange.figures(), &self.classes)),
-            Command::Loop => Answer::new(200, self.pace.exposition()),
-            Command::Standby | Command::Active => {
-                let standby = command == Command::Standby;
+            control::Command::Status if self.frontend.able && self.waiting.is_none() => {
+                Answer::new(200, "serving\n")
+            }
+            control::Command::Status => Answer::new(503, "starting\n"),
+            control::Command::Figures => {
+                Answer::new(200, control::exposition(&exchange.figures(), &self.classes))
+            }
+            control::Command::Loop => Answer::new(200, self.pace.exposition()),
+            control::Command::Standby | control::Command::Active => {
+                let standby = command == control::Command::Standby;
                 info!(turn.log, "told by an operator"; "standby" => standby);
                 self.frontend.stand_by(turn, exchange, standby);
                 Answer::new(200, if standby { "sending clients away\n" } else { "serving\n" })
             }
-            Command::HoldOut(id) => return self.hold_out(caller, &id, true),
-            Command::Readmit(id) => return self.hold_out(caller, &id, false),
+            control::Command::HoldOut(id) => return self.hold_out(caller, &id, true),
+            control::Command::Readmit(id) => return self.hold_out(caller, &id, false),
         })
     }
 
@@ -453,8 +468,8 @@
     Ok(())
 }
 
-fn start() -> Result<(), String> {
-    let config = Config::load()?;
+fn serve(file: Option<PathBuf>, format: LogFormat) -> Result<(), String> {
+    let config = Config::load(file.as_deref())?;
     let event_loop = EventLoop::try_new().map_err(|e| format!("cannot poll: {e}"))?;
     // Before the log's thread starts, so that it inherits the mask: only the loop hears of signals.
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]);
@@ -466,16 +481,36 @@
     });
     told.map_err(|e| format!("cannot take signals: {e}"))?;
     // Lines that the log's reader is too slow for are dropped and counted: it must never hold up the loop.
-    let plain = slog_term::PlainDecorator::new(std::io::stderr());
-    let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
-    let (drain, _guard) = slog_async::Async::new(format).chan_size(4096).build_with_guard();
+    let stderr = std::io::stderr();
+    let (drain, _guard) = match format {
+        LogFormat::Text => {
+            let plain = slog_term::PlainDecorator::new(stderr);
+            let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+            slog_async::Async::new(format).chan_size(LINES).build_with_guard()
+        }
+        LogFormat::Json => slog_async::Async::new(slog_json::Json::default(stderr).fuse())
+            .chan_size(LINES)
+            .build_with_guard(),
+    };
     let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
-    let proxy = Proxy::new(config, &event_loop, log)?;
+    let proxy = Proxy::new(config, file, &event_loop, log)?;
     run(event_loop, proxy)
 }
 
+fn start(arguments: Arguments) -> Result<(), String> {
+    match arguments.command {
+        None => serve(None, arguments.log_format),
+        Some(Command::Run { config }) => serve(config, arguments.log_format),
+        Some(Command::Check { config }) => {
+            println!("{}", Config::load(Some(&config))?.summary());
+            Ok(())
+        }
+        Some(Command::Classify { format, null, sql }) => cli::classify(format, null, sql),
+    }
+}
+
 fn main() -> ExitCode {
-    match start() {
+    match start(Arguments::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("gradeshunt: {message}");
--- a/crates/gradeshunt/src/shared/worker.rs
+++ b/crates/gradeshunt/src/shared/worker.rs
@@ -1,5 +1,6 @@
 //! The thread that file work is done on, and the queues to and from it.
 
+use std::path::{Path, PathBuf};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::thread;
 
@@ -19,9 +20,10 @@
 }
 
 impl Worker {
-    /// Starts the thread. It opens the files there, and pings the loop for all that is done.
+    /// Starts the thread. It opens the files there, rereads the configuration from `config`, and pings the loop for all that is done.
     pub fn start(
         open: impl FnOnce() -> Result<Box<dyn Files>, String> + Send + 'static,
+        config: Option<PathBuf>,
         ping: Ping,
     ) -> std::io::Result<Worker> {
         let (tasks, to_do) = sync_channel::<Task>(TASKS);
@@ -37,7 +39,7 @@
                 Ok(mut files) => {
                     let mut told = tell(Done::Opened(Ok(())));
                     while let (true, Ok(task)) = (told, to_do.recv()) {
-                        told = tell(carry_out(&mut *files, task));
+                        told = tell(carry_out(&mut *files, config.as_deref(), task));
                     }
                 }
             }
@@ -58,7 +60,7 @@
     }
 }
 
-fn carry_out(files: &mut dyn Files, task: Task) -> Done {
+fn carry_out(files: &mut dyn Files, config: Option<&Path>, task: Task) -> Done {
     match task {
         Task::Look => Done::Looked(files.look().map_err(|e| e.to_string())),
         Task::Tell(duty) => Done::Told(files.tell(duty).map_err(|e| e.to_string())),
@@ -66,7 +68,7 @@
             let kept = files.hold_out(&id, out).map_err(|e| e.to_string());
             Done::HeldOut { caller, id, out, kept }
         }
-        Task::Reread => Done::Reread(Config::load().map(Box::new)),
+        Task::Reread => Done::Reread(Config::load(config).map(Box::new)),
     }
 }
 
@@ -103,7 +105,7 @@
         let (go_on, standing) = sync_channel(TASKS);
         let (ping, _source) = calloop::ping::make_ping().expect("a ping");
         let open = move || Ok(Box::new(Standing(standing)) as Box<dyn Files>);
-        let worker = Worker::start(open, ping).expect("a thread");
+        let worker = Worker::start(open, None, ping).expect("a thread");
         let ban = |n| Task::HoldOut { caller: CallerId(n), id: format!("s-{n}"), out: true };
         assert!(worker.ask(Task::Look) && (0..16).all(|n| worker.ask(ban(n))));
         assert!(
--- a/crates/gradeshunt/tests/config.rs
+++ b/crates/gradeshunt/tests/config.rs
@@ -11,7 +11,7 @@
         ("not-json", "{".to_owned(), "not JSON"),
         ("no-listen", good.replace("\"listen\"", "\"lisen\""), "listen is missing"),
         ("odd-address", good.replace("127.0.0.1:8500", "localhost"), "discovery is not an address"),
-        ("odd-control", good.replace("127.0.0.1:5441", "5441"), "control is not an address"),
+        ("odd-control", good.replace("127.0.0.1:5439", "5441"), "control is not an address"),
         ("few-sockets", good.replace("1024", "5"), "limits.sockets is too small"),
         ("odd-read", good.replace("\"causal\"", "\"casual\""), "casual"),
         ("odd-known", good.replace("\"instances\"", "\"instance\""), "a list without instances"),
--- /dev/null
+++ b/crates/gradeshunt/tests/try_it.rs
@@ -0,0 +1,65 @@
+//! README's "Try it": the example configuration beside the toy site, at ports that the system gives.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::time::Duration;
+
+use gradeshunt_stand_ins::postgres::client::Client;
+use gradeshunt_stand_ins::program::Platform;
+use gradeshunt_stand_ins::toy::{open, Addresses};
+use serde_json::Value;
+
+/// Each address of the example gets a free port; one that stands there twice gets the same port twice.
+#[derive(Default)]
+struct Ports(BTreeMap<String, (TcpListener, SocketAddr)>);
+
+impl Ports {
+    fn of(&mut self, address: &str) -> String {
+        let free = || {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+            let addr = listener.local_addr().expect("its address");
+            (listener, addr)
+        };
+        self.0.entry(address.to_owned()).or_insert_with(free).1.to_string()
+    }
+}
+
+#[test]
+fn the_example_starts_beside_the_toy_site() {
+    let mut config: Value =
+        serde_json::from_str(include_str!("../../../examples/config.json")).expect("JSON");
+    let mut ports = Ports::default();
+    for field in ["listen", "discovery", "control"] {
+        config[field] = ports.of(config[field].as_str().expect("an address")).into();
+    }
+    let Addresses { discovery, primary, replica } = Addresses::default();
+    let addresses = Addresses {
+        discovery: ports.of(&discovery),
+        primary: ports.of(&primary),
+        replica: ports.of(&replica),
+    };
+    // Held until here, so that all differ.
+    drop(ports);
+    let _toy = open(&addresses).expect("the toy site starts");
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("try-it-{}", std::process::id()));
+    let mut platform =
+        Platform::new(Path::new(env!("CARGO_BIN_EXE_gradeshunt")), &folder, false).expect("a folder");
+    platform.configure(&config).expect("a file");
+    // The address of the file, not one that the platform gives.
+    platform.control = None;
+    let process = platform.start().expect("it starts");
+    assert_eq!(Some(process.control.to_string().as_str()), config["control"].as_str());
+    process.ready().expect("it serves");
+    let listen = process.listen.expect("it tells where");
+    let patience = Duration::from_secs(60);
+    let mut client =
+        Client::connect(listen, &[("user", "portal"), ("database", "crm")], patience).expect("welcome");
+    let write = "/* id=1,c=tally-write,d=1000,k=1,cluster=1 */ INSERT INTO facts (code, data) VALUES ('ab', 'hello') RETURNING data";
+    let read = "/* id=2,c=own-read,d=1000,cluster=1 */ SELECT data FROM facts WHERE code = 'ab'";
+    for statement in [write, read] {
+        let reply = client.query(statement).expect("an answer");
+        assert_eq!(reply.value().as_deref(), Some("hello"), "{reply:?}");
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod script;
 pub mod set;
 pub mod site;
+pub mod toy;
 pub mod upgrade;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/crates/stand-ins/src/postgres/host.rs
+++ b/crates/stand-ins/src/postgres/host.rs
@@ -20,6 +20,8 @@
     addr: SocketAddr,
     /// Open connections, to be cut.
     open: Mutex<BTreeMap<u64, TcpStream>>,
+    /// Prints each statement behind this name.
+    echo: Mutex<Option<String>>,
     /// Whether it tells its role and position in each answer.
     tells: bool,
 }
@@ -37,7 +39,14 @@
     pub fn open_at(addr: &str, set: &Set, number: usize, tells: bool) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
         let addr = listener.local_addr()?;
-        let host = Host(Arc::new(Inner { set: set.clone(), number, addr, open: Mutex::default(), tells }));
+        let host = Host(Arc::new(Inner {
+            set: set.clone(),
+            number,
+            addr,
+            open: Mutex::default(),
+            echo: Mutex::default(),
+            tells,
+        }));
         let served = host.clone();
         thread::spawn(move || {
             for (id, stream) in (0..).zip(listener.incoming().flatten()) {
@@ -54,6 +63,12 @@
         Ok(host)
     }
 
+    /// Prints each statement on standard output, behind a name.
+    pub fn echo(self, name: &str) -> Self {
+        *lock(&self.0.echo) = Some(name.to_owned());
+        self
+    }
+
     pub fn addr(&self) -> SocketAddr {
         self.0.addr
     }
@@ -88,7 +103,10 @@
 
     /// Answers one statement; false where the connection is done with.
     fn answer(&self, stream: &mut TcpStream, statement: &str) -> io::Result<bool> {
-        let Inner { set, number, .. } = &*self.0;
+        let Inner { set, number, echo, .. } = &*self.0;
+        if let Some(name) = &*lock(echo) {
+            println!("{name} {statement}");
+        }
         let (takes, act) = set.meet(*number, statement);
         thread::sleep(takes);
         let reset = |stream: &TcpStream| {
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -17,6 +17,8 @@
     /// A folder of its own: its configuration, and what its processes share.
     pub folder: PathBuf,
     held: Option<TcpListener>,
+    /// The operators' address that the platform names, where it does.
+    pub control: Option<String>,
     /// More for its environment.
     pub environment: Vec<(String, String)>,
 }
@@ -41,7 +43,14 @@
             // Crowds wait here while nobody accepts.
             rustix::net::listen(held, 4096)?;
         }
-        Ok(Platform { program: program.to_owned(), folder: folder.to_owned(), held, environment: Vec::new() })
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        Ok(Platform {
+            program,
+            folder,
+            held,
+            control: Some("127.0.0.1:0".to_owned()),
+            environment: Vec::new(),
+        })
     }
 
     pub fn configure(&self, config: &Value) -> io::Result<()> {
@@ -70,7 +79,7 @@
             .arg(&self.program)
             .envs(self.environment.iter().cloned())
             .env("ROUTER_CONFIG", self.config())
-            .env("ROUTER_CONTROL", "127.0.0.1:0")
+            .env("ROUTER_CONTROL", self.control.as_deref().unwrap_or_default())
             .env("TMPDIR", self.folder.join("tmp"))
             .stderr(Stdio::piped())
             .spawn()?;
--- a/crates/stand-ins/src/site.rs
+++ b/crates/stand-ins/src/site.rs
@@ -99,7 +99,8 @@
     }
 }
 
-fn entry(id: &str, addr: &str, cell: usize, primary: bool) -> Value {
+/// A db host as discovery lists it.
+pub fn entry(id: &str, addr: &str, cell: usize, primary: bool) -> Value {
     json!({"instanceId": id, "hostPort": addr, "zone": "here", "cell": cell, "machineType": "m", "lifecycle": "ready",
         "weight": 1.0, "startedAtMs": 0, "replication": if primary { "primary" } else { "standby" }})
 }
