Route plain SQL by the operators' rules, with whole results in return

Need: a stock driver's SELECT was refused for want of a routing comment; other installations send plain SQL.

One connection is one session. The server side takes whole results, any rows of any columns with notices and tags, and passes them on with back-pressure. Statements that open a transaction, copies and several statements in one get 0A000. GET /shapes shows verdicts and the cache. ROUTER_RULES or 'rules' in the configuration names the file; without one nothing changes. A bad file is told by line and column; at SIGHUP the old rules stay.

--- a/crates/classing/src/lib.rs
+++ b/crates/classing/src/lib.rs
@@ -73,6 +73,7 @@
 fn unlexable(e: Unlexable) -> Verdict {
     Verdict {
         access: Access::Unknown,
+        statements: verdict::Statements::One,
         why: format!("it can't be read: {e}"),
         verb: String::new(),
         tables: Vec::new(),
--- a/crates/classing/src/verdict.rs
+++ b/crates/classing/src/verdict.rs
@@ -44,11 +44,24 @@
     }
 }
 
+/// How many statements a text holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Statements {
+    /// Comments and space alone.
+    None,
+    /// One, or what can't be told.
+    One,
+    /// More than one.
+    Several,
+}
+
 /// What is known of all statements of a shape.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verdict {
     /// What they do.
     pub access: Access,
+    /// How many there are.
+    pub statements: Statements,
     /// Why, in words.
     pub why: String,
     /// What they begin with, in lower case.
@@ -96,6 +109,7 @@
     let verb = opens.filter(|p| p.kind == Kind::Word).map_or("", |p| &p.text);
     let mut verdict = Verdict {
         access: Access::Unknown,
+        statements: Statements::One,
         why: String::new(),
         verb: verb.to_owned(),
         tables: Vec::new(),
@@ -104,9 +118,11 @@
     };
     let say = |verdict: Verdict, access, why: &str| Verdict { access, why: why.to_owned(), ..verdict };
     if pieces.is_empty() {
+        verdict.statements = Statements::None;
         return say(verdict, Access::Session, "it is empty");
     }
     if pieces.iter().any(|p| p.is(";")) {
+        verdict.statements = Statements::Several;
         return say(verdict, Access::Unknown, "there are several statements");
     }
     if pieces.iter().any(|p| p.kind == Kind::Doubtful) {
--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -10,7 +10,7 @@
 use slog::{debug, info, warn};
 
 use crate::deadlines::Due;
-use crate::exchange::{name, AttemptId, Body, Ended, Exchange, Order, Said};
+use crate::exchange::{name, AttemptId, Body, Ended, Exchange, Form, Order, Said};
 use crate::ids::ServerId;
 use crate::memory::Held;
 use crate::pg::{self, sqlstate, Malformed, Writer};
@@ -43,6 +43,8 @@
 /// A reply as far as it has come. Each job begins with a fresh one: nothing of an earlier reply stays.
 #[derive(Debug, Default)]
 struct Reply {
+    /// What it has to be.
+    form: Form,
     bytes: Vec<u8>,
     held: Held,
     shape: Shape,
@@ -101,7 +103,10 @@
 impl Server {
     /// Whether a long row is being passed on.
     fn is_passing(&self) -> bool {
-        matches!(&self.stage, Stage::Busy { reply: Reply { shape: Shape::Passing(_), .. }, .. })
+        match &self.stage {
+            Stage::Busy { reply, .. } => matches!(reply.shape, Shape::Passing(_)) || reply.is_full(),
+            _ => false,
+        }
     }
 }
 
@@ -355,7 +360,11 @@
             }
             let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
             if let Stage::Busy { job: Job::Attempt { .. }, reply, .. } = &mut s.stage {
+                if reply.is_full() {
+                    return Ok(());
+                }
                 match reply.shape {
+                    _ if reply.form == Form::Result => {}
                     Shape::Described => {
                         if let Some(size) = pg::long_row(s.inbound.bytes())? {
                             reply.shape = Shape::Passing(size);
@@ -409,6 +418,22 @@
         let Stage::Busy { job: Job::Attempt { id: attempt, .. }, reply, .. } = &mut s.stage else {
             return false;
         };
+        if reply.form == Form::Result {
+            // One that may still fail as a whole is not begun.
+            if reply.error.is_some() || (reply.passed.is_none() && !reply.is_full()) {
+                return false;
+            }
+            let n = reply.bytes.len().min(exchange.room(*attempt));
+            if n == 0 {
+                return false;
+            }
+            let rest = reply.bytes.split_off(n);
+            let part = std::mem::replace(&mut reply.bytes, rest);
+            reply.held.set(reply.bytes.len());
+            reply.passed = Some(turn.now);
+            exchange.part(turn, *attempt, part, reply.note());
+            return true;
+        }
         let Shape::Passing(left) = reply.shape else { return false };
         if s.inbound.is_empty() {
             return false;
@@ -561,7 +586,11 @@
                 }
                 let (before, after) = body.around_wait();
                 let wait = ((until - turn.now) / 1000).max(1).to_string();
-                s.outbound.push(&Writer::default().query(&[before, wait.as_bytes(), after]).0)
+                let query = match after {
+                    Some(after) => Writer::default().query(&[before, wait.as_bytes(), after]),
+                    None => Writer::default().query(&[before]),
+                };
+                s.outbound.push(&query.0)
             }
             Job::Probe { .. } => {
                 if let Some(p) = self.probes.get_mut(&s.member) {
@@ -570,7 +599,11 @@
                 s.outbound.push(&Writer::default().query(&[b"SHOW pressure"]).0)
             }
         };
-        s.stage = Stage::Busy { job, reply: Reply::default(), ready_by: None };
+        let form = match &job {
+            Job::Attempt { body, .. } => body.form,
+            Job::Probe { .. } => Form::Value,
+        };
+        s.stage = Stage::Busy { job, reply: Reply { form, ..Reply::default() }, ready_by: None };
         let flushed =
             if pushed { self.flush(exchange, id) } else { Err(io::Error::other("the request is too long")) };
         if let Err(e) = flushed {
@@ -792,18 +825,15 @@
 impl Reply {
     /// Takes one message; true at ReadyForQuery, which ends the reply.
     fn take(&mut self, message: &pg::Message, turn: &Turn) -> Result<bool, Malformed> {
+        if self.form == Form::Result {
+            return self.take_result(message, turn);
+        }
         match message.tag {
             b'Z' if self.ending().is_none() || !matches!(message.body, b"I" | b"T" | b"E") => {
                 return Err(Malformed("ReadyForQuery without an answer"))
             }
             b'Z' => return Ok(true),
-            b'S' => match pg::parameter_status(message.body) {
-                Some(("log_position", value)) => {
-                    self.position = value.parse().ok().and_then(|ms| turn.clock.position(ms));
-                }
-                Some(("replication_role", value)) => self.primary = role(value),
-                _ => {}
-            },
+            b'S' => drop(self.told(message, turn)),
             b'N' | b'A' => {}
             _ if self.ending().is_some() => return Err(Malformed("more than one answer")),
             b'E' => {
@@ -832,8 +862,70 @@
         Ok(false)
     }
 
+    /// Takes one message of a whole result, any rows of any columns, and keeps all that is the client's; true at
+    /// ReadyForQuery, and only then is the result whole.
+    fn take_result(&mut self, message: &pg::Message, turn: &Turn) -> Result<bool, Malformed> {
+        match message.tag {
+            b'Z' if self.shape != Shape::Row && self.error.is_none() => {
+                return Err(Malformed("ReadyForQuery without an answer"))
+            }
+            // Whoever got this connection next would find itself in it.
+            b'Z' if message.body != b"I" => return Err(Malformed("it leaves a transaction open")),
+            b'Z' => {
+                self.shape = Shape::Complete;
+                return Ok(true);
+            }
+            b'S' if self.told(message, turn) => {}
+            b'S' | b'N' => self.append(message)?,
+            b'A' => {}
+            _ if self.error.is_some() || self.shape == Shape::Row => {
+                return Err(Malformed("more than one answer"))
+            }
+            b'E' if self.passed.is_some() => {
+                // The client has rows of it already, and is owed the rest of the story.
+                self.shape = Shape::Row;
+                self.append(message)?;
+            }
+            b'E' => {
+                self.error = Some(pg::error_code(message.body)?.to_owned());
+                self.bytes.clear();
+                self.append(message)?;
+            }
+            b'T' if self.shape == Shape::Nothing => {
+                self.shape = Shape::Described;
+                self.append(message)?;
+            }
+            b'D' if self.shape == Shape::Described => self.append(message)?,
+            b'C' | b'I' => {
+                self.shape = Shape::Row;
+                self.append(message)?;
+            }
+            _ => return Err(Malformed("not a result")),
+        }
+        Ok(false)
+    }
+
+    /// Whether more of a result waits to be passed on than is held of an answer.
+    fn is_full(&self) -> bool {
+        self.form == Form::Result && self.bytes.len() > pg::WHOLE_ROW
+    }
+
+    /// What a db host tells of itself; false where a ParameterStatus is none of that.
+    fn told(&mut self, message: &pg::Message, turn: &Turn) -> bool {
+        match pg::parameter_status(message.body) {
+            Some(("log_position", value)) => {
+                self.position = value.parse().ok().and_then(|ms| turn.clock.position(ms));
+            }
+            Some(("replication_role", value)) => self.primary = role(value),
+            Some(("pressure", _)) => {}
+            _ => return false,
+        }
+        true
+    }
+
     fn append(&mut self, message: &pg::Message) -> Result<(), Malformed> {
-        if self.bytes.len() + message.size > pg::LONGEST_ANSWER {
+        let before = if self.form == Form::Result { 0 } else { self.bytes.len() };
+        if before + message.size > pg::LONGEST_ANSWER {
             return Err(Malformed("the answer is too long"));
         }
         self.held.set(self.bytes.len() + message.size);
--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -7,6 +7,8 @@
 use leadmast::Micros;
 use serde_json::Value;
 
+use crate::routing::{rules, Rules};
+
 /// An idle watch brings a line every 2 s: one silent for longer has broken, though its connection stands.
 const SILENCE: Micros = 3_000_000;
 
@@ -28,6 +30,8 @@
     pub silence: Micros,
     pub known: Value,
     pub facts: Facts,
+    /// How plain statements are routed, where the operators' file says so.
+    pub rules: Option<Rules>,
 }
 
 impl Config {
@@ -45,10 +49,9 @@
     /// What a check of it tells.
     pub fn summary(&self) -> String {
         let classes = self.facts.names.classes.join(", ");
-        format!(
-            "{}: listens at {}, discovery at {}, classes {classes}",
-            self.name, self.listen, self.discovery
-        )
+        let routes = self.rules.as_ref().map_or(0, |r| r.routes.len());
+        let Config { name, listen, discovery, .. } = self;
+        format!("{name}: listens at {listen}, discovery at {discovery}, classes {classes}, {routes} routes")
     }
 
     fn parse(text: &str) -> Result<Config, String> {
@@ -68,25 +71,32 @@
         };
         let fd = std::env::var("ROUTER_LISTEN_FD").ok().filter(|fd| !fd.is_empty());
         let fd = fd.map(|fd| fd.parse().map_err(|_| format!("ROUTER_LISTEN_FD is no descriptor: {fd:?}")));
+        let rules = std::env::var("ROUTER_RULES").ok().filter(|f| !f.is_empty());
+        let rules = rules.or_else(|| value.get("rules").and_then(Value::as_str).map(str::to_owned));
+        let facts = settings::read(value.get("settings").ok_or("settings is missing")?);
+        let facts = facts.map_err(|e| format!("settings: {e}"));
         let seed = text("seed")?;
         let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
         if sockets < 64 {
             return Err(format!("limits.sockets is too small: {sockets}"));
         }
         let memory_mb = value.pointer("/limits/memory_mb").and_then(Value::as_u64).unwrap_or(192);
+        let (name, listen, discovery) = (text("name")?.to_owned(), addr("listen")?, addr("discovery")?);
+        let facts = facts?;
+        let rules = rules.map(|file| rules::load(Path::new(&file), &facts)).transpose()?;
         Ok(Config {
-            name: text("name")?.to_owned(),
-            listen: addr("listen")?,
+            name,
+            listen,
             listen_fd: fd.transpose()?,
-            discovery: addr("discovery")?,
+            discovery,
             control,
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not hex: {seed:?}"))?,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
             memory: usize::try_from(memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20),
             silence: value.get("watch_silence_ms").and_then(settings::time).unwrap_or(SILENCE),
             known: value.get("known").cloned().unwrap_or(Value::Null),
-            facts: settings::read(value.get("settings").ok_or("settings is missing")?)
-                .map_err(|e| format!("settings: {e}"))?,
+            facts,
+            rules,
         })
     }
 }
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -31,6 +31,8 @@
     Figures,
     /// How the loop has fared.
     Loop,
+    /// How plain statements fare.
+    Shapes,
     /// Nothing new to the db host of this name, until it is readmitted.
     HoldOut(String),
     Readmit(String),
@@ -237,6 +239,7 @@
     let (allow, command) = match parts[..] {
         ["status"] => ("GET", Command::Status),
         ["status", "metrics"] => ("GET", Command::Figures),
+        ["shapes"] => ("GET", Command::Shapes),
         ["status", "loop"] => ("GET", Command::Loop),
         ["maintenance", "enter", name] => ("PUT", Command::HoldOut(id(name)?)),
         ["maintenance", "exit", name] => ("PUT", Command::Readmit(id(name)?)),
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -25,24 +25,39 @@
     pub number: u32,
 }
 
-/// A request's body, and where in it the client's wait stands.
+/// What an answer has to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// One value.
+    #[default]
+    Value,
+    /// All that a db host has to say.
+    Result,
+}
+
+/// A request's body, and where in it the client's wait stands, if it does.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Body {
     bytes: Vec<u8>,
-    wait_at: Range<usize>,
+    wait_at: Option<Range<usize>>,
+    /// What is to come of it.
+    pub form: Form,
     held: Held,
 }
 
 impl Body {
-    pub fn new(bytes: Vec<u8>, wait_at: Range<usize>) -> Self {
+    pub fn new(bytes: Vec<u8>, wait_at: Option<Range<usize>>, form: Form) -> Self {
         let mut held = Held::default();
         held.set(bytes.len());
-        Body { bytes, wait_at, held }
+        Body { bytes, wait_at, form, held }
     }
 
-    /// The body around the wait.
-    pub fn around_wait(&self) -> (&[u8], &[u8]) {
-        (&self.bytes[..self.wait_at.start], &self.bytes[self.wait_at.end..])
+    /// The body around the wait, where one stands in it: else all of it.
+    pub fn around_wait(&self) -> (&[u8], Option<&[u8]>) {
+        match &self.wait_at {
+            Some(at) => (&self.bytes[..at.start], Some(&self.bytes[at.end..])),
+            None => (&self.bytes, None),
+        }
     }
 }
 
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -5,16 +5,18 @@
 use std::net::{Shutdown, TcpListener};
 use std::rc::Rc;
 
+use gradeshunt_classing::Key;
 use leadmast::settings::{fnv, Names};
 use leadmast::{Effect, GroupId, Micros, ReadLevel, RequestId, Settings};
 use slog::{debug, info, warn};
 
 use crate::deadlines::Due;
-use crate::exchange::{Body, Call, Exchange, Final};
+use crate::exchange::{Body, Call, Exchange, Final, Form};
 use crate::ids::SessionId;
 use crate::memory;
 use crate::pg::{self, sqlstate, Malformed, Startup, Writer, LONGEST_ANSWER};
 use crate::ring::{Moved, Ring, LARGEST, SMALL};
+use crate::routing::{Decision, Origin, Routed, Router, Rules};
 use crate::turn::{Polled, Source, Turn};
 
 /// Connections accepted, and reads of one connection, in one turn.
@@ -67,6 +69,11 @@
     /// When it was last of use.
     since: Micros,
     due: Option<Micros>,
+    /// Who it is.
+    origin: Origin,
+    /// Whether what is out may write, and when the last one that might was answered.
+    writing: bool,
+    wrote: Option<Micros>,
 }
 
 /// Who waits for a request, and its id.
@@ -102,6 +109,10 @@
     evicted: [u32; 6],
     /// Whether the proxy knows of db hosts at all.
     pub able: bool,
+    /// Routes of plain statements, where the operators' file gives some.
+    router: Option<Router>,
+    /// Plain statements so far: each has a name of its own.
+    plain: u64,
 }
 
 impl Frontend {
@@ -120,9 +131,23 @@
             service: Service::Running,
             evicted: [0; 6],
             able: false,
+            router: None,
+            plain: 0,
         }
     }
 
+    /// Plain statements are routed by these rules from now on, or refused where there are none.
+    pub fn route_by(&mut self, rules: Option<Rules>) {
+        use std::hash::{BuildHasher, RandomState};
+        let secret = || RandomState::new().hash_one(0_u8);
+        self.router = rules.map(|rules| Router::new(rules, Key(secret(), secret())));
+    }
+
+    /// How plain statements fare, as text.
+    pub fn exposition(&self) -> Option<String> {
+        self.router.as_ref().map(Router::exposition)
+    }
+
     /// Holds `most` clients at most; none gets more memory once `most_memory` is held.
     pub fn limit(&mut self, turn: &mut Turn, most: usize, most_memory: usize) {
         (self.most, self.most_memory) = (most, most_memory);
@@ -189,6 +214,9 @@
             asked: false,
             since: turn.now,
             due: None,
+            origin: Origin::default(),
+            writing: false,
+            wrote: None,
         };
         self.sessions.insert(id, session);
         self.set_due(turn, id, Some(turn.now + PATIENCE));
@@ -389,6 +417,10 @@
         let Some(id) = self.disown(request) else { return };
         let Some(s) = self.sessions.get_mut(&id) else { return };
         (s.stage, s.since) = (Stage::Ready, turn.now);
+        // What was committed was so by now; one that failed may have run as well.
+        if std::mem::take(&mut s.writing) {
+            s.wrote = Some(turn.now);
+        }
         let w = Writer::default();
         let w = match answer {
             Final::Served(bytes) => Writer(bytes),
@@ -506,7 +538,14 @@
                 self.last_word(turn, id, error);
                 Ok(false)
             }
-            Startup::Session { minor, options } => {
+            Startup::Session { minor, options, parameters } => {
+                let named = |name: &str| {
+                    parameters.iter().find(|p| p.0 == name).map(|p| p.1.clone()).unwrap_or_default()
+                };
+                let (user, database) = (named("user"), named("database"));
+                // PostgreSQL's rule.
+                let database = if database.is_empty() { user.clone() } else { database };
+                s.origin = Origin { user, database, application_name: named("application_name") };
                 let w = if minor > 0 || !options.is_empty() { w.negotiate(&options) } else { w };
                 s.stage = Stage::Ready;
                 let fits = s.outbound.push(&w.welcome(id.0 as u32).0);
@@ -541,7 +580,7 @@
                 w.ready()
             }
             _ if skipping => return Ok(true),
-            b'Q' => match self.query(turn, text) {
+            b'Q' => match self.query(turn, id, text) {
                 Ok(Step::Reply(w)) => w,
                 Ok(Step::Call(call, name)) => {
                     let request = exchange.submit(turn, *call);
@@ -569,7 +608,7 @@
         Ok(s.outbound.push(&reply.0))
     }
 
-    fn query(&self, turn: &Turn, text: Vec<u8>) -> Result<Step, String> {
+    fn query(&mut self, turn: &Turn, session: SessionId, text: Vec<u8>) -> Result<Step, String> {
         let w = Writer::default();
         let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
         let words = statement.trim().trim_end_matches(';').trim();
@@ -590,8 +629,20 @@
         if matches!(verb.as_str(), "SET" | "RESET" | "DISCARD") {
             return Ok(Step::Reply(w.message(b'C', &[verb.as_bytes(), b"\0"]).ready()));
         }
-        let c = pg::comment(statement)?;
-        let class = self.names.class(c.class).ok_or_else(|| format!("unknown class {:?}", c.class))?;
+        let c = match pg::comment(statement) {
+            Err(_) if self.router.is_some() => return self.plain(turn, session, text),
+            c => c?,
+        };
+        let mut class = self.names.class(c.class).ok_or_else(|| format!("unknown class {:?}", c.class))?;
+        let mut group = GroupId(c.cluster);
+        if let (Some(router), Some(s)) = (&mut self.router, self.sessions.get_mut(&session)) {
+            if let Some(decision) = router.contradicts(&self.settings, &s.origin, statement, class) {
+                match routed(decision) {
+                    Ok(r) => (class, group) = (r.class, r.group),
+                    Err(reply) => return Ok(Step::Reply(reply)),
+                }
+            }
+        }
         let (read, effect) = (self.settings.classes[class.0].read, self.settings.classes[class.0].effect);
         // Another client waits for the answer that this id has: nobody may be served with it instead.
         if self.ids.contains(c.id) {
@@ -610,12 +661,43 @@
         // It counts from when the request was there, not from when this process came to read it.
         let deadline = turn.now + (wait - turn.unread).max(1);
         let id = Rc::from(c.id);
-        let (group, repeat, wait_at) = (GroupId(c.cluster), c.repeat, c.wait_at);
+        let (repeat, wait_at) = (c.repeat, c.wait_at);
         debug!(turn.log, "request"; "class" => class.0, "wait_ms" => c.wait_ms);
-        let body = Body::new(text, wait_at);
+        let body = Body::new(text, Some(wait_at), Form::Value);
         Ok(Step::Call(Box::new(Call { class, group, key, deadline, since_write, repeat, body }), id))
     }
 
+    /// A statement without a routing comment goes where the operators' rules say. The connection is its session: what
+    /// it has written it sees.
+    fn plain(&mut self, turn: &Turn, session: SessionId, text: Vec<u8>) -> Result<Step, String> {
+        let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
+        let (Some(router), Some(s)) = (&mut self.router, self.sessions.get_mut(&session)) else {
+            return Err("the statement has no routing comment".to_owned());
+        };
+        let routed = match routed(router.decide(&self.settings, &s.origin, statement)) {
+            Ok(routed) => routed,
+            Err(reply) => return Ok(Step::Reply(reply)),
+        };
+        let Routed { class, group, wait, comment, writes } = routed;
+        self.plain += 1;
+        s.writing = writes;
+        let session_reads = self.settings.classes[class.0].read == ReadLevel::Session;
+        let since_write = s.wrote.filter(|_| session_reads).map(|at| (turn.now - at).max(1));
+        let id: Rc<str> = format!("plain-{:x}-{:x}", session.0, self.plain).into();
+        let body = if comment {
+            let mut body = format!("/* id={id},c={},d=", self.names.classes[class.0]);
+            let at = body.len()..body.len();
+            body += &format!(",cluster={} */ {statement}", group.0);
+            Body::new(body.into_bytes(), Some(at), Form::Result)
+        } else {
+            Body::new(text, None, Form::Result)
+        };
+        let key = Some(fnv(&format!("session {}", session.0)));
+        let deadline = turn.now + (wait - turn.unread).max(1);
+        let call = Call { class, group, key, deadline, since_write, repeat: false, body };
+        Ok(Step::Call(Box::new(call), id))
+    }
+
     /// Writes the last message of a connection and closes it once the client has had it.
     fn last_word(&mut self, turn: &mut Turn, id: SessionId, last: Writer) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
@@ -688,6 +770,24 @@
     }
 }
 
+/// Where a plain statement goes, or what its client is told instead.
+fn routed(decision: Decision) -> Result<Routed, Writer> {
+    let w = Writer::default();
+    let unsupported = |what: &str| w.error("ERROR", sqlstate::FEATURE_NOT_SUPPORTED, what, None).ready();
+    Err(match decision {
+        Decision::Send(routed) => return Ok(routed),
+        Decision::Empty => Writer::default().message(b'I', &[]).ready(),
+        Decision::Session { verb } => {
+            unsupported(&format!("{verb} is not supported: the proxy keeps no state of a session"))
+        }
+        Decision::Several => unsupported("several statements in one query are not supported"),
+        Decision::NoRoute { access } => {
+            let what = format!("no route is given for a {} of this kind", access.name());
+            Writer::default().error("ERROR", sqlstate::NO_ROUTE, &what, None).ready()
+        }
+    })
+}
+
 /// What a query comes to.
 enum Step {
     Reply(Writer),
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod pg;
 mod ring;
+mod routing;
 mod shared;
 mod strain;
 mod turn;
@@ -113,6 +114,7 @@
             silence,
             known,
             facts,
+            rules,
         } = config;
         let mut turn = Turn::new(event_loop.handle(), log);
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
@@ -125,7 +127,8 @@
             Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
             None => turn::listener(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?,
         };
-        let frontend = Frontend::new(facts.settings, facts.names);
+        let mut frontend = Frontend::new(facts.settings, facts.names);
+        frontend.route_by(rules);
         let listen = |addr| {
             Control::listen(&turn, addr, OPERATORS).map_err(|e| format!("cannot listen at {addr}: {e}"))
         };
@@ -303,6 +306,10 @@
             control::Command::Figures => {
                 Answer::new(200, control::exposition(&exchange.figures(), &self.classes))
             }
+            control::Command::Shapes => match self.frontend.exposition() {
+                Some(text) => Answer::new(200, text),
+                None => Answer::new(404, "no rules for plain statements are given\n"),
+            },
             control::Command::Loop => Answer::new(200, self.pace.exposition()),
             control::Command::Standby | control::Command::Active => {
                 let standby = command == control::Command::Standby;
@@ -425,6 +432,7 @@
         match config {
             Ok(config) => {
                 info!(self.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
+                self.frontend.route_by(config.rules);
                 self.discovery.move_to(&mut self.turn, config.discovery, config.silence, &mut self.news);
             }
             Err(why) => warn!(self.turn.log, "configuration kept, the new one can't be used"; "why" => why),
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -32,6 +32,8 @@
     pub const CANNOT_CONNECT_NOW: &str = "57P03";
     pub const SNAPSHOT_TOO_OLD: &str = "72000";
     pub const SYSTEM_ERROR: &str = "58000";
+    /// Insufficient privilege: the operators' rules let no such statement through.
+    pub const NO_ROUTE: &str = "42501";
 
     /// Whether an error is the statement's own fault, and so the same at any db host: unsupported, wrong
     /// cardinality, data, constraints, syntax and access, check options, errors raised by functions.
@@ -47,8 +49,9 @@
 /// The first packet of a connection; it has no type byte.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Startup {
-    /// A session begins. `minor` is the minor version asked for; `options` are `_pq_.` options asked for.
-    Session { minor: u16, options: Vec<String> },
+    /// A session begins. `minor` is the minor version asked for; `options` are `_pq_.` options asked for, `parameters` all
+    /// that the client says of itself.
+    Session { minor: u16, options: Vec<String>, parameters: Vec<(String, String)> },
     /// Encryption is asked for.
     Encryption,
     /// Another connection's query is to be cancelled.
@@ -82,7 +85,13 @@
             let names = list.split(|b| *b == 0).step_by(2);
             let options = names.filter(|n| n.starts_with(b"_pq_."));
             let options = options.map(|n| String::from_utf8_lossy(n).into_owned()).collect();
-            Startup::Session { minor: (v & 0xffff) as u16, options }
+            let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
+            let mut parts = list.split(|b| *b == 0);
+            let mut parameters = Vec::new();
+            while let (Some(name), Some(value)) = (parts.next(), parts.next()) {
+                parameters.push((text(name), text(value)));
+            }
+            Startup::Session { minor: (v & 0xffff) as u16, options, parameters }
         }
         _ => Startup::Unsupported,
     };
@@ -91,7 +100,7 @@
 
 /// What clients may send, and what db hosts may.
 pub const FRONTEND: &[u8] = b"QXSPBDECHFdcf";
-pub const BACKEND: &[u8] = b"RSKNvZETDCA";
+pub const BACKEND: &[u8] = b"RSKNvZETDCAI";
 
 /// Reads a message of one of the kinds in `tags`; `None` until it is whole. Noise is known by its first bytes:
 /// nobody waits for as much as its length field claims.
--- /dev/null
+++ b/crates/gradeshunt/src/routing/mod.rs
@@ -0,0 +1,321 @@
+//! Where a plain statement goes: to which class, to which group of db hosts, and with how long a wait. Which db host, whether
+//! to try again and what to turn away is the module's to decide, as for statements that come with a routing comment.
+//!
+//! No I/O and no clock here.
+
+pub mod rules;
+
+use std::fmt::Write as _;
+
+use gradeshunt_classing::verdict::Statements;
+use gradeshunt_classing::{Access, Catalogue, Classer, Declared, Key, Told, Verdict};
+use leadmast::{ClassId, GroupId, Micros, ReadLevel, Settings};
+
+/// Who sends statements: what its startup message says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Origin {
+    pub user: String,
+    pub database: String,
+    pub application_name: String,
+}
+
+/// What a statement has to be for a route.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Match {
+    pub access: Vec<Access>,
+    pub tables: Vec<String>,
+    pub functions: Vec<String>,
+    pub users: Vec<String>,
+    pub databases: Vec<String>,
+    pub applications: Vec<String>,
+    pub cost_from: f32,
+    /// None: no bound.
+    pub cost_below: Option<f32>,
+}
+
+impl Match {
+    fn holds(&self, origin: &Origin, verdict: &Verdict) -> bool {
+        let among = |list: &[String], it: &String| list.is_empty() || list.contains(it);
+        let any = |list: &[String], of: &[String]| list.is_empty() || of.iter().any(|it| list.contains(it));
+        (self.access.is_empty() || self.access.contains(&verdict.access))
+            && any(&self.tables, &verdict.tables)
+            && any(&self.functions, &verdict.functions)
+            && among(&self.users, &origin.user)
+            && among(&self.databases, &origin.database)
+            && among(&self.applications, &origin.application_name)
+            && verdict.cost >= self.cost_from
+            && self.cost_below.is_none_or(|below| verdict.cost < below)
+    }
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    pub name: String,
+    pub matches: Match,
+    pub class: ClassId,
+    pub group: GroupId,
+    /// None: the class's own.
+    pub wait: Option<Micros>,
+    pub comment: bool,
+}
+
+/// All that the operators' file says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rules {
+    pub routes: Vec<Route>,
+    pub declared: Declared,
+    pub shapes: usize,
+}
+
+/// Where a statement goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Routed {
+    pub class: ClassId,
+    pub group: GroupId,
+    /// How long its client waits.
+    pub wait: Micros,
+    /// Whether its db hosts want a routing comment.
+    pub comment: bool,
+    /// Whether it may change something.
+    pub writes: bool,
+}
+
+/// What is done with a statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    Send(Routed),
+    /// There is nothing in it.
+    Empty,
+    /// It would change what follows on the connection; such statements are not served yet.
+    Session {
+        verb: String,
+    },
+    Several,
+    /// No route matches it.
+    NoRoute {
+        access: Access,
+    },
+}
+
+/// What has been decided, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub read: u64,
+    pub write: u64,
+    pub session: u64,
+    pub unknown: u64,
+    /// Routing comments that named a reading class for what is not proved to be a read.
+    pub contradictions: u64,
+    pub unrouted: u64,
+}
+
+/// Decides where statements go.
+pub struct Router {
+    classer: Classer,
+    routes: Vec<Route>,
+    counts: Counts,
+}
+
+impl Router {
+    pub fn new(rules: Rules, key: Key) -> Self {
+        let classer = Classer::new(key, Catalogue::new(&rules.declared), rules.shapes);
+        Router { classer, routes: rules.routes, counts: Counts::default() }
+    }
+
+    /// Decides on a plain statement.
+    pub fn decide(&mut self, settings: &Settings, origin: &Origin, statement: &str) -> Decision {
+        let told = self.classer.class(statement);
+        let count = match told.verdict.access {
+            Access::Read => &mut self.counts.read,
+            Access::Write => &mut self.counts.write,
+            Access::Session => &mut self.counts.session,
+            Access::Unknown => &mut self.counts.unknown,
+        };
+        *count += 1;
+        match (told.verdict.statements, told.verdict.access) {
+            (Statements::None, _) => Decision::Empty,
+            (Statements::Several, _) => Decision::Several,
+            // A copy takes the connection over for its data.
+            (Statements::One, Access::Session | Access::Write) if told.verdict.verb == "copy" => {
+                Decision::Session { verb: "copy".to_owned() }
+            }
+            (Statements::One, Access::Session) => Decision::Session { verb: told.verdict.verb.clone() },
+            (Statements::One, _) => self.route(settings, origin, &told),
+        }
+    }
+
+    fn route(&mut self, settings: &Settings, origin: &Origin, told: &Told) -> Decision {
+        let verdict = &*told.verdict;
+        // What may write goes where writes go, whatever a route says: a class whose reads may be had from a replica is
+        // none for it.
+        let fits = |r: &Route| verdict.access == Access::Read || writes(settings, r.class);
+        let Some(route) = self.routes.iter().find(|r| r.matches.holds(origin, verdict) && fits(r)) else {
+            self.counts.unrouted += 1;
+            return Decision::NoRoute { access: verdict.access };
+        };
+        let deadline = settings.classes[route.class.0].deadline;
+        Decision::Send(Routed {
+            class: route.class,
+            group: route.group,
+            wait: route.wait.map_or(deadline, |wait| wait.min(deadline)),
+            comment: route.comment,
+            writes: verdict.access != Access::Read,
+        })
+    }
+
+    /// Where a statement goes whose routing comment names a class: `None` where the comment may stand. Where it names a
+    /// reading class for what is not proved to be a read, the stricter of the two wins, which is the rules'.
+    pub fn contradicts(
+        &mut self,
+        settings: &Settings,
+        origin: &Origin,
+        statement: &str,
+        class: ClassId,
+    ) -> Option<Decision> {
+        if writes(settings, class) {
+            return None;
+        }
+        let told = self.classer.class(statement);
+        if told.verdict.access == Access::Read {
+            return None;
+        }
+        self.counts.contradictions += 1;
+        Some(self.route(settings, origin, &told))
+    }
+
+    /// What has been decided, and how the shapes fare, as figures in text.
+    pub fn exposition(&self) -> String {
+        let (c, t) = (self.counts, self.classer.tally());
+        let mut text = String::from("# TYPE app_statements counter\n");
+        for (access, n) in
+            [("read", c.read), ("write", c.write), ("session", c.session), ("unknown", c.unknown)]
+        {
+            let _ = writeln!(text, "app_statements{{access=\"{access}\"}} {n}");
+        }
+        let figures = [
+            ("contradictions", "counter", c.contradictions),
+            ("unrouted", "counter", c.unrouted),
+            ("shape_hits", "counter", t.hits),
+            ("shape_misses", "counter", t.misses),
+            ("shape_evictions", "counter", t.evictions),
+            ("shapes", "gauge", t.entries as u64),
+            ("shape_bytes", "gauge", t.bytes as u64),
+        ];
+        for (name, kind, n) in figures {
+            let _ = writeln!(text, "# TYPE app_{name} {kind}\napp_{name} {n}");
+        }
+        text
+    }
+}
+
+/// Whether a class is one for writes.
+pub fn writes(settings: &Settings, class: ClassId) -> bool {
+    settings.classes[class.0].read == ReadLevel::Write
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use leadmast::settings;
+
+    fn facts() -> settings::Facts {
+        let mut config: serde_json::Value =
+            serde_json::from_str(include_str!("../../../../examples/config.json")).expect("JSON");
+        let given = &mut config["settings"];
+        let mut class = given["categories"][2].clone();
+        (class["name"], class["repeat"]) = ("plain-write".into(), "side_effect".into());
+        given["categories"].as_array_mut().expect("a list").push(class);
+        for (field, value) in
+            [("readLevel", serde_json::json!("mutate")), ("lagAllowed", serde_json::json!(0.0))]
+        {
+            given["familyInfo"][field].as_array_mut().expect("a list").push(value);
+        }
+        settings::read(&config["settings"]).expect("settings")
+    }
+
+    fn router(text: &str) -> Result<(Router, Settings), String> {
+        let facts = facts();
+        let rules = rules::parse(text, &facts)?;
+        Ok((Router::new(rules, Key(1, 2)), facts.settings))
+    }
+
+    const RULES: &str = r#"
+        route { name: "reports" match { access: READ cost_from: 20 } class: "page-read" cluster: 2 deadline_ms: 900 }
+        route { name: "votes" match { table: "votes" user: "counter" } class: "own-read" cluster: 3 comment: true }
+        route { name: "reads" match { access: READ } class: "own-read" cluster: 1 deadline_ms: 99000 }
+        route { name: "writes" match { access: WRITE access: UNKNOWN } class: "plain" cluster: 1 }
+        functions { reading: "turnout" }
+    "#;
+
+    /// Guards writes: no route that fits by its words may send one where a replica could get it.
+    #[test]
+    fn writes_go_where_writes_go() {
+        let text = RULES.replace("plain", "plain-write");
+        let (mut router, settings) = router(&text).expect("rules");
+        let counter = Origin { user: "counter".to_owned(), ..Origin::default() };
+        let mut to = |origin: &Origin, statement: &str| match router.decide(&settings, origin, statement) {
+            Decision::Send(r) => Some((r.class.0, r.group.0, r.wait / 1000, r.writes)),
+            _ => None,
+        };
+        let nobody = Origin::default();
+        assert_eq!(to(&nobody, "SELECT * FROM facts"), Some((0, 2, 900, false)), "a whole table");
+        assert_eq!(to(&nobody, "SELECT data FROM facts WHERE code = 'a'"), Some((1, 1, 2000, false)));
+        assert_eq!(to(&nobody, "SELECT turnout(5) FROM votes WHERE a = 1"), Some((1, 1, 2000, false)));
+        assert_eq!(to(&counter, "SELECT turnout(5) FROM votes WHERE a = 1"), Some((1, 3, 2000, false)));
+        assert_eq!(
+            to(&counter, "UPDATE votes SET n = 1"),
+            Some((3, 1, 3000, true)),
+            "not to a reading class"
+        );
+        assert_eq!(to(&nobody, "SELECT record(5)"), Some((3, 1, 3000, true)));
+        assert_eq!(to(&nobody, "FROB"), Some((3, 1, 3000, true)));
+        let mut decide = |statement: &str| router.decide(&settings, &nobody, statement);
+        assert_eq!(decide("SELECT 1; SELECT 2"), Decision::Several);
+        assert_eq!(decide("BEGIN"), Decision::Session { verb: "begin".to_owned() });
+        assert_eq!(decide(" /* x */ ; "), Decision::Empty);
+    }
+
+    /// Guards against comments that say less than their statement does.
+    #[test]
+    fn the_stricter_wins() {
+        let (mut router, settings) = router(&RULES.replace("plain", "plain-write")).expect("rules");
+        let origin = Origin::default();
+        let mut check =
+            |statement: &str, class| router.contradicts(&settings, &origin, statement, ClassId(class));
+        assert_eq!(check("/* c=own-read */ SELECT 1", 1), None);
+        assert_eq!(check("/* c=tally-write */ DELETE FROM t", 2), None);
+        let Some(Decision::Send(routed)) = check("/* c=own-read */ DELETE FROM t", 1) else {
+            panic!("it stands")
+        };
+        assert_eq!(routed.class, ClassId(3));
+        assert!(router.exposition().contains("app_contradictions 1\n"));
+    }
+
+    #[test]
+    fn bad_rules_are_told_by_line() {
+        let complaint = |text: &str| router(text).err().unwrap_or_default();
+        let good = RULES.replace("plain", "plain-write");
+        for (text, says) in [
+            (
+                RULES.to_owned(),
+                "route \"writes\": unknown class \"plain\", expected one of page-read, own-read, tally-write, plain-write",
+            ),
+            (good.replace("cluster: 3", "clutser: 3"), "3:"),
+            (good.replace("deadline_ms: 900", "deadline_ms: soon"), "2:"),
+            (good.replace("access: UNKNOWN", "access: UNKNWON"), "5:"),
+            (
+                good.replace(
+                    "match { access: WRITE access: UNKNOWN } class: \"plain-write\"",
+                    "class: \"own-read\"",
+                ),
+                "no route takes what may write",
+            ),
+            (RULES.replace("plain", "tally-write"), "route \"writes\": class \"tally-write\" is repeated by keys"),
+            (String::new(), "no route"),
+        ] {
+            let complaint = complaint(&text);
+            assert!(complaint.contains(says), "{complaint:?} should hold {says:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gradeshunt/tests/plain.rs
@@ -0,0 +1,235 @@
+//! Plain SQL through the program: where it goes, and that all that comes of it comes back.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use gradeshunt_stand_ins::postgres::client::{Client, Reply};
+use gradeshunt_stand_ins::program::{Platform, Process};
+use gradeshunt_stand_ins::script::{Act, Rule, Table};
+use gradeshunt_stand_ins::site::{Plan, Site};
+
+const RULES: &str = r#"
+route { name: "reads" match { access: READ } class: "own-read" cluster: 1 }
+route { name: "writes" class: "plain-write" cluster: 1 }
+functions { reading: "turnout" }
+"#;
+
+struct Stage {
+    site: Site,
+    process: Process,
+    platform: Platform,
+    folder: PathBuf,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Stage {
+    fn open(name: &str, rules: Option<&str>) -> Stage {
+        let site = Site::open(Plan::default()).expect("a site");
+        let folder =
+            Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("plain-{name}-{}", std::process::id()));
+        let mut platform =
+            Platform::new(Path::new(env!("CARGO_BIN_EXE_gradeshunt")), &folder, false).expect("a folder");
+        platform.configure(&site.config()).expect("a file");
+        if let Some(rules) = rules {
+            let file = folder.join("rules.textproto");
+            std::fs::write(&file, rules).expect("a file");
+            platform.environment.push(("ROUTER_RULES".to_owned(), file.display().to_string()));
+        }
+        let process = platform.start().expect("it starts");
+        process.ready().expect("it serves");
+        Stage { site, process, platform, folder }
+    }
+
+    fn client(&self) -> Client {
+        let listen = self.process.listen.expect("it tells where");
+        let identity = [("user", "reporter"), ("database", "results"), ("application_name", "page")];
+        Client::connect(listen, &identity, Duration::from_secs(60)).expect("it is welcome")
+    }
+
+    /// Numbers of the db hosts that have run a statement that holds this.
+    fn ran(&self, holds: &str) -> Vec<usize> {
+        self.site.sets[0].ran().iter().filter(|r| r.request.contains(holds)).map(|r| r.host).collect()
+    }
+
+    fn everywhere(&self, rule: &Rule) {
+        (0..3).for_each(|n| self.site.sets[0].script(n, rule.clone()));
+    }
+}
+
+fn ask(client: &mut Client, statement: &str) -> Reply {
+    client.query(statement).expect("an answer")
+}
+
+/// Guards data: what may write reaches the primary alone, wherever the call stands; reads go to replicas, unchanged.
+#[test]
+fn writes_reach_the_primary_alone() {
+    let stage = Stage::open("writes", Some(RULES));
+    let mut client = stage.client();
+    let writes = [
+        "SELECT record_vote(1)",
+        "SELECT a FROM t ORDER BY record_vote(2)",
+        "WITH x AS (DELETE FROM t RETURNING 3) SELECT * FROM x",
+        "SELECT 4 FROM t FOR UPDATE",
+        "FROB 5",
+        "EXPLAIN (ANALYZE) DELETE FROM t WHERE n = 6",
+    ];
+    for statement in writes {
+        assert_eq!(ask(&mut client, statement).outcome_name(), "served", "{statement}");
+        assert_eq!(stage.ran(statement), [0], "{statement}");
+    }
+    let reads = ["SELECT turnout(7) FROM t  /* as it is */", "select 'DELETE' , 8"];
+    for statement in reads {
+        // A new session: nothing of its own to be seen.
+        assert_eq!(ask(&mut stage.client(), statement).outcome_name(), "served", "{statement}");
+        let ran = stage.site.sets[0].ran();
+        let ran: Vec<_> = ran.iter().filter(|r| r.request == statement).map(|r| r.host).collect();
+        assert!(ran.len() == 1 && ran[0] != 0, "{statement}: {ran:?}");
+    }
+    let (status, figures) = stage.process.call("GET", "/shapes").expect("an answer");
+    let lines = [
+        "app_statements{access=\"read\"} 2",
+        "app_statements{access=\"write\"} 5",
+        "app_statements{access=\"unknown\"} 1",
+    ];
+    assert!(status == 200 && lines.iter().all(|l| figures.contains(l)), "{figures}");
+}
+
+/// Guards sessions: a read on the connection that has written sees what it wrote, however far replicas are behind.
+#[test]
+fn own_writes_are_seen() {
+    let stage = Stage::open("own", Some(RULES));
+    (1..3).for_each(|n| stage.site.sets[0].set_lag(n, Duration::from_secs(3600)));
+    let mut client = stage.client();
+    for n in 0..20 {
+        let reply =
+            ask(&mut client, &format!("INSERT INTO facts (code, data) VALUES ('a', '{n}') RETURNING data"));
+        assert_eq!(reply.tag.as_deref(), Some("INSERT 0 1"));
+        let reply = ask(&mut client, "SELECT data FROM facts WHERE code = 'a'");
+        assert_eq!(reply.value(), Some(n.to_string()));
+    }
+}
+
+/// Guards results: all of a result comes, in order, with what stands around it.
+#[test]
+fn whole_results_come_through() {
+    let stage = Stage::open("results", Some(RULES));
+    let mut table = Table::of(&["station", "votes", "remark"], &[&["one", "17", "x"], &["two", "5", ""]]);
+    table.rows[1][2] = None;
+    table.notices = vec!["recounted".to_owned()];
+    stage.everywhere(&Rule::always("FROM tallies", Act::Answer(table.clone())));
+    stage.everywhere(&Rule::always("FROM nobody", Act::Answer(Table::of(&["station"], &[]))));
+    let silent = Table { tag: "VACUUM".to_owned(), ..Table::default() };
+    stage.everywhere(&Rule::always("VACUUM", Act::Answer(silent)));
+    stage.everywhere(&Rule::always(
+        "FROM typo",
+        Act::Refuse { code: "42P01".to_owned(), text: "no such table".to_owned() },
+    ));
+    let mut client = stage.client();
+    let reply = ask(&mut client, "SELECT * FROM tallies");
+    assert_eq!(
+        (reply.order.as_str(), &reply.rows, reply.tag.as_deref()),
+        ("NTDDCZ", &table.rows, Some("SELECT 2"))
+    );
+    assert_eq!((reply.columns, reply.notices), (3, table.notices));
+    let reply = ask(&mut client, "SELECT * FROM nobody");
+    assert_eq!((reply.order.as_str(), reply.tag.as_deref()), ("TCZ", Some("SELECT 0")));
+    let reply = ask(&mut client, "VACUUM");
+    assert_eq!((reply.order.as_str(), reply.tag.as_deref()), ("CZ", Some("VACUUM")));
+    assert_eq!(ask(&mut client, "SELECT * FROM typo").code(), Some("42P01"));
+    assert_eq!(ask(&mut client, " -- nothing").order, "IZ");
+    for statement in ["BEGIN", "COPY t FROM STDIN", "SELECT 1; SELECT 2", "LISTEN x"] {
+        assert_eq!(ask(&mut client, statement).code(), Some("0A000"), "{statement}");
+    }
+    assert_eq!(ask(&mut client, "SELECT 1").outcome_name(), "served", "the connection goes on");
+}
+
+/// Guards memory and order: a result far larger than what the program holds comes whole, as fast as it is read; and one
+/// that breaks off can't be taken for whole.
+#[test]
+fn large_results_pass_at_the_readers_pace() {
+    let stage = Stage::open("large", Some(RULES));
+    let rows: Vec<_> = (0..20_000).map(|n| vec![Some(format!("{n:0>200}").into_bytes()), None]).collect();
+    let table = Table { columns: vec!["a".to_owned(), "b".to_owned()], rows, ..Table::default() };
+    stage.everywhere(&Rule::always("FROM large", Act::Answer(table.clone())));
+    let mut client = stage.client();
+    for _ in 0..3 {
+        let reply = ask(&mut client, "SELECT * FROM large");
+        assert_eq!(reply.rows.len(), table.rows.len());
+        assert!(reply.rows == table.rows && reply.tag.as_deref() == Some("SELECT 20000"));
+    }
+    stage.site.sets[0].clear_scripts();
+    stage.everywhere(&Rule::always("FROM large", Act::CutAfter(table, 2_000_000)));
+    assert!(client.query("SELECT * FROM large").is_err(), "it ends amid the rows");
+}
+
+/// Guards against running twice: a plain write has no key, so one that may have run is never sent again.
+#[test]
+fn a_write_that_may_have_run_is_not_repeated() {
+    let stage = Stage::open("once", Some(RULES));
+    // A read may be repeated, and is.
+    (1..3).for_each(|n| stage.site.sets[0].script(n, Rule::once("SELECT 'again'", Act::ResetBefore)));
+    assert_eq!(ask(&mut stage.client(), "SELECT 'again'").outcome_name(), "served");
+    stage.everywhere(&Rule::always("VALUES ('a'", Act::ResetAfter));
+    let mut client = stage.client();
+    let reply = ask(&mut client, "INSERT INTO facts (code, data) VALUES ('a', '1')");
+    assert_eq!(reply.outcome_name(), "failed", "{reply:?}");
+    assert_eq!(stage.ran("VALUES ('a'"), [0]);
+}
+
+/// Guards the comment's word: where it names a reading class for a write, the write goes to the primary all the same.
+#[test]
+fn a_comment_that_says_less_does_not_count() {
+    let stage = Stage::open("less", Some(RULES));
+    let mut client = stage.client();
+    let statement = "/* id=1,c=own-read,d=60000,cluster=1 */ SELECT record_vote('a')";
+    assert_eq!(ask(&mut client, statement).outcome_name(), "served");
+    assert_eq!(stage.ran("record_vote"), [0]);
+    let (_, figures) = stage.process.call("GET", "/shapes").expect("an answer");
+    assert!(figures.contains("app_contradictions 1\n"), "{figures}");
+}
+
+/// Guards operators: a file with a slip leaves the old rules standing, and a good one counts from the signal on.
+#[test]
+fn rules_are_reread() {
+    let mut stage = Stage::open("reread", Some(RULES));
+    let file = stage.folder.join("rules.textproto");
+    std::fs::write(&file, RULES.replace("cluster: 1", "clutser: 1")).expect("a file");
+    stage.process.signal("HUP").expect("it can be told");
+    let line = stage.process.until("configuration kept").expect("it says so");
+    assert!(line.contains("rules.textproto:2:"), "{line}");
+    assert_eq!(ask(&mut stage.client(), "SELECT 1").outcome_name(), "served");
+    let writes_only = "route { match { access: WRITE } class: \"plain-write\" cluster: 1 }";
+    std::fs::write(&file, writes_only).expect("a file");
+    stage.process.signal("HUP").expect("it can be told");
+    stage.process.until("configuration reread").expect("it says so");
+    assert_eq!(ask(&mut stage.client(), "SELECT 1").code(), Some("42501"));
+    let _ = stage.platform.config();
+}
+
+#[test]
+fn without_rules_nothing_is_classed() {
+    let stage = Stage::open("none", None);
+    assert_eq!(ask(&mut stage.client(), "SELECT 1").code(), Some("22023"));
+    assert_eq!(stage.process.call("GET", "/shapes").expect("an answer").0, 404);
+}
+
+/// The name of an outcome, as these tests tell them apart.
+trait Named {
+    fn outcome_name(&self) -> &'static str;
+}
+
+impl Named for Reply {
+    fn outcome_name(&self) -> &'static str {
+        use gradeshunt_stand_ins::checker::Outcome;
+        match self.outcome() {
+            Outcome::Served => "served",
+            Outcome::Refused => "refused",
+            _ => "failed",
+        }
+    }
+}
--- a/crates/stand-ins/src/postgres/host.rs
+++ b/crates/stand-ins/src/postgres/host.rs
@@ -120,7 +120,7 @@
                 return Ok(false);
             }
             Act::Refuse { code, text } => wire::error(code, text),
-            Act::Answer(table) => {
+            Act::Answer(table) | Act::CutAfter(table, _) => {
                 set.note(*number, statement, key(statement));
                 wire::table(table)
             }
@@ -135,7 +135,7 @@
         reply.extend(wire::message(b'Z', b"I"));
         match act {
             Act::ResetAfter => reset(stream),
-            Act::CutAt(bytes) => {
+            Act::CutAt(bytes) | Act::CutAfter(_, bytes) => {
                 stream.write_all(&reply[..bytes.min(reply.len())])?;
                 stream.shutdown(Shutdown::Both)?;
                 Ok(false)
--- a/crates/stand-ins/src/script.rs
+++ b/crates/stand-ins/src/script.rs
@@ -45,6 +45,8 @@
     ResetAfter,
     /// It runs, and so many bytes of the answer are sent before the connection is reset.
     CutAt(usize),
+    /// This answer, up to so many bytes before the connection ends.
+    CutAfter(Table, usize),
     /// It runs, and nothing is ever said.
     Silence,
     /// Nothing runs, and nothing is ever said.
