Measure classing and relay; a page for operators on plain SQL

Need: the bounds of statement classing were not measured, and rules had no page.

Change: gradeshunt-measure classing (hit, judgement, hit rates beside LRU and quick_cache, memory in a flood, by a counting allocator) and relay (CPU a request beside another program); the hash takes tokens many at a time; entries count what they really take; docs/operating-classing.md and examples/rules.textproto, which a test reads.

--- a/crates/classing/src/cache.rs
+++ b/crates/classing/src/cache.rs
@@ -14,8 +14,8 @@
 const SMALL: usize = 10;
 /// Hits that count.
 const MOST_HITS: u8 = 3;
-/// What an entry takes beside its value's size: its slot, its place in the index and in a queue, with room to grow.
-pub const OVERHEAD: usize = 128;
+/// What an entry takes beside its value's size: its slot, its place in the index and in a queue, with room to grow, and what the allocator rounds up.
+pub const OVERHEAD: usize = 320;
 /// Bytes of the cache for each place in the ghost.
 const PER_GHOST: usize = 256;
 
--- a/crates/classing/src/lexer.rs
+++ b/crates/classing/src/lexer.rs
@@ -86,6 +86,7 @@
         Lexer { bytes: statement, at: 0, signs: 0 }
     }
 
+    #[inline(always)]
     fn peek(&self, ahead: usize) -> u8 {
         // Zero is no byte of a statement: PostgreSQL's strings end there.
         self.bytes.get(self.at + ahead).copied().unwrap_or(0)
@@ -100,6 +101,7 @@
     /// # Errors
     /// Where no token begins here that PostgreSQL knows, or one has no end.
     #[allow(clippy::should_implement_trait)]
+    #[inline]
     pub fn next(&mut self) -> Result<Option<Token<'a>>, Unlexable> {
         self.skip()?;
         if self.at >= self.bytes.len() {
@@ -140,9 +142,8 @@
             b'0'..=b'9' => self.number()?,
             b'.' if self.peek(1).is_ascii_digit() => self.number()?,
             b'a'..=b'z' | b'A'..=b'Z' | b'_' | 0x80.. => {
-                while matches!(self.peek(0), b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'_' | b'$' | 0x80..) {
-                    self.at += 1;
-                }
+                let rest = &self.bytes[self.at..];
+                self.at += rest.iter().position(|b| !NAME[*b as usize]).unwrap_or(rest.len());
                 Kind::Word
             }
             b'(' | b')' | b'[' | b']' | b',' | b';' => {
@@ -167,8 +168,13 @@
     }
 
     /// Passes over space and comments.
+    #[inline]
     fn skip(&mut self) -> Result<(), Unlexable> {
         loop {
+            if self.peek(0) == b' ' {
+                self.at += 1;
+                continue;
+            }
             match (self.peek(0), self.peek(1)) {
                 (b' ' | b'\t' | b'\n' | b'\r' | 0x0b | 0x0c, _) => self.at += 1,
                 (b'-', b'-') => {
@@ -365,6 +371,17 @@
     }
 }
 
+/// What may stand in a name behind its first byte.
+const NAME: [bool; 256] = {
+    let mut table = [false; 256];
+    let mut c = 0_usize;
+    while c < 256 {
+        table[c] = matches!(c as u8, b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'_' | b'$' | 0x80..);
+        c += 1;
+    }
+    table
+};
+
 fn is_operator(c: u8) -> bool {
     matches!(
         c,
--- a/crates/classing/src/shape.rs
+++ b/crates/classing/src/shape.rs
@@ -37,38 +37,61 @@
 /// # Errors
 /// Where the statement can't be lexed.
 pub fn shape(key: Key, statement: &[u8]) -> Result<Shape, Unlexable> {
-    let mut hash = Hash(SipHasher13::new_with_keys(key.0, key.1));
+    let mut hash = Hash::new(key);
     tell(statement, &mut hash)?;
-    Ok(Shape(hash.0.finish128().as_u128()))
+    Ok(hash.finish())
 }
 
-struct Hash(SipHasher13);
+/// Hashes tokens, many at a time: a call of the hash for each would cost more than the hash.
+struct Hash {
+    hash: SipHasher13,
+    buffer: [u8; BUFFER],
+    held: usize,
+}
+
+const BUFFER: usize = 512;
+
+impl Hash {
+    fn new(key: Key) -> Self {
+        Hash { hash: SipHasher13::new_with_keys(key.0, key.1), buffer: [0; BUFFER], held: 0 }
+    }
+
+    fn flush(&mut self) {
+        self.hash.write(&self.buffer[..self.held]);
+        self.held = 0;
+    }
+
+    fn finish(mut self) -> Shape {
+        self.flush();
+        Shape(self.hash.finish128().as_u128())
+    }
+
+    /// Room for so many bytes, at most [`BUFFER`].
+    fn room(&mut self, bytes: usize) -> &mut [u8] {
+        if self.held + bytes > BUFFER {
+            self.flush();
+        }
+        let from = self.held;
+        self.held += bytes;
+        &mut self.buffer[from..self.held]
+    }
+}
 
 impl Sink for Hash {
+    #[inline]
     fn token(&mut self, token: &Token) {
-        // No byte of a token's text is 0xff, so a kind can't be mistaken for text.
-        let mut buffer = [0_u8; 64];
-        let length = match token.kind {
-            Kind::Number | Kind::Text | Kind::Bits | Kind::Parameter | Kind::Doubtful => 0,
-            _ => token.text.len(),
-        };
-        if length + 2 <= buffer.len() {
-            buffer[..length].copy_from_slice(&token.text[..length]);
-            if token.kind == Kind::Word {
-                buffer[..length].make_ascii_lowercase();
-            }
-            (buffer[length], buffer[length + 1]) = (0xff, token.kind as u8);
-            return self.0.write(&buffer[..length + 2]);
-        }
-        for chunk in token.text.chunks(buffer.len()) {
-            let part = &mut buffer[..chunk.len()];
-            part.copy_from_slice(chunk);
-            if token.kind == Kind::Word {
-                part.make_ascii_lowercase();
+        if !matches!(token.kind, Kind::Number | Kind::Text | Kind::Bits | Kind::Parameter | Kind::Doubtful) {
+            for part in token.text.chunks(BUFFER) {
+                let room = self.room(part.len());
+                if token.kind == Kind::Word {
+                    room.iter_mut().zip(part).for_each(|(to, from)| *to = from.to_ascii_lowercase());
+                } else {
+                    room.copy_from_slice(part);
+                }
             }
-            self.0.write(part);
         }
-        self.0.write(&[0xff, token.kind as u8]);
+        // No byte of UTF-8 is as high as these, so a kind can't be mistaken for text.
+        self.room(1)[0] = 0xf5 + token.kind as u8;
     }
 }
 
@@ -281,7 +304,9 @@
         Fold::None | Fold::Word { .. } => {}
     }
     sink.token(token);
-    if token.is_word("values") {
+    if token.kind != Kind::Word || !matches!(token.text.len(), 2 | 5 | 6) {
+        Fold::None
+    } else if token.is_word("values") {
         Fold::Word { rows: true }
     } else if token.is_word("in") || token.is_word("array") {
         Fold::Word { rows: false }
--- a/crates/gradeshunt/src/routing/mod.rs
+++ b/crates/gradeshunt/src/routing/mod.rs
@@ -292,6 +292,18 @@
         assert!(router.exposition().contains("app_contradictions 1\n"));
     }
 
+    #[test]
+    fn the_example_can_be_used() {
+        let (mut router, settings) =
+            router(include_str!("../../../../examples/rules.textproto")).expect("rules");
+        let statement = "SELECT turnout('x'::station_state) FROM t WHERE a = 1";
+        let decision = router.decide(&settings, &Origin::default(), statement);
+        assert!(
+            matches!(decision, Decision::Send(Routed { class: ClassId(1), writes: false, .. })),
+            "{decision:?}"
+        );
+    }
+
     #[test]
     fn bad_rules_are_told_by_line() {
         let complaint = |text: &str| router(text).err().unwrap_or_default();
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,12 +1,19 @@
 //! Named measurements: `gradeshunt-measure NAME` prints a table, then one line `RESULT name=value ...`, and ends with
 //! status 1 where a bound is missed. Each ends within 45 s unless `--long` is given. They are no part of CI.
 
+mod classing;
+mod relay;
 mod upgrade;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use peak_alloc::PeakAlloc;
+
+/// Counts what is held, for the measurements of memory.
+#[global_allocator]
+static HELD: PeakAlloc = PeakAlloc;
 
 /// Measures gradeshunt on this machine, with stand-ins on loopback addresses.
 #[derive(Parser)]
@@ -26,6 +33,10 @@
 enum Name {
     /// Upgrades under load, with and without a disk that stands: what ends at the door.
     Upgrade(upgrade::Options),
+    /// The classing of statements: time on a hit and on a miss, hit rates under floods, memory.
+    Classing,
+    /// CPU of the program for each request, commented and plain, beside another program (`--baseline`).
+    Relay(relay::Options),
 }
 
 /// What a measurement came to.
@@ -54,6 +65,8 @@
     let setting = Setting { long: arguments.long, program, folder };
     let report = match arguments.name {
         Name::Upgrade(options) => upgrade::measure(&setting, &options),
+        Name::Classing => Ok(classing::measure(&setting)),
+        Name::Relay(options) => relay::measure(&setting, &options),
     };
     let _ = std::fs::remove_dir_all(&setting.folder);
     report.map_err(|e| e.to_string())
