--- a/crates/classing/src/lexer.rs
+++ b/crates/classing/src/lexer.rs
@@ -48,6 +48,12 @@
         self.kind == Kind::Mark && self.text == mark.as_bytes()
     }
 
+    /// Whether it is this mark of one character.
+    #[inline]
+    pub fn is_sign(&self, sign: u8) -> bool {
+        self.kind == Kind::Mark && self.text == [sign]
+    }
+
     /// Whether it is this word, in whatever case.
     pub fn is_word(&self, word: &str) -> bool {
         self.kind == Kind::Word && self.text.eq_ignore_ascii_case(word.as_bytes())
@@ -171,9 +177,14 @@
     #[inline]
     fn skip(&mut self) -> Result<(), Unlexable> {
         loop {
-            if self.peek(0) == b' ' {
-                self.at += 1;
-                continue;
+            match self.peek(0) {
+                b' ' => {
+                    self.at += 1;
+                    continue;
+                }
+                // Nothing else begins space or a comment.
+                c if c > b' ' && c != b'-' && c != b'/' => return Ok(()),
+                _ => {}
             }
             match (self.peek(0), self.peek(1)) {
                 (b' ' | b'\t' | b'\n' | b'\r' | 0x0b | 0x0c, _) => self.at += 1,
--- a/crates/classing/src/shape.rs
+++ b/crates/classing/src/shape.rs
@@ -228,7 +228,7 @@
     fn and(self, token: &Token) -> Option<Held> {
         let plus = token.text == b"+";
         match self {
-            Held::Nothing if token.is_mark(",") => Some(Held::Comma),
+            Held::Nothing if token.is_sign(b',') => Some(Held::Comma),
             Held::Open | Held::Comma if token.kind == Kind::Operator && (plus || token.text == b"-") => {
                 Some(Held::Sign { comma: self == Held::Comma, plus })
             }
@@ -264,7 +264,7 @@
 
 fn step(fold: Fold, token: &Token, sink: &mut impl Sink) -> Fold {
     match fold {
-        Fold::Word { rows } if token.is_mark("(") || (!rows && token.is_mark("[")) => {
+        Fold::Word { rows } if token.is_sign(b'(') || (!rows && token.is_sign(b'[')) => {
             sink.token(token);
             return Fold::List { rows, held: Held::Open };
         }
@@ -279,13 +279,13 @@
                 return Fold::List { rows, held };
             }
             held.release(sink);
-            if rows && held == Held::Nothing && token.is_mark(")") {
+            if rows && held == Held::Nothing && token.is_sign(b')') {
                 sink.token(token);
                 return Fold::Row { held: Held::Nothing };
             }
         }
-        Fold::Row { held: Held::Nothing } if token.is_mark(",") => return Fold::Row { held: Held::Comma },
-        Fold::Row { held: Held::Comma } if token.is_mark("(") => {
+        Fold::Row { held: Held::Nothing } if token.is_sign(b',') => return Fold::Row { held: Held::Comma },
+        Fold::Row { held: Held::Comma } if token.is_sign(b'(') => {
             return Fold::Further { any: false, held: Held::Open };
         }
         Fold::Row { held } => held.release(sink),
@@ -296,7 +296,7 @@
             if let Some(held) = held.and(token) {
                 return Fold::Further { any, held };
             }
-            if any && held == Held::Nothing && token.is_mark(")") {
+            if any && held == Held::Nothing && token.is_sign(b')') {
                 return Fold::Row { held: Held::Nothing };
             }
             further(any, held, sink);
@@ -304,7 +304,8 @@
         Fold::None | Fold::Word { .. } => {}
     }
     sink.token(token);
-    if token.kind != Kind::Word || !matches!(token.text.len(), 2 | 5 | 6) {
+    // Most words are none of these, by their first letter.
+    if token.kind != Kind::Word || !matches!(token.text[0], b'v' | b'V' | b'i' | b'I' | b'a' | b'A') {
         Fold::None
     } else if token.is_word("values") {
         Fold::Word { rows: true }
