classify takes the operators' rules

Need: what a statement is taken for depends on the functions that the operators declare. Result: the example's rules class three statements as written in the test.

--- a/crates/gradeshunt/src/cli.rs
+++ b/crates/gradeshunt/src/cli.rs
@@ -7,6 +7,8 @@
 use gradeshunt_classing::{Access, Catalogue, Classer, Key, Told};
 use serde_json::json;
 
+use crate::routing::{rules, Origin};
+
 /// Bytes in which `classify` remembers shapes.
 const SHAPES: usize = 16 << 20;
 
@@ -42,6 +44,9 @@
     },
     /// Tell what statements do: from the arguments, or one a line from standard input.
     Classify {
+        /// The operators' rules: their functions and types count, and the class of the first route that matches is told.
+        #[arg(long)]
+        rules: Option<PathBuf>,
         #[arg(long, value_enum, default_value_t = ClassFormat::Json)]
         format: ClassFormat,
         /// Statements on standard input are separated by NUL bytes, and may have several lines.
@@ -66,20 +71,20 @@
     }
 }
 
-fn show(told: &Told, format: ClassFormat) -> String {
+fn show(told: &Told, class: Option<&str>, format: ClassFormat) -> String {
     let verdict = &*told.verdict;
     let shape = told.shape.map(|s| s.to_string());
     let (access, target) = (verdict.access.name(), target(verdict.access));
     match format {
         ClassFormat::Json => {
-            // Without rules no statement has a class.
             let cost = (f64::from(verdict.cost) * 100.0).round() / 100.0;
-            json!({"access": access, "target": target, "class": null, "shape": shape, "cost": cost, "why": verdict.why})
+            json!({"access": access, "target": target, "class": class, "shape": shape, "cost": cost, "why": verdict.why})
                 .to_string()
         }
         ClassFormat::Text => {
             let shape = shape.as_deref().unwrap_or("-");
-            format!("{access:<8} {target:<8} {:>7.2} {shape} {}", verdict.cost, verdict.why)
+            let class = class.unwrap_or("-");
+            format!("{access:<8} {target:<8} {class:<12} {:>7.2} {shape} {}", verdict.cost, verdict.why)
         }
     }
 }
@@ -87,13 +92,22 @@
 /// Classes statements, in the order in which they come.
 ///
 /// # Errors
-/// Where standard input can't be read, or standard output can't be written.
-pub fn classify(format: ClassFormat, null: bool, sql: Vec<String>) -> Result<(), String> {
+/// Where the rules or standard input can't be read, or standard output can't be written.
+pub fn classify(
+    rules: Option<PathBuf>,
+    format: ClassFormat,
+    null: bool,
+    sql: Vec<String>,
+) -> Result<(), String> {
+    let (declared, routes) = rules.map_or_else(|| Ok(Default::default()), |file| rules::outline(&file))?;
     // The same shape has the same number in every call: it is no secret here.
-    let mut classer = Classer::new(Key(0, 0), Catalogue::default(), SHAPES);
+    let mut classer = Classer::new(Key(0, 0), Catalogue::new(&declared), SHAPES);
     let mut out = BufWriter::new(io::stdout().lock());
     let mut tell = |statement: &str| {
-        let line = show(&classer.class(statement), format);
+        let told = classer.class(statement);
+        let sent = matches!(told.verdict.access, Access::Read | Access::Write | Access::Unknown);
+        let route = routes.iter().find(|(m, _)| sent && m.holds(&Origin::default(), &told.verdict));
+        let line = show(&told, route.map(|(_, class)| class.as_str()), format);
         writeln!(out, "{line}")
     };
     let mut told = Ok(());
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -513,7 +513,7 @@
             println!("{}", Config::load(Some(&config))?.summary());
             Ok(())
         }
-        Some(Command::Classify { format, null, sql }) => cli::classify(format, null, sql),
+        Some(Command::Classify { rules, format, null, sql }) => cli::classify(rules, format, null, sql),
     }
 }
 
--- a/crates/gradeshunt/src/routing/mod.rs
+++ b/crates/gradeshunt/src/routing/mod.rs
@@ -34,7 +34,7 @@
 }
 
 impl Match {
-    fn holds(&self, origin: &Origin, verdict: &Verdict) -> bool {
+    pub fn holds(&self, origin: &Origin, verdict: &Verdict) -> bool {
         let among = |list: &[String], it: &String| list.is_empty() || list.contains(it);
         let any = |list: &[String], of: &[String]| list.is_empty() || of.iter().any(|it| list.contains(it));
         (self.access.is_empty() || self.access.contains(&verdict.access))
--- a/crates/gradeshunt/src/routing/rules.rs
+++ b/crates/gradeshunt/src/routing/rules.rs
@@ -42,11 +42,39 @@
     }
 }
 
-/// Reads the text of a file.
-pub fn parse(text: &str, facts: &Facts) -> Result<Rules, String> {
+/// What a file says of statements and the names of their classes, without the settings that the classes stand in.
+///
+/// # Errors
+/// As of [`load`], but of nothing that only the settings tell.
+pub fn outline(path: &Path) -> Result<(Declared, Vec<(Match, String)>), String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    let message = read(&text).map_err(|e| format!("{}:{e}", path.display()))?;
+    let routes = list(&message, "route").into_iter().filter_map(|r| r.as_message().cloned()).map(|r| {
+        let matches =
+            inner(&r, "match").map_or_else(|| Ok(Match::default()), |m| matches(&m, &self::text(&r, "name")));
+        matches.map(|m| (m, self::text(&r, "class")))
+    });
+    let routes = routes.collect::<Result<Vec<_>, _>>().map_err(|e| format!("{}:{e}", path.display()))?;
+    Ok((declared(&message), routes))
+}
+
+fn read(text: &str) -> Result<DynamicMessage, String> {
     let pool = schema()?;
     let rules = pool.get_message_by_name("gradeshunt.Rules").ok_or("the schema has no Rules")?;
-    let message = DynamicMessage::parse_text_format(rules, text).map_err(|e| place(text, &e))?;
+    DynamicMessage::parse_text_format(rules, text).map_err(|e| place(text, &e))
+}
+
+fn declared(message: &DynamicMessage) -> Declared {
+    inner(message, "functions").map_or_else(Declared::default, |f| Declared {
+        reading: texts(&f, "reading"),
+        writing: texts(&f, "writing"),
+        types: texts(&f, "type"),
+    })
+}
+
+/// Reads the text of a file.
+pub fn parse(text: &str, facts: &Facts) -> Result<Rules, String> {
+    let message = read(text)?;
     let routes = list(&message, "route").iter().map(|r| route(r, facts)).collect::<Result<Vec<_>, _>>()?;
     if routes.is_empty() {
         return Err(" no route is given".to_owned());
@@ -54,12 +82,7 @@
     if !routes.iter().any(|r| writes(&facts.settings, r.class)) {
         return Err(" no route takes what may write: one needs a class for writes".to_owned());
     }
-    let names = |functions: &DynamicMessage, field: &str| texts(functions, field);
-    let declared = inner(&message, "functions").map_or_else(Declared::default, |f| Declared {
-        reading: names(&f, "reading"),
-        writing: names(&f, "writing"),
-        types: names(&f, "type"),
-    });
+    let declared = declared(&message);
     let kb = match number(&message, "shapes_kb") {
         0 => SHAPES_KB,
         kb => kb,
--- a/crates/gradeshunt/tests/cli.rs
+++ b/crates/gradeshunt/tests/cli.rs
@@ -46,6 +46,15 @@
     assert_eq!(accesses(&output), expected);
     let output = run(&["classify", "--null"], b"SELECT\n1\0DELETE\nFROM t\0");
     assert_eq!(accesses(&output), [pair("read", "replica"), pair("write", "primary")]);
+    let rules = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/rules.textproto");
+    let output =
+        run(&["classify", "--rules", rules], b"SELECT turnout(1) FROM t WHERE a = 1\nDELETE FROM t\nBEGIN\n");
+    let expected = [pair("read", "replica"), pair("write", "primary"), pair("session", "primary")];
+    assert_eq!(accesses(&output), expected);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let classes: Vec<_> =
+        text.lines().map(|l| l.split("\"class\":").nth(1).and_then(|c| c.split(',').next())).collect();
+    assert_eq!(classes, [Some("\"own-read\""), Some("\"plain-write\""), Some("null")]);
     let output = run(&["classify", "--format", "text", "SELECT 1", "DO $$x$$"], b"");
     let text = String::from_utf8_lossy(&output.stdout);
     let starts: Vec<_> = text.lines().filter_map(|l| l.split(' ').next()).collect();
