Pace a crowded member's turns by its own answer time

A window below one is what a proxy may hold there in the mean, but gap() (src/balance.rs) turned it into a pace by what the class usually takes: a member that takes forty times as long then holds forty times the room.

Change: a warm member's gap counts its own answer time. The least window is four attempts over all drivers, so that fleets of up to four keep theirs.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -24,7 +24,7 @@
 /// No window shrinks below this part of what members bear: less work does not mend, say, a slow link.
 const LEAST: f64 = 0.3;
 /// Nor below what holds this many attempts there over all drivers, one of a driver's at most.
-const LEAST_WINDOW: f64 = 3.0;
+const LEAST_WINDOW: f64 = 4.0;
 /// A driver's memory of what it sends and what members bear.
 const MEMORY: f64 = 10e6;
 /// Answers may take this share of their aim, in the mean, before a member counts as crowded.
@@ -574,7 +574,7 @@
         let cold = self.share(now, m) < 1.0;
         let ahead = if cold { 0.0 } else { (merit / self.merit.max(1e-12) - 1.0).clamp(-1.0, AHEAD) };
         let few = (m.out.len() as f64) < 1.0 + ahead.max(0.0);
-        few && (now - m.turn) as f64 >= self.gap(class, room) * (1.0 - ahead)
+        few && (now - m.turn) as f64 >= self.gap(now, class, m) * (1.0 - ahead)
     }
 
     /// Whether a primary has more room than what only it can do is likely to need.
@@ -584,8 +584,11 @@
         })
     }
 
-    fn gap(&self, class: ClassId, room: f64) -> f64 {
-        (self.work[class.0] / room).min(MEMORY)
+    /// The time between two turns. A cold member's room bounds the work that it is sent; a warm one's is what it
+    /// holds in the mean, which follows from what it takes over each.
+    fn gap(&self, now: Micros, class: ClassId, m: &Member) -> f64 {
+        let slow = if self.share(now, m) < 1.0 { 1.0 } else { m.slow.max(1.0) };
+        (self.work[class.0] * slow / self.room(now, m)).min(MEMORY)
     }
 
     /// Sends what the group holds, the worthiest for its work first, as far as members have room.
@@ -679,13 +682,11 @@
 
     fn send(&mut self, now: Micros, id: RequestId, to: MemberId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id) else { return };
-        let attempt = r.attempts.len() as u32;
-        let Some(room) = self.members.get(&to).map(|m| self.room(now, m)) else { return };
-        let (gap, work) = (self.gap(r.class, room), self.work[r.class.0]);
+        let (attempt, work) = (r.attempts.len() as u32, self.work[r.class.0]);
+        let Some(m) = self.members.get(&to) else { return };
+        let gap = if self.room(now, m) < 1.0 { self.gap(now, r.class, m) as Micros } else { 0 };
         let (Some(m), Some(r)) = (self.members.get_mut(&to), self.requests.get_mut(&id)) else { return };
-        if room < 1.0 {
-            m.turn = now.max(m.turn + gap as Micros);
-        }
+        m.turn = if gap > 0 { now.max(m.turn + gap) } else { m.turn };
         m.busy = (fade(m.busy, now) + work, now);
         self.watched.insert(to);
         r.copied_from = r.copied_from.or(r.doubt().map(|a| a.sent));
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -723,3 +723,34 @@
     d.request_in(1, 0, GROUP);
     assert_eq!(d.finals(1), 1);
 }
+
+#[test]
+fn crowded_primary_holds_few_attempts_of_a_large_fleet() {
+    // Guards against turns paced by what a class usually takes: a member that takes forty times as long would hold
+    // forty times the room that all drivers together give it, and answer nothing in time.
+    let held = |seed: u64| {
+        let mut s = settings(vec![WRITE]);
+        s.fleet = 100;
+        let mut d = Driver::seeded(s, seed);
+        d.members(&[PRIMARY, REPLICA], PRIMARY);
+        // It answers within 10 ms for ten seconds, then within 400 ms for as long.
+        let mut held = 0;
+        for step in 0..2_000 {
+            d.run_to(step * 10_000);
+            let takes = if step < 1_000 { 10_000 } else { 400_000 };
+            for (at, sent) in d.still_out() {
+                if d.now() >= sent + takes {
+                    d.ok_after(at, Some(d.now()), true, takes);
+                }
+            }
+            if (step + seed as i64) % 50 == 0 {
+                d.request(step as u64, WRITE, Some(step as u64));
+            }
+            held += if step >= 1_500 { d.still_out().len() } else { 0 };
+        }
+        held as f64 / 500.0
+    };
+    // Two writes a second of each are asked for: eighty attempts held in the mean, were they all sent.
+    let all: f64 = (0..100).map(held).sum();
+    assert!((1.0..25.0).contains(&all), "{all}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -246,11 +246,31 @@
     }
 
     pub fn ok(&mut self, attempt: (u64, u32, MemberId), position: Option<Micros>, primary: bool) {
-        self.over.push(attempt.0);
-        self.end(attempt, Ending::Ok, Some(Note { position, primary }), true);
+        self.ok_after(attempt, position, primary, 20_000);
+    }
+
+    pub fn ok_after(
+        &mut self,
+        at: (u64, u32, MemberId),
+        position: Option<Micros>,
+        primary: bool,
+        elapsed: Micros,
+    ) {
+        self.over.push(at.0);
+        self.end_after(at, Ending::Ok, Some(Note { position, primary }), true, elapsed);
         self.over.pop();
     }
 
+    /// Attempts still out, as request, number, member and when each was sent.
+    pub fn still_out(&self) -> Vec<((u64, u32, MemberId), Micros)> {
+        let sent = |id: u64, n: u32| {
+            let sends =
+                self.log.iter().filter(|(_, a)| matches!(a, Action::Send { request, .. } if request.0 == id));
+            sends.map(|s| s.0).nth(n as usize).unwrap()
+        };
+        self.out.iter().map(|(k, v)| ((k.0, k.1, v.0), sent(k.0, k.1))).collect()
+    }
+
     pub fn end(&mut self, at: (u64, u32, MemberId), ending: Ending, note: Option<Note>, last: bool) {
         self.end_after(at, ending, note, last, 20_000);
     }
