--- a/crates/gradeshunt/src/cli.rs
+++ b/crates/gradeshunt/src/cli.rs
@@ -21,6 +21,15 @@
     /// How lines of the log are written.
     #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
     pub log_format: LogFormat,
+    /// What the log holds: `debug` adds all that the decisions hear and ask for.
+    #[arg(long, global = true, value_enum, default_value_t = LogLevel::Info)]
+    pub log_level: LogLevel,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogLevel {
+    Info,
+    Debug,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use leadmast::*;
-use slog::{error, info};
+use slog::{debug, error, info};
 
 use crate::deadlines::Due;
 use crate::memory::Held;
@@ -410,8 +410,17 @@
         }
         while let Some(event) = self.events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
+            match &event {
+                // A line a db host: a list of thousands is no line that a reader takes.
+                Event::Members { kind, entries } => {
+                    debug!(turn.log, "members"; "kind" => ?kind, "entries" => entries.len());
+                    entries.iter().for_each(|e| debug!(turn.log, "listed"; "is" => ?e));
+                }
+                event => debug!(turn.log, "event"; "is" => ?event),
+            }
             self.balancer.handle(turn.now, event, &mut actions);
             for action in actions.drain(..) {
+                debug!(turn.log, "action"; "is" => ?action);
                 self.act(turn, action);
             }
             self.actions = actions;
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -31,7 +31,7 @@
 use slog::{info, o, warn, Drain, Logger};
 
 use backend::Backend;
-use cli::{Arguments, Command, LogFormat};
+use cli::{Arguments, Command, LogFormat, LogLevel};
 use config::Config;
 use control::{Answer, Control};
 use deadlines::Due;
@@ -476,7 +476,7 @@
     Ok(())
 }
 
-fn serve(file: Option<PathBuf>, format: LogFormat) -> Result<(), String> {
+fn serve(file: Option<PathBuf>, format: LogFormat, level: LogLevel) -> Result<(), String> {
     let config = Config::load(file.as_deref())?;
     let event_loop = EventLoop::try_new().map_err(|e| format!("cannot poll: {e}"))?;
     // Before the log's thread starts, so that it inherits the mask: only the loop hears of signals.
@@ -500,15 +500,19 @@
             .chan_size(LINES)
             .build_with_guard(),
     };
-    let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
+    let most = match level {
+        LogLevel::Info => slog::Level::Info,
+        LogLevel::Debug => slog::Level::Debug,
+    };
+    let log = Logger::root(drain.filter_level(most).fuse(), o!("proxy" => config.name.clone()));
     let proxy = Proxy::new(config, file, &event_loop, log)?;
     run(event_loop, proxy)
 }
 
 fn start(arguments: Arguments) -> Result<(), String> {
     match arguments.command {
-        None => serve(None, arguments.log_format),
-        Some(Command::Run { config }) => serve(config, arguments.log_format),
+        None => serve(None, arguments.log_format, arguments.log_level),
+        Some(Command::Run { config }) => serve(config, arguments.log_format, arguments.log_level),
         Some(Command::Check { config }) => {
             println!("{}", Config::load(Some(&config))?.summary());
             Ok(())
