Hear of members from attempts that come to nothing; try uncrowded members' errors again

Change: an attempt called off counts as one that took as long at least; one given up after half the connect time-out without a connection could not connect; an error from an uncrowded member is tried again beyond the budget, within attempts, window and wait.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -36,7 +36,7 @@
 /// What a connection is used for.
 #[derive(Debug)]
 enum Job {
-    Attempt { id: AttemptId, body: Rc<Body>, until: Micros },
+    Attempt { id: AttemptId, body: Rc<Body>, since: Micros, until: Micros },
     Probe { since: Micros },
 }
 
@@ -192,7 +192,12 @@
     pub fn carry_out(&mut self, turn: &mut Turn, exchange: &mut Exchange, order: Order) {
         match order {
             Order::Start { attempt, member, body, until } => {
-                self.begin(turn, exchange, member, Job::Attempt { id: attempt, body, until });
+                self.begin(
+                    turn,
+                    exchange,
+                    member,
+                    Job::Attempt { id: attempt, body, since: turn.now, until },
+                );
             }
             // One at a time: the one that is out answers for both.
             Order::Probe(member) if self.probes.contains_key(&member) => {}
@@ -580,7 +585,7 @@
     fn write(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, job: Job) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         let pushed = match &job {
-            Job::Attempt { id: attempt, body, until } => {
+            Job::Attempt { id: attempt, body, until, .. } => {
                 if let Some(a) = self.attempts.get_mut(attempt) {
                     a.1 = Place::On(id);
                 }
@@ -649,7 +654,12 @@
                 let Some(at) = host.waiting.iter().position(is_it) else { return };
                 let Some(job) = host.waiting.remove(at) else { return };
                 // Its connection goes on coming up, for the next one. Of an attempt nothing was sent.
-                let ending = if matches!(job, Job::Probe { .. }) { ending } else { Ending::Moot };
+                let ending = match job {
+                    Job::Probe { .. } => ending,
+                    Job::Attempt { since, .. } => {
+                        unsent(ending, turn.now - since, self.connections.connect_timeout)
+                    }
+                };
                 self.end(turn, exchange, member, job, ending, Reply::default());
             }
             Place::On(id) => {
@@ -948,6 +958,16 @@
     }
 }
 
+/// How an attempt ends that is given up while its connection comes up. Most are given up before that may take as long
+/// as the settings allow: waited for half as long in vain, they tell that the host is out of reach.
+fn unsent(ending: Ending, waited: Micros, connect_timeout: Micros) -> Ending {
+    if ending == Ending::Timeout && waited >= connect_timeout / 2 {
+        Ending::ConnectFailed
+    } else {
+        Ending::Moot
+    }
+}
+
 fn role(value: &str) -> Option<bool> {
     match value {
         "primary" => Some(true),
@@ -977,3 +997,17 @@
     }
     Some(report)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards what the decisions learn of a host that has vanished: attempts there seldom live to see the connect
+    /// time-out, and each that tells nothing is followed by another.
+    #[test]
+    fn attempt_that_waited_in_vain_for_a_connection_tells_of_it() {
+        assert_eq!(unsent(Ending::Timeout, 125_000, 250_000), Ending::ConnectFailed);
+        assert_eq!(unsent(Ending::Timeout, 124_999, 250_000), Ending::Moot);
+        assert_eq!(unsent(Ending::Cancelled, 250_000, 250_000), Ending::Moot);
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,7 +1,6 @@
 //! The decisions. Types, events and actions stand in `src/interface.rs`; docs/design.md tells the mechanism.
-//! Per key bucket the router tracks writes in flight and the highest answered position. Session reads of
-//! settled buckets go to a random draw among replicas known to have reached that position, bounded reads to
-//! replicas known to be inside the bound; all else, and unsettled reads, to the primary.
+//! Per key bucket: writes in flight and the highest answered position. Session reads of settled buckets are drawn
+//! among replicas past that position, bounded reads among those inside the bound; all else goes to the primary.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,8 +41,7 @@
 /// A read that earns this little when late is held for this share of its aim, then refused.
 const LITTLE: f64 = 0.25;
 const HOLD: f64 = 0.25;
-/// One that earns more is held this share of its time before its first attempt: a client that is told to
-/// come back before half of it is over has lost little.
+/// One that earns more is held this share of its time before its first attempt: under half of it is little lost.
 const VAIN: f64 = 0.45;
 /// Retries that a request earns, and the most that are saved up: failures can't turn into a storm.
 const RETRY_SHARE: f64 = 0.2;
@@ -423,7 +421,11 @@
         if last || r.answered {
             self.close(now, id, actions);
         } else if r.out() == 0 {
-            self.again(now, id, ending, write, actions);
+            // A miss costs no member work, an error costs one that has it to spare; all else draws on the budget.
+            let calm = self.members.get(&member).is_some_and(|m| m.strain <= CROWDED);
+            let free =
+                ending == Ending::Miss || write && ending.never_ran() || calm && ending == Ending::Error;
+            self.again(now, id, ending, free, actions);
         }
         self.dispatch(now, group, actions);
     }
@@ -519,8 +521,7 @@
         g.members.iter().filter(|id| Some(**id) != g.primary).filter(fits).copied().collect()
     }
 
-    /// The draw: two at random by size and health, the one with less of our work for its speed, or the first:
-    /// idle drivers must not all turn to the best one.
+    /// The draw: two by size and health, then less of our work: idle drivers must not all turn to the best one.
     fn draw(&mut self, now: Micros, class: ClassId, merit: f64, among: &[MemberId]) -> Option<MemberId> {
         let weigh = |m: &Member| {
             let errors = m.errors * (-((now - m.heard) as f64) / MEMORY).exp();
@@ -751,14 +752,15 @@
             // started anew when it is heard again.
             Ending::ConnectFailed => self.convict(now, id, elapsed < self.pace * LOOK),
             Ending::Reset => self.convict(now, id, true),
-            Ending::Timeout => {
+            // Called off at its deadline, it took as long at least.
+            Ending::Timeout | Ending::Cancelled => {
                 m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow).max(0.0);
                 // A client that waits for little says little of the member.
                 if elapsed as f64 > 2.0 * CROWDED * aim {
                     m.strain(now, elapsed, elapsed as f64 / aim, age, least);
                 }
             }
-            Ending::Cancelled | Ending::Moot => {}
+            Ending::Moot => {}
         }
     }
 
@@ -791,13 +793,12 @@
     }
 
     /// All attempts have ended without an answer: hold it for another, or give it up at once.
-    fn again(&mut self, now: Micros, id: RequestId, ending: Ending, write: bool, actions: &mut Vec<Action>) {
+    fn again(&mut self, now: Micros, id: RequestId, ending: Ending, free: bool, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.primary_only |= ending == Ending::Miss;
         let (group, r) = (r.group, &self.requests[&id]);
         let permitted = self.may_send(now, r, r.doubt().map_or(self.settings.zone, |a| a.zone));
-        // A miss costs no member work; anything else draws on the budget.
-        if permitted && (ending == Ending::Miss || (write && ending.never_ran()) || self.spend()) {
+        if permitted && (free || self.spend()) {
             self.hold(group, id);
         } else {
             self.give_up(now, id, actions);
@@ -859,8 +860,7 @@
         self.watched.retain(|id| self.members.get(id).is_some_and(active));
     }
 
-    /// A member that holds work of ours and says nothing for several usual answer times is a suspect. If
-    /// most are silent at once the trouble is common to all, and none is.
+    /// A member that holds work of ours in silence for several usual answer times is a suspect, unless most do.
     fn find_silent(&mut self, now: Micros) {
         let mut silent = Vec::new();
         for (id, m) in self.watched.iter().filter_map(|id| self.members.get(id).map(|m| (id, m))) {
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -820,3 +820,54 @@
     let (quick, crowded) = (sum(20_000), sum(300_000));
     assert!(quick * 2 > crowded * 3, "uncrowded {quick}, crowded {crowded}");
 }
+
+#[test]
+fn error_of_an_uncrowded_primary_is_tried_again_beyond_the_budget() {
+    // Guards against writes that fail in a row at a primary that errs often and has time to spare: nobody else can
+    // take them.
+    let failed = |takes: Micros| {
+        let mut d = Driver::new(settings(vec![WRITE]));
+        d.members(&[PRIMARY, REPLICA], PRIMARY);
+        for id in 0..40 {
+            d.run_to(id as i64 * 300_000);
+            d.request(id, WRITE, Some(id));
+            // Three in four attempts end in an error.
+            for n in 0..3 {
+                let Some((at, sent)) = d.still_out().into_iter().find(|(at, _)| at.0 == id) else { break };
+                d.run_to(sent + takes);
+                let note = Some(Note { position: Some(d.now()), primary: true });
+                d.end_after(at, if n < 2 { Ending::Error } else { Ending::Ok }, note, n == 2, takes);
+            }
+        }
+        (0..40).map(|id| d.finals(id)).sum::<usize>()
+    };
+    assert!(failed(10_000) == 0, "{} of 40 failed", failed(10_000));
+    assert!(failed(90_000) > 20, "one that is crowded is spared: {}", failed(90_000));
+}
+
+#[test]
+fn attempts_called_off_at_their_deadline_tell_that_a_member_is_crowded() {
+    // Guards against a member that answers some and leaves the rest to their deadline: judged by its answers alone it
+    // would count as quick.
+    let sends = |answered: u64| {
+        let mut s = settings(vec![ANY]);
+        s.fleet = 100;
+        let mut d = Driver::new(s);
+        d.members(&[PRIMARY], PRIMARY);
+        for id in 0..1_000 {
+            d.run_to(id as i64 * 20_000);
+            d.repeat(id, ANY, 150_000);
+            if let [to] = d.sent(id)[..] {
+                if id % 4 < answered {
+                    d.ok_after((id, 0, to), Some(d.now()), true, 10_000);
+                } else {
+                    d.handle(Event::Gone { request: RequestId(id) });
+                    d.end_after((id, 0, to), Ending::Cancelled, None, true, 150_000);
+                }
+            }
+        }
+        (800..1_000).filter(|id| !d.sent(*id).is_empty()).count()
+    };
+    let (quick, half) = (sends(4), sends(2));
+    assert!(quick == 200 && half < 150, "quick {quick}, answering half {half}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -279,7 +279,7 @@
         self.end_after(at, Ending::ConnectFailed, None, false, elapsed);
     }
 
-    fn end_after(
+    pub fn end_after(
         &mut self,
         (id, attempt, member): (u64, u32, MemberId),
         ending: Ending,
