Read plain statements only from replicas known to have what the session wrote

Where db hosts check reads (whenBehind bounce) eligible() tries a replica that should be recent enough by now, since a miss is cheap (src/balance.rs). A plain statement carries no position, so the replica can't check, and answers from what it has.

Change: a request says whether db hosts can check it; plain statements can't, and take only replicas known to be recent enough. Nothing changes on this platform, where every statement has its routing comment.

--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -70,6 +70,8 @@
     pub deadline: Micros,
     pub since_write: Option<Micros>,
     pub repeat: bool,
+    /// Whether a db host can tell from the statement what it has to see.
+    pub checked: bool,
     pub body: Body,
 }
 
@@ -239,7 +241,7 @@
     pub fn submit(&mut self, turn: &mut Turn, call: Call) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
-        let Call { class, group, key, deadline, since_write, repeat, body } = call;
+        let Call { class, group, key, deadline, since_write, repeat, checked, body } = call;
         self.tally.requests += 1;
         // The module answers by the deadline. Should it not, the client gets its answer all the same.
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
@@ -259,7 +261,16 @@
         self.requests.insert(id, request);
         self.tell(
             turn,
-            Event::Request(Arrival { request: id, class, group, key, deadline, since_write, repeat }),
+            Event::Request(Arrival {
+                request: id,
+                class,
+                group,
+                key,
+                deadline,
+                since_write,
+                repeat,
+                checked,
+            }),
         );
         id
     }
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -664,7 +664,10 @@
         let (repeat, wait_at) = (c.repeat, c.wait_at);
         debug!(turn.log, "request"; "class" => class.0, "wait_ms" => c.wait_ms);
         let body = Body::new(text, Some(wait_at), Form::Value);
-        Ok(Step::Call(Box::new(Call { class, group, key, deadline, since_write, repeat, body }), id))
+        Ok(Step::Call(
+            Box::new(Call { class, group, key, deadline, since_write, repeat, checked: true, body }),
+            id,
+        ))
     }
 
     /// A statement without a routing comment goes where the operators' rules say. The connection is its session: what
@@ -694,7 +697,7 @@
         };
         let key = Some(fnv(&format!("session {}", session.0)));
         let deadline = turn.now + (wait - turn.unread).max(1);
-        let call = Call { class, group, key, deadline, since_write, repeat: false, body };
+        let call = Call { class, group, key, deadline, since_write, repeat: false, checked: false, body };
         Ok(Step::Call(Box::new(call), id))
     }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -138,6 +138,8 @@
     deadline: Micros,
     /// A session read's needed position; `None` without one.
     need: Option<Micros>,
+    /// Whether members check that themselves.
+    checked: bool,
     /// A write's number in its bucket.
     sequence: u64,
     /// A replica turned it away: only the primary will do.
@@ -346,7 +348,7 @@
     }
 
     fn on_request(&mut self, now: Micros, arrival: Arrival, actions: &mut Vec<Action>) {
-        let Arrival { request: id, class, group, key, deadline, since_write, repeat } = arrival;
+        let Arrival { request: id, class, group, key, deadline, since_write, repeat, checked } = arrival;
         let Some(c) = self.settings.classes.get(class.0) else {
             actions.push(Action::Fail { request: id });
             return;
@@ -370,6 +372,7 @@
             began,
             deadline,
             need,
+            checked,
             sequence: if write { self.sequence } else { 0 },
             ..Request::default()
         };
@@ -507,7 +510,7 @@
             None => Vec::new(),
         };
         // Where members check reads themselves, one slightly behind is tried: a miss costs less than a probe.
-        let slack = self.settings.behind.slack();
+        let slack = self.settings.behind.slack().filter(|_| r.checked);
         if let (true, Some(need), Some(slack)) = (found.is_empty(), self.need(now, r), slack) {
             found = self.replicas(r.group, |m| m.outlook(now) + slack >= need);
         }
@@ -618,8 +621,7 @@
             let spare = lone && self.need(now, &r).is_some();
             let worth = if spare { worth / 2.0 } else { worth };
             let mut target = self.draw(now, r.class, worth, &among);
-            // Where the replicas that qualify have no room, a primary with room to spare takes reads too: a few
-            // that keep up while the others lag would else drown beside it.
+            // Where those have no room, a primary with room to spare takes reads too: a few recent ones would drown.
             if let (None, false, Some(p)) = (target, lone, primary.filter(|p| self.spares(now, *p))) {
                 target = self.draw(now, r.class, worth / 2.0, &[p]);
             }
@@ -639,8 +641,7 @@
         }
     }
 
-    /// A read that only ignorance keeps from the replicas waits for one probe's answer, no longer: with many
-    /// drivers each hears from a member so seldom that primaries would drown in reads that others could take.
+    /// A read that only ignorance keeps from replicas waits for one probe's answer: with many drivers primaries drown.
     fn enquire(&mut self, now: Micros, r: &mut Request, actions: &mut Vec<Action>) -> bool {
         let Some(need) = self.need(now, r).filter(|n| *n > NEVER && r.out() == 0) else { return false };
         if let Some(asked) = r.asked {
@@ -748,8 +749,7 @@
             Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(now - self.pace * LOOK) => {
                 m.strike = now
             }
-            // A process that is gone refuses at once. One that never answers is out of reach, and need not have
-            // started anew when it is heard again.
+            // One that is gone refuses at once; one that never answers is out of reach, and need not start anew.
             Ending::ConnectFailed => self.convict(now, id, elapsed < self.pace * LOOK),
             Ending::Reset => self.convict(now, id, true),
             // Called off at its deadline, it took as long at least.
--- a/src/bin/leadmast-wirehost/wire.rs
+++ b/src/bin/leadmast-wirehost/wire.rs
@@ -167,6 +167,7 @@
     let class = names.site.class(band);
     Ok(Event::Request(Arrival {
         request: RequestId(row.int(1, "corr")?),
+        checked: true,
         repeat: row.int(2, "marks")? & 2 != 0,
         deadline: row.time(3, "notAfter")?,
         key: row.maybe(6, "key", "a whole number", Value::as_u64)?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -352,6 +352,8 @@
     pub since_write: Option<Micros>,
     /// The client marked it as a repeat.
     pub repeat: bool,
+    /// A member can tell from it what the read has to see, and turn it away where it is behind.
+    pub checked: bool,
 }
 
 /// How an attempt ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,7 +35,7 @@
 //! actions.clear();
 //! let read = Event::Request(Arrival {
 //!     request: RequestId(1), class: ClassId(0), group: GroupId(1), key: None,
-//!     deadline: 1_000_000, since_write: None, repeat: false,
+//!     deadline: 1_000_000, since_write: None, repeat: false, checked: true,
 //! });
 //! balancer.handle(5_000, read, &mut actions);
 //! // The read spares the primary.
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -871,3 +871,28 @@
     let (quick, half) = (sends(4), sends(2));
     assert!(quick == 200 && half < 150, "quick {quick}, answering half {half}");
 }
+
+#[test]
+fn read_that_members_cannot_check_takes_no_replica_that_is_only_supposed_to_be_recent() {
+    // Guards against stale answers to plain statements, which carry no position for a replica to check.
+    for (checked, expect) in [(true, REPLICA), (false, PRIMARY)] {
+        let mut s = settings(vec![SESSION]);
+        (s.tokens, s.behind) = (Tokens::Carried, Behind::Refuse);
+        let mut d = Driver::new(s);
+        d.members(&[PRIMARY, REPLICA], PRIMARY);
+        d.at(1_000_000);
+        d.position(REPLICA, 999_000);
+        d.at(1_005_000);
+        d.handle(Event::Request(Arrival {
+            request: RequestId(1),
+            class: ClassId(0),
+            group: GROUP,
+            key: Some(7),
+            deadline: 1_900_000,
+            since_write: Some(6_000),
+            repeat: false,
+            checked,
+        }));
+        assert_eq!(d.sent(1), vec![expect], "checked {checked}");
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -219,6 +219,7 @@
             deadline,
             since_write,
             repeat: true,
+            checked: true,
         }));
     }
 
@@ -236,6 +237,7 @@
             deadline,
             since_write: since,
             repeat: false,
+            checked: true,
         }));
     }
 
