Refuse an absurd fleet size or number at start, naming the field

Need: all that is bounded over the fleet is divided by fleetSize; 0, or a number beyond it, was taken without a word.

Result: the four cases of the configuration test pass; the program before it starts and serves with fleetSize 0.

--- a/crates/gradeshunt/tests/config.rs
+++ b/crates/gradeshunt/tests/config.rs
@@ -14,6 +14,14 @@
         ("odd-control", good.replace("127.0.0.1:5439", "5441"), "control is not an address"),
         ("few-sockets", good.replace("1024", "5"), "limits.sockets is too small"),
         ("odd-read", good.replace("\"causal\"", "\"casual\""), "casual"),
+        ("no-fleet", good.replace("\"fleetSize\"", "\"fleet\""), "fleetSize is missing"),
+        ("empty-fleet", good.replace("\"fleetSize\": 1", "\"fleetSize\": 0"), "fleetSize is 0"),
+        (
+            "absurd-fleet",
+            good.replace("\"fleetSize\": 1", "\"fleetSize\": -3"),
+            "fleetSize is not a whole number",
+        ),
+        ("beyond-fleet", good.replace("\"me\": 0", "\"me\": 1"), "me is 1, of proxies 0 to 0"),
         ("odd-known", good.replace("\"instances\"", "\"instance\""), "a list without instances"),
     ];
     for (name, text, complaint) in cases {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -125,11 +125,19 @@
     for v in facts.list("categories")? {
         names.classes.push(Keys::new("facts.categories[]", Some(v))?.text("name")?.to_owned());
     }
+    let (fleet, me) = (facts.count("fleetSize")?, facts.count("me")?);
+    // All that is bounded over the fleet is divided by it.
+    if fleet == 0 {
+        return Err("facts.fleetSize is 0: there is this proxy at least".into());
+    }
+    if me >= fleet {
+        return Err(format!("facts.me is {me}, of proxies 0 to {}", fleet - 1));
+    }
     let settings = Settings {
         classes: classes(&facts, &family)?,
         zone: names.zone(facts.text("zone")?)?,
-        fleet: facts.count("fleetSize")?,
-        me: facts.count("me")?,
+        fleet,
+        me,
         tick: facts.time("tick")?,
         list_on_request: facts.word("membershipMode", |w| match w {
             "on_request" => Some(true),
