Keep reads off crowded primaries in large fleets; try again what may have caught up

Eight seconds after the burst primaries still serve 15 page-reads a second each and replicas 20 where they served 32: of 1,826 page-reads refused unsent at 13 s 1,181 had no member but the primary, since replicas seen to lag once were never tried again. Lines to blame: dispatch sends reads with no recent replica to the primary as far as one driver's room there goes (one of 300 hears of it every five seconds, too late), a read that a replica missed counts in full there (need is None then); outlook takes a lag for good.

Change: in a fleet of more drivers than FIRST_WINDOW, reads that replicas could serve stay off primaries while the mean answer of primaries at large takes over CROWDED of its aim; such reads and missed ones count half there; a replica whose lag may have faded is tried where no better is known. Small fleets keep their rule.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,6 +1,5 @@
 //! The decisions. Types, events and actions stand in `src/interface.rs`; docs/design.md tells the mechanism.
-//! Per key bucket: writes in flight and the highest answered position. Session reads of settled buckets are drawn
-//! among replicas past that position, bounded reads among those inside the bound; all else goes to the primary.
+//! Session reads of settled buckets are drawn among replicas past the bucket's position, bounded ones among those inside.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -49,8 +48,7 @@
 /// Points that probes may cost, as a share of one; and probes that may be saved up.
 const PROBE_POINTS: f64 = 0.014;
 const PROBE_SAVED: f64 = 8.0;
-/// Shortest paces in the longest wait of a read for a probe that may open a replica to it, and in the first gap
-/// between looks at a suspect; the longest such gap.
+/// Shortest paces in a read's longest wait for a probe, and in the first gap between looks; the longest such gap.
 const ENQUIRY: i64 = 5;
 const LOOK: i64 = 10;
 const LOOK_LONGEST: Micros = 4_000_000;
@@ -66,7 +64,6 @@
     entry: Entry,
     /// The rule on drains forbids sends: listed as draining, or gone where that binds.
     barred: bool,
-    /// Held out by hand.
     held_out: bool,
     position: Micros,
     heard_position: Micros,
@@ -199,6 +196,8 @@
     served: Recent,
     warm: (f64, Micros),
     merit: f64,
+    /// How crowded primaries were of late, as shares of aims.
+    crowd: Recent,
 }
 
 impl Balancer {
@@ -229,6 +228,7 @@
             served: (0.0, now),
             warm: (1.0, NEVER),
             merit: 0.0,
+            crowd: (0.0, now),
             settings,
         }
     }
@@ -326,11 +326,8 @@
         g.members.insert(id);
         let fresh = Entry { since: None, ..entry.clone() };
         let m = self.members.entry(id).or_insert_with(|| Member::new(fresh, self.settings.fleet));
-        m.barred = match entry.phase {
-            Phase::Up => false,
-            Phase::Draining => true,
-            Phase::Removed => m.barred || !self.settings.rules.dropped_stay_open,
-        };
+        let binds = m.barred || !self.settings.rules.dropped_stay_open;
+        m.barred = entry.phase == Phase::Draining || entry.phase == Phase::Removed && binds;
         let started = entry.since > m.entry.since;
         m.entry = Entry { since: entry.since.max(m.entry.since), ..entry };
         // The list is hearsay: it names a primary only where no member's own word says otherwise.
@@ -501,18 +498,19 @@
         let c = &self.settings.classes[r.class.0];
         let mut found = match self.need(now, r) {
             Some(need) => self.replicas(r.group, |m| m.position >= need),
-            // A write looks for a lost primary itself: a miss costs no member work and no probe, and tells
-            // the role. Its attempts are spread over its patience, so that it is not out of them too soon.
+            // A write looks for a lost primary itself, all its patience long: a miss tells the role and costs no work.
             None if primary.is_none() && c.read == ReadLevel::Write => {
                 let gap = c.deadline / i64::from(self.settings.allowed.attempts.max(1));
                 self.replicas(r.group, |m| m.role.is_none_or(|(_, at)| now - at > gap))
             }
             None => Vec::new(),
         };
-        // Where members check reads themselves, one slightly behind is tried: a miss costs less than a probe.
+        // Where members check reads, one slightly behind is tried, else one that may have caught up: a miss is cheap.
         let slack = self.settings.behind.slack().filter(|_| r.checked);
-        if let (true, Some(need), Some(slack)) = (found.is_empty(), self.need(now, r), slack) {
-            found = self.replicas(r.group, |m| m.outlook(now) + slack >= need);
+        for past in [FOREVER, 2 * AWAY] {
+            if let (true, Some(need), Some(slack)) = (found.is_empty(), self.need(now, r), slack) {
+                found = self.replicas(r.group, |m| m.outlook(now, past) + slack >= need);
+            }
         }
         found.extend(primary.filter(|_| found.is_empty()));
         found
@@ -580,11 +578,15 @@
         few && (now - m.turn) as f64 >= self.gap(now, class, m) * (1.0 - ahead)
     }
 
+    /// Whether primaries at large are crowded: of one alone a driver of a large fleet hears too seldom to tell in time.
+    fn crowded(&self, now: Micros) -> bool {
+        f64::from(self.settings.fleet) > FIRST_WINDOW && fade(self.crowd, now) > CROWDED
+    }
+
     /// Whether a primary has more room than what only it can do is likely to need.
     fn spares(&self, now: Micros, id: MemberId) -> bool {
-        self.members.get(&id).is_some_and(|m| {
-            m.usable() && m.strain <= CROWDED && m.out.len() as f64 + 1.0 <= self.room(now, m) * SPARE
-        })
+        let m = self.members.get(&id).filter(|m| m.usable() && m.strain <= CROWDED && !self.crowded(now));
+        m.is_some_and(|m| m.out.len() as f64 + 1.0 <= self.room(now, m) * SPARE)
     }
 
     /// The time between two turns. A cold member's room bounds the work that it is sent; a warm one's is what it holds
@@ -613,20 +615,25 @@
             let Some(mut r) = self.requests.remove(&id) else { continue };
             let among = self.eligible(now, &r);
             let lone = among.iter().all(|to| primary == Some(*to));
-            if lone && self.enquire(now, &mut r, actions) {
+            // Reads that fall back on the primary leave its turns to what only it can do.
+            let read = self.settings.classes[r.class.0].read;
+            let off = matches!(read, ReadLevel::Bounded(_) | ReadLevel::Any) && self.crowded(now);
+            if lone && (self.enquire(now, &mut r, actions) || off) {
                 self.requests.insert(id, r);
                 continue;
             }
-            // Reads that fall back on the primary leave its turns to what only it can do.
-            let spare = lone && self.need(now, &r).is_some();
-            let worth = if spare { worth / 2.0 } else { worth };
+            let worth = if lone && !matches!(read, ReadLevel::Write | ReadLevel::Fresh) {
+                worth / 2.0
+            } else {
+                worth
+            };
             let mut target = self.draw(now, r.class, worth, &among);
             // Where those have no room, a primary with room to spare takes reads too: a few recent ones would drown.
             if let (None, false, Some(p)) = (target, lone, primary.filter(|p| self.spares(now, *p))) {
                 target = self.draw(now, r.class, worth / 2.0, &[p]);
             }
             // Session reads differ in what they need.
-            if target.is_none() && self.settings.classes[r.class.0].read != ReadLevel::Session {
+            if target.is_none() && read != ReadLevel::Session {
                 full.insert(kind);
             }
             let target = target.filter(|to| self.may_send(now, &r, self.members[to].entry.zone));
@@ -649,7 +656,7 @@
             return m.and_then(|m| m.probing).is_some_and(|sent| now - sent < self.pace * ENQUIRY / 2);
         }
         // Drawn among those that should be recent enough: all drivers must not ask the same one.
-        let old = |m: &Member| m.outlook(now) >= need && now - m.heard_position > self.pace * 2;
+        let old = |m: &Member| m.outlook(now, 2 * AWAY) >= need && now - m.heard_position > self.pace * 2;
         let likely = self.replicas(r.group, old);
         let Some(to) = self.rng.choice(&likely).copied() else { return false };
         if self.members[&to].probing.is_none() && !self.probe(now, to, actions) {
@@ -711,16 +718,23 @@
     /// What an outcome says of the member's health, speed and room.
     fn judge(&mut self, now: Micros, outcome: &Outcome, class: ClassId) {
         let Outcome { member: id, ending, elapsed, .. } = *outcome;
-        let borne = self.borne(now);
+        let (borne, fleet) = (self.borne(now), f64::from(self.settings.fleet.max(1)));
+        let share = elapsed as f64 / (self.settings.classes[class.0].aim as f64).max(1.0);
         let Some(m) = self.members.get_mut(&id) else { return };
-        let aim = (self.settings.classes[class.0].aim as f64).max(1.0);
+        // A client that waits for little says little of the member.
+        let late = matches!(ending, Ending::Timeout | Ending::Cancelled) && share > 2.0 * CROWDED;
+        let primary = self.groups.get(&m.entry.group).is_some_and(|g| g.primary == Some(id));
+        if primary && (late || matches!(ending, Ending::Ok | Ending::Full)) {
+            let told = if ending == Ending::Full { 1.0 } else { share.min(2.0) };
+            let fresh = (1.0 - ((self.crowd.1 - now) as f64 / AWAY as f64).exp()).max(0.1);
+            self.crowd = (self.crowd.0 + fresh * (told - self.crowd.0), now);
+        }
         // How long this tells of: as answers get rare each counts for more, up to a few seconds' worth.
         let age = ((now - m.heard) as f64 / AWAY as f64).min(3.0);
         let fresh = 1.0 - (-age).exp();
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Miss | Ending::Full) {
             m.heard = now;
         }
-        let fleet = f64::from(self.settings.fleet.max(1));
         let least = (m.entry.weight.max(0.01) * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
         let ratio = elapsed as f64 / self.work[class.0];
         if ending == Ending::ConnectFailed && elapsed < self.pace * LOOK {
@@ -734,7 +748,7 @@
                 self.tail = (self.tail + if long { 2.0 } else { -2.0 * TAIL }).clamp(PATIENT.0, PATIENT.1);
                 m.errors *= 0.9 - 0.2 * fresh;
                 m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow);
-                m.strain(now, elapsed, elapsed as f64 / aim, age, least);
+                m.strain(now, elapsed, share, age, least);
                 let rise = if m.strain > CROWDED { 0.0 } else { 0.03 };
                 self.work[class.0] *= 1.0 + if ratio < 1.0 { -0.03 } else { rise };
             }
@@ -755,9 +769,8 @@
             // Called off at its deadline, it took as long at least.
             Ending::Timeout | Ending::Cancelled => {
                 m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow).max(0.0);
-                // A client that waits for little says little of the member.
-                if elapsed as f64 > 2.0 * CROWDED * aim {
-                    m.strain(now, elapsed, elapsed as f64 / aim, age, least);
+                if late {
+                    m.strain(now, elapsed, share, age, least);
                 }
             }
             Ending::Moot => {}
@@ -809,11 +822,8 @@
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
-        let harmless = match self.settings.classes[r.class.0].effect {
-            Effect::Safe | Effect::Keyed { scope: Scope::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Unsafe => r.doubt().is_none(),
-        };
-        if harmless {
+        let effect = self.settings.classes[r.class.0].effect;
+        if r.doubt().is_none() || matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. }) {
             let a = &self.settings.allowed;
             let hold = (self.settings.classes[r.class.0].aim as f64 * HOLD) as Micros;
             let retry_after = a.retry_after.then_some(hold.min(a.max_retry_after));
@@ -830,11 +840,9 @@
         let first = self.due.remove(&(r.deadline, id));
         r.answered = true;
         self.groups.entry(r.group).or_default().held.remove(&id);
-        if first && self.settings.allowed.cancel {
-            for (n, _) in r.attempts.iter().enumerate().filter(|(_, a)| a.ending.is_none()) {
-                actions.push(Action::Cancel { request: id, attempt: n as u32 });
-            }
-        }
+        let cancel = first && self.settings.allowed.cancel;
+        let out = r.attempts.iter().zip(0..).filter(|(a, _)| cancel && a.ending.is_none());
+        actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
         if r.out() > 0 {
             return;
         }
@@ -851,10 +859,7 @@
         self.find_silent(now);
         self.shed(now, actions);
         self.look(now, actions);
-        if self.ask_at.is_some_and(|at| now >= at) {
-            self.ask_at = None;
-            actions.push(Action::Watch);
-        }
+        actions.extend(self.ask_at.take_if(|at| now >= *at).map(|_| Action::Watch));
         self.holding.clone().into_iter().for_each(|group| self.dispatch(now, group, actions));
         let active = |m: &Member| !m.out.is_empty() || m.suspect || now - m.heard <= AWAY;
         self.watched.retain(|id| self.members.get(id).is_some_and(active));
@@ -901,25 +906,21 @@
         lost.into_iter().for_each(|id| self.give_up(now, id, actions));
     }
 
-    /// Looks at suspects, out of the probe budget. Probes may fail while members serve: so a suspect is tested by
-    /// requests after a while, and soon suspected again if it is silent.
+    /// Looks at suspects. Probes may fail while members serve: after a while requests test a suspect, too.
     fn look(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let mut wanted = Vec::new();
-        for id in &self.watched {
-            let Some(m) = self.members.get_mut(id).filter(|m| m.suspect && !m.barred && !m.held_out) else {
+        for id in self.watched.clone() {
+            let Some(m) = self.members.get_mut(&id).filter(|m| m.suspect && !m.barred && !m.held_out) else {
                 continue;
             };
-            if now >= m.look_at {
+            let due = now >= m.look_at;
+            if due {
                 m.look_at = now + (now - m.ill_since).clamp(self.pace * LOOK, LOOK_LONGEST);
                 if now - m.ill_since > 2 * AWAY {
                     m.recover(now);
                 }
-                wanted.push(*id);
             }
             self.look_at = self.look_at.min(m.look_at);
-        }
-        for id in wanted {
-            self.probe(now, id, actions);
+            let _ = due && self.probe(now, id, actions);
         }
     }
 
@@ -947,14 +948,14 @@
             pause: NEVER,
             ill_since: NEVER,
             strike: NEVER,
-            look_at: NEVER,
             ..Member::default()
         }
     }
 
-    /// Where its position should be by now if it keeps up; one never heard of counts as recent.
-    fn outlook(&self, now: Micros) -> Micros {
-        self.position + (now - self.heard_position)
+    /// Where its position should be by now if its lag fades within `past`; one never heard of counts as recent.
+    fn outlook(&self, now: Micros, past: Micros) -> Micros {
+        let (age, lag) = ((now - self.heard_position) as f64, self.heard_position - self.position);
+        now - (lag as f64 * (-age / past as f64).exp()) as Micros
     }
 
     /// Answer times near the aim mean a queue there: the window shrinks, at most once an answer time.
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -890,3 +890,58 @@
         assert_eq!(d.sent(1), vec![expect], "checked {checked}");
     }
 }
+
+/// Whether one driver of so many sends a read that no replica is known to be recent enough for to its primary, after
+/// writes at another set's primary that were answered late.
+fn read_reaches_the_primary_after_late_answers_elsewhere(fleet: u32, seed: u64) -> bool {
+    let mut s = settings(vec![WRITE, BOUNDED]);
+    s.fleet = fleet;
+    let mut d = Driver::seeded(s, seed);
+    let other = |m, leader| Entry { group: GroupId(2), ..entry(m, leader) };
+    let sets =
+        vec![entry(PRIMARY, true), entry(REPLICA, false), other(THIRD, true), other(MemberId(3), false)];
+    d.list(ListKind::Full, sets);
+    for id in 0..3 {
+        d.run_to(id as i64 * 200_000);
+        let write = d.write(id, id);
+        d.run_to(d.now() + 150_000);
+        d.ok_after(write, Some(d.now()), true, 150_000);
+    }
+    d.request_in(100, 1, GroupId(2));
+    d.settle_probes();
+    d.run_to(d.now() + 30_000);
+    d.sent(100) == [THIRD]
+}
+
+#[test]
+fn reads_of_a_large_fleet_keep_off_primaries_that_are_crowded_at_large() {
+    // Guards against reads that drown all primaries in a crowd: one proxy of 300 sends a primary a request in seconds,
+    // learns of each too late, and all of them together send it more than it bears.
+    let reads = |fleet| {
+        (0..300).filter(|seed| read_reaches_the_primary_after_late_answers_elsewhere(fleet, *seed)).count()
+    };
+    assert_eq!(reads(300), 0, "of 300 drivers");
+    assert_eq!(reads(3), 300, "a small fleet judges each primary by its own answers");
+}
+
+#[test]
+fn replica_that_was_behind_is_tried_again_after_a_while() {
+    // Guards against reads that stay at the primary for good once its replicas were seen to lag: nobody but a read
+    // would find out that they have caught up.
+    let tried = |after: Micros| {
+        let one = |seed: &u64| {
+            let mut s = settings(vec![BOUNDED]);
+            (s.fleet, s.behind, s.allowed.probes) = (300, Behind::Refuse, false);
+            let mut d = Driver::seeded(s, *seed);
+            d.members(&[PRIMARY, REPLICA], PRIMARY);
+            d.at(5_000_000);
+            d.position(REPLICA, 4_000_000);
+            d.at(5_000_000 + after);
+            d.request(1, BOUNDED, None);
+            d.sent(1) == [REPLICA]
+        };
+        (0..300).filter(one).count()
+    };
+    assert_eq!(tried(100_000), 0, "it lags by a second, and 300 ms are allowed");
+    assert_eq!(tried(4_000_000), 300);
+}
