--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -1,6 +1,6 @@
 //! The server side: connections to db hosts, their pool, attempts and probes.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -222,8 +222,8 @@
     pub fn list(&mut self, turn: &mut Turn, exchange: &mut Exchange, kind: ListKind, listed: &[Listed]) {
         let mut closed = Vec::new();
         if matches!(kind, ListKind::Full | ListKind::Saved) {
-            let gone = |m: &MemberId| !listed.iter().any(|l| l.member == *m);
-            for (member, host) in self.hosts.iter_mut().filter(|(m, _)| gone(m)) {
+            let all: BTreeSet<_> = listed.iter().map(|l| l.member).collect();
+            for (member, host) in self.hosts.iter_mut().filter(|(m, _)| !all.contains(m)) {
                 host.standing = Standing::Gone;
                 closed.push(*member);
             }
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -246,8 +246,9 @@
             // The module hears of a change before the pool acts on it, and before anything else is sent.
             if !self.news.is_empty() {
                 let news = self.news.remove(0);
-                for what in &news.unreadable {
-                    warn!(turn.log, "unreadable entry in the list of db hosts"; "what" => what);
+                for what in &news.why {
+                    warn!(turn.log, "unreadable entry in the list of db hosts"; "what" => what,
+                        "of" => news.unreadable);
                 }
                 self.frontend.able |= !news.entries.is_empty();
                 let heard = matches!(news.kind, ListKind::Full | ListKind::Incremental);
