--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,8 @@
 //! A driver for tests: it feeds a balancer and keeps what it asked for.
 
+// Each file of tests uses some of it.
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 
 use leadmast::*;
@@ -86,7 +89,6 @@
     over: Vec<u64>,
 }
 
-#[allow(dead_code)]
 impl Driver {
     pub fn new(settings: Settings) -> Self {
         Driver::seeded(settings, 42)
