Answer a client that takes its leave right behind its request

Seen: a client that sends Query and Terminate in one packet got no answer. Frontend::answer pushed the answer and called ready, which reads on: it took the Terminate and closed the session before a byte of the answer was written. The answer is written before anything else is read now, and a Terminate that comes while some of an answer is unwritten closes the session only once that is out. Recorded exchange: goodbye (fails without the change; the second case depends on how full a socket is and has no test of its own).

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -445,6 +445,8 @@
             // The client has not read its earlier answers; nothing whole can follow them.
             return self.close(turn, id);
         }
+        // Before anything else is read: a client that takes its leave right behind its request gets its answer.
+        self.flush(turn, id);
         // What the client sent meanwhile may still stand unread in its socket.
         self.ready(turn, exchange, id);
     }
@@ -571,6 +573,11 @@
         let skipping = s.skipping;
         let w = Writer::default();
         let reply = match tag {
+            // Its last answer may not be written whole yet.
+            b'X' if !s.outbound.is_empty() => {
+                self.last_word(turn, id, w);
+                return Ok(false);
+            }
             b'X' => {
                 s.ended = true;
                 return Ok(true);
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -385,6 +385,7 @@
     write
     pipelined
     gone
+    goodbye
     reset
     cut_value
     stale_pool
