Keep tenants' shares: what is beyond one goes after what is worth more

Changed: settings read tenants and their rates, with clear errors; each proxy holds its part of a rate (rate / fleetSize, half a second saved up), refused tries give it back; what is beyond counts overShareWorth in its merit; what is worth under a quarter of the mean gets a quarter of a member's room; figures by tenant and share on /status/metrics and in the log.

--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -10,7 +10,7 @@
 use slog::warn;
 
 use crate::deadlines::Due;
-use crate::exchange::Figures;
+use crate::exchange::{Count, Figures};
 use crate::ids::CallerId;
 use crate::ring::{Moved, Ring};
 use crate::turn::{self, Polled, Source, Turn};
@@ -266,14 +266,25 @@
 }
 
 /// The figures as text: a line each, by class where a class has its own.
-pub fn exposition(figures: &Figures, classes: &[String]) -> String {
+pub fn exposition(figures: &Figures, classes: &[String], tenants: &[String]) -> String {
+    let statuses = |c: &Count| [("success", c.served), ("overload", c.refused), ("error", c.failed)];
     let mut text = String::from("# TYPE app_replies counter\n");
     for (class, count) in classes.iter().zip(&figures.classes) {
-        let counts = [("success", count.served), ("overload", count.refused), ("error", count.failed)];
-        for (status, n) in counts {
+        for (status, n) in statuses(count) {
             let _ = writeln!(text, "app_replies{{type=\"{class}\",status=\"{status}\"}} {n}");
         }
     }
+    if !tenants.is_empty() {
+        text += "# TYPE app_tenant_replies counter\n";
+    }
+    for (tenant, count) in tenants.iter().zip(&figures.tenants) {
+        for (share, count) in [("within", &count.within), ("beyond", &count.beyond)] {
+            for (status, n) in statuses(count) {
+                let labels = format!("tenant={tenant:?},share=\"{share}\",status=\"{status}\"");
+                let _ = writeln!(text, "app_tenant_replies{{{labels}}} {n}");
+            }
+        }
+    }
     let totals = [
         ("dispatches", "counter", figures.dispatches),
         ("concurrent", "gauge", figures.concurrent),
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -72,6 +72,8 @@
     pub repeat: bool,
     /// Whether a db host can tell from the statement what it has to see.
     pub checked: bool,
+    /// Whose it is, where the settings name tenants.
+    pub tenant: Option<TenantId>,
     pub body: Body,
 }
 
@@ -148,6 +150,9 @@
 
 struct Request {
     class: ClassId,
+    /// Its place in [`Figures::tenants`], and whether it is beyond that tenant's share.
+    tenant: usize,
+    beyond: bool,
     deadline: Micros,
     body: Rc<Body>,
     sends: u32,
@@ -183,10 +188,20 @@
     pub failed: u64,
 }
 
+/// How a tenant's requests have ended, since the start.
+#[derive(Clone, Copy, Default)]
+pub struct TenantCount {
+    pub within: Count,
+    /// Beyond its share.
+    pub beyond: Count,
+}
+
 /// What operators are shown: counts since the start, and what is now.
 #[derive(Clone, Default)]
 pub struct Figures {
     pub classes: Vec<Count>,
+    /// As the settings name them; behind them, where they name any, what came without a tenant's name.
+    pub tenants: Vec<TenantCount>,
     /// Attempts written whole to db hosts.
     pub dispatches: u64,
     /// Requests taken and not ended.
@@ -208,6 +223,8 @@
     actions: Vec<Action>,
     tally: Tally,
     figures: Figures,
+    /// Names of the tenants, as in [`Figures::tenants`]; none where the settings name none.
+    tenants: Vec<String>,
     /// What is asked of the server side, of discovery, and of the client side.
     pub orders: VecDeque<Order>,
     pub asks: VecDeque<Ask>,
@@ -215,10 +232,12 @@
 }
 
 impl Exchange {
-    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+    pub fn new(settings: Settings, tenants: Vec<String>, seed: u64, now: Micros) -> Self {
         Exchange {
+            tenants,
             figures: Figures {
                 classes: vec![Count::default(); settings.classes.len()],
+                tenants: vec![TenantCount::default(); settings.tenants.len() + 1],
                 ..Figures::default()
             },
             slack: settings.rules.answer_slack,
@@ -241,12 +260,14 @@
     pub fn submit(&mut self, turn: &mut Turn, call: Call) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
-        let Call { class, group, key, deadline, since_write, repeat, checked, body } = call;
+        let Call { class, group, key, deadline, since_write, repeat, checked, tenant, body } = call;
         self.tally.requests += 1;
         // The module answers by the deadline. Should it not, the client gets its answer all the same.
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
         let request = Request {
             class,
+            tenant: tenant.map_or(self.figures.tenants.len() - 1, |t| t.0),
+            beyond: false,
             deadline,
             body: Rc::new(body),
             sends: 0,
@@ -270,8 +291,11 @@
                 since_write,
                 repeat,
                 checked,
+                tenant,
             }),
         );
+        let beyond = self.balancer.is_beyond(id);
+        self.requests.get_mut(&id).into_iter().for_each(|r| r.beyond = beyond);
         id
     }
 
@@ -408,6 +432,10 @@
             "requests" => t.requests,
             "served" => t.served, "refused" => t.refused, "failed" => t.failed, "gone" => t.gone,
             "attempts" => endings.join(","));
+        for (name, t) in self.tenants.iter().zip(&self.figures.tenants) {
+            let text = |c: &Count| format!("served={},refused={},failed={}", c.served, c.refused, c.failed);
+            info!(turn.log, "tenant"; "beyond" => text(&t.beyond), "within" => text(&t.within), "name" => name);
+        }
     }
 
     // ---- The module ----
@@ -498,19 +526,25 @@
     }
 
     fn finish(&mut self, turn: &mut Turn, id: RequestId, answer: Final) {
-        let class = self.requests.get(&id).map(|r| r.class.0);
+        let of = self.requests.get(&id).map(|r| (r.class.0, r.tenant, r.beyond));
         if !self.end(turn, id) {
             return;
         }
-        let mut unknown = Count::default();
-        let count = class.and_then(|c| self.figures.classes.get_mut(c)).unwrap_or(&mut unknown);
-        let (tally, total) = match &answer {
-            Final::Served(_) => (&mut self.tally.served, &mut count.served),
-            Final::Refused { .. } => (&mut self.tally.refused, &mut count.refused),
-            Final::Failed(_) | Final::Broken => (&mut self.tally.failed, &mut count.failed),
-        };
-        *tally += 1;
-        *total += 1;
+        let Some((class, tenant, beyond)) = of else { return };
+        let tenant = &mut self.figures.tenants[tenant];
+        let tenant = if beyond { &mut tenant.beyond } else { &mut tenant.within };
+        for count in [Some(tenant), self.figures.classes.get_mut(class)].into_iter().flatten() {
+            match &answer {
+                Final::Served(_) => count.served += 1,
+                Final::Refused { .. } => count.refused += 1,
+                Final::Failed(_) | Final::Broken => count.failed += 1,
+            }
+        }
+        match &answer {
+            Final::Served(_) => self.tally.served += 1,
+            Final::Refused { .. } => self.tally.refused += 1,
+            Final::Failed(_) | Final::Broken => self.tally.failed += 1,
+        }
         self.answers.push_back((id, Answer::Final(answer)));
     }
 
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -669,10 +669,11 @@
         let deadline = turn.now + (wait - turn.unread).max(1);
         let id = Rc::from(c.id);
         let (repeat, wait_at) = (c.repeat, c.wait_at);
+        let tenant = c.tenant.and_then(|t| self.names.tenant(t));
         debug!(turn.log, "request"; "class" => class.0, "wait_ms" => c.wait_ms);
         let body = Body::new(text, Some(wait_at), Form::Value);
         Ok(Step::Call(
-            Box::new(Call { class, group, key, deadline, since_write, repeat, checked: true, body }),
+            Box::new(Call { class, group, key, deadline, since_write, repeat, checked: true, tenant, body }),
             id,
         ))
     }
@@ -704,7 +705,9 @@
         };
         let key = Some(fnv(&format!("session {}", session.0)));
         let deadline = turn.now + (wait - turn.unread).max(1);
-        let call = Call { class, group, key, deadline, since_write, repeat: false, checked: false, body };
+        let tenant = None;
+        let call =
+            Call { class, group, key, deadline, since_write, repeat: false, checked: false, tenant, body };
         Ok(Step::Call(Box::new(call), id))
     }
 
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -89,6 +89,8 @@
     failed: Option<String>,
     /// Names of the classes, for the figures.
     classes: Vec<String>,
+    /// And of the tenants.
+    tenants: Vec<String>,
     news: Vec<News>,
     longest: Micros,
     terminating: bool,
@@ -121,7 +123,9 @@
         let classes = facts.names.classes.clone();
         let mut discovery = Discovery::new(discovery, silence, facts.names.clone());
         let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
-        let exchange = Exchange::new(facts.settings.clone(), seed, turn.now);
+        let mut tenants = facts.names.tenants.clone();
+        tenants.extend((!tenants.is_empty()).then(|| "?".to_owned()));
+        let exchange = Exchange::new(facts.settings.clone(), tenants.clone(), seed, turn.now);
         let backend = Backend::new(facts.connections, &facts.names);
         let listener = match listen_fd {
             Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
@@ -163,6 +167,7 @@
             silence,
             failed: None,
             classes,
+            tenants,
             news: Vec::new(),
             longest,
             terminating: false,
@@ -305,7 +310,7 @@
             }
             control::Command::Status => Answer::new(503, "starting\n"),
             control::Command::Figures => {
-                Answer::new(200, control::exposition(&exchange.figures(), &self.classes))
+                Answer::new(200, control::exposition(&exchange.figures(), &self.classes, &self.tenants))
             }
             control::Command::Shapes => match self.frontend.exposition() {
                 Some(text) => Answer::new(200, text),
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -266,6 +266,8 @@
     /// Whether an idempotency key stands there.
     pub keyed: bool,
     pub class: &'a str,
+    /// The tenant whose it is.
+    pub tenant: Option<&'a str>,
     /// The client's wait in milliseconds, and where in the statement it stands.
     pub wait_ms: u32,
     pub wait_at: Range<usize>,
@@ -282,7 +284,7 @@
     let (inner, _) = inner.ok_or("the statement has no routing comment")?;
     let mut at = start + 2;
     let (mut id, mut keyed, mut class, mut wait) = (None, false, None, None);
-    let (mut repeat, mut cluster, mut after) = (false, None, None);
+    let (mut repeat, mut cluster, mut after, mut tenant) = (false, None, None, None);
     for pair in inner.split(',') {
         let from = at + (pair.len() - pair.trim_start().len());
         at += pair.len() + 1;
@@ -293,6 +295,7 @@
             "id" => id = Some(value).filter(|v| (1..=LONGEST_ID).contains(&v.len())),
             "k" => keyed = !value.is_empty(),
             "c" => class = Some(value),
+            "t" => tenant = Some(value),
             "d" => {
                 let at = from + 2;
                 wait = Some((value.parse().map_err(bad)?, at..at + value.len()));
@@ -308,7 +311,7 @@
     let id = id.ok_or("the routing comment has no usable id")?;
     let class = class.ok_or("the routing comment has no c")?;
     let cluster = cluster.ok_or("the routing comment has no cluster")?;
-    Ok(Comment { id, keyed, class, wait_ms, wait_at, repeat, cluster, after })
+    Ok(Comment { id, keyed, class, tenant, wait_ms, wait_at, repeat, cluster, after })
 }
 
 /// The first quoted literal: it names the session.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -37,9 +37,13 @@
 const WARMING: f64 = 3.0;
 /// Turns that a thinned member grants in advance to what is worth more than most for its work.
 const AHEAD: f64 = 2.0;
-/// A read that earns this little when late is held for this share of its aim, then refused.
+/// What is worth so little beside the mean, for its work, gets no more than this share of a member's room.
 const LITTLE: f64 = 0.25;
-const HOLD: f64 = 0.25;
+const LEFT: f64 = 0.25;
+/// A tenant's unused share is saved up for this long.
+const SAVED: Micros = 500_000;
+/// A read that earns as little when late is held for this share of its aim, then refused.
+const HOLD: f64 = 0.12;
 /// One that earns more is held this share of its time before its first attempt: under half of it is little lost.
 const VAIN: f64 = 0.45;
 /// Retries that a request earns, and the most that are saved up: failures can't turn into a storm.
@@ -55,9 +59,8 @@
 /// Connects that a member refuses in a while by mere mishap, as when a network resets them.
 const FEW: f64 = 2.5;
 /// One that was away this long may have started anew; without an answer so long, a member is not active.
+/// The list is asked for again this long after a failed call.
 const AWAY: Micros = 1_000_000;
-/// Waits before the member list is asked for again after a failed call.
-const ASK_AGAIN: Micros = 1_000_000;
 
 #[derive(Default)]
 struct Member {
@@ -139,6 +142,8 @@
     checked: bool,
     /// A write's number in its bucket.
     sequence: u64,
+    /// What it has taken of its tenant's share.
+    share: Option<(usize, Micros)>,
     /// A replica turned it away: only the primary will do.
     primary_only: bool,
     /// The replica whose probe it has waited for.
@@ -198,6 +203,8 @@
     merit: f64,
     /// How crowded primaries were of late, as shares of aims.
     crowd: Recent,
+    /// From when on the next request of each tenant counts as within its share.
+    shares: Vec<Micros>,
 }
 
 impl Balancer {
@@ -229,6 +236,7 @@
             warm: (1.0, NEVER),
             merit: 0.0,
             crowd: (0.0, now),
+            shares: vec![NEVER; settings.tenants.len()],
             settings,
         }
     }
@@ -240,6 +248,11 @@
         Targets { known: self.members.len(), listed: listed.count(), avoided }
     }
 
+    /// Whether an open request is beyond its tenant's share.
+    pub fn is_beyond(&self, id: RequestId) -> bool {
+        self.requests.get(&id).is_some_and(|r| r.share.is_none()) && !self.shares.is_empty()
+    }
+
     /// Takes one event and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         let due = now >= self.timer;
@@ -280,12 +293,10 @@
         self.work.iter().copied().fold(MEMORY, f64::min) as Micros
     }
 
-    // ---- Events ----
-
     fn on_members(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
         if kind == ListKind::Failed {
             // Paced and spread, so that drivers that failed together don't ask together.
-            self.ask_at = Some(now + ASK_AGAIN + self.rng.i64(0..ASK_AGAIN));
+            self.ask_at = Some(now + AWAY + self.rng.i64(0..AWAY));
             return;
         }
         if matches!(kind, ListKind::Full | ListKind::Saved) {
@@ -339,16 +350,15 @@
         // Drivers that learn together of a start must not turn to it together: the first turn is drawn.
         if let (true, Some(m)) = (started, self.members.get(&id)) {
             let gap = self.fastest() as f64 / self.room(now, m);
-            let turn = now - (self.rng.f64() * gap.min(MEMORY)) as Micros;
-            self.members.entry(id).and_modify(|m| m.turn = turn);
+            let drawn = (self.rng.f64() * gap.min(MEMORY)) as Micros;
+            self.members.entry(id).and_modify(|m| m.turn = now - drawn);
         }
     }
 
     fn on_request(&mut self, now: Micros, arrival: Arrival, actions: &mut Vec<Action>) {
-        let Arrival { request: id, class, group, key, deadline, since_write, repeat, checked } = arrival;
+        let Arrival { request: id, class, group, key, deadline, since_write, repeat, checked, .. } = arrival;
         let Some(c) = self.settings.classes.get(class.0) else {
-            actions.push(Action::Fail { request: id });
-            return;
+            return actions.push(Action::Fail { request: id });
         };
         // A repeat has what its client's first try has left: clients of a class wait about equally long.
         let (wait, usual) = ((deadline - now) as f64, &mut self.waits[class.0]);
@@ -360,19 +370,11 @@
             Tokens::Carried => since_write.map(|ago| now - ago + UNIT),
             Tokens::Remembered => bucket.map(|b| self.buckets[b].position),
         };
+        let share = self.take_share(now, arrival.tenant);
         self.sequence += 1;
-        let r = Request {
-            class,
-            group,
-            bucket,
-            arrived: now,
-            began,
-            deadline,
-            need,
-            checked,
-            sequence: if write { self.sequence } else { 0 },
-            ..Request::default()
-        };
+        let sequence = if write { self.sequence } else { 0 };
+        let r = Request { class, group, bucket, arrived: now, began, deadline, need, ..Request::default() };
+        let r = Request { checked, share, sequence, ..r };
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
         let per_request = (PROBE_POINTS / self.settings.prices.probe.max(PROBE_POINTS)).min(0.5);
         self.probes = (self.probes + per_request).min(PROBE_SAVED);
@@ -387,6 +389,15 @@
         self.dispatch(now, group, actions);
     }
 
+    /// Counts a request, unless its tenant has used up this driver's part of its share: whose, and how much of its time.
+    fn take_share(&mut self, now: Micros, tenant: Option<TenantId>) -> Option<(usize, Micros)> {
+        let t = tenant?.0;
+        let rate = self.settings.tenants.get(t)?.rate.max(1e-6) / f64::from(self.settings.fleet);
+        let (next, gap) = (self.shares.get_mut(t).filter(|next| **next <= now)?, (1e6 / rate) as Micros);
+        *next = (*next).max(now - SAVED) + gap;
+        Some((t, gap))
+    }
+
     fn on_outcome(&mut self, now: Micros, outcome: Outcome, actions: &mut Vec<Action>) {
         let Outcome { request: id, attempt, member, ending, last, elapsed, note, report } = outcome;
         if let Some(report) = report {
@@ -423,9 +434,8 @@
         } else if r.out() == 0 {
             // A miss costs no member work, an error costs one that has it to spare; all else draws on the budget.
             let calm = self.members.get(&member).is_some_and(|m| m.strain <= CROWDED);
-            let free =
-                ending == Ending::Miss || write && ending.never_ran() || calm && ending == Ending::Error;
-            self.again(now, id, ending, free, actions);
+            let free = write && ending.never_ran() || calm && ending == Ending::Error;
+            self.again(now, id, ending, free || ending == Ending::Miss, actions);
         }
         self.dispatch(now, group, actions);
     }
@@ -450,8 +460,6 @@
         self.dispatch(now, group, actions);
     }
 
-    // ---- What is known: positions, roles ----
-
     /// A report may be older than the probe that brought it: its role counts as of its own position.
     fn learn(&mut self, now: Micros, as_of: Micros, id: MemberId, told: Report) {
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -476,8 +484,6 @@
         }
     }
 
-    // ---- Routing ----
-
     /// The position that a replica must have reached to serve this; `None` where only the primary will do.
     fn need(&self, now: Micros, r: &Request) -> Option<Micros> {
         let unsettled = r.bucket.is_some_and(|b| self.buckets[b].open.is_some());
@@ -570,7 +576,8 @@
     fn has_room(&self, now: Micros, m: &Member, class: ClassId, merit: f64) -> bool {
         let room = self.room(now, m);
         if room >= 1.0 {
-            return (m.out.len() as f64) < room;
+            let low = merit < self.merit * LITTLE;
+            return (m.out.len() as f64) < if low { room * LEFT } else { room };
         }
         let cold = self.share(now, m) < 1.0;
         let ahead = if cold { 0.0 } else { (merit / self.merit.max(1e-12) - 1.0).clamp(-1.0, AHEAD) };
@@ -622,11 +629,8 @@
                 self.requests.insert(id, r);
                 continue;
             }
-            let worth = if lone && !matches!(read, ReadLevel::Write | ReadLevel::Fresh) {
-                worth / 2.0
-            } else {
-                worth
-            };
+            let only = matches!(read, ReadLevel::Write | ReadLevel::Fresh);
+            let worth = if lone && !only { worth / 2.0 } else { worth };
             let mut target = self.draw(now, r.class, worth, &among);
             // Where those have no room, a primary with room to spare takes reads too: a few recent ones would drown.
             if let (None, false, Some(p)) = (target, lone, primary.filter(|p| self.spares(now, *p))) {
@@ -671,7 +675,8 @@
         // Judged by work: a queue at the primary must not make its writes look late.
         let c = &self.settings.classes[r.class.0];
         let late = now + self.work[r.class.0] as Micros > r.began + c.aim;
-        c.worth * if late { c.late_worth } else { 1.0 } / self.work[r.class.0]
+        let share = r.share.map_or(self.settings.over_share_worth, |_| 1.0);
+        c.worth * share * if late { c.late_worth } else { 1.0 } / self.work[r.class.0]
     }
 
     /// Whether the class's effect, the attempt limit and the settings permit another attempt in this zone.
@@ -713,8 +718,6 @@
         actions.push(Action::Send { request: id, member: to, timeout });
     }
 
-    // ---- Failure handling ----
-
     /// What an outcome says of the member's health, speed and room.
     fn judge(&mut self, now: Micros, outcome: &Outcome, class: ClassId) {
         let Outcome { member: id, ending, elapsed, .. } = *outcome;
@@ -736,7 +739,7 @@
             m.heard = now;
         }
         let least = (m.entry.weight.max(0.01) * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
-        let ratio = elapsed as f64 / self.work[class.0];
+        let (ratio, lately) = (elapsed as f64 / self.work[class.0], now - self.pace * LOOK);
         if ending == Ending::ConnectFailed && elapsed < self.pace * LOOK {
             m.refused = (fade(m.refused, now) + 1.0, now);
         }
@@ -760,9 +763,7 @@
             }
             Ending::ConnectFailed if now < self.polite => m.pause = now + self.pace * LOOK,
             // Connections break one by one, too, while the process serves on. It is gone if others break as well.
-            Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(now - self.pace * LOOK) => {
-                m.strike = now
-            }
+            Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(lately) => m.strike = now,
             // One that is gone refuses at once; one that never answers is out of reach, and need not start anew.
             Ending::ConnectFailed => self.convict(now, id, elapsed < self.pace * LOOK),
             Ending::Reset => self.convict(now, id, true),
@@ -781,8 +782,7 @@
     fn convict(&mut self, now: Micros, id: MemberId, down: bool) {
         let Some(m) = self.members.get_mut(&id) else { return };
         if !m.suspect {
-            (m.suspect, m.down, m.ill_since) = (true, false, now);
-            m.look_at = now + self.pace * LOOK;
+            (m.suspect, m.down, m.ill_since, m.look_at) = (true, false, now, now + self.pace * LOOK);
         }
         m.down |= down;
         for id in m.out.keys().map(|k| k.1).collect::<Vec<_>>() {
@@ -822,6 +822,7 @@
     fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
+        r.share.iter().for_each(|(t, gap)| self.shares[*t] -= gap);
         let effect = self.settings.classes[r.class.0].effect;
         if r.doubt().is_none() || matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. }) {
             let a = &self.settings.allowed;
@@ -881,8 +882,6 @@
         }
     }
 
-    // ---- Admission ----
-
     /// Held requests that can't be served in time any more are given up, and so is all at its deadline.
     fn shed(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let mut lost = Vec::new();
@@ -909,9 +908,8 @@
     /// Looks at suspects. Probes may fail while members serve: after a while requests test a suspect, too.
     fn look(&mut self, now: Micros, actions: &mut Vec<Action>) {
         for id in self.watched.clone() {
-            let Some(m) = self.members.get_mut(&id).filter(|m| m.suspect && !m.barred && !m.held_out) else {
-                continue;
-            };
+            let ill = |m: &&mut Member| m.suspect && !m.barred && !m.held_out;
+            let Some(m) = self.members.get_mut(&id).filter(ill) else { continue };
             let due = now >= m.look_at;
             if due {
                 m.look_at = now + (now - m.ill_since).clamp(self.pace * LOOK, LOOK_LONGEST);
@@ -991,8 +989,7 @@
             // Not below one: suspicions in a row must not thin it to nothing.
             self.window = self.window.min((self.window / 2.0).max(1.0));
             if self.down && now - self.ill_since > AWAY {
-                self.entry.since = self.entry.since.max(Some(now));
-                self.turn = now;
+                (self.entry.since, self.turn) = (self.entry.since.max(Some(now)), now);
             }
         }
     }
--- a/src/bin/leadmast-wirehost/wire.rs
+++ b/src/bin/leadmast-wirehost/wire.rs
@@ -165,6 +165,8 @@
 fn call(row: &Row, names: &Names) -> Result<Event> {
     let band = row.text(8, "band")?;
     let class = names.site.class(band);
+    // Without tenants it is absent or 0.
+    let tenant = row.maybe(4, "owner", "text", |v| Some(v.as_str().and_then(|t| names.site.tenant(t))))?;
     Ok(Event::Request(Arrival {
         request: RequestId(row.int(1, "corr")?),
         checked: true,
@@ -173,6 +175,7 @@
         key: row.maybe(6, "key", "a whole number", Value::as_u64)?,
         group: GroupId(row.int(7, "partitionNo")?),
         class: class.ok_or_else(|| format!("CALL: unknown class {band:?}"))?,
+        tenant: tenant.flatten(),
         since_write: row.maybe(9, "sinceWriteMs", "a time", time)?.filter(|&t| t > 0),
     }))
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -26,6 +26,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ZoneId(pub usize);
 
+/// Index of a tenant in [`Settings::tenants`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub usize);
+
 /// A label that a timer carries back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TimerTag(pub u64);
@@ -192,6 +196,13 @@
     pub waste: f64,
 }
 
+/// One tenant of a deployment that shares its capacity among several.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Requests a second within its share, over all drivers.
+    pub rate: f64,
+}
+
 /// All that an instance is told at its start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -221,6 +232,10 @@
     pub allowed: Allowed,
     /// Prices.
     pub prices: Prices,
+    /// Tenants; none where the deployment has one user.
+    pub tenants: Vec<Tenant>,
+    /// What a request beyond its tenant's share is worth, as a share of its class's worth.
+    pub over_share_worth: f64,
 }
 
 /// A member's state in the list.
@@ -354,6 +369,8 @@
     pub repeat: bool,
     /// A member can tell from it what the read has to see, and turn it away where it is behind.
     pub checked: bool,
+    /// Whose it is, where the settings name tenants.
+    pub tenant: Option<TenantId>,
 }
 
 /// How an attempt ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,8 @@
 //!         retry_after: true, max_retry_after: 500_000,
 //!     },
 //!     prices: Prices { probe: 0.02, cross_zone: 0.0, waste: 0.05 },
+//!     tenants: Vec::new(),
+//!     over_share_worth: 1.0,
 //! };
 //! let mut balancer = Balancer::new(settings, 7, 0);
 //! let mut actions = Vec::new();
@@ -35,7 +37,7 @@
 //! actions.clear();
 //! let read = Event::Request(Arrival {
 //!     request: RequestId(1), class: ClassId(0), group: GroupId(1), key: None,
-//!     deadline: 1_000_000, since_write: None, repeat: false, checked: true,
+//!     deadline: 1_000_000, since_write: None, repeat: false, checked: true, tenant: None,
 //! });
 //! balancer.handle(5_000, read, &mut actions);
 //! // The read spares the primary.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -13,6 +13,8 @@
 pub struct Names {
     /// Request classes, as in [`Settings::classes`].
     pub classes: Vec<String>,
+    /// Tenants, as in [`Settings::tenants`].
+    pub tenants: Vec<String>,
     /// Zones.
     pub zones: Vec<String>,
     /// Fields of a load report.
@@ -28,6 +30,11 @@
         at.map(ZoneId).ok_or_else(|| format!("unknown zone {zone:?}"))
     }
 
+    /// The number of a tenant.
+    pub fn tenant(&self, tenant: &str) -> Option<TenantId> {
+        self.tenants.iter().position(|t| t == tenant).map(TenantId)
+    }
+
     /// The number of a class.
     pub fn class(&self, class: &str) -> Option<ClassId> {
         self.classes.iter().position(|c| c == class).map(ClassId)
@@ -118,6 +125,7 @@
     let feedback = Keys::new("facts.feedback", facts.map.get("feedback"))?;
     let mut names = Names {
         classes: Vec::new(),
+        tenants: Vec::new(),
         zones: facts.texts("failureDomains")?,
         fields: feedback.texts("fields")?,
         zero: family.time("positionZero")?,
@@ -125,6 +133,7 @@
     for v in facts.list("categories")? {
         names.classes.push(Keys::new("facts.categories[]", Some(v))?.text("name")?.to_owned());
     }
+    let tenants = tenants(&facts, &mut names.tenants)?;
     let (fleet, me) = (facts.count("fleetSize")?, facts.count("me")?);
     // All that is bounded over the fleet is divided by it.
     if fleet == 0 {
@@ -160,10 +169,32 @@
         rules: rules(&facts)?,
         allowed: allowed(&facts)?,
         prices: prices(&facts)?,
+        tenants,
+        // Of no use where nobody has a share.
+        over_share_worth: if names.tenants.is_empty() { 1.0 } else { facts.num("overShareWorth")? },
     };
     Ok(Facts { settings, names, connections: connections(&facts)? })
 }
 
+/// The tenants, and their names; a deployment may have none.
+fn tenants(facts: &Keys, names: &mut Vec<String>) -> Result<Vec<Tenant>> {
+    let mut tenants = Vec::new();
+    let list = facts.map.get("customers").map_or(Ok(None), |_| facts.list("customers").map(Some))?;
+    for v in list.into_iter().flatten() {
+        let k = Keys::new("facts.customers[]", Some(v))?;
+        let (name, rate) = (k.text("name")?, k.num("quotaRps")?);
+        if names.iter().any(|n| n == name) {
+            return Err(format!("facts.customers names {name:?} twice"));
+        }
+        if rate.is_nan() || rate < 0.0 {
+            return Err(format!("facts.customers[].quotaRps of {name:?} is {rate}, and no rate"));
+        }
+        names.push(name.to_owned());
+        tenants.push(Tenant { rate });
+    }
+    Ok(tenants)
+}
+
 fn connections(facts: &Keys) -> Result<Connections> {
     let k = Keys::new("facts.allowed", facts.map.get("allowed"))?;
     // The simulator keeps the connections itself, so its adapter can do without these.
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -795,6 +795,7 @@
             since_write: Some(6_000),
             repeat: false,
             checked,
+            tenant: None,
         }));
         assert_eq!(d.sent(1), vec![expect], "checked {checked}");
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -61,9 +61,40 @@
             max_retry_after: 500_000,
         },
         prices: Prices { probe: 0.02, cross_zone: 0.0, waste: 0.05 },
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
     }
 }
 
+/// A deployment like the first: keyed writes, db hosts that turn reads away for which they lag, no tenants.
+pub fn keyed_site() -> Settings {
+    let mut s = settings(vec![(ReadLevel::Bounded(200_000), Effect::Safe), SESSION, WRITE]);
+    let figures =
+        [(500_000, 1_200_000, 2.0, 0.0), (600_000, 2_000_000, 1.0, 0.0), (600_000, 3_000_000, 3.0, 0.3)];
+    for (c, (aim, deadline, worth, late_worth)) in s.classes.iter_mut().zip(figures) {
+        (c.aim, c.deadline, c.worth, c.late_worth) = (aim, deadline, worth, late_worth);
+    }
+    (s.tokens, s.behind, s.listed_role) = (Tokens::Carried, Behind::Refuse, ListedRole::Start);
+    (s.allowed.attempts, s.allowed.second_copies, s.allowed.max_retry_after) = (8, false, 2_000_000);
+    s
+}
+
+/// A deployment like the second: writes that must never run twice, db hosts that answer from what they have, no roles in
+/// the list, three tenants.
+pub fn shared_site() -> Settings {
+    let mut s = settings(vec![(ReadLevel::Bounded(200_000), Effect::Safe), SESSION, UNSAFE]);
+    let figures =
+        [(250_000, 750_000, 3.0, 0.2), (500_000, 1_500_000, 2.0, 0.2), (500_000, 5_000_000, 3.0, 0.3)];
+    for (c, (aim, deadline, worth, late_worth)) in s.classes.iter_mut().zip(figures) {
+        (c.aim, c.deadline, c.worth, c.late_worth) = (aim, deadline, worth, late_worth);
+    }
+    (s.tokens, s.behind, s.listed_role) = (Tokens::Carried, Behind::Silent, ListedRole::Unlisted);
+    (s.allowed.attempts, s.allowed.second_copies, s.allowed.max_retry_after) = (10, true, 500_000);
+    s.tenants = [100.0, 60.0, 40.0].map(|rate| Tenant { rate }).to_vec();
+    s.over_share_worth = 0.1;
+    s
+}
+
 pub fn entry(member: MemberId, leader: bool) -> Entry {
     Entry {
         member,
@@ -87,6 +118,8 @@
     /// Attempts still out, with the time at which they run out.
     out: BTreeMap<(u64, u32), (MemberId, Micros)>,
     over: Vec<u64>,
+    /// Whose the requests are that come next.
+    pub tenant: Option<TenantId>,
 }
 
 impl Driver {
@@ -106,6 +139,7 @@
             log: Vec::new(),
             out: BTreeMap::new(),
             over: Vec::new(),
+            tenant: None,
         };
         d.handle(Event::Timer { tag: TimerTag(0) });
         d
@@ -222,6 +256,7 @@
             since_write,
             repeat: true,
             checked: true,
+            tenant: self.tenant,
         }));
     }
 
@@ -240,6 +275,7 @@
             since_write: since,
             repeat: false,
             checked: true,
+            tenant: self.tenant,
         }));
     }
 
--- /dev/null
+++ b/tests/deployments.rs
@@ -0,0 +1,224 @@
+//! What differs between deployments, on settings of each kind. docs/deployments.md tells of it.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+use leadmast::*;
+
+/// How long a db host works on a request, and how many it works on at a time.
+const TAKES: Micros = 40_000;
+const AT_ONCE: usize = 4;
+
+/// Ten seconds before a primary and two replicas that bear 300 requests a second. Each tenant sends bounded reads at so
+/// many times its rate; clients whose request is refused come once more. Tells which share of each tenant's requests was
+/// answered in time.
+fn served(settings: Settings, times: [f64; 3]) -> [f64; 3] {
+    let (aim, rates) = (settings.classes[0].aim, [100.0, 60.0, 40.0]);
+    let mut d = Driver::new(settings);
+    d.members(&[PRIMARY, REPLICA, THIRD], PRIMARY);
+    d.report(PRIMARY, 0, true);
+    // When each place at each db host is free again, and when each attempt that is out there ends.
+    let mut free = BTreeMap::from([PRIMARY, REPLICA, THIRD].map(|m| (m, vec![0; AT_ONCE])));
+    let mut ends: BTreeMap<(u64, u32), Micros> = BTreeMap::new();
+    let mut next = [0.0; 3];
+    // Of each request by its first try: its tenant, when that came, and whether it was served in time.
+    let mut asked: BTreeMap<u64, (usize, Micros, bool)> = BTreeMap::new();
+    let mut again: BTreeMap<Micros, Vec<u64>> = BTreeMap::new();
+    for step in 0..2_000 {
+        let now = step * 5_000;
+        d.run_to(now);
+        [REPLICA, THIRD].into_iter().for_each(|m| d.position(m, now));
+        for (tenant, next) in next.iter_mut().enumerate() {
+            while *next <= now as f64 {
+                *next += 1e6 / rates[tenant] / times[tenant];
+                let id = asked.len() as u64;
+                asked.insert(id, (tenant, now, false));
+                d.tenant = Some(TenantId(tenant));
+                d.request_in(id, 0, GROUP);
+                again.entry(now + 100_000).or_default().push(id);
+            }
+        }
+        let refused = again.remove(&now).into_iter().flatten().filter(|id| d.refusals(*id) > 0);
+        for id in refused.collect::<Vec<_>>() {
+            d.tenant = Some(TenantId(asked[&id].0));
+            d.request_in(id + 1_000_000, 0, GROUP);
+        }
+        for (at, sent) in d.still_out() {
+            let end = *ends.entry((at.0, at.1)).or_insert_with(|| {
+                let place = free.get_mut(&at.2).unwrap().iter_mut().min().unwrap();
+                *place = sent.max(*place) + TAKES;
+                *place
+            });
+            if end <= now {
+                d.ok_after(at, Some(now), at.2 == PRIMARY, now - sent);
+                let request = asked.get_mut(&(at.0 % 1_000_000)).unwrap();
+                request.2 |= now - request.1 <= aim;
+            }
+        }
+        // Only the latest actions are looked at.
+        if step % 100 == 0 {
+            d.log.retain(|(at, _)| *at > now - 1_000_000);
+        }
+    }
+    [0, 1, 2].map(|tenant| {
+        let of: Vec<_> = asked.values().filter(|r| r.0 == tenant && r.1 > 2_000_000).collect();
+        of.iter().filter(|r| r.2).count() as f64 / of.len() as f64
+    })
+}
+
+#[test]
+fn tenant_at_five_times_its_rate_costs_others_little() {
+    // Guards the others: without shares all wait in one line, and who asks most gets most.
+    let usual = served(shared_site(), [1.0; 3]);
+    let crowded = served(shared_site(), [5.0, 1.0, 1.0]);
+    assert!(usual.iter().all(|s| *s > 0.98), "{usual:?}");
+    assert!(crowded[1] > 0.95 * usual[1] && crowded[2] > 0.95 * usual[2], "{crowded:?} of {usual:?}");
+    assert!(crowded[0] > 0.15, "{crowded:?}: its share is served, and what is left over");
+    let mut none = shared_site();
+    none.tenants.clear();
+    let without = served(none, [5.0, 1.0, 1.0]);
+    assert!(without[1] < 0.9 * usual[1], "the day is no overload: {without:?}");
+}
+
+#[test]
+fn requests_without_a_known_tenant_have_no_share_and_are_served() {
+    // Guards clients with a wrong name, and deployments that name none.
+    for (tenant, beyond) in [(None, true), (Some(TenantId(7)), true), (Some(TenantId(0)), false)] {
+        let mut d = Driver::new(shared_site());
+        d.members(&[PRIMARY, REPLICA], PRIMARY);
+        d.position(REPLICA, 1);
+        d.tenant = tenant;
+        d.request_in(1, 0, GROUP);
+        assert_eq!((d.sent(1).len(), d.balancer.is_beyond(RequestId(1))), (1, beyond), "{tenant:?}");
+    }
+    let mut d = Driver::new(keyed_site());
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    d.request_in(1, 0, GROUP);
+    assert!(!d.balancer.is_beyond(RequestId(1)), "nobody has a share here");
+}
+
+#[test]
+fn tenant_saves_up_half_a_second_of_its_share_and_no_more() {
+    let mut d = Driver::new(shared_site());
+    d.run_to(60_000_000);
+    d.tenant = Some(TenantId(1));
+    (0..100).for_each(|id| d.request_in(id, 0, GROUP));
+    let within = (0..100).filter(|id| !d.balancer.is_beyond(RequestId(*id))).count();
+    // Sixty a second.
+    assert_eq!(within, 31, "half a second's, and the one that is due now");
+    d.run_to(60_500_000);
+    (100..200).for_each(|id| d.request_in(id, 0, GROUP));
+    let within = (100..200).filter(|id| !d.balancer.is_beyond(RequestId(*id))).count();
+    assert!((29..=31).contains(&within), "{within}");
+}
+
+#[test]
+fn write_that_must_not_run_twice_is_sent_again_only_where_it_never_ran() {
+    let primary = Some(Note { position: Some(0), primary: true });
+    let replica = Some(Note { position: Some(0), primary: false });
+    let endings = [
+        (Ending::Error, primary, false),
+        (Ending::Error, None, false),
+        (Ending::Timeout, None, false),
+        (Ending::Reset, None, false),
+        (Ending::Cancelled, None, false),
+        (Ending::Full, primary, true),
+        (Ending::ConnectFailed, None, true),
+        (Ending::Miss, replica, true),
+        (Ending::Moot, None, true),
+    ];
+    for (ending, note, repeated) in endings {
+        let mut d = Driver::new(shared_site());
+        d.members(&[PRIMARY, REPLICA], PRIMARY);
+        d.request_in(1, 2, GROUP);
+        let first = d.sent(1)[0];
+        d.report(REPLICA, 1_000, true);
+        d.run_to(60_000);
+        d.end((1, 0, first), ending, note, false);
+        d.run_to(400_000);
+        assert_eq!(d.sent(1).len() > 1, repeated, "{ending:?}");
+        assert!(
+            repeated || (d.finals(1), d.refusals(1)) == (1, 0),
+            "{ending:?}: it fails, and is not refused"
+        );
+    }
+}
+
+#[test]
+fn write_that_must_not_run_twice_has_no_copy_whatever_its_db_host_does() {
+    // Guards the ways to a second copy: a host that falls silent, one that is suspected by others' attempts.
+    let mut d = Driver::new(shared_site());
+    d.members(&[PRIMARY, REPLICA, THIRD], PRIMARY);
+    d.report(PRIMARY, 1_000, true);
+    d.request_in(1, 2, GROUP);
+    d.request_in(2, 2, GROUP);
+    assert_eq!(d.sent(1), vec![PRIMARY]);
+    d.run_to(100_000);
+    d.end((2, 0, PRIMARY), Ending::Reset, None, false);
+    d.report(THIRD, 200_000, true);
+    d.run_to(4_000_000);
+    assert_eq!(d.sent(1), vec![PRIMARY], "silent, then suspected, then no primary any more");
+    d.run_to(5_100_000);
+    assert_eq!((d.sent(1).len(), d.finals(1), d.refusals(1)), (1, 1, 0));
+}
+
+#[test]
+fn roaming_session_sees_its_write_by_what_its_client_carries() {
+    // Guards sessions of which another proxy took the write: this one has seen nothing of it.
+    for site in [keyed_site(), shared_site()] {
+        let checked = site.behind != Behind::Silent;
+        let mut d = Driver::new(site);
+        d.members(&[PRIMARY, REPLICA, THIRD], PRIMARY);
+        d.report(PRIMARY, 0, true);
+        d.at(10_000_000);
+        d.position(REPLICA, 9_940_000);
+        d.position(THIRD, 9_960_000);
+        for id in 0..20 {
+            d.request_since(id, SESSION, Some(id), Some(50_000));
+            assert_eq!(d.sent(id), vec![THIRD], "the only replica past the write; checked {checked}");
+            d.ok((id, 0, THIRD), Some(9_960_000), false);
+        }
+        d.request_since(100, SESSION, Some(100), Some(30_000));
+        d.settle_probes();
+        let at_once = d.sent(100);
+        assert!(checked || at_once == vec![PRIMARY], "only the primary is known to have it: {at_once:?}");
+    }
+}
+
+#[test]
+fn primary_is_found_where_the_list_tells_no_roles() {
+    // Guards the first write of a young proxy: nobody is listed as primary, and none has said anything.
+    let mut d = Driver::new(shared_site());
+    let members = [PRIMARY, REPLICA, THIRD];
+    d.list(ListKind::Saved, members.iter().map(|m| entry(*m, false)).collect());
+    d.request_in(1, 2, GROUP);
+    for n in 0..3 {
+        let to = d.sent(1)[n as usize];
+        if to == REPLICA {
+            d.ok((1, n, to), Some(1_000), true);
+            break;
+        }
+        d.end((1, n, to), Ending::Miss, Some(Note { position: Some(0), primary: false }), false);
+    }
+    assert_eq!(d.sent(1).last(), Some(&REPLICA), "it asked until one said that it is the primary");
+    d.request_in(2, 2, GROUP);
+    assert_eq!(d.sent(2), vec![REPLICA], "known from then on");
+}
+
+#[test]
+fn advice_stays_under_what_the_settings_allow() {
+    for (mut site, most) in [(keyed_site(), 2_000_000), (shared_site(), 500_000), (shared_site(), 10_000)] {
+        site.allowed.max_retry_after = most;
+        let mut d = Driver::new(site);
+        (0..3).for_each(|class| d.request_in(class as u64, class, GROUP));
+        d.run_to(6_000_000);
+        let advice = d.log.iter().filter_map(|(_, a)| match a {
+            Action::Refuse { retry_after, .. } => Some(retry_after.expect("advice")),
+            _ => None,
+        });
+        let advice: Vec<_> = advice.collect();
+        assert!(advice.len() == 3 && advice.iter().all(|a| (1..=most).contains(a)), "{advice:?}");
+    }
+}
