--- a/crates/gradeshunt/tests/config.rs
+++ b/crates/gradeshunt/tests/config.rs
@@ -7,6 +7,7 @@
 fn bad_configuration_gets_a_plain_error() {
     let dir = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let good = include_str!("../../../examples/config.json");
+    let shared = include_str!("../../../examples/shared.json");
     let cases = [
         ("not-json", "{".to_owned(), "not JSON"),
         ("no-listen", good.replace("\"listen\"", "\"lisen\""), "listen is missing"),
@@ -22,6 +23,9 @@
             "fleetSize is not a whole number",
         ),
         ("beyond-fleet", good.replace("\"me\": 0", "\"me\": 1"), "me is 1, of proxies 0 to 0"),
+        ("odd-tenant", shared.replace("60.0", "-1.0"), "quotaRps of \"north\" is -1, and no rate"),
+        ("twice-a-tenant", shared.replace("south", "north"), "names \"north\" twice"),
+        ("no-worth", shared.replace("overShareWorth", "overWorth"), "overShareWorth is missing"),
         ("odd-known", good.replace("\"instances\"", "\"instance\""), "a list without instances"),
     ];
     for (name, text, complaint) in cases {
--- a/crates/gradeshunt/tests/try_it.rs
+++ b/crates/gradeshunt/tests/try_it.rs
@@ -1,4 +1,4 @@
-//! README's "Try it": the example configuration beside the toy site, at ports that the system gives.
+//! README's "Try it": the example configurations beside the toy site, at ports that the system gives.
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
@@ -27,8 +27,25 @@
 
 #[test]
 fn the_example_starts_beside_the_toy_site() {
-    let mut config: Value =
-        serde_json::from_str(include_str!("../../../examples/config.json")).expect("JSON");
+    let write = "/* id=1,c=tally-write,d=1000,k=1,cluster=1 */ INSERT INTO facts (code, data) VALUES ('ab', 'hello') RETURNING data";
+    let read = "/* id=2,c=own-read,d=1000,cluster=1 */ SELECT data FROM facts WHERE code = 'ab'";
+    try_out("one", include_str!("../../../examples/config.json"), [write, read]);
+}
+
+#[test]
+fn the_example_with_tenants_starts_beside_the_toy_site() {
+    let write = "/* id=1,c=entry-write,t=north,d=1000,cluster=1 */ INSERT INTO facts (code, data) VALUES ('ab', 'hello') RETURNING data";
+    let read = "/* id=2,c=own-read,t=south,d=1000,cluster=1 */ SELECT data FROM facts WHERE code = 'ab'";
+    let figures = try_out("shared", include_str!("../../../examples/shared.json"), [write, read]);
+    for tenant in ["north", "south"] {
+        let line = format!("app_tenant_replies{{tenant=\"{tenant}\",share=\"within\",status=\"success\"}} 1");
+        assert!(figures.contains(&line), "{figures}");
+    }
+}
+
+/// Starts the program on an example's configuration, asks, and tells its figures.
+fn try_out(name: &str, config: &str, statements: [&str; 2]) -> String {
+    let mut config: Value = serde_json::from_str(config).expect("JSON");
     let mut ports = Ports::default();
     for field in ["listen", "discovery", "control"] {
         config[field] = ports.of(config[field].as_str().expect("an address")).into();
@@ -42,7 +59,7 @@
     // Held until here, so that all differ.
     drop(ports);
     let _toy = open(&addresses).expect("the toy site starts");
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("try-it-{}", std::process::id()));
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("try-it-{name}-{}", std::process::id()));
     let mut platform =
         Platform::new(Path::new(env!("CARGO_BIN_EXE_gradeshunt")), &folder, false).expect("a folder");
     platform.configure(&config).expect("a file");
@@ -55,11 +72,11 @@
     let patience = Duration::from_secs(60);
     let mut client =
         Client::connect(listen, &[("user", "portal"), ("database", "crm")], patience).expect("welcome");
-    let write = "/* id=1,c=tally-write,d=1000,k=1,cluster=1 */ INSERT INTO facts (code, data) VALUES ('ab', 'hello') RETURNING data";
-    let read = "/* id=2,c=own-read,d=1000,cluster=1 */ SELECT data FROM facts WHERE code = 'ab'";
-    for statement in [write, read] {
+    for statement in statements {
         let reply = client.query(statement).expect("an answer");
         assert_eq!(reply.value().as_deref(), Some("hello"), "{reply:?}");
     }
+    let figures = process.call("GET", "/status/metrics").expect("an answer").1;
     let _ = std::fs::remove_dir_all(folder);
+    figures
 }
