Answer a client whose db host's answer was spoilt: the lost request's cause

Beside it: error_code took any body with a field C for an ErrorResponse, so a torn one was handed on, which no client can read. Changed: only an error that a db host has said is handed on; an ErrorResponse has to be one throughout. Recorded exchange spoilt_error and a unit test, each seen to fail without its change.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -695,7 +695,8 @@
                     Ending::Error if reply.error.as_deref().is_some_and(sqlstate::is_verdict) => {
                         Said::Verdict(reply.bytes)
                     }
-                    Ending::Error => Said::Error(reply.bytes),
+                    // A spoilt answer says nothing: handed on, it would leave the client without a word.
+                    Ending::Error if reply.error.is_some() => Said::Error(reply.bytes),
                     _ => Said::Nothing,
                 };
                 exchange.ended(turn, Ended { attempt: id, ending, note, said });
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -151,11 +151,21 @@
     }
 }
 
-/// The SQLSTATE of an ErrorResponse.
+/// The SQLSTATE of an ErrorResponse that is one throughout: fields of a letter and a string each, and a zero behind the
+/// last. Clients are handed it as it came, so what no client can read must not pass for an error.
 pub fn error_code(body: &[u8]) -> Result<&str, Malformed> {
-    let fields = body.split(|b| *b == 0).filter(|f| !f.is_empty());
-    let code = fields.filter_map(|f| f.strip_prefix(b"C")).next();
-    code.and_then(|c| std::str::from_utf8(c).ok()).ok_or(Malformed("ErrorResponse without a code"))
+    let invalid = Malformed("invalid ErrorResponse");
+    let text = std::str::from_utf8(body).map_err(|_| Malformed("ErrorResponse that is not UTF-8"))?;
+    let fields = text.strip_suffix("\0\0").ok_or(invalid)?;
+    let mut code = None;
+    for field in fields.split('\0') {
+        if !field.starts_with(|c: char| c.is_ascii_alphabetic()) {
+            return Err(Malformed("invalid field in ErrorResponse"));
+        }
+        code = code.or(field.strip_prefix('C'));
+    }
+    let is_code = |c: &&str| c.len() == 5 && c.bytes().all(|b| b.is_ascii_digit() || b.is_ascii_uppercase());
+    code.filter(is_code).ok_or(Malformed("ErrorResponse without a code"))
 }
 
 /// The first column of a DataRow.
@@ -349,6 +359,27 @@
         }
     }
 
+    /// Guards clients: an error that is cut, torn or no error at all is none.
+    #[test]
+    fn takes_only_whole_errors() {
+        let whole = b"SERROR\0VERROR\0CXX000\0Mno\0\0";
+        assert_eq!(error_code(whole), Ok("XX000"));
+        for cut in 0..whole.len() {
+            assert!(error_code(&whole[..cut]).is_err(), "cut to {cut}");
+        }
+        let odd: [&[u8]; 8] = [
+            b"SERROR\0CXX000\0Mno\0",
+            b"SERROR\0CXX000\0Mno\0\0\0",
+            b"SERROR\0\0CXX000\0Mno\0\0",
+            b"SERROR\0CXX00\0Mno\0\0",
+            b"SERROR\0CXX0\x7f0\0Mno\0\0",
+            b"SERROR\0CXX000\0M\xff\0\0",
+            b"SERROR\0Mno\0\0",
+            b"\0\0",
+        ];
+        odd.into_iter().for_each(|e| assert!(error_code(e).is_err(), "{}", e.escape_ascii()));
+    }
+
     /// Guards the length fields: nothing outside may make the proxy buffer or read without bound.
     #[test]
     fn bounds_lengths() {
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -486,6 +486,7 @@
     terminate
     ;
     only_shared:
+    spoilt_error
     unsafe_write
     tenants
 }
