--- /dev/null
+++ b/crates/fleet-rig/src/script.rs
@@ -0,0 +1,192 @@
+//! Scripts, in protobuf's text format. Their schema is `proto/fleet.proto`.
+
+use std::time::Duration;
+
+use prost_reflect::{DescriptorPool, DynamicMessage, ReflectMessage, Value};
+
+use crate::link::State;
+
+const SCHEMA: &str = include_str!("../proto/fleet.proto");
+const FILE: &str = "fleet.proto";
+/// Processes of the program, db hosts and clients of a proxy, at most.
+const MOST: u32 = 40;
+
+/// A whole script.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Script {
+    pub proxies: usize,
+    /// Db hosts of each set.
+    pub sets: Vec<usize>,
+    /// Clients of each proxy, and what they wait.
+    pub clients: u64,
+    pub wait_ms: u32,
+    pub steps: Vec<Step>,
+}
+
+/// One thing that is broken or mended, and how many requests are answered before the next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    pub what: Option<Fault>,
+    pub requests: u64,
+}
+
+/// Which of so many: `None` for all.
+pub type Which = Option<usize>;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Link { proxy: Which, set: Which, host: Which, state: State },
+    Process { proxy: Which, act: Act },
+}
+
+/// What is done to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    Kill,
+    Stop,
+    Continue,
+    /// It is told to end, and a new one is started once it has.
+    Restart,
+    /// A new one, after a kill.
+    Start,
+}
+
+struct Embedded;
+
+impl protox::file::FileResolver for Embedded {
+    fn open_file(&self, name: &str) -> Result<protox::file::File, protox::Error> {
+        match name {
+            FILE => protox::file::File::from_source(name, SCHEMA),
+            _ => Err(protox::Error::file_not_found(name)),
+        }
+    }
+}
+
+fn schema() -> Result<DescriptorPool, String> {
+    let mut resolver = protox::file::ChainFileResolver::new();
+    resolver.add(Embedded);
+    let mut compiler = protox::Compiler::with_file_resolver(resolver);
+    compiler.open_file(FILE).map_err(|e| e.to_string())?;
+    Ok(compiler.descriptor_pool())
+}
+
+/// Reads a script.
+///
+/// # Errors
+/// What is wrong with it, in one line.
+pub fn parse(text: &str) -> Result<Script, String> {
+    let pool = schema()?;
+    let descriptor = pool.get_message_by_name("gradeshunt.fleet.Script").ok_or("the schema has no Script")?;
+    let script = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| e.to_string())?;
+    let fleet = inner(&script, "fleet").ok_or("the script has no fleet")?;
+    let sets = fleet.get_field_by_name("set").map(|v| v.into_owned());
+    let sets = sets.as_ref().and_then(Value::as_list).unwrap_or_default();
+    let sets: Vec<_> = sets.iter().filter_map(|v| v.as_u32().map(|n| n as usize)).collect();
+    let (proxies, clients, wait_ms) =
+        (number(&fleet, "proxies"), number(&fleet, "clients"), number(&fleet, "wait_ms"));
+    if !(1..=MOST).contains(&proxies) {
+        return Err(format!("fleet.proxies is {proxies}, of 1 to {MOST}"));
+    }
+    if !(1..=MOST).contains(&clients) {
+        return Err(format!("fleet.clients is {clients}, of 1 to {MOST}"));
+    }
+    if wait_ms == 0 {
+        return Err("fleet.wait_ms is missing: what clients wait".into());
+    }
+    if sets.is_empty() || sets.iter().any(|n| !(1..=MOST as usize).contains(n)) {
+        return Err(format!("fleet.set names no set of 1 to {MOST} db hosts, or one that is none"));
+    }
+    let list = script.get_field_by_name("step").map(|v| v.into_owned());
+    let list = list.as_ref().and_then(Value::as_list).unwrap_or_default();
+    let mut steps = Vec::new();
+    for (n, step) in list.iter().filter_map(Value::as_message).enumerate() {
+        let what = fault(step, proxies as usize, &sets).map_err(|e| format!("step {n}: {e}"))?;
+        steps.push(Step { what, requests: number(step, "requests").into() });
+    }
+    Ok(Script { proxies: proxies as usize, sets, clients: clients.into(), wait_ms, steps })
+}
+
+fn fault(step: &DynamicMessage, proxies: usize, sets: &[usize]) -> Result<Option<Fault>, String> {
+    if let Some(link) = inner(step, "link") {
+        let set = which(&link, "set", sets.len())?;
+        let hosts = match set {
+            Some(set) => sets[set],
+            None => sets.iter().copied().min().unwrap_or(0),
+        };
+        let delay = Duration::from_millis(number(&link, "delay_ms").into());
+        let state = match choice(&link, "state") {
+            1 if delay.is_zero() => return Err("a slow link needs delay_ms".into()),
+            1 => State::Slow(delay),
+            2 => State::Cut,
+            3 => State::Silent,
+            4 => State::Deaf,
+            _ => State::Up,
+        };
+        let (proxy, host) = (which(&link, "proxy", proxies)?, which(&link, "host", hosts)?);
+        return Ok(Some(Fault::Link { proxy, set, host, state }));
+    }
+    let Some(process) = inner(step, "process") else { return Ok(None) };
+    let act = match choice(&process, "act") {
+        1 => Act::Stop,
+        2 => Act::Continue,
+        3 => Act::Restart,
+        4 => Act::Start,
+        _ => Act::Kill,
+    };
+    Ok(Some(Fault::Process { proxy: which(&process, "proxy", proxies)?, act }))
+}
+
+fn inner(message: &DynamicMessage, name: &str) -> Option<DynamicMessage> {
+    let field = message.descriptor().get_field_by_name(name)?;
+    message.has_field(&field).then(|| message.get_field(&field).as_message().cloned()).flatten()
+}
+
+fn number(message: &DynamicMessage, name: &str) -> u32 {
+    message.get_field_by_name(name).and_then(|v| v.as_u32()).unwrap_or(0)
+}
+
+fn choice(message: &DynamicMessage, name: &str) -> i32 {
+    message.get_field_by_name(name).and_then(|v| v.as_enum_number()).unwrap_or(0)
+}
+
+fn which(message: &DynamicMessage, name: &str, of: usize) -> Result<Which, String> {
+    let n = message.get_field_by_name(name).and_then(|v| v.as_i32()).unwrap_or(0);
+    match usize::try_from(n) {
+        Ok(n) if n < of => Ok(Some(n)),
+        Err(_) if n == -1 => Ok(None),
+        _ => Err(format!("{name} is {n}, of 0 to {} or -1 for all", of.saturating_sub(1))),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards scripts: what can't be played is told, and where.
+    #[test]
+    fn odd_scripts_get_a_clear_error() {
+        let fleet = "fleet { proxies: 2 set: 3 clients: 1 wait_ms: 900 }";
+        let script =
+            parse(&format!("{fleet} step {{ link {{ proxy: -1 host: 2 state: DEAF }} requests: 5 }}"));
+        let link = Fault::Link { proxy: None, set: Some(0), host: Some(2), state: State::Deaf };
+        assert_eq!(script.map(|s| s.steps), Ok(vec![Step { what: Some(link), requests: 5 }]));
+        let cases = [
+            ("", "no fleet"),
+            ("fleet { proxies: 99 set: 1 clients: 1 wait_ms: 1 }", "proxies is 99"),
+            ("fleet { proxies: 1 clients: 1 wait_ms: 1 }", "no set"),
+            ("fleet { proxies: 1 set: 1 clients: 1 }", "wait_ms"),
+            ("flee {}", "flee"),
+        ];
+        let steps = [
+            ("step { link { proxy: 2 } }", "step 0: proxy is 2, of 0 to 1"),
+            ("step {} step { link { host: 3 } }", "step 1: host is 3"),
+            ("step { link { state: SLOW } }", "needs delay_ms"),
+            ("step { link { state: GONE } }", "GONE"),
+        ];
+        let steps = steps.map(|(step, why)| (format!("{fleet} {step}"), why));
+        for (text, why) in cases.map(|(text, why)| (text.to_owned(), why)).into_iter().chain(steps) {
+            let told = parse(&text).expect_err(&text);
+            assert!(told.contains(why), "{text}: {told}");
+        }
+    }
+}
--- a/crates/gradeshunt/tests/upgrade.rs
+++ b/crates/gradeshunt/tests/upgrade.rs
@@ -14,7 +14,7 @@
     let program = Path::new(env!("CARGO_BIN_EXE_gradeshunt"));
     let (platform, mut first) = begin(program, &folder, &site).expect("it starts");
     let shared = shared_folder(&platform).expect("it is there");
-    let load = Load::start(platform.held_addr().expect("it is held"), 3, 600_000);
+    let load = Load::start(platform.held_addr().expect("it is held"), 0..3, 600_000);
     load.another(30);
 
     // One that stands while nothing else happens: requests are served all the same, and far more of them than between
--- a/crates/measure/src/upgrade.rs
+++ b/crates/measure/src/upgrade.rs
@@ -127,7 +127,7 @@
     let (platform, mut process) = begin(&setting.program, &folder, &site)?;
     let addr = platform.held_addr().ok_or(io::ErrorKind::AddrNotAvailable)?;
     let shared = shared_folder(&platform)?;
-    let load = Load::start(addr, options.clients, WAIT);
+    let load = Load::start(addr, 0..options.clients, WAIT);
     let (mut slowest_end, mut slow_turns, mut late_wakes) = (Duration::ZERO, 0, 0);
     for round in 0..rounds {
         load.another(BETWEEN);
--- a/crates/stand-ins/src/checker.rs
+++ b/crates/stand-ins/src/checker.rs
@@ -95,6 +95,13 @@
         book.counts.over_half += u64::from(self.wait.is_some_and(|wait| took > wait / 2));
     }
 
+    /// Requests whose client was told that they are served.
+    pub fn served(&self) -> Vec<String> {
+        let book = lock(&self.book);
+        let served = book.ended.iter().filter(|(_, outcomes)| outcomes.contains(&Outcome::Served));
+        served.map(|(id, _)| id.clone()).collect()
+    }
+
     pub fn counts(&self) -> Counts {
         lock(&self.book).counts.clone()
     }
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -133,12 +133,14 @@
         Ok(())
     }
 
-    /// Sends a signal by name (`TERM`, `HUP`).
+    /// Sends a signal by name (`TERM`, `HUP`, `STOP`, `CONT`).
     pub fn signal(&self, name: &str) -> io::Result<()> {
         use rustix::process::{kill_process, Pid, Signal};
         let signal = match name {
             "TERM" => Signal::TERM,
             "HUP" => Signal::HUP,
+            "STOP" => Signal::STOP,
+            "CONT" => Signal::CONT,
             _ => return Err(io::ErrorKind::InvalidInput.into()),
         };
         let pid = Pid::from_child(&self.child);
--- a/crates/stand-ins/src/upgrade.rs
+++ b/crates/stand-ins/src/upgrade.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -28,11 +29,11 @@
 }
 
 impl Load {
-    /// So many clients, whose requests wait for `wait_ms`; every fourth is a write.
-    pub fn start(addr: SocketAddr, clients: u64, wait_ms: u32) -> Load {
+    /// Clients of these numbers, whose requests wait for `wait_ms`; every fourth is a write.
+    pub fn start(addr: SocketAddr, clients: Range<u64>, wait_ms: u32) -> Load {
         let (ends, asked) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         let checker = Checker::of_wait(Duration::from_millis(wait_ms.into()));
-        let threads = (0..clients).map(|client| {
+        let threads = clients.map(|client| {
             let (ends, asked, checker) = (Arc::clone(&ends), Arc::clone(&asked), checker.clone());
             thread::spawn(move || {
                 for n in 0.. {
