--- a/crates/fleet-rig/src/fleet.rs
+++ b/crates/fleet-rig/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use gradeshunt_stand_ins::checker::{Counts, Outcome};
+use gradeshunt_stand_ins::checker::Counts;
 use gradeshunt_stand_ins::discovery::Discovery;
 use gradeshunt_stand_ins::program::{Platform, Process};
 use gradeshunt_stand_ins::site::{entry, Plan, Site};
@@ -206,11 +206,6 @@
     }
 }
 
-/// Whether any request of a report ended so.
-pub fn any(report: &Report, outcome: Outcome) -> bool {
-    report.counts.iter().any(|c| c.of(outcome) > 0)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
