A write on a silent connection no longer stops its primary for all others

In the log of one proxy a write sent at 13.84 s stayed out until its client gave up at 15.51 s: its connection had fallen silent. Such a write is never repeated, so it waits to its deadline. From 13.94 s on the primary was a suspect by it (find_silent), a probe cleared it 0.5 ms later, the next round convicted it anew by the same attempt, every 22 ms, 369 probes in all. Each recovery halves the window, down to one, and the silent attempt filled that one (has_room), so nothing else was sent and nothing was heard. Ruled out: crowding (answers in 8 to 10 ms), lost primaries (its reports say it is one), the front (other classes served).

Change: attempts from before a member's latest recovery neither fill its window nor convict it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,5 +1,4 @@
 //! The decisions. Types, events and actions stand in `src/interface.rs`; docs/design.md tells the mechanism.
-//! Session reads of settled buckets are drawn among replicas past the bucket's position, bounded ones among those inside.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -58,8 +57,7 @@
 const LOOK_LONGEST: Micros = 4_000_000;
 /// Connects that a member refuses in a while by mere mishap, as when a network resets them.
 const FEW: f64 = 2.5;
-/// One that was away this long may have started anew; without an answer so long, a member is not active.
-/// The list is asked for again this long after a failed call.
+/// Away so long a member may have started anew, silent so long it is not active; a failed call for the list is repeated.
 const AWAY: Micros = 1_000_000;
 
 #[derive(Default)]
@@ -552,8 +550,7 @@
         rules.cold_share + (1.0 - rules.cold_share) * warm.clamp(0.0, 1.0)
     }
 
-    /// Attempts of ours that a member may hold in the mean. A cold one gets its share of what warm ones are seen to
-    /// bear: over all drivers that stays under the load that pushes it over, by half until it answers uncrowded.
+    /// Attempts that a member may hold in the mean: a cold one its share of what warm ones bear, by half until it answers.
     fn room(&self, now: Micros, m: &Member) -> f64 {
         let share = self.share(now, m);
         if share >= 1.0 {
@@ -577,11 +574,11 @@
         let room = self.room(now, m);
         if room >= 1.0 {
             let low = merit < self.merit * LITTLE;
-            return (m.out.len() as f64) < if low { room * LEFT } else { room };
+            return (m.held().count() as f64) < if low { room * LEFT } else { room };
         }
         let cold = self.share(now, m) < 1.0;
         let ahead = if cold { 0.0 } else { (merit / self.merit.max(1e-12) - 1.0).clamp(-1.0, AHEAD) };
-        let few = (m.out.len() as f64) < 1.0 + ahead.max(0.0);
+        let few = (m.held().count() as f64) < 1.0 + ahead.max(0.0);
         few && (now - m.turn) as f64 >= self.gap(now, class, m) * (1.0 - ahead)
     }
 
@@ -593,11 +590,10 @@
     /// Whether a primary has more room than what only it can do is likely to need.
     fn spares(&self, now: Micros, id: MemberId) -> bool {
         let m = self.members.get(&id).filter(|m| m.usable() && m.strain <= CROWDED && !self.crowded(now));
-        m.is_some_and(|m| m.out.len() as f64 + 1.0 <= self.room(now, m) * SPARE)
+        m.is_some_and(|m| m.held().count() as f64 + 1.0 <= self.room(now, m) * SPARE)
     }
 
-    /// The time between two turns. A cold member's room bounds the work that it is sent; a warm one's is what it holds
-    /// in the mean, which follows from what it took over the latest. What is known of that fades.
+    /// The time between two turns: a cold member's room bounds its work, a warm one's what it holds, by its latest answers.
     fn gap(&self, now: Micros, class: ClassId, m: &Member) -> f64 {
         let strain = if self.share(now, m) < 1.0 { 0.0 } else { fade((m.strain, m.heard), now) };
         let takes = strain * self.settings.classes[class.0].aim as f64;
@@ -709,8 +705,7 @@
         if let (Some(b), true) = (r.bucket, r.sequence > 0) {
             self.buckets[b].open = self.buckets[b].open.max(Some(r.sequence));
         }
-        // One connection may fall silent while its member serves on: a first attempt waits no longer than nearly all
-        // take, the next one has all its time. A queue grows faster than what is known of it.
+        // A connection may fall silent while its member serves on: a first attempt waits no longer than nearly all take.
         let tail = if m.strain > CROWDED { PATIENT.1 } else { self.tail };
         let patience = (work * m.slow.max(1.0) * tail) as Micros;
         let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
@@ -870,9 +865,9 @@
     fn find_silent(&mut self, now: Micros) {
         let mut silent = Vec::new();
         for (id, m) in self.watched.iter().filter_map(|id| self.members.get(id).map(|m| (id, m))) {
-            let Some((&(sent, _, _), _)) = m.out.first_key_value() else { continue };
-            let usual = m.out.values().map(|c| self.work[c.0]).fold(0.0, f64::max);
-            let patience = usual * m.slow.max(1.0) * (2.0 + 4.0 / m.out.len() as f64);
+            let Some((sent, _)) = m.held().next() else { continue };
+            let usual = m.held().map(|(_, c)| self.work[c.0]).fold(0.0, f64::max);
+            let patience = usual * m.slow.max(1.0) * (2.0 + 4.0 / m.held().count() as f64);
             if !m.suspect && (now - sent.max(m.heard).max(self.awake)) as f64 > patience {
                 silent.push(*id);
             }
@@ -978,6 +973,11 @@
         self.cut_at = now;
     }
 
+    /// Attempts out there, oldest first; those from before its latest recovery wait on connections that are silent.
+    fn held(&self) -> impl Iterator<Item = (Micros, ClassId)> + '_ {
+        self.out.range((self.ill_since, RequestId(0), 0)..).map(|(at, class)| (at.0, *class))
+    }
+
     fn usable(&self) -> bool {
         !self.barred && !self.suspect && !self.held_out
     }
@@ -991,6 +991,7 @@
             if self.down && now - self.ill_since > AWAY {
                 (self.entry.since, self.turn) = (self.entry.since.max(Some(now)), now);
             }
+            self.ill_since = now;
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -226,6 +226,11 @@
         self.handle(Event::Probed(Probed { member, ending: Ending::Ok, elapsed: 0, report: None }));
     }
 
+    /// Whether a probe of it is out.
+    pub fn is_probing(&self, member: MemberId) -> bool {
+        self.probing.contains(&member)
+    }
+
     /// Answers the probes that are out with nothing new.
     pub fn settle_probes(&mut self) {
         for member in std::mem::take(&mut self.probing) {
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -164,6 +164,45 @@
     assert_eq!((d.sent(1).len(), d.finals(1), d.refusals(1)), (1, 1, 0));
 }
 
+#[test]
+fn write_on_a_silent_connection_keeps_its_db_host_from_nobody_else() {
+    // Guards writes that are never repeated: one waits on its connection to its deadline, while its primary serves on.
+    let mut d = Driver::new(shared_site());
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    d.report(PRIMARY, 0, true);
+    let primary = |d: &Driver| Some(d.now());
+    for id in 100..140 {
+        d.run_to(d.now() + 20_000);
+        d.request_in(id, 2, GROUP);
+        let at = primary(&d);
+        d.run_to(d.now() + 10_000);
+        d.ok_after((id, 0, PRIMARY), at, true, 10_000);
+    }
+    d.request_in(1, 2, GROUP);
+    assert_eq!(d.sent(1), vec![PRIMARY]);
+    let mut sent = 0;
+    for id in 200..300 {
+        for _ in 0..4 {
+            d.run_to(d.now() + 5_000);
+            if d.is_probing(PRIMARY) {
+                d.report(PRIMARY, d.now(), true);
+            }
+        }
+        d.request_in(id, 2, GROUP);
+        d.run_to(d.now() + 10_000);
+        if !d.sent(id).is_empty() {
+            sent += 1;
+            d.ok_after((id, 0, PRIMARY), Some(d.now()), true, 10_000);
+        }
+        // Nobody asks for a while: the silence is the stuck write's alone.
+        if id % 20 == 0 {
+            d.run_to(d.now() + 200_000);
+        }
+    }
+    assert!(sent >= 95, "{sent} of 100 others were sent to a primary that serves");
+    assert_eq!(d.sent(1).len(), 1, "and it is never repeated");
+}
+
 #[test]
 fn roaming_session_sees_its_write_by_what_its_client_carries() {
     // Guards sessions of which another proxy took the write: this one has seen nothing of it.
