The plan for a lost site, its execution in each proxy, and the paced return

Need: nothing said where a lost site's load goes, what is refused first, or how fast the site may come back.

crates/sites, free of I/O and clock: the operators' file with errors by line and field (chains of fallbacks must end), the linear program (good_lp with microlp) and a plain greedy plan as its check, the states of a site by what one proxy sees, admission by the plan's order and this proxy's part, and the return by steps. gradeshunt plan FILE [--lose SITE]... [--format text|json] [--plot out.svg] ends with status 3 where a loss is not borne. GET /sites, PUT /sites/hold|back/NAME. The sites' file is named by ROUTER_SITES or the configuration; without it nothing of this runs. The module is untouched: db hosts of a lost site are held out by the event that maintenance has. crates/textproto reads operators' files for all three users; the loader stood in two places.

--- a/crates/fleet-rig/src/script.rs
+++ b/crates/fleet-rig/src/script.rs
@@ -2,12 +2,11 @@
 
 use std::time::Duration;
 
-use prost_reflect::{DescriptorPool, DynamicMessage, ReflectMessage, Value};
+use gradeshunt_textproto::{Message, Schema};
 
 use crate::link::State;
 
-const SCHEMA: &str = include_str!("../proto/fleet.proto");
-const FILE: &str = "fleet.proto";
+pub(crate) const SCHEMA: &str = include_str!("../proto/fleet.proto");
 /// Processes of the program, db hosts and clients of a proxy, at most.
 const MOST: u32 = 40;
 
@@ -51,39 +50,16 @@
     Start,
 }
 
-struct Embedded;
-
-impl protox::file::FileResolver for Embedded {
-    fn open_file(&self, name: &str) -> Result<protox::file::File, protox::Error> {
-        match name {
-            FILE => protox::file::File::from_source(name, SCHEMA),
-            _ => Err(protox::Error::file_not_found(name)),
-        }
-    }
-}
-
-fn schema() -> Result<DescriptorPool, String> {
-    let mut resolver = protox::file::ChainFileResolver::new();
-    resolver.add(Embedded);
-    let mut compiler = protox::Compiler::with_file_resolver(resolver);
-    compiler.open_file(FILE).map_err(|e| e.to_string())?;
-    Ok(compiler.descriptor_pool())
-}
-
 /// Reads a script.
 ///
 /// # Errors
 /// What is wrong with it, in one line.
 pub fn parse(text: &str) -> Result<Script, String> {
-    let pool = schema()?;
-    let descriptor = pool.get_message_by_name("gradeshunt.fleet.Script").ok_or("the schema has no Script")?;
-    let script = DynamicMessage::parse_text_format(descriptor, text).map_err(|e| e.to_string())?;
-    let fleet = inner(&script, "fleet").ok_or("the script has no fleet")?;
-    let sets = fleet.get_field_by_name("set").map(|v| v.into_owned());
-    let sets = sets.as_ref().and_then(Value::as_list).unwrap_or_default();
-    let sets: Vec<_> = sets.iter().filter_map(|v| v.as_u32().map(|n| n as usize)).collect();
+    let script = Schema::new("fleet.proto", SCHEMA, "gradeshunt.fleet.Script")?.parse(text)?;
+    let fleet = script.inner("fleet").ok_or("the script has no fleet")?;
+    let sets: Vec<_> = fleet.numbers("set").into_iter().map(|n| n as usize).collect();
     let (proxies, clients, wait_ms) =
-        (number(&fleet, "proxies"), number(&fleet, "clients"), number(&fleet, "wait_ms"));
+        (small(&fleet, "proxies"), small(&fleet, "clients"), small(&fleet, "wait_ms"));
     if !(1..=MOST).contains(&proxies) {
         return Err(format!("fleet.proxies is {proxies}, of 1 to {MOST}"));
     }
@@ -96,25 +72,23 @@
     if sets.is_empty() || sets.iter().any(|n| !(1..=MOST as usize).contains(n)) {
         return Err(format!("fleet.set names no set of 1 to {MOST} db hosts, or one that is none"));
     }
-    let list = script.get_field_by_name("step").map(|v| v.into_owned());
-    let list = list.as_ref().and_then(Value::as_list).unwrap_or_default();
     let mut steps = Vec::new();
-    for (n, step) in list.iter().filter_map(Value::as_message).enumerate() {
+    for (n, step) in script.list("step").iter().enumerate() {
         let what = fault(step, proxies as usize, &sets).map_err(|e| format!("step {n}: {e}"))?;
-        steps.push(Step { what, requests: number(step, "requests").into() });
+        steps.push(Step { what, requests: step.number("requests") });
     }
     Ok(Script { proxies: proxies as usize, sets, clients: clients.into(), wait_ms, steps })
 }
 
-fn fault(step: &DynamicMessage, proxies: usize, sets: &[usize]) -> Result<Option<Fault>, String> {
-    if let Some(link) = inner(step, "link") {
+fn fault(step: &Message, proxies: usize, sets: &[usize]) -> Result<Option<Fault>, String> {
+    if let Some(link) = step.inner("link") {
         let set = which(&link, "set", sets.len())?;
         let hosts = match set {
             Some(set) => sets[set],
             None => sets.iter().copied().min().unwrap_or(0),
         };
-        let delay = Duration::from_millis(number(&link, "delay_ms").into());
-        let state = match choice(&link, "state") {
+        let delay = Duration::from_millis(link.number("delay_ms"));
+        let state = match link.word("state") {
             1 if delay.is_zero() => return Err("a slow link needs delay_ms".into()),
             1 => State::Slow(delay),
             2 => State::Cut,
@@ -125,8 +99,8 @@
         let (proxy, host) = (which(&link, "proxy", proxies)?, which(&link, "host", hosts)?);
         return Ok(Some(Fault::Link { proxy, set, host, state }));
     }
-    let Some(process) = inner(step, "process") else { return Ok(None) };
-    let act = match choice(&process, "act") {
+    let Some(process) = step.inner("process") else { return Ok(None) };
+    let act = match process.word("act") {
         1 => Act::Stop,
         2 => Act::Continue,
         3 => Act::Restart,
@@ -136,21 +110,12 @@
     Ok(Some(Fault::Process { proxy: which(&process, "proxy", proxies)?, act }))
 }
 
-fn inner(message: &DynamicMessage, name: &str) -> Option<DynamicMessage> {
-    let field = message.descriptor().get_field_by_name(name)?;
-    message.has_field(&field).then(|| message.get_field(&field).as_message().cloned()).flatten()
-}
-
-fn number(message: &DynamicMessage, name: &str) -> u32 {
-    message.get_field_by_name(name).and_then(|v| v.as_u32()).unwrap_or(0)
-}
-
-fn choice(message: &DynamicMessage, name: &str) -> i32 {
-    message.get_field_by_name(name).and_then(|v| v.as_enum_number()).unwrap_or(0)
+fn small(message: &Message, name: &str) -> u32 {
+    u32::try_from(message.number(name)).unwrap_or(u32::MAX)
 }
 
-fn which(message: &DynamicMessage, name: &str, of: usize) -> Result<Which, String> {
-    let n = message.get_field_by_name(name).and_then(|v| v.as_i32()).unwrap_or(0);
+fn which(message: &Message, name: &str, of: usize) -> Result<Which, String> {
+    let n = message.signed(name);
     match usize::try_from(n) {
         Ok(n) if n < of => Ok(Some(n)),
         Err(_) if n == -1 => Ok(None),
--- a/crates/gradeshunt/src/cli.rs
+++ b/crates/gradeshunt/src/cli.rs
@@ -63,6 +63,8 @@
         null: bool,
         sql: Vec<String>,
     },
+    /// Tell what becomes of the load when sites are lost. Ends with status 3 where a loss is not borne.
+    Plan(crate::planning::Options),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -7,6 +7,8 @@
 use leadmast::Micros;
 use serde_json::Value;
 
+use gradeshunt_sites::proxy::Sites;
+
 use crate::routing::{rules, Rules};
 
 /// An idle watch brings a line every 2 s: one silent for longer has broken, though its connection stands.
@@ -32,6 +34,8 @@
     pub facts: Facts,
     /// How plain statements are routed, where the operators' file says so.
     pub rules: Option<Rules>,
+    /// What is done at the loss of a site, where the operators' file says so.
+    pub sites: Option<Sites>,
 }
 
 impl Config {
@@ -51,7 +55,8 @@
         let classes = self.facts.names.classes.join(", ");
         let routes = self.rules.as_ref().map_or(0, |r| r.routes.len());
         let Config { name, listen, discovery, .. } = self;
-        format!("{name}: listens at {listen}, discovery at {discovery}, classes {classes}, {routes} routes")
+        let sites = self.sites.as_ref().map(|s| format!(", {}", s.summary())).unwrap_or_default();
+        format!("{name}: listens at {listen}, discovery at {discovery}, classes {classes}, {routes} routes{sites}")
     }
 
     fn parse(text: &str) -> Result<Config, String> {
@@ -71,8 +76,12 @@
         };
         let fd = std::env::var("ROUTER_LISTEN_FD").ok().filter(|fd| !fd.is_empty());
         let fd = fd.map(|fd| fd.parse().map_err(|_| format!("ROUTER_LISTEN_FD is no descriptor: {fd:?}")));
-        let rules = std::env::var("ROUTER_RULES").ok().filter(|f| !f.is_empty());
-        let rules = rules.or_else(|| value.get("rules").and_then(Value::as_str).map(str::to_owned));
+        // Operators' files, by the environment or by the configuration.
+        let file = |variable: &str, key: &str| {
+            let named = std::env::var(variable).ok().filter(|f| !f.is_empty());
+            named.or_else(|| value.get(key).and_then(Value::as_str).map(str::to_owned))
+        };
+        let (rules, sites) = (file("ROUTER_RULES", "rules"), file("ROUTER_SITES", "sites"));
         let facts = settings::read(value.get("settings").ok_or("settings is missing")?);
         let facts = facts.map_err(|e| format!("settings: {e}"));
         let seed = text("seed")?;
@@ -84,6 +93,7 @@
         let (name, listen, discovery) = (text("name")?.to_owned(), addr("listen")?, addr("discovery")?);
         let facts = facts?;
         let rules = rules.map(|file| rules::load(Path::new(&file), &facts)).transpose()?;
+        let sites = sites.map(|file| read_sites(&file, &facts)).transpose()?;
         Ok(Config {
             name,
             listen,
@@ -97,6 +107,13 @@
             known: value.get("known").cloned().unwrap_or(Value::Null),
             facts,
             rules,
+            sites,
         })
     }
 }
+
+/// The operators' file on sites. Plans are made here, away from the loop.
+fn read_sites(file: &str, facts: &Facts) -> Result<Sites, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {file}: {e}"))?;
+    Sites::new(&text, facts, 0).map_err(|e| format!("{file}:{e}"))
+}
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -36,6 +36,11 @@
     /// Nothing new to the db host of this name, until it is readmitted.
     HoldOut(String),
     Readmit(String),
+    /// How sites stand.
+    Sites,
+    /// Nothing new to a site's db hosts, until it is let back.
+    HoldSite(String),
+    LetSiteBack(String),
     /// Clients are to be sent away, or served again.
     Standby,
     Active,
@@ -243,6 +248,9 @@
         ["status", "loop"] => ("GET", Command::Loop),
         ["maintenance", "enter", name] => ("PUT", Command::HoldOut(id(name)?)),
         ["maintenance", "exit", name] => ("PUT", Command::Readmit(id(name)?)),
+        ["sites"] => ("GET", Command::Sites),
+        ["sites", "hold", name] => ("PUT", Command::HoldSite(id(name)?)),
+        ["sites", "back", name] => ("PUT", Command::LetSiteBack(id(name)?)),
         ["standby"] => ("PUT", Command::Standby),
         ["active"] => ("PUT", Command::Active),
         _ => return Err(Answer::new(404, "no such call\n")),
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -40,6 +40,8 @@
     Reap,
     /// The listener closes after SIGTERM.
     CloseListener,
+    /// The sites are looked at.
+    Sites,
     /// A line in the log.
     Summary,
     /// The last moment at which the program leaves after SIGTERM.
@@ -55,7 +57,7 @@
             Due::Session(_) | Due::Accept | Due::Reap | Due::CloseListener => "clients' deadlines",
             Due::Call(_) => "discovery's deadlines",
             Due::Caller(_) | Due::AcceptCallers => "operators' deadlines",
-            Due::Look | Due::Begin | Due::Serve | Due::Summary | Due::Leave => "housekeeping",
+            Due::Look | Due::Begin | Due::Serve | Due::Sites | Due::Summary | Due::Leave => "housekeeping",
         }
     }
 }
--- a/crates/gradeshunt/src/discovery/list.rs
+++ b/crates/gradeshunt/src/discovery/list.rs
@@ -60,6 +60,11 @@
         self.numbers.get(id).copied()
     }
 
+    /// The name of a db host that is listed now.
+    pub fn name(&self, member: MemberId) -> Option<&str> {
+        self.numbers.iter().find(|(_, m)| **m == member).map(|(name, _)| name.as_str())
+    }
+
     /// Reads one line of a watch; nothing for an empty one.
     pub fn line(&mut self, clock: &Clock, line: &[u8]) -> Result<Option<News>, String> {
         let text = std::str::from_utf8(line).map_err(|e| format!("a list that is not UTF-8: {e}"))?;
--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -63,6 +63,11 @@
         self.reader.member(id)
     }
 
+    /// The name of a db host that is listed now.
+    pub fn name(&self, member: MemberId) -> Option<&str> {
+        self.reader.name(member)
+    }
+
     /// Asks; a failure is told as news.
     pub fn ask(&mut self, turn: &mut Turn, ask: Ask, news: &mut Vec<News>) {
         // One watch at a time: another would only tell the same again.
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -8,6 +8,8 @@
 use std::ops::Range;
 use std::rc::Rc;
 
+use gradeshunt_sites::proxy::Sites;
+use gradeshunt_sites::watch::Failure;
 use leadmast::*;
 use slog::{debug, error, info};
 
@@ -15,6 +17,10 @@
 use crate::memory::Held;
 use crate::turn::Turn;
 
+/// Who is beyond the plan for a lost site may come back after this long: then it is seen anew what there is room for.
+const BACK: Micros = 500_000;
+/// A connection that is refused within this time found no process.
+const AT_ONCE: Micros = 50_000;
 /// How much of a long answer may be under way to a client.
 const ROOM: usize = 64 * 1024;
 
@@ -225,6 +231,10 @@
     figures: Figures,
     /// Names of the tenants, as in [`Figures::tenants`]; none where the settings name none.
     tenants: Vec<String>,
+    /// What is done at the loss of a site, where operators have a plan for it. What it does is carried out by
+    /// [`crate::site_loss`].
+    pub sites: Option<Sites>,
+    retry_after: Option<Micros>,
     /// What is asked of the server side, of discovery, and of the client side.
     pub orders: VecDeque<Order>,
     pub asks: VecDeque<Ask>,
@@ -242,6 +252,8 @@
             },
             slack: settings.rules.answer_slack,
             max_attempts: settings.allowed.attempts,
+            sites: None,
+            retry_after: settings.allowed.retry_after.then_some(settings.allowed.max_retry_after.min(BACK)),
             balancer: Balancer::new(settings, seed, now),
             requests: BTreeMap::new(),
             next: 0,
@@ -280,6 +292,10 @@
             stalled: false,
         };
         self.requests.insert(id, request);
+        if self.sites.as_mut().is_some_and(|s| !s.admits(group, class, tenant)) {
+            self.finish(turn, id, Final::Refused { retry_after: self.retry_after });
+            return id;
+        }
         self.tell(
             turn,
             Event::Request(Arrival {
@@ -395,6 +411,7 @@
     }
 
     pub fn probed(&mut self, turn: &mut Turn, probed: Probed) {
+        self.see(turn.now, probed.member, probed.ending, probed.elapsed);
         self.tell(turn, Event::Probed(probed));
     }
 
@@ -417,6 +434,7 @@
     }
 
     pub fn members(&mut self, turn: &mut Turn, kind: ListKind, entries: Vec<Entry>) {
+        self.sites.iter_mut().for_each(|s| s.list(kind, &entries));
         self.tell(turn, Event::Members { kind, entries });
     }
 
@@ -521,10 +539,24 @@
         note: Option<Note>,
     ) {
         *self.tally.endings.entry(name(ending)).or_default() += 1;
+        self.see(turn.now, member, ending, elapsed);
         let outcome = Outcome { request, attempt, member, ending, last, elapsed, note, report: None };
         self.tell(turn, Event::Outcome(outcome));
     }
 
+    /// What an ending says of its db host's site.
+    fn see(&mut self, now: Micros, member: MemberId, ending: Ending, elapsed: Micros) {
+        let Some(sites) = &mut self.sites else { return };
+        match ending {
+            Ending::Ok | Ending::Error | Ending::Full | Ending::Miss => sites.heard(now, member),
+            Ending::ConnectFailed if elapsed < AT_ONCE => sites.failed(now, member, Failure::Refused),
+            Ending::ConnectFailed | Ending::Reset | Ending::Timeout => {
+                sites.failed(now, member, Failure::Silent)
+            }
+            Ending::Cancelled | Ending::Moot => {}
+        }
+    }
+
     fn finish(&mut self, turn: &mut Turn, id: RequestId, answer: Final) {
         let of = self.requests.get(&id).map(|r| (r.class.0, r.tenant, r.beyond));
         if !self.end(turn, id) {
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -13,9 +13,11 @@
 mod memory;
 mod pace;
 mod pg;
+mod planning;
 mod ring;
 mod routing;
 mod shared;
+mod site_loss;
 mod strain;
 mod turn;
 
@@ -60,6 +62,8 @@
 const HEAR: Micros = 1_000_000;
 /// Lines of the log that may wait to be written.
 const LINES: usize = 4096;
+/// The status of `gradeshunt plan` where a loss is not borne.
+const NOT_BORNE: u8 = 3;
 /// Descriptors for operators' connections.
 const OPERATORS: usize = 12;
 
@@ -117,6 +121,7 @@
             known,
             facts,
             rules,
+            sites,
         } = config;
         let mut turn = Turn::new(event_loop.handle(), log);
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
@@ -125,7 +130,8 @@
         let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
         let mut tenants = facts.names.tenants.clone();
         tenants.extend((!tenants.is_empty()).then(|| "?".to_owned()));
-        let exchange = Exchange::new(facts.settings.clone(), tenants.clone(), seed, turn.now);
+        let mut exchange = Exchange::new(facts.settings.clone(), tenants.clone(), seed, turn.now);
+        exchange.sites = sites;
         let backend = Backend::new(facts.connections, &facts.names);
         let listener = match listen_fd {
             Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
@@ -174,6 +180,7 @@
             leave: false,
         };
         proxy.share_limits();
+        proxy.watch_sites();
         proxy.settle();
         Ok(proxy)
     }
@@ -233,6 +240,7 @@
             Due::CloseListener => self.frontend.close_listener(turn, exchange, false),
             Due::Serve if self.frontend.able => self.serve(),
             Due::Serve => turn.deadlines.set(turn.now + LOOK, Due::Serve),
+            Due::Sites => self.watch_sites(),
             Due::Summary => {
                 exchange.sum_up(turn);
                 self.frontend.sum_up(turn);
@@ -264,6 +272,10 @@
                     exchange.maintain(turn, l.member, true);
                     self.backend.maintain(turn, exchange, l.member, true);
                 }
+                let lost = |l: &&backend::Listed| exchange.sites.as_ref().is_some_and(|s| s.is_out(l.member));
+                for member in news.listed.iter().filter(lost).map(|l| l.member).collect::<Vec<_>>() {
+                    exchange.maintain(turn, member, true);
+                }
                 if heard && self.frontend.able {
                     self.serve();
                 }
@@ -317,6 +329,9 @@
                 None => Answer::new(404, "no rules for plain statements are given\n"),
             },
             control::Command::Loop => Answer::new(200, self.pace.exposition()),
+            control::Command::Sites => self.show_sites(),
+            control::Command::HoldSite(name) => self.hold_site(&name, true),
+            control::Command::LetSiteBack(name) => self.hold_site(&name, false),
             control::Command::Standby | control::Command::Active => {
                 let standby = command == control::Command::Standby;
                 info!(turn.log, "told by an operator"; "standby" => standby);
@@ -341,7 +356,9 @@
     fn maintain(&mut self, id: &str, out: bool) {
         info!(self.turn.log, "db host held out or readmitted"; "id" => id, "out" => out);
         let Some(member) = self.discovery.member(id) else { return };
-        self.exchange.maintain(&mut self.turn, member, out);
+        // Its site may be out as well.
+        let lost = self.exchange.sites.as_ref().is_some_and(|s| s.is_out(member));
+        self.exchange.maintain(&mut self.turn, member, out || lost);
         self.backend.maintain(&mut self.turn, &mut self.exchange, member, out);
     }
 
@@ -439,6 +456,7 @@
             Ok(config) => {
                 info!(self.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
                 self.frontend.route_by(config.rules);
+                self.replace_sites(config.sites);
                 self.discovery.move_to(&mut self.turn, config.discovery, config.silence, &mut self.news);
             }
             Err(why) => warn!(self.turn.log, "configuration kept, the new one can't be used"; "why" => why),
@@ -515,21 +533,21 @@
     run(event_loop, proxy)
 }
 
-fn start(arguments: Arguments) -> Result<(), String> {
+fn start(arguments: Arguments) -> Result<ExitCode, String> {
     match arguments.command {
-        None => serve(None, arguments.log_format, arguments.log_level),
-        Some(Command::Run { config }) => serve(config, arguments.log_format, arguments.log_level),
-        Some(Command::Check { config }) => {
-            println!("{}", Config::load(Some(&config))?.summary());
-            Ok(())
-        }
-        Some(Command::Classify { rules, format, null, sql }) => cli::classify(rules, format, null, sql),
+        None => serve(None, arguments.log_format, arguments.log_level)?,
+        Some(Command::Run { config }) => serve(config, arguments.log_format, arguments.log_level)?,
+        Some(Command::Check { config }) => println!("{}", Config::load(Some(&config))?.summary()),
+        Some(Command::Classify { rules, format, null, sql }) => cli::classify(rules, format, null, sql)?,
+        Some(Command::Plan(options)) if !planning::plan(&options)? => return Ok(ExitCode::from(NOT_BORNE)),
+        Some(Command::Plan(_)) => {}
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 fn main() -> ExitCode {
     match start(Arguments::parse()) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(message) => {
             eprintln!("gradeshunt: {message}");
             ExitCode::FAILURE
--- a/crates/gradeshunt/src/routing/rules.rs
+++ b/crates/gradeshunt/src/routing/rules.rs
@@ -3,14 +3,13 @@
 use std::path::Path;
 
 use gradeshunt_classing::{Access, Declared};
+use gradeshunt_textproto::{Message, Schema};
 use leadmast::settings::Facts;
 use leadmast::{Effect, GroupId, Micros};
-use prost_reflect::{DescriptorPool, DynamicMessage, ReflectMessage, Value};
 
 use super::{writes, Match, Route, Rules};
 
 const SCHEMA: &str = include_str!("../../proto/rules.proto");
-const FILE: &str = "rules.proto";
 const SHAPES_KB: u64 = 4096;
 
 /// Reads a file.
@@ -22,26 +21,6 @@
     parse(&text, facts).map_err(|e| format!("{}:{e}", path.display()))
 }
 
-/// The schema, compiled.
-fn schema() -> Result<DescriptorPool, String> {
-    let mut resolver = protox::file::ChainFileResolver::new();
-    resolver.add(Embedded);
-    let mut compiler = protox::Compiler::with_file_resolver(resolver);
-    compiler.open_file(FILE).map_err(|e| e.to_string())?;
-    Ok(compiler.descriptor_pool())
-}
-
-struct Embedded;
-
-impl protox::file::FileResolver for Embedded {
-    fn open_file(&self, name: &str) -> Result<protox::file::File, protox::Error> {
-        match name {
-            FILE => protox::file::File::from_source(name, SCHEMA),
-            _ => Err(protox::Error::file_not_found(name)),
-        }
-    }
-}
-
 /// What a file says of statements and the names of their classes, without the settings that the classes stand in.
 ///
 /// # Errors
@@ -49,33 +28,30 @@
 pub fn outline(path: &Path) -> Result<(Declared, Vec<(Match, String)>), String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
     let message = read(&text).map_err(|e| format!("{}:{e}", path.display()))?;
-    let routes = list(&message, "route").into_iter().filter_map(|r| r.as_message().cloned()).map(|r| {
-        let matches =
-            inner(&r, "match").map_or_else(|| Ok(Match::default()), |m| matches(&m, &self::text(&r, "name")));
-        matches.map(|m| (m, self::text(&r, "class")))
+    let routes = message.list("route").into_iter().map(|r| {
+        let matches = r.inner("match").map_or_else(|| Ok(Match::default()), |m| matches(&m, &r.text("name")));
+        matches.map(|m| (m, r.text("class")))
     });
     let routes = routes.collect::<Result<Vec<_>, _>>().map_err(|e| format!("{}:{e}", path.display()))?;
     Ok((declared(&message), routes))
 }
 
-fn read(text: &str) -> Result<DynamicMessage, String> {
-    let pool = schema()?;
-    let rules = pool.get_message_by_name("gradeshunt.Rules").ok_or("the schema has no Rules")?;
-    DynamicMessage::parse_text_format(rules, text).map_err(|e| place(text, &e))
+fn read(text: &str) -> Result<Message, String> {
+    Schema::new("rules.proto", SCHEMA, "gradeshunt.Rules")?.parse(text)
 }
 
-fn declared(message: &DynamicMessage) -> Declared {
-    inner(message, "functions").map_or_else(Declared::default, |f| Declared {
-        reading: texts(&f, "reading"),
-        writing: texts(&f, "writing"),
-        types: texts(&f, "type"),
+fn declared(message: &Message) -> Declared {
+    message.inner("functions").map_or_else(Declared::default, |f| Declared {
+        reading: f.texts("reading"),
+        writing: f.texts("writing"),
+        types: f.texts("type"),
     })
 }
 
 /// Reads the text of a file.
 pub fn parse(text: &str, facts: &Facts) -> Result<Rules, String> {
     let message = read(text)?;
-    let routes = list(&message, "route").iter().map(|r| route(r, facts)).collect::<Result<Vec<_>, _>>()?;
+    let routes = message.list("route").iter().map(|r| route(r, facts)).collect::<Result<Vec<_>, _>>()?;
     if routes.is_empty() {
         return Err(" no route is given".to_owned());
     }
@@ -83,27 +59,16 @@
         return Err(" no route takes what may write: one needs a class for writes".to_owned());
     }
     let declared = declared(&message);
-    let kb = match number(&message, "shapes_kb") {
+    let kb = match message.number("shapes_kb") {
         0 => SHAPES_KB,
         kb => kb,
     };
     Ok(Rules { routes, declared, shapes: usize::try_from(kb).unwrap_or(usize::MAX).saturating_mul(1024) })
 }
 
-/// What the parser complains of, behind the line and the column where it stands.
-fn place(text: &str, error: &prost_reflect::text_format::ParseError) -> String {
-    use miette::Diagnostic;
-    let at = error.labels().and_then(|mut l| l.next()).map(|l| l.offset());
-    let before = &text[..at.unwrap_or(0).min(text.len())];
-    let line = before.matches('\n').count() + 1;
-    let column = before.rsplit('\n').next().map_or(0, str::len) + 1;
-    format!("{line}:{column}: {error}")
-}
-
-fn route(value: &Value, facts: &Facts) -> Result<Route, String> {
-    let route = value.as_message().ok_or(" a route is no message")?;
-    let name = text(route, "name");
-    let class = text(route, "class");
+fn route(route: &Message, facts: &Facts) -> Result<Route, String> {
+    let name = route.text("name");
+    let class = route.text("class");
     let classes = &facts.names;
     let known = || classes.classes.join(", ");
     let class = classes
@@ -116,63 +81,35 @@
             " route {name:?}: class {class:?} is repeated by keys, which plain statements don't have; take one whose repeat is \"side_effect\""
         ));
     }
-    let cluster = number(route, "cluster");
-    let wait = Some(number(route, "deadline_ms")).filter(|ms| *ms > 0);
-    let matches = inner(route, "match").map_or_else(|| Ok(Match::default()), |m| matches(&m, &name))?;
+    let cluster = route.number("cluster");
+    let wait = Some(route.number("deadline_ms")).filter(|ms| *ms > 0);
+    let matches = route.inner("match").map_or_else(|| Ok(Match::default()), |m| matches(&m, &name))?;
     Ok(Route {
         matches,
         class,
         group: GroupId(cluster),
         wait: wait.map(|ms| Micros::try_from(ms).unwrap_or(Micros::MAX).saturating_mul(1000)),
-        comment: field(route, "comment").as_bool().unwrap_or(false),
+        comment: route.flag("comment"),
         name,
     })
 }
 
-fn matches(m: &DynamicMessage, route: &str) -> Result<Match, String> {
-    let access = list(m, "access").into_iter().map(|v| match v.as_enum_number() {
-        Some(1) => Ok(Access::Read),
-        Some(2) => Ok(Access::Write),
-        Some(3) => Ok(Access::Unknown),
+fn matches(m: &Message, route: &str) -> Result<Match, String> {
+    let access = m.words("access").into_iter().map(|v| match v {
+        1 => Ok(Access::Read),
+        2 => Ok(Access::Write),
+        3 => Ok(Access::Unknown),
         _ => Err(format!(" route {route:?}: an access is READ, WRITE or UNKNOWN")),
     });
-    let cost = |name: &str| field(m, name).as_f32().unwrap_or(0.0);
+    let cost = |name: &str| m.fraction(name).unwrap_or(0.0) as f32;
     Ok(Match {
         access: access.collect::<Result<_, _>>()?,
-        tables: texts(m, "table"),
-        functions: texts(m, "function"),
-        users: texts(m, "user"),
-        databases: texts(m, "database"),
-        applications: texts(m, "application_name"),
+        tables: m.texts("table"),
+        functions: m.texts("function"),
+        users: m.texts("user"),
+        databases: m.texts("database"),
+        applications: m.texts("application_name"),
         cost_from: cost("cost_from"),
         cost_below: Some(cost("cost_below")).filter(|c| *c > 0.0),
     })
 }
-
-// ---- Fields by their names; the schema says that they are there ----
-
-fn field(message: &DynamicMessage, name: &str) -> Value {
-    message.get_field_by_name(name).map_or(Value::Bool(false), std::borrow::Cow::into_owned)
-}
-
-fn inner(message: &DynamicMessage, name: &str) -> Option<DynamicMessage> {
-    let there = message.descriptor().get_field_by_name(name).is_some_and(|f| message.has_field(&f));
-    there.then(|| field(message, name).as_message().cloned()).flatten()
-}
-
-fn list(message: &DynamicMessage, name: &str) -> Vec<Value> {
-    field(message, name).as_list().map(<[Value]>::to_vec).unwrap_or_default()
-}
-
-fn text(message: &DynamicMessage, name: &str) -> String {
-    field(message, name).as_str().map(str::to_owned).unwrap_or_default()
-}
-
-fn texts(message: &DynamicMessage, name: &str) -> Vec<String> {
-    list(message, name).iter().filter_map(Value::as_str).map(str::to_owned).collect()
-}
-
-fn number(message: &DynamicMessage, name: &str) -> u64 {
-    let value = field(message, name);
-    value.as_u64().or_else(|| value.as_u32().map(u64::from)).unwrap_or(0)
-}
