--- a/crates/fleet-rig/src/link.rs
+++ b/crates/fleet-rig/src/link.rs
@@ -2,12 +2,10 @@
 
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread;
 use std::time::Duration;
 
-/// How often a connection that waits looks at its link's state.
-const LOOK: Duration = Duration::from_millis(2);
 /// Bytes under way at most, each way of each connection.
 const PIECE: usize = 16 * 1024;
 
@@ -30,7 +28,26 @@
 /// A running link; it ends with this value.
 pub struct Link {
     addr: SocketAddr,
-    state: Arc<Mutex<State>>,
+    inner: Arc<Inner>,
+}
+
+/// What a link's threads share.
+struct Inner {
+    state: Mutex<State>,
+    /// Whoever waits for another state is told.
+    changed: Condvar,
+    /// Both ends of each open connection: whoever reads there is woken by a reset alone.
+    open: Mutex<Vec<Weak<TcpStream>>>,
+}
+
+impl Inner {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn open(&self) -> MutexGuard<'_, Vec<Weak<TcpStream>>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Which way bytes go.
@@ -40,10 +57,6 @@
     FromHost,
 }
 
-fn now(state: &Mutex<State>) -> State {
-    *state.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Link {
     /// A link to `target`, up.
     ///
@@ -51,16 +64,18 @@
     /// Where no port is to be had.
     pub fn open(target: SocketAddr) -> io::Result<Link> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let link = Link { addr: listener.local_addr()?, state: Arc::new(Mutex::new(State::Up)) };
-        let state = Arc::clone(&link.state);
+        let inner = Inner { state: Mutex::new(State::Up), changed: Condvar::new(), open: Mutex::default() };
+        let link = Link { addr: listener.local_addr()?, inner: Arc::new(inner) };
+        let inner = Arc::clone(&link.inner);
         thread::spawn(move || {
             for near in listener.incoming() {
-                let (Ok(near), state) = (near, Arc::clone(&state)) else { continue };
-                match now(&state) {
+                let Ok(near) = near else { continue };
+                let state = *inner.state();
+                match state {
                     State::Over => return,
                     State::Cut => reset(&near),
                     State::Up | State::Slow(_) | State::Silent | State::Deaf => {
-                        if join(near, target, state).is_err() {
+                        if join(near, target, Arc::clone(&inner)).is_err() {
                             continue;
                         }
                     }
@@ -75,9 +90,19 @@
         self.addr
     }
 
+    /// What it does now.
+    pub fn state(&self) -> State {
+        *self.inner.state()
+    }
+
     /// Breaks or mends it.
     pub fn set(&self, state: State) {
-        *self.state.lock().unwrap_or_else(PoisonError::into_inner) = state;
+        *self.inner.state() = state;
+        self.inner.changed.notify_all();
+        if matches!(state, State::Cut | State::Over) {
+            let open = std::mem::take(&mut *self.inner.open());
+            open.iter().filter_map(Weak::upgrade).for_each(|socket| end(&socket));
+        }
     }
 }
 
@@ -96,72 +121,69 @@
 }
 
 /// Joins a connection with one to the db host.
-fn join(near: TcpStream, target: SocketAddr, state: Arc<Mutex<State>>) -> io::Result<()> {
+fn join(near: TcpStream, target: SocketAddr, inner: Arc<Inner>) -> io::Result<()> {
     let far = TcpStream::connect(target).inspect_err(|_| reset(&near))?;
-    for socket in [&near, &far] {
-        socket.set_nodelay(true)?;
-        socket.set_read_timeout(Some(LOOK))?;
-    }
+    near.set_nodelay(true)?;
+    far.set_nodelay(true)?;
     let (near, far) = (Arc::new(near), Arc::new(far));
-    let (other, ends) = (Arc::clone(&state), (Arc::clone(&near), Arc::clone(&far)));
+    {
+        let mut open = inner.open();
+        open.retain(|socket| socket.strong_count() > 0);
+        open.extend([Arc::downgrade(&near), Arc::downgrade(&far)]);
+    }
+    // It may have been cut between the look at its state and its entry above.
+    if matches!(*inner.state(), State::Cut | State::Over) {
+        end(&near);
+        end(&far);
+    }
+    let (other, ends) = (Arc::clone(&inner), (Arc::clone(&near), Arc::clone(&far)));
     thread::spawn(move || pass(&ends.0, &ends.1, Way::ToHost, &other));
-    thread::spawn(move || pass(&far, &near, Way::FromHost, &state));
+    thread::spawn(move || pass(&far, &near, Way::FromHost, &inner));
     Ok(())
 }
 
 /// Passes bytes one way until the connection ends.
-fn pass(from: &TcpStream, to: &TcpStream, way: Way, state: &Mutex<State>) {
+fn pass(from: &TcpStream, to: &TcpStream, way: Way, inner: &Inner) {
     let mut piece = vec![0; PIECE];
     loop {
-        if !waits(way, state, [from, to]) {
-            return;
-        }
         let n = match { from }.read(&mut piece) {
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
             Err(e) if e.kind() == ErrorKind::Interrupted => continue,
             Ok(0) => {
-                // The other way may go on: a peer may end its sending alone.
-                let _ = to.shutdown(Shutdown::Write);
+                // What is held stays held; and the other way may go on: a peer may end its sending alone.
+                if waits(way, inner) {
+                    let _ = to.shutdown(Shutdown::Write);
+                }
                 return;
             }
-            Err(_) => return end([from, to]),
+            Err(_) => {
+                end(from);
+                return end(to);
+            }
             Ok(n) => n,
         };
-        if let State::Slow(delay) = now(state) {
+        let delayed = *inner.state();
+        if let State::Slow(delay) = delayed {
             thread::sleep(delay);
         }
         // It may have been broken meanwhile: what is under way is held, too.
-        if !waits(way, state, [from, to]) {
-            return;
-        }
-        if { to }.write_all(&piece[..n]).is_err() {
-            return end([from, to]);
+        if !waits(way, inner) || { to }.write_all(&piece[..n]).is_err() {
+            end(from);
+            return end(to);
         }
     }
 }
 
 /// Waits while nothing passes this way; false once the connection is over.
-fn waits(way: Way, state: &Mutex<State>, ends: [&TcpStream; 2]) -> bool {
-    loop {
-        match now(state) {
-            State::Silent => thread::sleep(LOOK),
-            State::Deaf if way == Way::FromHost => thread::sleep(LOOK),
-            State::Up | State::Slow(_) | State::Deaf => return true,
-            State::Cut | State::Over => {
-                end(ends);
-                return false;
-            }
-        }
-    }
+fn waits(way: Way, inner: &Inner) -> bool {
+    let holds = |s: &mut State| *s == State::Silent || *s == State::Deaf && way == Way::FromHost;
+    let state = inner.changed.wait_while(inner.state(), holds).unwrap_or_else(PoisonError::into_inner);
+    matches!(*state, State::Up | State::Slow(_) | State::Deaf)
 }
 
-/// Resets both sides, once both ways have seen it.
-fn end(ends: [&TcpStream; 2]) {
-    for socket in ends {
-        reset(socket);
-        // Whoever waits for bytes of it is woken.
-        let _ = socket.shutdown(Shutdown::Read);
-    }
+/// Resets it; whoever waits for bytes of it is woken.
+fn end(socket: &TcpStream) {
+    reset(socket);
+    let _ = socket.shutdown(Shutdown::Read);
 }
 
 #[cfg(test)]
--- a/crates/stand-ins/src/checker.rs
+++ b/crates/stand-ins/src/checker.rs
@@ -22,6 +22,13 @@
     Unreached,
 }
 
+impl Outcome {
+    /// It ended with no word from the proxy.
+    pub fn at_the_door(self) -> bool {
+        matches!(self, Outcome::Lost | Outcome::Unreached)
+    }
+}
+
 /// What a set of requests came to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -102,6 +109,11 @@
         served.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Those of them whose ids begin so.
+    pub fn served_of(&self, begins: &str) -> Vec<String> {
+        self.served().into_iter().filter(|id| id.starts_with(begins)).collect()
+    }
+
     pub fn counts(&self) -> Counts {
         lock(&self.book).counts.clone()
     }
--- a/crates/stand-ins/src/postgres/client.rs
+++ b/crates/stand-ins/src/postgres/client.rs
@@ -96,6 +96,13 @@
         self.until_ready()
     }
 
+    /// Whether something has come that nobody has asked for.
+    pub fn has_more(&mut self) -> bool {
+        let was_set = self.stream.set_nonblocking(true).is_ok();
+        let more = self.stream.peek(&mut [0]).is_ok_and(|n| n > 0);
+        was_set && self.stream.set_nonblocking(false).is_ok() && more
+    }
+
     /// Asks without waiting.
     pub fn ask(&mut self, statement: &str) -> io::Result<()> {
         self.stream.write_all(&wire::query(statement))
--- a/crates/stand-ins/src/postgres/host.rs
+++ b/crates/stand-ins/src/postgres/host.rs
@@ -10,6 +10,7 @@
 use std::thread;
 
 use super::wire;
+use crate::engine::Engine;
 use crate::lock;
 use crate::script::{Act, Table};
 use crate::set::{Declined, Role, Set};
@@ -22,6 +23,8 @@
     open: Mutex<BTreeMap<u64, TcpStream>>,
     /// Prints each statement behind this name.
     echo: Mutex<Option<String>>,
+    /// What it bears, where that is limited.
+    engine: Mutex<Option<Arc<Engine>>>,
     /// Whether it tells its role and position in each answer.
     tells: bool,
 }
@@ -45,6 +48,7 @@
             addr,
             open: Mutex::default(),
             echo: Mutex::default(),
+            engine: Mutex::default(),
             tells,
         }));
         let served = host.clone();
@@ -69,6 +73,11 @@
         self
     }
 
+    /// It bears no more than this.
+    pub fn bears(&self, engine: &Arc<Engine>) {
+        *lock(&self.0.engine) = Some(Arc::clone(engine));
+    }
+
     pub fn addr(&self) -> SocketAddr {
         self.0.addr
     }
@@ -109,6 +118,16 @@
         }
         let (takes, act) = set.meet(*number, statement);
         thread::sleep(takes);
+        let engine = lock(&self.0.engine).clone();
+        if let Some(engine) = engine.filter(|_| !statement.starts_with("SHOW")) {
+            let full = engine.work(statement, || set.position(*number)).is_err();
+            if full {
+                stream.write_all(
+                    &[wire::error("53300", "too many requests wait"), wire::message(b'Z', b"I")].concat(),
+                )?;
+                return Ok(true);
+            }
+        }
         let reset = |stream: &TcpStream| {
             reset_on_close(stream);
             Ok(false)
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -117,6 +117,8 @@
     /// Calls an operator's address: the status, and the body.
     pub fn call(&self, method: &str, path: &str) -> io::Result<(u16, String)> {
         let mut stream = TcpStream::connect(self.control)?;
+        // A program that answers nobody fails a test; it must not hold it up for ever.
+        stream.set_read_timeout(Some(Duration::from_secs(60)))?;
         write!(stream, "{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n")?;
         let mut text = String::new();
         stream.read_to_string(&mut text)?;
