A crowded site is no lost one; the door counts work, not tries; a grid of plays to measure it

Change: only those let in that are sent to a db host count as work; headroom is for planning alone. A db host is dead for its site when it refuses, or when nothing was heard of it for lost_after; a suspected site is probed at each look, since crowds let attempts run out of time, too (test: ten seconds of run-out attempts with probes answered are no loss).

--- a/crates/fleet-rig/src/load.rs
+++ b/crates/fleet-rig/src/load.rs
@@ -17,7 +17,7 @@
 /// So long beyond the wait of its request a client gives its connection up.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// Threads that ask, for each site.
-const WORKERS: usize = 64;
+const WORKERS: usize = 160;
 /// Sessions of each site and class.
 const SESSIONS: u64 = 40;
 
@@ -130,9 +130,9 @@
         let mut threads = Vec::new();
         let over = Arc::clone(&ends);
         threads.push(thread::spawn(move || schedule(&streams, &jobs, &over, seed)));
-        for worker in 0..WORKERS {
+        for _ in 0..WORKERS {
             let (shared, taken) = (Arc::clone(&shared), Arc::clone(&taken));
-            threads.push(thread::spawn(move || work(&shared, &taken, worker)));
+            threads.push(thread::spawn(move || work(&shared, &taken)));
         }
         Load { ends, threads }
     }
@@ -166,7 +166,7 @@
     }
 }
 
-fn work(shared: &Shared, jobs: &Mutex<Receiver<Job>>, worker: usize) {
+fn work(shared: &Shared, jobs: &Mutex<Receiver<Job>>) {
     let mut connections: BTreeMap<SocketAddr, Client> = BTreeMap::new();
     loop {
         let job = held(jobs).recv();
@@ -179,7 +179,7 @@
             tries += 1;
             shared.checker.asked(&id);
             let since = Instant::now();
-            let (outcome, again, at) = ask(shared, &mut connections, s, &id, number, worker, due);
+            let (outcome, again, at) = ask(shared, &mut connections, s, &id, number, tries as usize, due);
             shared.checker.ended(&id, outcome, since.elapsed());
             over = over
                 .max(since.elapsed().saturating_sub((due + shared.wait).saturating_duration_since(since)));
@@ -204,11 +204,12 @@
     s: &Stream,
     id: &str,
     number: u64,
-    worker: usize,
+    tries: usize,
     due: Instant,
 ) -> (Outcome, Option<Duration>, Option<SocketAddr>) {
     let front = held(&shared.front).clone();
-    let Some(addr) = front.get((number as usize).wrapping_add(worker) % front.len().max(1)).copied() else {
+    // The front layer takes turns; a client's second try goes to the next proxy.
+    let Some(addr) = front.get((number as usize + tries) % front.len().max(1)).copied() else {
         return (Outcome::Unreached, None, None);
     };
     let session = number % SESSIONS;
--- a/crates/fleet-rig/src/outcome.rs
+++ b/crates/fleet-rig/src/outcome.rs
@@ -88,6 +88,24 @@
         layout.demands.iter().zip(plan).map(|(d, served)| served * layout.classes[d.class].worth).sum()
     }
 
+    /// Whether classes that a plan serves less of were refused at least as much as those that it serves more of, within a tenth.
+    pub fn in_order(&self, lost: &[SiteId], from: f64, to: f64) -> bool {
+        let mut layout = self.layout.clone();
+        layout.demands.iter_mut().for_each(|d| d.rate *= self.load);
+        let Ok(plan) = solve(&layout, lost) else { return false };
+        let shares = self.shares(from, to);
+        let served = |class: usize| {
+            let of = layout.demands.iter().zip(&plan.served).filter(|(d, _)| d.class == class);
+            let (asked, served) = of.fold((0.0, 0.0), |a, (d, s)| (a.0 + d.rate, a.1 + s));
+            served / f64::max(asked, 1e-9)
+        };
+        let classes: Vec<_> = (0..layout.classes.len()).filter(|c| shares[*c].asked > 0).collect();
+        let before = |a: &usize, b: &usize| served(*a) > served(*b) + 0.1;
+        let mut pairs =
+            classes.iter().flat_map(|a| classes.iter().map(move |b| (a, b))).filter(|(a, b)| before(a, b));
+        pairs.all(|(a, b)| shares[*a].refused_share() <= shares[*b].refused_share() + 0.1)
+    }
+
     /// Worth asked for, a second.
     pub fn asked_for(&self) -> f64 {
         self.layout.demands.iter().map(|d| d.rate * self.load * self.layout.classes[d.class].worth).sum()
--- a/crates/fleet-rig/src/region.rs
+++ b/crates/fleet-rig/src/region.rs
@@ -325,6 +325,9 @@
     fn happen(&mut self, what: What, site: Option<SiteId>) -> io::Result<()> {
         let name = site.map_or("all", |s| self.layout.sites[s.0].name.as_str()).to_owned();
         self.mark(format!("{what:?} {name}"));
+        if std::env::var_os("FLEET_RIG_SHOW").is_some() {
+            eprintln!("{}", self.shown());
+        }
         let Some(site) = site else {
             let state = if what == What::ListAbsent { State::Silent } else { State::Up };
             if matches!(what, What::ListAbsent | What::ListBack) {
@@ -526,7 +529,8 @@
     }
 
     fn shown(&self) -> String {
-        let first = self.fleet.iter().filter_map(|p| p.process.as_ref()).next();
+        let running = self.fleet.iter().filter(|p| !self.lost.contains(&p.site));
+        let first = running.filter_map(|p| p.process.as_ref()).next();
         first.and_then(|p| p.call("GET", "/sites").ok()).map(|(_, body)| body).unwrap_or_default()
     }
 
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -156,6 +156,8 @@
 
 struct Request {
     class: ClassId,
+    group: GroupId,
+    of: Option<TenantId>,
     /// Its place in [`Figures::tenants`], and whether it is beyond that tenant's share.
     tenant: usize,
     beyond: bool,
@@ -278,6 +280,8 @@
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
         let request = Request {
             class,
+            group,
+            of: tenant,
             tenant: tenant.map_or(self.figures.tenants.len() - 1, |t| t.0),
             beyond: false,
             deadline,
@@ -515,6 +519,9 @@
         };
         let number = r.sends;
         r.sends += 1;
+        if let (0, Some(sites)) = (number, &mut self.sites) {
+            sites.sent(r.group, r.class, r.of);
+        }
         // Never two out at a time, never more than the settings allow, nothing for what is over.
         if r.over || r.out.is_some() || number >= self.max_attempts || timeout <= 0 {
             let last = r.over;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! status 1 where a bound is missed. Each ends within 45 s unless `--long` is given. They are no part of CI.
 
 mod classing;
+mod fleet;
 mod relay;
 mod upgrade;
 
@@ -33,6 +34,8 @@
 enum Name {
     /// Upgrades under load, with and without a disk that stands: what ends at the door.
     Upgrade(upgrade::Options),
+    /// The loss of a site: each script of the fleet rig over sites, with the operators' plan and without.
+    Fleet(fleet::Options),
     /// The classing of statements: time on a hit and on a miss, hit rates under floods, memory.
     Classing,
     /// CPU of the program for each request, commented and plain, beside another program (`--baseline`).
@@ -65,6 +68,7 @@
     let setting = Setting { long: arguments.long, program, folder };
     let report = match arguments.name {
         Name::Upgrade(options) => upgrade::measure(&setting, &options),
+        Name::Fleet(options) => fleet::measure(&setting, &options),
         Name::Classing => Ok(classing::measure(&setting)),
         Name::Relay(options) => relay::measure(&setting, &options),
     };
--- a/crates/sites/src/door.rs
+++ b/crates/sites/src/door.rs
@@ -15,6 +15,9 @@
 /// What of each new half second counts in the measured rate.
 const FRESH: f64 = 0.5;
 
+/// However many are turned away behind the door, this share of those let in counts as work.
+const LEAST_WORK: f64 = 0.2;
+
 /// A kind of requests: a class of the file for a set, by their places, and whose, where that counts.
 pub type Kind = (usize, usize, Option<String>);
 
@@ -23,12 +26,23 @@
     /// Requests since the rate was last measured; the rate in requests a second, and whether it was measured at all.
     came: u32,
     rate: f64,
+    /// Of those let in, how many were sent to a db host since then, and the share of them that are: the rest makes no work.
+    within: u32,
+    sent: u32,
+    makes_work: f64,
     /// What is let in, and what of a request has been saved up.
     share: f64,
     credit: f64,
     refused: u64,
 }
 
+impl Stream {
+    /// Seconds of work a second that it makes, were all of it let in.
+    fn work(&self, of_one: f64) -> f64 {
+        self.rate * of_one * self.makes_work
+    }
+}
+
 /// What one proxy lets in.
 #[derive(Debug)]
 pub struct Door {
@@ -82,9 +96,14 @@
 
     /// Whether a request is let in; kinds that the file does not speak of always are.
     pub fn admits(&mut self, kind: Kind) -> bool {
-        let s = self.streams.entry(kind).or_insert_with(|| Stream { share: 1.0, ..Stream::default() });
+        let s = self.streams.entry(kind).or_insert_with(|| Stream {
+            share: 1.0,
+            makes_work: 1.0,
+            ..Stream::default()
+        });
         s.came += 1;
         if self.bounds.is_empty() || s.share >= 1.0 {
+            s.within += 1;
             return true;
         }
         // A counter, not chance: of ten at seven tenths seven go in.
@@ -92,9 +111,15 @@
         let goes = s.credit >= 1.0 - 1e-9;
         s.credit -= if goes { 1.0 } else { 0.0 };
         s.refused += u64::from(!goes);
+        s.within += u32::from(goes);
         goes
     }
 
+    /// One that was let in is sent to a db host.
+    pub fn sent(&mut self, kind: &Kind) {
+        self.streams.get_mut(kind).into_iter().for_each(|s| s.sent += 1);
+    }
+
     /// Measures what comes, and sets the shares anew. `missing`: which share of each site's load is elsewhere.
     pub fn anew(&mut self, now: Micros, missing: &[f64], force: bool) {
         let past = now - self.measured;
@@ -102,6 +127,11 @@
             for s in self.streams.values_mut() {
                 let rate = f64::from(std::mem::take(&mut s.came)) * 1e6 / past as f64;
                 s.rate += FRESH * (rate - s.rate);
+                let (sent, within) = (std::mem::take(&mut s.sent), std::mem::take(&mut s.within));
+                if within > 0 {
+                    let share = (f64::from(sent) / f64::from(within)).clamp(LEAST_WORK, 1.0);
+                    s.makes_work += FRESH * (share - s.makes_work);
+                }
             }
             self.measured = now;
         } else if !force {
@@ -158,11 +188,13 @@
             bounds[d.set].1 += if layout.classes[d.class].write { work } else { 0.0 };
         }
         for u in &plan.used {
-            let spare = (u.bears - u.work).max(0.0) / everyone;
+            // The headroom is for planning. At the door it is room like any other: the module sees hosts fill by itself.
+            let full = u.bears / layout.headroom;
+            let spare = (full - u.work).max(0.0) / everyone;
             bounds[u.set].0 += spare;
             if layout.sets[u.set].leads(lost) == Some(u.site) {
                 let hosts = layout.sets[u.set].at(u.site).map_or(1.0, |m| f64::from(m.hosts));
-                bounds[u.set].1 += spare.min(u.bears / hosts / everyone);
+                bounds[u.set].1 += spare.min(full / hosts / everyone);
             }
         }
         bounds
@@ -182,7 +214,7 @@
                 let class = &self.layout.classes[kind.0];
                 let up_to = if floors { self.layout.floor(kind.0, kind.2.as_deref()) } else { 1.0 };
                 let so_far = given.entry(kind).or_default();
-                let asked = (up_to * s.rate * class.work - *so_far).max(0.0);
+                let asked = (up_to * s.work(class.work) - *so_far).max(0.0);
                 let room = &mut rest[kind.1];
                 let most = if class.write { room.0.min(room.1) } else { room.0 };
                 let gets = asked.min(most.max(0.0));
@@ -193,7 +225,7 @@
         }
         let given: BTreeMap<Kind, f64> = given.into_iter().map(|(k, g)| (k.clone(), g)).collect();
         for (kind, s) in &mut self.streams {
-            let asked = s.rate * self.layout.classes[kind.0].work;
+            let asked = s.work(self.layout.classes[kind.0].work);
             let got = given.get(kind).copied().unwrap_or(0.0);
             s.share = if asked > got + 1e-9 { got / asked } else { 1.0 };
         }
--- a/crates/sites/src/proxy.rs
+++ b/crates/sites/src/proxy.rs
@@ -119,6 +119,13 @@
         kind.is_none_or(|kind| self.door.admits(kind))
     }
 
+    /// One that was let in is sent to a db host for the first time.
+    pub fn sent(&mut self, group: GroupId, class: ClassId, tenant: Option<TenantId>) {
+        if let Some(kind) = self.kind(group, class, tenant) {
+            self.door.sent(&kind);
+        }
+    }
+
     fn kind(&self, group: GroupId, class: ClassId, tenant: Option<TenantId>) -> Option<Kind> {
         let (class, set) = (*self.classes.get(&class)?, *self.sets.get(&group)?);
         let named = tenant.and_then(|t| self.tenants.get(t.0));
--- a/crates/sites/src/watch.rs
+++ b/crates/sites/src/watch.rs
@@ -120,13 +120,17 @@
     /// Failures since it was last heard, and when the latest was.
     failures: u32,
     failed: Micros,
+    /// The latest was a refused connection.
+    refused: bool,
     /// It gets nothing new.
     out: bool,
 }
 
 impl Host {
-    fn is_dead(&self) -> bool {
-        self.gone || self.failures >= IN_A_ROW
+    /// It is gone, or refuses, or is silent for longer than a crowd makes one. A crowded host lets attempts run out of time,
+    /// too: it answers probes.
+    fn is_dead(&self, now: Micros, lost_after: Micros) -> bool {
+        self.gone || self.failures >= IN_A_ROW && (self.refused || now - self.heard >= lost_after)
     }
 }
 
@@ -192,7 +196,7 @@
         let (mut all, mut out) = (0, 0);
         for (_, h) in self.of(site).filter(|(_, h)| !h.gone) {
             all += 1;
-            out += u32::from(h.out || h.is_dead());
+            out += u32::from(h.out || h.is_dead(self.looked, self.terms.lost_after));
         }
         match self.sites[site.0].state {
             State::Whole => 0.0,
@@ -253,6 +257,7 @@
                 heard: NEVER,
                 failures: 0,
                 failed: NEVER,
+                refused: false,
                 out: false,
             };
             let h = self.hosts.entry(host).or_insert(new);
@@ -271,6 +276,7 @@
     pub fn failed(&mut self, now: Micros, host: MemberId, how: Failure) {
         let Some(h) = self.hosts.get_mut(&host) else { return };
         (h.failures, h.failed) = (h.failures.saturating_add(1).min(IN_A_ROW), now);
+        h.refused = how == Failure::Refused;
         let site = &mut self.sites[h.site.0];
         site.refused |= how == Failure::Refused;
     }
@@ -314,32 +320,41 @@
     }
 
     fn look_at(&mut self, now: Micros, site: SiteId, actions: &mut Vec<Action>) {
-        let t = &self.terms;
-        let recent = now - STALE * t.lost_after;
+        let lost_after = self.terms.lost_after;
+        let recent = now - STALE * lost_after;
         let hosts: Vec<_> = self.of(site).map(|(id, h)| (*id, h.clone())).collect();
         let needed = TRIED.min(hosts.len());
-        let dead = hosts.iter().filter(|(_, h)| h.is_dead()).count();
-        let tried = hosts.iter().filter(|(_, h)| h.is_dead() || h.heard > recent).count();
+        let is_dead = |h: &Host| h.is_dead(now, lost_after);
+        let dead = hosts.iter().filter(|(_, h)| is_dead(h)).count();
+        let tried = hosts.iter().filter(|(_, h)| is_dead(h) || h.heard > recent).count();
         let heard = hosts.iter().map(|(_, h)| h.heard).max().unwrap_or(NEVER);
-        let silent = now - heard.max(self.awake) >= t.lost_after;
+        let silent = now - heard.max(self.awake) >= lost_after;
         // Failures of late, not of an hour ago.
-        let failing = hosts.iter().filter(|(_, h)| h.is_dead() && (h.gone || h.failed > recent)).count();
+        let failing = hosts.iter().filter(|(_, h)| is_dead(h) && (h.gone || h.failed > recent)).count();
         let gone = !hosts.is_empty() && hosts.iter().all(|(_, h)| h.gone);
         let lost = !hosts.is_empty() && failing >= needed && (gone || silent && heard < now);
         match self.sites[site.0].state {
             State::Whole if lost || dead >= needed && dead > 0 && dead * 2 >= tried => {
                 let why = format!("{dead} of {tried} db hosts that were tried do not answer");
                 self.turn(site, State::Suspected { since: now }, why, actions);
-                if lost {
+                if gone {
                     self.lose(now, site, &hosts, actions);
                 }
             }
-            State::Suspected { .. } if lost => self.lose(now, site, &hosts, actions),
+            // Not before those that are silent had a probe to answer.
+            State::Suspected { since } if lost && (gone || now - since >= lost_after / 4) => {
+                self.lose(now, site, &hosts, actions);
+            }
             State::Suspected { .. } if dead * 2 < tried || dead == 0 => {
                 let why = format!("{} of {tried} db hosts answer", tried - dead);
                 self.turn(site, State::Whole, why, actions);
             }
-            State::Whole | State::Suspected { .. } => {}
+            State::Whole => {}
+            State::Suspected { .. } => {
+                // One at each look: whoever answers is no more than crowded.
+                self.sites[site.0].probe_at = now;
+                self.probe(now, site, &hosts, actions);
+            }
             State::Lost { since, by_hand, answers } => {
                 self.probe(now, site, &hosts, actions);
                 let alive = |h: &Host| !h.gone && h.failures == 0 && h.heard > since;
@@ -356,7 +371,7 @@
             State::Returning { began, step, since, cold } => {
                 self.probe(now, site, &hosts, actions);
                 let back: Vec<_> = hosts.iter().filter(|(_, h)| !h.out && !h.gone).collect();
-                let dead = back.iter().filter(|(_, h)| h.is_dead() && h.failed > began).count();
+                let dead = back.iter().filter(|(_, h)| is_dead(h) && h.failed > began).count();
                 if dead > 0 && dead * 2 >= back.len() {
                     return self.lose(now, site, &hosts, actions);
                 }
@@ -383,7 +398,7 @@
 
     fn lose(&mut self, now: Micros, site: SiteId, hosts: &[(MemberId, Host)], actions: &mut Vec<Action>) {
         let gone = hosts.iter().filter(|(_, h)| h.gone).count();
-        let dead = hosts.iter().filter(|(_, h)| h.is_dead()).count();
+        let dead = hosts.iter().filter(|(_, h)| h.is_dead(now, self.terms.lost_after)).count();
         let memory = self.terms.flap_memory;
         let at = &mut self.sites[site.0];
         at.losses.retain(|l| now - l < memory);
@@ -428,8 +443,8 @@
             return;
         }
         at.probe_at = now + every;
-        let lost = matches!(at.state, State::Lost { .. });
-        let mut listed = hosts.iter().filter(|(_, h)| !h.gone && (lost || !h.out)).map(|(id, _)| *id);
+        let returns = matches!(at.state, State::Returning { .. });
+        let mut listed = hosts.iter().filter(|(_, h)| !h.gone && (!returns || !h.out)).map(|(id, _)| *id);
         let first = listed.clone().next();
         at.probed = listed.find(|id| Some(*id) > at.probed).or(first);
         actions.extend(at.probed.map(Action::Probe));
--- a/crates/sites/tests/door.rs
+++ b/crates/sites/tests/door.rs
@@ -32,6 +32,9 @@
             while come[class] > 0.0 && next[class] <= now as f64 {
                 next[class] += 1e6 / come[class];
                 let goes = door.admits((class, 0, None));
+                if goes {
+                    door.sent(&(class, 0, None));
+                }
                 within[class] += f64::from(u8::from(goes && now > 5_000_000)) / 5.0;
             }
         }
--- a/crates/sites/tests/watch.rs
+++ b/crates/sites/tests/watch.rs
@@ -153,6 +153,24 @@
     assert_eq!(p.state(0).name(), "returning");
 }
 
+#[test]
+fn crowd_is_no_loss() {
+    // Attempts at all of a site's db hosts run out of time for ten seconds; probes are answered.
+    let mut p = Proxy::new(0, 2);
+    p.run(SECOND);
+    for _ in 0..100 {
+        (0..4).for_each(|h| p.watch.failed(p.now, MemberId(h), Failure::Silent));
+        p.now += TICK;
+        let mut actions = Vec::new();
+        p.watch.look(p.now, &mut actions);
+        p.take(actions);
+        assert_ne!(p.state(0).name(), "lost");
+    }
+    assert_eq!(p.in_use(0), HOSTS);
+    p.run(SECOND);
+    assert_eq!((p.state(0), p.watch.missing(SiteId(0))), (State::Whole, 0.0));
+}
+
 #[test]
 fn own_stall_is_no_silence_of_a_site() {
     let mut p = Proxy::new(0, 2);
