A second copy of an error is no answer to the next request on its connection

Where that is an error, and its connection is another request's by then, the proxy took it for that one's answer (up in backend.rs): a miss, a refusal or an error, so the request was sent again while the first attempt was at work on a connection that stayed open in the pool; a write that must not run twice could run twice after a copied miss. Change: an error that has the code and the position of the error before it on its connection ends its attempt as an error that may have run, and the connection is closed before the request goes out again. Positions move on by the millisecond, so honest errors differ; where they don't, the price is a connection. Ruled out: two attempts out in the module (r.out() and the exchange's one place), ReadyForQuery without an answer (spoilt and closed already), an attempt given up whose connection stays open (closed before the next order is carried out). The exchange copied_error waits in vain for the close without the change.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -98,6 +98,8 @@
     inbound: Ring,
     outbound: Ring,
     stage: Stage,
+    /// The latest error that was an answer here, with the position that it told.
+    refused: Option<(String, Micros)>,
 }
 
 impl Server {
@@ -537,6 +539,7 @@
             inbound: Ring::default(),
             outbound: Ring::default(),
             stage: Stage::Starting { by },
+            refused: None,
         };
         if !s.outbound.push(&Writer::default().startup(USER, DATABASE).0) {
             return Err(io::ErrorKind::OutOfMemory.into());
@@ -557,6 +560,14 @@
         turn.deadlines.set(until, Due::Server(id));
         let Some(host) = self.hosts.get_mut(&member) else { return };
         host.idle.push(id);
+        // A second copy of an error, that of the request before, tells nothing of this one: it may be at work there yet, and
+        // is sent again. Positions move on, so one that stands still between two errors is a copy's.
+        let error = match &stage {
+            Stage::Busy { reply, .. } => reply.error.clone().zip(reply.position),
+            _ => None,
+        };
+        let copied = error.is_some() && s.refused == error;
+        s.refused = error;
         match stage {
             Stage::Starting { by } => {
                 host.starting -= 1;
@@ -566,6 +577,8 @@
             Stage::Idle { .. } | Stage::Spent => {}
             Stage::Busy { job, reply, .. } => {
                 let ending = reply.ending().unwrap_or(Ending::Reset);
+                let (ending, reply) =
+                    if copied { (Ending::Error, Reply::default()) } else { (ending, reply) };
                 self.end(turn, exchange, member, job, ending, reply);
             }
         }
@@ -573,7 +586,7 @@
         // for its value. The answer before it stands; the connection is of no further use.
         let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty() || !s.polled.is_quiet());
         let Some(host) = self.hosts.get_mut(&member) else { return };
-        if !host.takes_jobs() || surplus {
+        if !host.takes_jobs() || surplus || copied {
             self.close(turn, id);
             self.unserved(turn, exchange, member, Ending::ConnectFailed);
         } else if let Some(job) = host.waiting.pop_front() {
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -464,6 +464,7 @@
     mute
     crowd
     no_ready
+    copied_error
     idle_crowd
     control
     held_out
