--- a/crates/gradeshunt/tests/cli.rs
+++ b/crates/gradeshunt/tests/cli.rs
@@ -75,3 +75,61 @@
     assert_eq!(output.status.code(), Some(1));
     assert_eq!(run(&["frob"], b"").status.code(), Some(2));
 }
+
+/// Guards `gradeshunt plan`: its status tells scripts whether a loss is borne, and the example is one of each kind.
+#[test]
+fn plan_tells_by_its_status_what_is_borne() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/sites.textproto");
+    let plan = |arguments: &[&str]| {
+        let output = run(&[&["plan", file], arguments].concat(), b"");
+        let text = |bytes| String::from_utf8_lossy(bytes).into_owned();
+        (output.status.code(), text(&output.stdout), text(&output.stderr))
+    };
+    let (status, text, _) = plan(&["--lose", "east"]);
+    assert_eq!((status, text.lines().next()), (Some(0), Some("loss of east: borne")));
+    let (status, text, _) = plan(&["--lose", "south", "--lose", "north", "--lose", "north"]);
+    assert_eq!((status, text.lines().next()), (Some(3), Some("loss of north and south: not borne")));
+    let (status, text, _) = plan(&["--format", "json"]);
+    let plans: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!((status, plans.as_array().map(Vec::len)), (Some(3), Some(6)), "each site and each two");
+    assert_eq!(plans[0]["verdict"], "borne with refusals");
+    let (status, _, why) = plan(&["--lose", "west"]);
+    assert!(
+        status == Some(1) && why.contains("unknown site \"west\", expected one of north, south, east"),
+        "{why}"
+    );
+}
+
+/// Guards operators' slips: a file on sites that does not fit the settings is told of before anything is served.
+#[test]
+fn check_tells_of_a_file_on_sites_that_does_not_fit() {
+    let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+    let text = std::fs::read_to_string(format!("{root}/examples/config.json")).expect("the example");
+    let mut config: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let (file, sites) = (folder.join("sites-config.json"), folder.join("sites-check.textproto"));
+    config["sites"] = serde_json::json!(sites);
+    std::fs::write(&file, config.to_string()).expect("a file");
+    let good = "site { name: \"toy\" proxies: 1 }
+        set { cluster: 1 members { site: \"toy\" hosts: 2 capacity: 2 } primary: \"toy\" }
+        class { name: \"page-read\" access: READ work_ms: 5 worth: 2 }
+        demand { site: \"toy\" class: \"page-read\" cluster: 1 rate: 9 }";
+    let cases = [
+        (good.to_owned(), ""),
+        (good.replace("toy", "town"), "unknown zone \"town\", expected one of toy"),
+        (good.replace("page-read", "page"), "unknown class \"page\""),
+        (good.replace("access: READ", "access: WRITE"), "class[0].access"),
+        (good.replace("hosts: 2", "hosts: -2"), "2:"),
+        (good.replace("capacity: 2", "capacity: -1"), "2: set[0].members[0].capacity: is -1"),
+    ];
+    for (text, why) in cases {
+        std::fs::write(&sites, &text).expect("a file");
+        let output = run(&["check", &file.to_string_lossy()], b"");
+        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.success(), why.is_empty(), "{text}: {told}");
+        assert!(told.contains(why), "{why}: {told}");
+    }
+    std::fs::remove_file(&sites).expect("it is there");
+    let output = run(&["check", &file.to_string_lossy()], b"");
+    assert!(String::from_utf8_lossy(&output.stderr).contains("cannot read"));
+}
