Who is beyond the plan is told to come back while it can still be in time

Seen on the rig: refused requests were told to come back after 500 ms, the aim of all classes there, so half of what the door let in were second tries that earned nothing any more. They are told an eighth of their class's aim, as far as the settings allow.

--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -9,18 +9,14 @@
 use std::rc::Rc;
 
 use gradeshunt_sites::proxy::Sites;
-use gradeshunt_sites::watch::Failure;
 use leadmast::*;
 use slog::{debug, error, info};
 
 use crate::deadlines::Due;
 use crate::memory::Held;
+use crate::site_loss;
 use crate::turn::Turn;
 
-/// Who is beyond the plan for a lost site may come back after this long: then it is seen anew what there is room for.
-const BACK: Micros = 500_000;
-/// A connection that is refused within this time found no process.
-const AT_ONCE: Micros = 50_000;
 /// How much of a long answer may be under way to a client.
 const ROOM: usize = 64 * 1024;
 
@@ -236,7 +232,8 @@
     /// What is done at the loss of a site, where operators have a plan for it. What it does is carried out by
     /// [`crate::site_loss`].
     pub sites: Option<Sites>,
-    retry_after: Option<Micros>,
+    /// By class.
+    retry_after: Vec<Option<Micros>>,
     /// What is asked of the server side, of discovery, and of the client side.
     pub orders: VecDeque<Order>,
     pub asks: VecDeque<Ask>,
@@ -255,7 +252,7 @@
             slack: settings.rules.answer_slack,
             max_attempts: settings.allowed.attempts,
             sites: None,
-            retry_after: settings.allowed.retry_after.then_some(settings.allowed.max_retry_after.min(BACK)),
+            retry_after: settings.classes.iter().map(|c| site_loss::back(&settings, c)).collect(),
             balancer: Balancer::new(settings, seed, now),
             requests: BTreeMap::new(),
             next: 0,
@@ -297,7 +294,11 @@
         };
         self.requests.insert(id, request);
         if self.sites.as_mut().is_some_and(|s| !s.admits(group, class, tenant)) {
-            self.finish(turn, id, Final::Refused { retry_after: self.retry_after });
+            self.finish(
+                turn,
+                id,
+                Final::Refused { retry_after: self.retry_after.get(class.0).copied().flatten() },
+            );
             return id;
         }
         self.tell(
@@ -415,7 +416,7 @@
     }
 
     pub fn probed(&mut self, turn: &mut Turn, probed: Probed) {
-        self.see(turn.now, probed.member, probed.ending, probed.elapsed);
+        site_loss::see(&mut self.sites, turn.now, probed.member, probed.ending, probed.elapsed);
         self.tell(turn, Event::Probed(probed));
     }
 
@@ -546,24 +547,11 @@
         note: Option<Note>,
     ) {
         *self.tally.endings.entry(name(ending)).or_default() += 1;
-        self.see(turn.now, member, ending, elapsed);
+        site_loss::see(&mut self.sites, turn.now, member, ending, elapsed);
         let outcome = Outcome { request, attempt, member, ending, last, elapsed, note, report: None };
         self.tell(turn, Event::Outcome(outcome));
     }
 
-    /// What an ending says of its db host's site.
-    fn see(&mut self, now: Micros, member: MemberId, ending: Ending, elapsed: Micros) {
-        let Some(sites) = &mut self.sites else { return };
-        match ending {
-            Ending::Ok | Ending::Error | Ending::Full | Ending::Miss => sites.heard(now, member),
-            Ending::ConnectFailed if elapsed < AT_ONCE => sites.failed(now, member, Failure::Refused),
-            Ending::ConnectFailed | Ending::Reset | Ending::Timeout => {
-                sites.failed(now, member, Failure::Silent)
-            }
-            Ending::Cancelled | Ending::Moot => {}
-        }
-    }
-
     fn finish(&mut self, turn: &mut Turn, id: RequestId, answer: Final) {
         let of = self.requests.get(&id).map(|r| (r.class.0, r.tenant, r.beyond));
         if !self.end(turn, id) {
--- a/crates/gradeshunt/src/site_loss.rs
+++ b/crates/gradeshunt/src/site_loss.rs
@@ -2,8 +2,8 @@
 //! operators. docs/site-loss.md tells the mechanism.
 
 use gradeshunt_sites::proxy::Sites;
-use gradeshunt_sites::watch::{Action, State};
-use leadmast::MemberId;
+use gradeshunt_sites::watch::{Action, Failure, State};
+use leadmast::{Class, Ending, MemberId, Micros, Settings};
 use slog::{info, warn};
 
 use crate::control::Answer;
@@ -11,6 +11,28 @@
 use crate::exchange::{Ask, Order};
 use crate::Proxy;
 
+/// Who is beyond the plan for a lost site may come back after this part of its class's aim, while it can still be in time:
+/// what comes later is let in for nothing.
+const BACK: Micros = 8;
+/// A connection that is refused within this time found no process.
+const AT_ONCE: Micros = 50_000;
+/// What an ending says of its db host's site.
+pub fn see(sites: &mut Option<Sites>, now: Micros, member: MemberId, ending: Ending, elapsed: Micros) {
+    let Some(sites) = sites else { return };
+    match ending {
+        Ending::Ok | Ending::Error | Ending::Full | Ending::Miss => sites.heard(now, member),
+        Ending::ConnectFailed if elapsed < AT_ONCE => sites.failed(now, member, Failure::Refused),
+        Ending::ConnectFailed | Ending::Reset | Ending::Timeout => sites.failed(now, member, Failure::Silent),
+        Ending::Cancelled | Ending::Moot => {}
+    }
+}
+
+/// When one that is beyond the plan may come back.
+pub fn back(settings: &Settings, class: &Class) -> Option<Micros> {
+    let allowed = &settings.allowed;
+    allowed.retry_after.then(|| (class.aim / BACK).min(allowed.max_retry_after))
+}
+
 impl Proxy {
     /// Looks at the sites, and again when that is due.
     pub fn watch_sites(&mut self) {
