--- a/crates/fleet-rig/src/region.rs
+++ b/crates/fleet-rig/src/region.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use gradeshunt_sites::layout::{Class, Demand, Layout, SiteId};
+use gradeshunt_stand_ins::checker::Outcome;
 use gradeshunt_stand_ins::discovery::Discovery;
 use gradeshunt_stand_ins::engine::{Cold, Engine, Kind};
 use gradeshunt_stand_ins::program::{Platform, Process};
@@ -104,10 +105,11 @@
     let done = region.books.done.lock().unwrap_or_else(PoisonError::into_inner).clone();
     let broken = &region.broken;
     let silent = done.iter().filter(|d| d.outcome.at_the_door() && d.at.is_none_or(|a| !broken.contains(&a)));
+    let unreached = silent.clone().filter(|d| d.outcome == Outcome::Unreached).count();
     let silent = silent.count();
     if silent > 0 {
         faults.push(format!(
-            "{silent} requests ended without a word at proxies that were never killed, stopped or cut off"
+            "{silent} requests ended without a word at proxies that were never killed, stopped or cut off, {unreached} of them without a connection"
         ));
     }
     let late = done.iter().filter(|d| d.over > LATE && d.at.is_none_or(|a| !broken.contains(&a)));
@@ -325,9 +327,6 @@
     fn happen(&mut self, what: What, site: Option<SiteId>) -> io::Result<()> {
         let name = site.map_or("all", |s| self.layout.sites[s.0].name.as_str()).to_owned();
         self.mark(format!("{what:?} {name}"));
-        if std::env::var_os("FLEET_RIG_SHOW").is_some() {
-            eprintln!("{}", self.shown());
-        }
         let Some(site) = site else {
             let state = if what == What::ListAbsent { State::Silent } else { State::Up };
             if matches!(what, What::ListAbsent | What::ListBack) {
@@ -521,11 +520,14 @@
     /// Whether every proxy that runs outside a lost site says this of a site.
     fn says(&self, site: SiteId, word: &str) -> bool {
         let name = &self.layout.sites[site.0].name;
-        let start = format!("site {name} {word}:");
+        // Proxies return by their own steps: one may be through while another has just begun.
+        let words = if word == "returning" { vec![word, "whole"] } else { vec![word] };
+        let starts: Vec<_> = words.iter().map(|w| format!("site {name} {w}:")).collect();
+        let says = |body: &str| body.lines().any(|l| starts.iter().any(|s| l.starts_with(s)));
         let asked = self.fleet.iter().filter(|p| !self.lost.contains(&p.site));
-        asked.filter_map(|p| p.process.as_ref()).all(|p| {
-            p.call("GET", "/sites").is_ok_and(|(_, body)| body.lines().any(|l| l.starts_with(&start)))
-        })
+        asked
+            .filter_map(|p| p.process.as_ref())
+            .all(|p| p.call("GET", "/sites").is_ok_and(|(_, body)| says(&body)))
     }
 
     fn shown(&self) -> String {
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -10,7 +10,7 @@
 use slog::warn;
 
 use crate::deadlines::Due;
-use crate::exchange::{Count, Figures};
+use crate::figures::{Count, Figures};
 use crate::ids::CallerId;
 use crate::ring::{Moved, Ring};
 use crate::turn::{self, Polled, Source, Turn};
--- /dev/null
+++ b/crates/gradeshunt/src/figures.rs
@@ -0,0 +1,32 @@
+//! What operators are shown of requests: counts since the start, and what is now.
+
+/// How a class's requests have ended, since the start.
+#[derive(Clone, Copy, Default)]
+pub struct Count {
+    pub served: u64,
+    pub refused: u64,
+    pub failed: u64,
+}
+
+/// How a tenant's requests have ended, since the start.
+#[derive(Clone, Copy, Default)]
+pub struct TenantCount {
+    pub within: Count,
+    /// Beyond its share.
+    pub beyond: Count,
+}
+
+/// What operators are shown: counts since the start, and what is now.
+#[derive(Clone, Default)]
+pub struct Figures {
+    pub classes: Vec<Count>,
+    /// As the settings name them; behind them, where they name any, what came without a tenant's name.
+    pub tenants: Vec<TenantCount>,
+    /// Attempts written whole to db hosts.
+    pub dispatches: u64,
+    /// Requests taken and not ended.
+    pub concurrent: u64,
+    /// Db hosts on the list, and those of them that get nothing new.
+    pub targets: u64,
+    pub avoided: u64,
+}
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -8,6 +8,7 @@
 mod deadlines;
 mod discovery;
 mod exchange;
+mod figures;
 mod frontend;
 mod ids;
 mod memory;
