Pushed lists are watched from the start; a silent watch is opened anew in time

At fault: nobody asked for a watch where lists are pushed (the decisions only ask where they are told to, `Begin` never did), while what the agent has counts as told. Ruled out: the reader, which took the same lists on the other sites.

- A watch stands from the start where lists are pushed, and one that ends is opened anew within a quarter of the drains' grace (Pace::new).
Exchange `pushed`; discovery/tests.rs.
- One that falls silent after it was heard is opened anew at this proxy's turn within a second, instead of a second or two after the decisions hear of a failure: with 3 s of silence and a call that waits, 6 s were nearly used up.
- A list that comes indented is one list, not a broken line a line (answer.rs, Scan): exchange `indented`.
- A list that another call has overtaken sets nothing back (list.rs): a drain stands.

The test of endless lines fed half an object as a line, which is a cut list now; it feeds whole ones, and half ones are errors in a test of their own. Inline tests of the touched files stand in test files: list 4, now 5; answer 2, now 3.

--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -25,6 +25,8 @@
     Session(SessionId),
     /// A call to discovery that is silent.
     Call(CallId),
+    /// The watch of discovery is opened anew.
+    Reopen,
     /// An operator that should have made its call by now, or closed.
     Caller(CallerId),
     /// Connections that could not be accepted are tried again.
@@ -55,7 +57,7 @@
             Due::Module(_) => "module's timers",
             Due::Overdue(_) | Due::Attempt(_) | Due::Probe(_) | Due::Server(_) => "db hosts' deadlines",
             Due::Session(_) | Due::Accept | Due::Reap | Due::CloseListener => "clients' deadlines",
-            Due::Call(_) => "discovery's deadlines",
+            Due::Call(_) | Due::Reopen => "discovery's deadlines",
             Due::Caller(_) | Due::AcceptCallers => "operators' deadlines",
             Due::Look | Due::Begin | Due::Serve | Due::Sites | Due::Summary | Due::Leave => "housekeeping",
         }
--- a/crates/gradeshunt/src/discovery/answer.rs
+++ b/crates/gradeshunt/src/discovery/answer.rs
@@ -27,8 +27,49 @@
     part: Part,
     /// What has come of the body and is not used yet: a line of a watch, or a whole list.
     body: Vec<u8>,
-    /// So much of the body holds no line end.
+    /// So much of the body has been looked through for the end of a list, and what was found there.
     searched: usize,
+    scan: Scan,
+}
+
+/// Where the lists of a watch end. One is a line each, or comes indented over many: a line end amid an object is none of
+/// the watch's. An object that is cut shows by what follows it: a line that is empty, or begins another at its margin.
+#[derive(Clone, Copy, Debug, Default)]
+struct Scan {
+    depth: usize,
+    string: bool,
+    escaped: bool,
+    /// Nothing has come of the line yet.
+    margin: bool,
+}
+
+impl Scan {
+    /// Takes a byte; true where it ends a line that is no part of an object.
+    fn take(&mut self, byte: u8) -> Result<bool, String> {
+        let margin = std::mem::replace(&mut self.margin, byte == b'\n');
+        if self.depth > 0 && margin && matches!(byte, b'\n' | b'{') {
+            return Err("a list that is cut".into());
+        }
+        if self.string {
+            (self.string, self.escaped) = match byte {
+                // No string runs over a line end: this one was cut.
+                b'\n' => return Err("a list that is cut".into()),
+                _ if self.escaped => (true, false),
+                b'\\' => (true, true),
+                b'"' => (false, false),
+                _ => (true, false),
+            };
+            return Ok(false);
+        }
+        match byte {
+            b'"' => self.string = true,
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+            b'\n' => return Ok(self.depth == 0),
+            _ => {}
+        }
+        Ok(false)
+    }
 }
 
 /// What has become whole.
@@ -36,14 +77,14 @@
 pub struct Whole {
     /// The head, or lines. Bytes alone don't count: what drips an endless line is no watch.
     pub any: bool,
-    /// Lines of a watch, with their ends.
-    pub lines: Vec<u8>,
+    /// Lists of a watch, or empty lines of it.
+    pub lists: Vec<Vec<u8>>,
 }
 
 impl Answer {
     /// The answer to a watch, or to a call for the whole list.
     pub fn new(watch: bool) -> Self {
-        Answer { watch, part: Part::Head, body: Vec::new(), searched: 0 }
+        Answer { watch, part: Part::Head, body: Vec::new(), searched: 0, scan: Scan::default() }
     }
 
     /// Whether nothing more is to come, where the connection has ended or not.
@@ -117,12 +158,17 @@
         if self.body.len() > LONGEST {
             return Err("a list too long".into());
         }
-        let end = self.body[self.searched..].iter().rposition(|b| *b == b'\n');
-        if let (true, Some(end)) = (self.watch, end) {
-            let rest = self.body.split_off(self.searched + end + 1);
-            whole = Whole { any: true, lines: std::mem::replace(&mut self.body, rest) };
+        if self.watch {
+            let mut from = 0;
+            for at in self.searched..self.body.len() {
+                if self.scan.take(self.body[at])? {
+                    whole.lists.push(self.body[from..=at].to_vec());
+                    (whole.any, from) = (true, at + 1);
+                }
+            }
+            self.body.drain(..from);
+            self.searched = self.body.len();
         }
-        self.searched = self.body.len();
         Ok(whole)
     }
 }
@@ -155,51 +201,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Feeds so many pieces; tells after how many the answer was given up, if it was, and in how many something was whole.
-    fn feed(answer: &mut Answer, pieces: impl IntoIterator<Item = Vec<u8>>) -> (Option<usize>, usize) {
-        let (mut ring, mut whole) = (Ring::default(), 0);
-        for (n, piece) in pieces.into_iter().enumerate() {
-            // As a socket is read: no more than fits.
-            assert!(ring.push(&piece[..piece.len().min(crate::ring::LARGEST - ring.len())]));
-            match answer.take(&mut ring) {
-                Ok(w) => whole += usize::from(w.any),
-                Err(_) => return (Some(n), whole),
-            }
-        }
-        (None, whole)
-    }
-
-    fn chunk(bytes: &[u8]) -> Vec<u8> {
-        [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
-    }
-
-    const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-    /// Guards against a watch that is kept by bytes that tell nothing: discovery would be deaf to drains meanwhile.
-    #[test]
-    fn endless_line_shows_no_life_and_ends_by_its_size() {
-        let mut answer = Answer::new(true);
-        assert_eq!(feed(&mut answer, [HEAD.to_vec()]), (None, 1));
-        assert_eq!(feed(&mut answer, [chunk(b"{\"generation\":1,\n"), chunk(b"\n")]), (None, 2), "lines do");
-        assert_eq!(feed(&mut answer, vec![chunk(b"x"); 1000]), (None, 0), "a drip does not");
-        let (given_up, whole) = feed(&mut answer, vec![chunk(&[b'x'; 100_000]); 30]);
-        assert_eq!((given_up, whole), (Some(20), 0), "2 MiB of one line");
-    }
-
-    /// Guards against heads, chunk sizes and bodies that never end.
-    #[test]
-    fn endless_heads_and_bodies_end_by_their_size() {
-        let endless = |first: &[u8], piece: &[u8]| {
-            let mut answer = Answer::new(false);
-            let rest = vec![piece.to_vec(); 3 * 1024 * 1024 / piece.len()];
-            feed(&mut answer, [first.to_vec()].into_iter().chain(rest)).0.is_some()
-        };
-        assert!(endless(b"HTTP/1.1 200 OK\r\n", &[b"X: ".as_slice(), &[b'x'; 1018], b"\r\n"].concat()));
-        assert!(endless(b"HTTP/1.1 200 OK\r\nX: ", &[b'x'; 1024]));
-        assert!(endless(b"HTTP/1.1 200 OK\r\n\r\n", &[b'x'; 1024]));
-        assert!(endless(HEAD, &[b'0'; 1024]));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gradeshunt/src/discovery/answer/tests.rs
@@ -0,0 +1,81 @@
+//! Tests of the part named by the folder.
+
+use super::*;
+
+/// Feeds so many pieces; tells after how many the answer was given up, if it was, and in how many something was whole.
+fn feed(answer: &mut Answer, pieces: impl IntoIterator<Item = Vec<u8>>) -> (Option<usize>, usize) {
+    let (mut ring, mut whole) = (Ring::default(), 0);
+    for (n, piece) in pieces.into_iter().enumerate() {
+        // As a socket is read: no more than fits.
+        assert!(ring.push(&piece[..piece.len().min(crate::ring::LARGEST - ring.len())]));
+        match answer.take(&mut ring) {
+            Ok(w) => whole += usize::from(w.any),
+            Err(_) => return (Some(n), whole),
+        }
+    }
+    (None, whole)
+}
+
+fn chunk(bytes: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat()
+}
+
+const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Guards against a watch that is kept by bytes that tell nothing: discovery would be deaf to drains meanwhile.
+#[test]
+fn endless_line_shows_no_life_and_ends_by_its_size() {
+    let mut answer = Answer::new(true);
+    assert_eq!(feed(&mut answer, [HEAD.to_vec()]), (None, 1));
+    assert_eq!(feed(&mut answer, [chunk(b"{\"generation\":1}\n"), chunk(b"\n")]), (None, 2), "lines do");
+    assert_eq!(feed(&mut answer, vec![chunk(b"x"); 1000]), (None, 0), "a drip does not");
+    let (given_up, whole) = feed(&mut answer, vec![chunk(&[b'x'; 100_000]); 30]);
+    assert_eq!((given_up, whole), (Some(20), 0), "2 MiB of one line");
+}
+
+/// Guards against heads, chunk sizes and bodies that never end.
+#[test]
+fn endless_heads_and_bodies_end_by_their_size() {
+    let endless = |first: &[u8], piece: &[u8]| {
+        let mut answer = Answer::new(false);
+        let rest = vec![piece.to_vec(); 3 * 1024 * 1024 / piece.len()];
+        feed(&mut answer, [first.to_vec()].into_iter().chain(rest)).0.is_some()
+    };
+    assert!(endless(b"HTTP/1.1 200 OK\r\n", &[b"X: ".as_slice(), &[b'x'; 1018], b"\r\n"].concat()));
+    assert!(endless(b"HTTP/1.1 200 OK\r\nX: ", &[b'x'; 1024]));
+    assert!(endless(b"HTTP/1.1 200 OK\r\n\r\n", &[b'x'; 1024]));
+    assert!(endless(HEAD, &[b'0'; 1024]));
+}
+
+/// Guards lists that come indented: where one ends its braces tell, not its lines. One that is cut is known by what
+/// follows it, at once: a watch that waits for the rest of it would be deaf until it counts as silent.
+#[test]
+fn indented_list_is_one_and_a_cut_one_none() {
+    let lists = |pieces: &[&[u8]]| {
+        let (mut answer, mut ring, mut lists) = (Answer::new(true), Ring::default(), Vec::new());
+        for piece in [HEAD.to_vec()].into_iter().chain(pieces.iter().map(|p| chunk(p))) {
+            assert!(ring.push(&piece));
+            match answer.take(&mut ring) {
+                Ok(w) => lists.extend(w.lists.into_iter().map(|l| String::from_utf8(l).expect("text"))),
+                Err(_) => return Err(lists.len()),
+            }
+        }
+        Ok(lists)
+    };
+    let indented =
+        "{\n  \"note\": \"a } and a \\\" {\",\n  \"instances\": [\n    {\n      \"cell\": 1\n    }\n  ]\n}\n";
+    assert_eq!(lists(&[indented.as_bytes()]), Ok(vec![indented.to_owned()]));
+    let (one, two) = indented.as_bytes().split_at(40);
+    assert_eq!(
+        lists(&[one, two, b"\n", b"{}\n{}\n"]).map(|l| l.len()),
+        Ok(4),
+        "split anywhere, and others behind"
+    );
+    assert_eq!(
+        lists(&[b"{}\n", b"{\"instances\":[", b"\n", b"\n"]),
+        Err(1),
+        "an empty line behind half of one"
+    );
+    assert_eq!(lists(&[b"{}\n", b"{\"instances\":[\n", b"{}\n"]), Err(1), "another at the margin");
+    assert_eq!(lists(&[b"{}\n", b"{\"instances\":[{\"instanceId\":\"s-\n"]), Err(1), "cut amid a name");
+}
--- a/crates/gradeshunt/src/discovery/list.rs
+++ b/crates/gradeshunt/src/discovery/list.rs
@@ -66,22 +66,28 @@
     }
 
     /// Reads one line of a watch; nothing for an empty one.
-    pub fn line(&mut self, clock: &Clock, line: &[u8]) -> Result<Option<News>, String> {
+    pub fn line(&mut self, clock: &Clock, line: &[u8], after: u64) -> Result<Option<News>, String> {
         let text = std::str::from_utf8(line).map_err(|e| format!("a list that is not UTF-8: {e}"))?;
         if text.trim().is_empty() {
             return Ok(None);
         }
-        self.news(clock, text).map(Some)
+        self.news(clock, text, after).map(Some)
     }
 
-    /// Reads a list. Where it can't be read as a whole, nothing of it counts.
-    pub fn news(&mut self, clock: &Clock, text: &str) -> Result<News, String> {
+    /// Reads a list, told to a call that asked for what changed after a version. Where it can't be read as a whole, nothing
+    /// of it counts; nor where another call has told a later version since: it would set back what is known, drains too. A
+    /// version from before the call asked is no such thing: discovery has begun to count anew.
+    pub fn news(&mut self, clock: &Clock, text: &str, after: u64) -> Result<News, String> {
         let bad = |e: serde_json::Error| format!("a list that is not JSON: {e}");
         let fields: BTreeMap<String, &RawValue> = serde_json::from_str(text).map_err(bad)?;
         let field = |name| fields.get(name).and_then(|raw| serde_json::from_str::<Value>(raw.get()).ok());
+        let generation = field("generation").and_then(|v| v.as_u64()).unwrap_or(self.generation);
         let list = fields.get("instances").ok_or("a list without instances")?;
         let list: Vec<&RawValue> =
             serde_json::from_str(list.get()).map_err(|_| "a list whose instances are no array")?;
+        if (after..self.generation).contains(&generation) {
+            return Ok(News::new(ListKind::Incremental));
+        }
         let full = field("reset").is_some_and(|v| v == true);
         let mut news = News::new(if full { ListKind::Full } else { ListKind::Incremental });
         for raw in list {
@@ -108,7 +114,7 @@
         }
         let listed: Option<HashSet<_>> = full.then(|| news.entries.iter().map(|e| e.member).collect());
         self.numbers.retain(|_, m| !gone.contains(m) && listed.as_ref().is_none_or(|all| all.contains(m)));
-        self.generation = field("generation").and_then(|v| v.as_u64()).unwrap_or(self.generation);
+        self.generation = generation;
         Ok(news)
     }
 
@@ -157,81 +163,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards a long life's memory: a day replaces all db hosts under new names, many times over.
-    #[test]
-    fn forgets_names_that_are_gone() {
-        let names = Names { zones: vec!["a".into()], ..Names::default() };
-        let mut reader = Reader::new(names);
-        let mut told = |id: &str, lifecycle: &str, reset: bool| {
-            let list = serde_json::json!({"generation": 1, "reset": reset, "instances": [{"instanceId": id,
-                "hostPort": "127.0.0.1:1", "zone": "a", "cell": 1, "lifecycle": lifecycle}]});
-            let member = reader.news(&Clock::start(), &list.to_string()).expect("a list").entries[0].member;
-            (member, reader.numbers.len())
-        };
-        for n in 0..100 {
-            assert_eq!(told(&format!("s-{n}"), "ready", false), (MemberId(n), 1));
-            assert_eq!(told(&format!("s-{n}"), "gone", false), (MemberId(n), 0));
-        }
-        assert_eq!(told("s-0", "ready", false), (MemberId(100), 1), "it returns as another");
-        assert_eq!(told("s-0", "draining", false), (MemberId(100), 1));
-        assert_eq!(told("s-1", "ready", true), (MemberId(101), 1));
-    }
-
-    fn reader() -> Reader {
-        Reader::new(Names { zones: vec!["a".into()], ..Names::default() })
-    }
-
-    /// Guards the loop against lists of any length: work that grows with the square of it stands for seconds.
-    #[test]
-    fn list_of_thousands_is_taken_and_the_next_one_forgets_it() {
-        let instance = |n: usize| {
-            format!(
-                r#"{{"instanceId":"s-{n}","hostPort":"127.0.0.1:1","zone":"z{n}","cell":1,"lifecycle":"ready"}}"#
-            )
-        };
-        let list = |n| {
-            let all: Vec<_> = (0..n).map(instance).collect();
-            format!(r#"{{"generation":1,"reset":true,"instances":[{}]}}"#, all.join(","))
-        };
-        let (mut reader, clock) = (reader(), Clock::start());
-        let news = reader.news(&clock, &list(10_000)).expect("a list");
-        assert_eq!((news.entries.len(), news.unreadable, reader.numbers.len()), (10_000, 0, 10_000));
-        assert_eq!(reader.names.zones.len(), ZONES, "zones beyond a few count as one");
-        reader.news(&clock, &list(3)).expect("a list");
-        assert_eq!(reader.numbers.len(), 3);
-    }
-
-    /// Guards the log and the memory: of thousands of odd entries three are told of, and none keeps a number.
-    #[test]
-    fn odd_entries_cost_themselves_alone() {
-        let odd = r#"{"instanceId":"odd","hostPort":"127.0.0.1:1","lifecycle":"ready"},[],7,"#.repeat(3_000);
-        let good =
-            r#"{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","cell":1,"lifecycle":"draining"}"#;
-        let mut reader = reader();
-        let text = format!(r#"{{"generation":5,"instances":[{odd}{good},{good}]}}"#);
-        let news = reader.news(&Clock::start(), &text).expect("a list");
-        assert_eq!((news.unreadable, news.why.len(), reader.numbers.len()), (9_000, TOLD, 1));
-        assert!(news.entries.iter().all(|e| e.phase == Phase::Draining && e.member == MemberId(0)));
-    }
-
-    /// Guards against half of a list: the held one serves on, and its version stands.
-    #[test]
-    fn list_that_is_cut_or_none_changes_nothing() {
-        let mut reader = reader();
-        let clock = Clock::start();
-        let good = r#"{"generation":5,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","cell":1,"lifecycle":"ready"}]}"#;
-        reader.news(&clock, good).expect("a list");
-        let cut = good.replace("s-1", "s-2").replace('5', "6");
-        let deep = "[".repeat(100_000);
-        let cuts = (0..cut.len()).map(|n| &cut[..n]).filter(|c| !c.is_empty());
-        for text in cuts.chain([r#"{"instances":{}}"#, r#"{"instances":"none"}"#, "[]", "7", &deep]) {
-            assert!(reader.line(&clock, text.as_bytes()).is_err(), "{text}");
-            assert_eq!((reader.generation(), reader.member("s-2")), (5, None), "{text}");
-        }
-        assert!(reader.line(&clock, b"\xff").is_err());
-        assert_eq!(reader.member("s-1"), Some(MemberId(0)));
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/gradeshunt/src/discovery/list/tests.rs
@@ -0,0 +1,94 @@
+//! Tests of the part named by the folder.
+
+use super::*;
+
+/// Guards a long life's memory: a day replaces all db hosts under new names, many times over.
+#[test]
+fn forgets_names_that_are_gone() {
+    let names = Names { zones: vec!["a".into()], ..Names::default() };
+    let mut reader = Reader::new(names);
+    let mut told = |id: &str, lifecycle: &str, reset: bool| {
+        let list = serde_json::json!({"generation": 1, "reset": reset, "instances": [{"instanceId": id,
+            "hostPort": "127.0.0.1:1", "zone": "a", "cell": 1, "lifecycle": lifecycle}]});
+        let member = reader.news(&Clock::start(), &list.to_string(), 0).expect("a list").entries[0].member;
+        (member, reader.numbers.len())
+    };
+    for n in 0..100 {
+        assert_eq!(told(&format!("s-{n}"), "ready", false), (MemberId(n), 1));
+        assert_eq!(told(&format!("s-{n}"), "gone", false), (MemberId(n), 0));
+    }
+    assert_eq!(told("s-0", "ready", false), (MemberId(100), 1), "it returns as another");
+    assert_eq!(told("s-0", "draining", false), (MemberId(100), 1));
+    assert_eq!(told("s-1", "ready", true), (MemberId(101), 1));
+}
+
+fn reader() -> Reader {
+    Reader::new(Names { zones: vec!["a".into()], ..Names::default() })
+}
+
+/// Guards the loop against lists of any length: work that grows with the square of it stands for seconds.
+#[test]
+fn list_of_thousands_is_taken_and_the_next_one_forgets_it() {
+    let instance = |n: usize| {
+        format!(
+            r#"{{"instanceId":"s-{n}","hostPort":"127.0.0.1:1","zone":"z{n}","cell":1,"lifecycle":"ready"}}"#
+        )
+    };
+    let list = |n| {
+        let all: Vec<_> = (0..n).map(instance).collect();
+        format!(r#"{{"generation":1,"reset":true,"instances":[{}]}}"#, all.join(","))
+    };
+    let (mut reader, clock) = (reader(), Clock::start());
+    let news = reader.news(&clock, &list(10_000), 0).expect("a list");
+    assert_eq!((news.entries.len(), news.unreadable, reader.numbers.len()), (10_000, 0, 10_000));
+    assert_eq!(reader.names.zones.len(), ZONES, "zones beyond a few count as one");
+    reader.news(&clock, &list(3), 0).expect("a list");
+    assert_eq!(reader.numbers.len(), 3);
+}
+
+/// Guards the log and the memory: of thousands of odd entries three are told of, and none keeps a number.
+#[test]
+fn odd_entries_cost_themselves_alone() {
+    let odd = r#"{"instanceId":"odd","hostPort":"127.0.0.1:1","lifecycle":"ready"},[],7,"#.repeat(3_000);
+    let good = r#"{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","cell":1,"lifecycle":"draining"}"#;
+    let mut reader = reader();
+    let text = format!(r#"{{"generation":5,"instances":[{odd}{good},{good}]}}"#);
+    let news = reader.news(&Clock::start(), &text, 0).expect("a list");
+    assert_eq!((news.unreadable, news.why.len(), reader.numbers.len()), (9_000, TOLD, 1));
+    assert!(news.entries.iter().all(|e| e.phase == Phase::Draining && e.member == MemberId(0)));
+}
+
+/// Guards against half of a list: the held one serves on, and its version stands.
+#[test]
+fn list_that_is_cut_or_none_changes_nothing() {
+    let mut reader = reader();
+    let clock = Clock::start();
+    let good = r#"{"generation":5,"reset":true,"instances":[{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","cell":1,"lifecycle":"ready"}]}"#;
+    reader.news(&clock, good, 0).expect("a list");
+    let cut = good.replace("s-1", "s-2").replace('5', "6");
+    let deep = "[".repeat(100_000);
+    let cuts = (0..cut.len()).map(|n| &cut[..n]).filter(|c| !c.is_empty());
+    for text in cuts.chain([r#"{"instances":{}}"#, r#"{"instances":"none"}"#, "[]", "7", &deep]) {
+        assert!(reader.line(&clock, text.as_bytes(), 0).is_err(), "{text}");
+        assert_eq!((reader.generation(), reader.member("s-2")), (5, None), "{text}");
+    }
+    assert!(reader.line(&clock, b"\xff", 0).is_err());
+    assert_eq!(reader.member("s-1"), Some(MemberId(0)));
+}
+
+/// Guards what one call has told against what another tells later of earlier: a drain stands. Discovery that counts anew is
+/// believed all the same.
+#[test]
+fn older_list_than_another_call_has_told_changes_nothing() {
+    let list = |generation: u64, lifecycle: &str| {
+        format!(
+            r#"{{"generation":{generation},"reset":true,"instances":[{{"instanceId":"s-1","hostPort":"127.0.0.1:1","zone":"a","cell":1,"lifecycle":"{lifecycle}"}}]}}"#
+        )
+    };
+    let (mut reader, clock) = (reader(), Clock::start());
+    reader.news(&clock, &list(43, "draining"), 41).expect("a list");
+    let late = reader.news(&clock, &list(42, "ready"), 41).expect("a list");
+    assert!(late.kind == ListKind::Incremental && late.entries.is_empty() && reader.generation() == 43);
+    let anew = reader.news(&clock, &list(7, "ready"), 41).expect("a list");
+    assert_eq!((anew.entries.len(), anew.entries[0].phase, reader.generation()), (1, Phase::Up, 7));
+}
--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 use leadmast::settings::Names;
-use leadmast::{ListKind, MemberId, Micros};
+use leadmast::{ListKind, MemberId, Micros, Settings};
 use serde_json::Value;
 use slog::{info, warn};
 
@@ -24,6 +24,28 @@
 
 /// Reads of a call in one turn.
 const READS: usize = 8;
+/// Within this time all proxies of a fleet open watches anew that fell silent for all at once, each at its turn. What a
+/// silent watch misses counts as told 6 s after its silence began: 3 s show that it is silent, and a call may wait for 2 s.
+const REOPEN_WITHIN: Micros = 1_000_000;
+
+/// How the list comes, and how soon a watch that has ended is opened anew.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// The list is pushed: what the agent has counts as told, watch or none. A watch stands from the start, and one that
+    /// has ended is opened anew after this long. `None` where the decisions say when to ask.
+    pub pushed: Option<Micros>,
+    /// This proxy's turn among its fleet, from 0 to 1.
+    pub turn: f64,
+}
+
+impl Pace {
+    pub fn new(settings: &Settings) -> Self {
+        // A drain that comes while no watch stands must be heard well within what it grants.
+        let pushed = (!settings.list_on_request).then_some((settings.rules.drain_grace / 4).max(1_000));
+        let turn = (f64::from(settings.me) + 0.5) / f64::from(settings.fleet.max(1));
+        Pace { pushed, turn }
+    }
+}
 
 struct Call {
     ask: Ask,
@@ -33,6 +55,9 @@
     inbound: Ring,
     outbound: Ring,
     answer: Answer,
+    /// The version after which it was asked for changes; and whether it has begun to be answered.
+    after: u64,
+    heard: bool,
     /// By when something has to be whole: the head, a line, the list. Bytes alone don't count: one that drips an endless
     /// line would keep the watch, and nothing be heard any more.
     due: Micros,
@@ -42,19 +67,45 @@
 pub struct Discovery {
     addr: SocketAddr,
     silence: Micros,
+    pace: Pace,
+    /// When a watch is opened anew, if one is to be.
+    reopen: Option<Micros>,
     reader: Reader,
     calls: BTreeMap<CallId, Call>,
     next: u64,
 }
 
 impl Discovery {
-    pub fn new(addr: SocketAddr, silence: Micros, names: Names) -> Self {
-        Discovery { addr, silence, reader: Reader::new(names), calls: BTreeMap::new(), next: 0 }
+    pub fn new(addr: SocketAddr, silence: Micros, names: Names, pace: Pace) -> Self {
+        let reader = Reader::new(names);
+        Discovery { addr, silence, pace, reopen: None, reader, calls: BTreeMap::new(), next: 0 }
+    }
+
+    /// Watches from now on, where the list is pushed: nobody asks for it then.
+    pub fn start(&mut self, turn: &mut Turn, news: &mut Vec<News>) {
+        if self.pace.pushed.is_some() {
+            self.ask(turn, Ask::Watch, news);
+        }
+    }
+
+    /// A watch is to be opened anew.
+    pub fn reopen_due(&mut self, turn: &mut Turn, news: &mut Vec<News>) {
+        if self.reopen.take_if(|at| *at <= turn.now).is_some() {
+            self.ask(turn, Ask::Watch, news);
+        }
+    }
+
+    fn reopen_in(&mut self, turn: &mut Turn, wait: Micros) {
+        let at = turn.now + wait;
+        if let Some(before) = self.reopen.replace(at) {
+            turn.deadlines.clear(before, Due::Reopen);
+        }
+        turn.deadlines.set(at, Due::Reopen);
     }
 
     /// The list as the configuration gives it, which may be old.
     pub fn known(&mut self, clock: &Clock, known: &Value) -> Result<News, String> {
-        let news = self.reader.news(clock, &known.to_string())?;
+        let news = self.reader.news(clock, &known.to_string(), 0)?;
         Ok(News { kind: ListKind::Saved, ..news })
     }
 
@@ -76,7 +127,15 @@
         }
         if let Err(e) = self.call(turn, ask) {
             warn!(turn.log, "discovery cannot be reached"; "error" => e.to_string());
-            news.push(News::new(ListKind::Failed));
+            self.failed(turn, ask, news);
+        }
+    }
+
+    /// A call has come to nothing. Where the list is pushed a watch is opened anew, else the module says when to ask.
+    fn failed(&mut self, turn: &mut Turn, ask: Ask, news: &mut Vec<News>) {
+        match self.pace.pushed {
+            Some(wait) if ask == Ask::Watch => self.reopen_in(turn, wait),
+            _ => news.push(News::new(ListKind::Failed)),
         }
     }
 
@@ -109,15 +168,22 @@
         turn.deadlines.set(due, Due::Call(id));
         let inbound = Ring::default();
         let answer = Answer::new(ask == Ask::Watch);
-        let call = Call { ask, former: false, polled, inbound, outbound, answer, due };
+        let after = self.reader.generation();
+        let call = Call { ask, former: false, polled, inbound, outbound, answer, after, heard: false, due };
         self.calls.insert(id, call);
         Ok(())
     }
 
     pub fn call_due(&mut self, turn: &mut Turn, id: CallId, news: &mut Vec<News>) {
-        if self.calls.get(&id).is_some_and(|c| c.due <= turn.now) {
-            self.fail(turn, id, "silent for too long", news);
+        let Some(call) = self.calls.get(&id).filter(|c| c.due <= turn.now) else { return };
+        // Discovery is there, as far as is known: all it takes is another watch, before what this one misses counts.
+        if call.ask == Ask::Watch && !call.former && call.heard && self.pace.pushed.is_none() {
+            warn!(turn.log, "watch has fallen silent, opening another");
+            self.end(turn, id);
+            let wait = REOPEN_WITHIN as f64 * self.pace.turn;
+            return self.reopen_in(turn, wait as Micros);
         }
+        self.fail(turn, id, "silent for too long", news);
     }
 
     pub fn ready(&mut self, turn: &mut Turn, id: CallId, news: &mut Vec<News>) {
@@ -140,7 +206,7 @@
             let done = call.answer.is_done(ended);
             if call.ask == Ask::Fetch && done {
                 let body = call.answer.body();
-                match self.reader.line(&turn.clock, &body) {
+                match self.reader.line(&turn.clock, &body, call.after) {
                     Ok(Some(n)) => news.push(n),
                     Ok(None) => return self.fail(turn, id, "an empty list", news),
                     Err(what) => return self.fail(turn, id, &what, news),
@@ -164,11 +230,12 @@
         let Some(call) = self.calls.get_mut(&id) else { return Ok(()) };
         let whole = call.answer.take(&mut call.inbound)?;
         if call.ask == Ask::Watch {
-            for line in whole.lines.split(|b| *b == b'\n') {
-                news.extend(self.reader.line(&turn.clock, line)?);
+            for list in whole.lists {
+                news.extend(self.reader.line(&turn.clock, &list, call.after)?);
             }
         }
         if whole.any {
+            call.heard = true;
             turn.deadlines.clear(call.due, Due::Call(id));
             call.due = turn.now + self.silence;
             turn.deadlines.set(call.due, Due::Call(id));
@@ -177,14 +244,15 @@
     }
 
     fn fail(&mut self, turn: &mut Turn, id: CallId, why: &str, news: &mut Vec<News>) {
-        let former = self.calls.get(&id).is_some_and(|c| c.former);
+        let Some(call) = self.calls.get(&id) else { return };
+        let (former, ask) = (call.former, call.ask);
         self.end(turn, id);
         // Its successor is under way, or the module knows that that one has failed.
         if former {
             return info!(turn.log, "former watch ended"; "why" => why);
         }
         warn!(turn.log, "call to discovery failed"; "why" => why);
-        news.push(News::new(ListKind::Failed));
+        self.failed(turn, ask, news);
     }
 
     /// The call `id` has told the list: where it is the successor, what was asked elsewhere is no longer heard.
@@ -202,3 +270,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -127,7 +127,8 @@
         let mut turn = Turn::new(event_loop.handle(), log);
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let classes = facts.names.classes.clone();
-        let mut discovery = Discovery::new(discovery, silence, facts.names.clone());
+        let pace = discovery::Pace::new(&facts.settings);
+        let mut discovery = Discovery::new(discovery, silence, facts.names.clone(), pace);
         let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
         let mut tenants = facts.names.tenants.clone();
         tenants.extend((!tenants.is_empty()).then(|| "?".to_owned()));
@@ -192,7 +193,9 @@
         let Some(by) = self.begin_by.take() else { return };
         self.turn.deadlines.clear(by, Due::Begin);
         self.share_limits();
+        // What is known may be old: it comes before anything that discovery tells.
         self.news.extend(self.known.take());
+        self.discovery.start(&mut self.turn, &mut self.news);
         self.settle();
         if self.shared.is_alone() {
             self.serve();
@@ -228,6 +231,7 @@
             Due::Server(id) => self.backend.server_due(turn, exchange, id),
             Due::Session(id) => self.frontend.session_due(turn, id),
             Due::Call(id) => self.discovery.call_due(turn, id, &mut self.news),
+            Due::Reopen => self.discovery.reopen_due(turn, &mut self.news),
             Due::Accept => self.frontend.accept(turn),
             Due::Caller(id) => self.control.iter_mut().for_each(|c| c.due(turn, id)),
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -2,7 +2,8 @@
 //! is compared with the snapshots. Every step waits for bytes, none for time.
 //!
 //! A file begins with the db hosts (`hosts: 1=primary 2=standby`, or none), maybe limits of its own (`memory_mb: 0`,
-//! `sockets: 64`) and `held: 1` where the platform holds the clients' socket, and then holds a step a line:
+//! `sockets: 64`), `held: 1` where the platform holds the clients' socket, `set: /settings/tick 5` for a value of the
+//! configuration, and then holds a step a line:
 //!
 //! - `a connects`: a client (`a connects 40`: so many); `o calls`: an operator (`o calls 40`); `1 accepts x`, `discovery accepts w`: what the program opens;
 //! - `a> Q|text`: a message with its length filled in; `a> startup|text`, `a> raw|bytes`, `a> chunk|text`, `a> row|value`;
@@ -122,7 +123,14 @@
 }
 
 impl Stage {
-    fn open(site: Site, hosts: &str, memory_mb: u32, sockets: u32, held: bool) -> Stage {
+    fn open(
+        site: Site,
+        hosts: &str,
+        memory_mb: u32,
+        sockets: u32,
+        held: bool,
+        set: &[(String, Value)],
+    ) -> Stage {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a port");
         let mut listeners = BTreeMap::from(["discovery", "moved"].map(|n| (n.to_owned(), listen())));
         let mut known = Vec::new();
@@ -133,11 +141,14 @@
                 "machineType": "m", "lifecycle": "ready", "weight": 1.0, "startedAtMs": 0, "replication": role}));
             listeners.insert(name.to_owned(), listener);
         }
-        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "settings": site.settings(),
+        let mut config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "settings": site.settings(),
             "discovery": listeners["discovery"].local_addr().expect("an address").to_string(),
             "watch_silence_ms": 600000,
             "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": {"generation": 41, "reset": true, "instances": known}});
+        for (path, value) in set {
+            *config.pointer_mut(path).expect("the configuration has it") = value.clone();
+        }
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let port = listeners["discovery"].local_addr().expect("an address").port();
         let file = dir.join(format!("config-{}-{port}.json", std::process::id()));
@@ -208,12 +219,12 @@
                     Err(_) => vec![who.to_owned()],
                 };
                 for name in names {
-                    self.peers.insert(name, TcpStream::connect(to).expect("the program accepts"));
+                    self.peers.insert(name, patient(TcpStream::connect(to).expect("the program accepts")));
                 }
             }
             ("accepts", name) => {
                 let (peer, _) = self.listeners[who].accept().expect("the program connects");
-                self.peers.insert(name.to_owned(), peer);
+                self.peers.insert(name.to_owned(), patient(peer));
             }
             ("closes", _) => self.peers[who].shutdown(Shutdown::Both).expect("it is open"),
             ("resets", _) => {
@@ -275,6 +286,12 @@
     }
 }
 
+/// A play that waits for what never comes fails, and does not hang.
+fn patient(peer: TcpStream) -> TcpStream {
+    peer.set_read_timeout(Some(std::time::Duration::from_secs(120))).expect("it can be set");
+    peer
+}
+
 /// Starts the program, on descriptor 7 where the platform holds its socket, and reads its log: someone has to, or it
 /// could not be written.
 fn start(file: &Path, held: Option<&TcpListener>) -> (Child, Receiver<String>) {
@@ -362,7 +379,8 @@
         "end" => {
             let mut rest = Vec::new();
             // A reset ends it as well as a close.
-            let _ = peer.read_to_end(&mut rest);
+            let end = peer.read_to_end(&mut rest);
+            assert!(!end.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock), "no end comes");
             show("rest", &rest)
         }
         "head" => {
@@ -406,7 +424,13 @@
         line.map(|l| l[name.len()..].trim().parse().expect("a number"))
     };
     let (memory, sockets, held) = (limit("memory_mb:"), limit("sockets:"), limit("held:"));
-    let mut stage = Stage::open(site, hosts, memory.unwrap_or(192), sockets.unwrap_or(1024), held.is_some());
+    let mut set = Vec::new();
+    while let Some(line) = lines.next_if(|l| l.starts_with("set: ")) {
+        let (path, value) = line[5..].split_once(' ').expect("a path and a value");
+        set.push((path.to_owned(), serde_json::from_str(value).expect("JSON")));
+    }
+    let (memory, sockets) = (memory.unwrap_or(192), sockets.unwrap_or(1024));
+    let mut stage = Stage::open(site, hosts, memory, sockets, held.is_some(), &set);
     lines.for_each(|line| stage.play(&site.translate(line)));
     let name = if site == Site::Shared { format!("shared_{name}") } else { name.to_owned() };
     insta::assert_snapshot!(name, stage.record);
@@ -471,6 +495,8 @@
     standby
     upgrade
     long_value
+    indented
+    pushed
     ;
     shared:
     startup
@@ -504,6 +530,8 @@
     standby
     upgrade
     long_value
+    indented
+    pushed
     ;
     only_shared:
     spoilt_error
