A client that has left gets nothing sent on, wherever its request waits

By reading, two places where that could happen: an attempt that waits for a connection was called off only where the settings allow cancelling (exchange.rs, `gone`: mayCancel is about what a db host has), and a client whose ring is full is never read again, so its end goes unseen (frontend.rs, `ready`).

- `Order::Withdraw`: what no byte can have reached a db host of is taken back, whatever the settings say of cancelling.
Exchange `withdrawn`, with cancelling forbidden.
- Counted: gone_unsent and sent_after_gone, in the summary line and GET /status/metrics.
- Exchanges `gone_held` (the decisions hold it, no db host is known) and `gone_pipelined` (behind another request) were sound before; they stay as guards.

The inline tests of backend.rs and control.rs stand in test files now: one each, as before.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -215,6 +215,11 @@
                 }
             }
             Order::Abandon(id) => self.give_up(turn, exchange, id, Ending::Cancelled),
+            Order::Withdraw(id) => {
+                if self.is_unsent(id) {
+                    self.give_up(turn, exchange, id, Ending::Cancelled);
+                }
+            }
             Order::CloseIdle(member) => self.close_idle(turn, member),
         }
     }
@@ -634,9 +639,12 @@
         loop {
             match s.outbound.drain(&s.polled.socket) {
                 Ok(Moved::Some(_)) => {
-                    let attempt = matches!(s.stage, Stage::Busy { job: Job::Attempt { .. }, .. });
-                    if attempt && s.outbound.is_empty() {
-                        exchange.dispatched();
+                    let attempt = match &s.stage {
+                        Stage::Busy { job: Job::Attempt { id, .. }, .. } => Some(*id),
+                        _ => None,
+                    };
+                    if let (Some(id), true) = (attempt, s.outbound.is_empty()) {
+                        exchange.dispatched(id);
                     }
                 }
                 Ok(_) => return Ok(()),
@@ -647,6 +655,15 @@
         }
     }
 
+    /// Whether nothing of an attempt can have reached its db host as a whole statement yet.
+    fn is_unsent(&self, id: AttemptId) -> bool {
+        match self.attempts.get(&id) {
+            Some((_, Place::Waiting(_))) => true,
+            Some((_, Place::On(server))) => self.servers.get(server).is_some_and(|s| !s.outbound.is_empty()),
+            None => false,
+        }
+    }
+
     /// Stops waiting for an attempt, whose connection can't be used again.
     fn give_up(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: AttemptId, ending: Ending) {
         let Some((_, place)) = self.attempts.get(&id).copied() else { return };
@@ -1013,15 +1030,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards what the decisions learn of a host that has vanished: attempts there seldom live to see the connect
-    /// time-out, and each that tells nothing is followed by another.
-    #[test]
-    fn attempt_that_waited_in_vain_for_a_connection_tells_of_it() {
-        assert_eq!(unsent(Ending::Timeout, 125_000, 250_000), Ending::ConnectFailed);
-        assert_eq!(unsent(Ending::Timeout, 124_999, 250_000), Ending::Moot);
-        assert_eq!(unsent(Ending::Cancelled, 250_000, 250_000), Ending::Moot);
-    }
-}
+mod tests;
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -295,6 +295,8 @@
     }
     let totals = [
         ("dispatches", "counter", figures.dispatches),
+        ("gone_unsent", "counter", figures.gone_unsent),
+        ("sent_after_gone", "counter", figures.sent_after_gone),
         ("concurrent", "gauge", figures.concurrent),
         ("targets", "gauge", figures.targets),
         ("targets_disabled", "gauge", figures.avoided),
@@ -306,22 +308,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards the paths: an id comes decoded, and what is no call gets the 4xx that says why.
-    #[test]
-    fn reads_calls() {
-        let call = |line: &str| read(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes());
-        assert_eq!(call("GET /status?full"), Ok(Some(Command::Status)));
-        assert_eq!(call("PUT /maintenance/enter/s%2D5%2f"), Ok(Some(Command::HoldOut("s-5/".into()))));
-        let refused = |line: &str| call(line).map_err(|a| (a.status, a.allow));
-        assert_eq!(refused("GET /standby"), Err((405, Some("PUT"))));
-        assert_eq!(refused("GET /"), Err((404, None)));
-        assert_eq!(refused("PUT /maintenance/exit/%f"), Err((400, None)));
-        assert_eq!(refused("PUT /maintenance/exit/"), Err((400, None)));
-        assert_eq!(read(b"GET /status HTTP/1.1\r\nHost"), Ok(None));
-        assert_eq!(read(b"\0\0\r\n").map_err(|a| a.status), Err(400));
-        assert_eq!(read(&[b'A'; LONGEST_CALL]).map_err(|a| a.status), Err(431));
-    }
-}
+mod tests;
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -111,6 +111,8 @@
         until: Micros,
     },
     Abandon(AttemptId),
+    /// Its client has left: it is not sent, unless it has been already.
+    Withdraw(AttemptId),
     /// The client side can take more of a long answer.
     Resume(AttemptId),
     Probe(MemberId),
@@ -162,6 +164,10 @@
     body: Rc<Body>,
     sends: u32,
     out: Option<Out>,
+    /// An attempt was written whole.
+    written: bool,
+    /// Its client left before it had its answer.
+    left: bool,
     /// The final answer is given, or the client has gone.
     over: bool,
     error: Option<Vec<u8>>,
@@ -182,6 +188,8 @@
     refused: u32,
     failed: u32,
     gone: u32,
+    gone_unsent: u32,
+    sent_after_gone: u32,
     endings: BTreeMap<&'static str, u32>,
 }
 
@@ -255,6 +263,8 @@
             body: Rc::new(body),
             sends: 0,
             out: None,
+            written: false,
+            left: false,
             over: false,
             error: None,
             begun: false,
@@ -292,12 +302,17 @@
 
     /// The client has left.
     pub fn gone(&mut self, turn: &mut Turn, id: RequestId) {
-        // Of a long answer that has begun the module knows no more.
-        let begun = self.requests.get(&id).filter(|r| r.begun).and_then(|r| r.out.as_ref());
-        let number = begun.map(|out| out.number);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.left = true;
+        let (written, begun) = (r.written, r.begun);
+        let attempt = r.out.as_ref().map(|out| AttemptId { request: id, number: out.number });
         if self.end(turn, id) {
-            self.orders.extend(number.map(|number| Order::Abandon(AttemptId { request: id, number })));
+            // Of a long answer that has begun the module knows no more. What is not sent yet is no business of the
+            // settings on calling off: nothing reaches a db host.
+            self.orders.extend(attempt.map(if begun { Order::Abandon } else { Order::Withdraw }));
             self.tally.gone += 1;
+            self.tally.gone_unsent += u32::from(!written);
+            self.figures.gone_unsent += u64::from(!written);
             self.tell(turn, Event::Gone { request: id });
         }
     }
@@ -391,8 +406,15 @@
     }
 
     /// An attempt is written whole.
-    pub fn dispatched(&mut self) {
+    pub fn dispatched(&mut self, attempt: AttemptId) {
         self.figures.dispatches += 1;
+        let Some(r) = self.requests.get_mut(&attempt.request) else { return };
+        // Nobody waits for it: this must not be.
+        if r.left && !r.written {
+            self.tally.sent_after_gone += 1;
+            self.figures.sent_after_gone += 1;
+        }
+        r.written = true;
     }
 
     // ---- From discovery, operators and the clock ----
@@ -424,6 +446,7 @@
         info!(turn.log, "summary"; "open" => self.requests.len(), "members" => self.balancer.targets().known,
             "requests" => t.requests,
             "served" => t.served, "refused" => t.refused, "failed" => t.failed, "gone" => t.gone,
+            "gone_unsent" => t.gone_unsent, "sent_after_gone" => t.sent_after_gone,
             "attempts" => endings.join(","));
         for (name, t) in self.tenants.iter().zip(&self.figures.tenants) {
             let text = |c: &Count| format!("served={},refused={},failed={}", c.served, c.refused, c.failed);
--- a/crates/gradeshunt/src/figures.rs
+++ b/crates/gradeshunt/src/figures.rs
@@ -24,6 +24,9 @@
     pub tenants: Vec<TenantCount>,
     /// Attempts written whole to db hosts.
     pub dispatches: u64,
+    /// Requests whose client left before any attempt was written, and those of them sent on all the same.
+    pub gone_unsent: u64,
+    pub sent_after_gone: u64,
     /// Requests taken and not ended.
     pub concurrent: u64,
     /// Db hosts on the list, and those of them that get nothing new.
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -380,6 +380,11 @@
                         return self.last_word(turn, id, error);
                     }
                 }
+                // What has come fills the ring, and hides whether the client is still there.
+                Ok(Moved::Nothing) if s.inbound.is_full() && s.polled.has_hung_up() => {
+                    s.ended = true;
+                    break;
+                }
                 Ok(Moved::Nothing) => break,
                 Ok(Moved::End) | Err(_) => {
                     s.ended = true;
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -129,6 +129,15 @@
         matches!(self.socket.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the peer has ended its sending, or the connection is broken, whatever stands unread before that.
+    pub fn has_hung_up(&self) -> bool {
+        use rustix::event::{poll, PollFd, PollFlags};
+        let mut fds = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
+        let now = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+        let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        poll(&mut fds, Some(&now)).is_ok_and(|n| n > 0) && fds[0].revents().intersects(ended)
+    }
+
     /// Starts a connection that comes up later.
     pub fn connect(turn: &Turn, to: SocketAddr, source: Source) -> std::io::Result<Self> {
         use socket2::{Domain, Protocol, Socket, Type};
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -497,6 +497,9 @@
     long_value
     indented
     pushed
+    withdrawn
+    gone_held
+    gone_pipelined
     ;
     shared:
     startup
@@ -532,6 +535,9 @@
     long_value
     indented
     pushed
+    withdrawn
+    gone_held
+    gone_pipelined
     ;
     only_shared:
     spoilt_error
