A repeat is not written after its window, nor half a message taken for an answer's beginning

By reading, two crossings on connections to db hosts. The decisions see to the window when they order a repeat, but a connection may come up until the attempt's own time is over (backend.rs, `up`), and a repeat written then is a second run: `write_by` ends the attempt at the window's end, counted from the first send that may have run. And an idle connection kept half a message of a db host's in its ring (backend.rs, `read`): the rest would have come first in the next request's answer. It is closed now. A connection that comes up in the turn in which its job's time ends is not handed that job any more.

Exchanges `late_repeat` and `half_message`, on real connections.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -36,8 +36,24 @@
 /// What a connection is used for.
 #[derive(Debug)]
 enum Job {
-    Attempt { id: AttemptId, body: Rc<Body>, since: Micros, until: Micros },
-    Probe { since: Micros },
+    Attempt {
+        id: AttemptId,
+        body: Rc<Body>,
+        since: Micros,
+        until: Micros,
+        /// Until when it may be written at all; afterwards it may only end.
+        write_by: Micros,
+    },
+    Probe {
+        since: Micros,
+    },
+}
+
+impl Job {
+    /// Whether it came too late to be written: its time is over, or that in which a repeat is none.
+    fn is_late(&self, now: Micros) -> bool {
+        matches!(self, Job::Attempt { write_by, .. } if *write_by <= now)
+    }
 }
 
 /// A reply as far as it has come. Each job begins with a fresh one: nothing of an earlier reply stays.
@@ -193,13 +209,10 @@
 
     pub fn carry_out(&mut self, turn: &mut Turn, exchange: &mut Exchange, order: Order) {
         match order {
-            Order::Start { attempt, member, body, until } => {
-                self.begin(
-                    turn,
-                    exchange,
-                    member,
-                    Job::Attempt { id: attempt, body, since: turn.now, until },
-                );
+            Order::Start { attempt, member, body, until, write_by } => {
+                let write_by = write_by.min(until);
+                let job = Job::Attempt { id: attempt, body, since: turn.now, until, write_by };
+                self.begin(turn, exchange, member, job);
             }
             // One at a time: the one that is out answers for both.
             Order::Probe(member) if self.probes.contains_key(&member) => {}
@@ -388,6 +401,10 @@
                 }
             }
             let Some(message) = pg::message(s.inbound.bytes(), pg::BACKEND)? else {
+                // Half a message would pass for the beginning of the next request's answer.
+                if matches!(s.stage, Stage::Idle { .. }) && !s.inbound.is_empty() {
+                    return Err(Malformed("half a message between requests"));
+                }
                 // The client must not wait for what is not its answer.
                 if let Stage::Busy { reply, ready_by: ready_by @ None, .. } = &mut s.stage {
                     if reply.ending().is_some() {
@@ -480,13 +497,13 @@
 
     fn begin(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId, job: Job) {
         let open = self.hosts.get(&member).is_some_and(Host::takes_jobs);
-        if !open || matches!(&job, Job::Attempt { until, .. } if *until <= turn.now) {
+        if !open || job.is_late(turn.now) {
             return self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
         }
         match &job {
-            Job::Attempt { id, until, .. } => {
-                turn.deadlines.set(*until, Due::Attempt(*id));
-                self.attempts.insert(*id, (*until, Place::Waiting(member)));
+            Job::Attempt { id, write_by, .. } => {
+                turn.deadlines.set(*write_by, Due::Attempt(*id));
+                self.attempts.insert(*id, (*write_by, Place::Waiting(member)));
             }
             Job::Probe { since } => {
                 let until = since + self.connections.connect_timeout;
@@ -593,10 +610,16 @@
         let Some(host) = self.hosts.get_mut(&member) else { return };
         if !host.takes_jobs() || surplus || copied {
             self.close(turn, id);
-            self.unserved(turn, exchange, member, Ending::ConnectFailed);
-        } else if let Some(job) = host.waiting.pop_front() {
+            return self.unserved(turn, exchange, member, Ending::ConnectFailed);
+        }
+        while let Some(job) = self.hosts.get_mut(&member).and_then(|h| h.waiting.pop_front()) {
+            // Events are worked off before deadlines: its own may have passed while the connection came up.
+            if job.is_late(turn.now) {
+                self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
+                continue;
+            }
             self.take_idle(turn, id);
-            self.write(turn, exchange, id, job);
+            return self.write(turn, exchange, id, job);
         }
     }
 
@@ -605,7 +628,9 @@
         let pushed = match &job {
             Job::Attempt { id: attempt, body, until, .. } => {
                 if let Some(a) = self.attempts.get_mut(attempt) {
-                    a.1 = Place::On(id);
+                    turn.deadlines.clear(a.0, Due::Attempt(*attempt));
+                    turn.deadlines.set(*until, Due::Attempt(*attempt));
+                    *a = (*until, Place::On(id));
                 }
                 let (before, after) = body.around_wait();
                 let wait = ((until - turn.now) / 1000).max(1).to_string();
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -109,6 +109,8 @@
         member: MemberId,
         body: Rc<Body>,
         until: Micros,
+        /// It may not be written any later than this, whenever a connection for it comes up.
+        write_by: Micros,
     },
     Abandon(AttemptId),
     /// Its client has left: it is not sent, unless it has been already.
@@ -166,6 +168,8 @@
     out: Option<Out>,
     /// An attempt was written whole.
     written: bool,
+    /// When the first attempt that may have run was sent.
+    doubt_since: Option<Micros>,
     /// Its client left before it had its answer.
     left: bool,
     /// The final answer is given, or the client has gone.
@@ -212,6 +216,8 @@
     pub sites: Option<Sites>,
     /// By class.
     retry_after: Vec<Option<Micros>>,
+    /// By class, of what is keyed: how long after its first send a repeat may still be sent.
+    windows: Vec<Option<Micros>>,
     /// What is asked of the server side, of discovery, and of the client side.
     pub orders: VecDeque<Order>,
     pub asks: VecDeque<Ask>,
@@ -220,8 +226,13 @@
 
 impl Exchange {
     pub fn new(settings: Settings, tenants: Vec<String>, seed: u64, now: Micros) -> Self {
+        let window = |c: &Class| match c.effect {
+            Effect::Keyed { window, .. } => Some(window - settings.tick),
+            Effect::Safe | Effect::Unsafe => None,
+        };
         Exchange {
             tenants,
+            windows: settings.classes.iter().map(window).collect(),
             figures: Figures {
                 classes: vec![Count::default(); settings.classes.len()],
                 tenants: vec![TenantCount::default(); settings.tenants.len() + 1],
@@ -264,6 +275,7 @@
             sends: 0,
             out: None,
             written: false,
+            doubt_since: None,
             left: false,
             over: false,
             error: None,
@@ -371,6 +383,9 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(out) = r.out.take_if(|o| o.number == number) else { return };
         r.error = None;
+        if !ending.never_ran() {
+            r.doubt_since.get_or_insert(out.since);
+        }
         let (over, begun) = (r.over, r.begun);
         let answer = match said {
             Said::Answer(bytes) => Some(Final::Served(bytes)),
@@ -522,9 +537,13 @@
             return self.outcome(turn, id, number, member, Ending::Moot, last, 0, None);
         }
         let until = r.deadline.min(turn.now + timeout);
+        // A repeat is none only within its window, counted from the first send: a connection that comes up late must not
+        // carry it past that.
+        let window = self.windows.get(r.class.0).copied().flatten();
+        let write_by = window.zip(r.doubt_since).map_or(until, |(window, since)| since + window);
         r.out = Some(Out { number, member, since: turn.now });
         let attempt = AttemptId { request: id, number };
-        self.orders.push_back(Order::Start { attempt, member, body: Rc::clone(&r.body), until });
+        self.orders.push_back(Order::Start { attempt, member, body: Rc::clone(&r.body), until, write_by });
     }
 
     #[allow(clippy::too_many_arguments)]
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -440,7 +440,7 @@
     ($($name:ident)* ; shared: $($shared:ident)* ; only_shared: $($only:ident)*) => {
         $(#[test] fn $name() { play(stringify!($name), Site::Keyed); })*
 
-        /// On the second deployment's settings. Left out are the three that turn on keys: `unusable`, `own_error`, `probe`.
+        /// On the second deployment's settings. Left out are those that turn on keys: `unusable`, `own_error`, `probe`, `late_repeat`.
         mod shared {
             use super::*;
             $(#[test] fn $shared() { play(stringify!($shared), Site::Shared); })*
@@ -495,6 +495,8 @@
     standby
     upgrade
     long_value
+    half_message
+    late_repeat
     indented
     pushed
     withdrawn
@@ -533,6 +535,7 @@
     standby
     upgrade
     long_value
+    half_message
     indented
     pushed
     withdrawn
