Whoever is taken at a shutdown is answered before the process leaves, and nobody is reset

By reading the shutdown against the acceptance, four crossings: - SIGTERM before the start is over dropped the listener with whoever had connected (main.rs, `terminate`: waiting = None). A socket of our own is served first now; one that the platform holds is the successor's, as before. - Closing the listener took any accept error, EMFILE above all, for an empty backlog (frontend.rs, `close_listener`). It stays until the backlog is empty: clients that leave make room. - SIGKILL may follow after the longest deadline, counted as 3 s at most, and 0.7 s; the program waited for the longest deadline however long that is, so that requests of slow classes that came late would be found unanswered. They end in time for that now (last_call), and what is still out is answered 50 ms before the process leaves: refused where nothing was written, failed where it may have run, and a value that has begun breaks off, for an error would pass for its bytes. - A second SIGTERM moved the time to leave. It is the first that counts.

tests/crossings.rs: four tests with real processes, the order forced by bytes, a pipe that stands and a low limit of descriptors.

--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -46,6 +46,8 @@
     Sites,
     /// A line in the log.
     Summary,
+    /// What is still open after SIGTERM is answered.
+    LastAnswers,
     /// The last moment at which the program leaves after SIGTERM.
     Leave,
 }
@@ -59,7 +61,8 @@
             Due::Session(_) | Due::Accept | Due::Reap | Due::CloseListener => "clients' deadlines",
             Due::Call(_) | Due::Reopen => "discovery's deadlines",
             Due::Caller(_) | Due::AcceptCallers => "operators' deadlines",
-            Due::Look | Due::Begin | Due::Serve | Due::Sites | Due::Summary | Due::Leave => "housekeeping",
+            Due::Look | Due::Begin | Due::Serve | Due::Sites | Due::Summary => "housekeeping",
+            Due::LastAnswers | Due::Leave => "housekeeping",
         }
     }
 }
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -337,6 +337,23 @@
         }
     }
 
+    /// The process ends: what is still open is answered, as a failure where it may have run. Of a value that has begun the
+    /// client has to see that it is not whole.
+    pub fn end_all(&mut self, turn: &mut Turn) {
+        let open: Vec<_> = self.requests.iter().filter(|(_, r)| !r.over).map(|(id, _)| *id).collect();
+        for id in open {
+            let Some(r) = self.requests.get(&id) else { continue };
+            let retry_after = self.retry_after.get(r.class.0).copied().flatten();
+            let answer = match (r.begun, r.doubt_since.is_some() || r.written) {
+                (true, _) => Final::Broken,
+                (false, true) => Final::Failed(None),
+                (false, false) => Final::Refused { retry_after },
+            };
+            self.finish(turn, id, answer);
+            self.tell(turn, Event::Gone { request: id });
+        }
+    }
+
     /// The client side has got so much more of a long answer, and holds so much that its client has yet to read.
     pub fn unread(&mut self, id: RequestId, got: usize, held: usize) {
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -105,6 +105,8 @@
     ids: HashSet<Rc<str>>,
     next: u64,
     service: Service,
+    /// After SIGTERM: until when all that is still taken has its answer.
+    last_call: Option<Micros>,
     /// Clients closed to make room since the last summary, by how readily.
     evicted: [u32; 6],
     /// Whether the proxy knows of db hosts at all.
@@ -129,6 +131,7 @@
             ids: HashSet::new(),
             next: 0,
             service: Service::Running,
+            last_call: None,
             evicted: [0; 6],
             able: false,
             router: None,
@@ -166,22 +169,21 @@
     // ---- The listener ----
 
     pub fn accept(&mut self, turn: &mut Turn) {
-        if self.accept_some(turn) {
+        if self.accept_some(turn) == Backlog::More {
             turn.again.push(Source::Listener);
         }
     }
 
-    /// True where more may be waiting.
-    fn accept_some(&mut self, turn: &mut Turn) -> bool {
+    fn accept_some(&mut self, turn: &mut Turn) -> Backlog {
         for _ in 0..ACCEPTS {
-            let Some(listener) = &self.listener else { return false };
+            let Some(listener) = &self.listener else { return Backlog::Empty };
             match listener.socket.accept() {
                 Ok((socket, _)) => {
                     if let Err(e) = self.welcome(turn, socket) {
                         warn!(turn.log, "cannot serve a connection"; "error" => e.to_string());
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Backlog::Empty,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
                 Err(e) => {
@@ -190,11 +192,11 @@
                     warn!(turn.log, "cannot accept connections"; "error" => e.to_string());
                     self.close_oldest_idle(turn);
                     turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::Accept);
-                    return false;
+                    return Backlog::Stuck;
                 }
             }
         }
-        true
+        Backlog::More
     }
 
     fn welcome(&mut self, turn: &mut Turn, socket: std::net::TcpStream) -> io::Result<()> {
@@ -233,13 +235,23 @@
     /// successor's where there is one; it is the same socket, and must not be shut down.
     pub fn close_listener(&mut self, turn: &mut Turn, exchange: &mut Exchange, succeeded: bool) {
         // Connections that the kernel has accepted count as the proxy's.
-        while !succeeded && self.accept_some(turn) {}
-        if let Some(listener) = self.listener.take() {
+        let backlog =
+            std::iter::repeat_with(|| if succeeded { Backlog::Empty } else { self.accept_some(turn) })
+                .find(|b| *b != Backlog::More);
+        if backlog == Some(Backlog::Stuck) {
+            // They would be reset with the socket: clients that leave make room for them.
+            turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::CloseListener);
+        } else if let Some(listener) = self.listener.take() {
             listener.close(turn);
         }
         self.send_away(turn, exchange, Service::Closing);
     }
 
+    /// After SIGTERM no request is held beyond `at`: whoever told us to end may kill us soon after.
+    pub fn last_call(&mut self, at: Micros) {
+        self.last_call = Some(at);
+    }
+
     /// Clients are sent away between requests, or served on.
     pub fn stand_by(&mut self, turn: &mut Turn, exchange: &mut Exchange, standby: bool) {
         match self.service {
@@ -260,9 +272,10 @@
     /// to ask gets its time; its request is on its way, as a rule.
     fn dismiss(&mut self, turn: &mut Turn, id: SessionId) {
         let Some(s) = self.sessions.get(&id).filter(|_| self.service != Service::Running) else { return };
+        let fresh = turn.now - s.since <= FRESH && self.last_call.is_none_or(|at| turn.now < at);
         let between = match s.stage {
-            Stage::Startup => turn.now - s.since > FRESH,
-            Stage::Ready => s.asked || turn.now - s.since > FRESH,
+            Stage::Startup => !fresh,
+            Stage::Ready => s.asked || !fresh,
             Stage::Waiting(_) | Stage::Closing => false,
         };
         if between && s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet() {
@@ -320,7 +333,7 @@
 
     /// Whether the listener is closed and every client has had its answers.
     pub fn is_done(&self) -> bool {
-        self.service == Service::Closing && self.sessions.is_empty()
+        self.service == Service::Closing && self.listener.is_none() && self.sessions.is_empty()
     }
 
     /// Makes room by closing the client that [`makes_room`] names first, the oldest of equals.
@@ -670,8 +683,7 @@
         let since_write = after.map(|ms| (turn.now - turn.clock.at_unix_ms(ms as f64)).max(1));
         // No client of a class waits longer than its class does, whatever it says.
         let wait = (Micros::from(c.wait_ms) * 1000).min(self.settings.classes[class.0].deadline);
-        // It counts from when the request was there, not from when this process came to read it.
-        let deadline = turn.now + (wait - turn.unread).max(1);
+        let deadline = self.deadline(turn, wait);
         let id = Rc::from(c.id);
         let (repeat, wait_at) = (c.repeat, c.wait_at);
         let tenant = c.tenant.and_then(|t| self.names.tenant(t));
@@ -709,13 +721,20 @@
             Body::new(text, None, Form::Result)
         };
         let key = Some(fnv(&format!("session {}", session.0)));
-        let deadline = turn.now + (wait - turn.unread).max(1);
+        let deadline = self.deadline(turn, wait);
         let tenant = None;
         let call =
             Call { class, group, key, deadline, since_write, repeat: false, checked: false, tenant, body };
         Ok(Step::Call(Box::new(call), id))
     }
 
+    /// When the wait of a request is over that has just been read. It counts from when the request was there, not from when
+    /// this process came to read it.
+    fn deadline(&self, turn: &Turn, wait: Micros) -> Micros {
+        let over = (turn.now + wait - turn.unread).min(self.last_call.unwrap_or(Micros::MAX));
+        over.max(turn.now + 1)
+    }
+
     /// Writes the last message of a connection and closes it once the client has had it.
     fn last_word(&mut self, turn: &mut Turn, id: SessionId, last: Writer) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
@@ -806,6 +825,16 @@
     })
 }
 
+/// What is left of the connections that the kernel has accepted for us.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Backlog {
+    Empty,
+    /// More may be waiting.
+    More,
+    /// The system gives no descriptor for the next one.
+    Stuck,
+}
+
 /// What a query comes to.
 enum Step {
     Reply(Writer),
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -49,8 +49,13 @@
 
 /// New connections go on coming for a while after SIGTERM.
 const ACCEPT_ON: Micros = 500_000;
-/// What is left when the longest deadline and this much more have passed after SIGTERM is lost anyway.
+/// SIGKILL may follow SIGTERM when the longest deadline, counted as this much where it is longer, and a while have passed:
+/// by then all has its answer, and this process has left.
+const LONGEST_COUNTED: Micros = 3_000_000;
 const LEAVE_AFTER: Micros = 650_000;
+/// So long before it leaves, what is open gets its last answer; and so long before that requests are over that come late.
+const LAST_ANSWERS: Micros = 50_000;
+const LAST_CALL: Micros = 50_000;
 const SUMMARY: Micros = 10_000_000;
 /// Pace of the looks at what the processes of this proxy share.
 const LOOK: Micros = 50_000;
@@ -82,6 +87,8 @@
     /// What this proxy may hold, with another process of it where there is one.
     sockets: usize,
     memory: usize,
+    /// Whether the platform holds the clients' socket.
+    held: bool,
     /// The clients' socket, until it is served.
     waiting: Option<TcpListener>,
     /// The list of db hosts from the configuration, until this process begins.
@@ -169,6 +176,7 @@
             pace,
             sockets,
             memory,
+            held: listen_fd.is_some(),
             waiting: Some(listener),
             known,
             begin_by: Some(begin_by),
@@ -252,6 +260,7 @@
                 self.pace.sum_up(&turn.log);
                 turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
             }
+            Due::LastAnswers => exchange.end_all(turn),
             Due::Leave => self.leave = true,
         }
         self.settle();
@@ -445,13 +454,24 @@
     }
 
     fn terminate(&mut self) {
+        if std::mem::replace(&mut self.terminating, true) {
+            return;
+        }
         info!(self.turn.log, "terminating: serving on until all is answered");
+        // Clients may have connected to a socket of our own before it is served. One that the platform holds is another's.
+        if self.held {
+            self.waiting = None;
+        } else {
+            self.begin();
+            self.serve();
+        }
         self.shared.turn_to(Duty::Leaving);
         let now = self.turn.now;
-        self.terminating = true;
-        self.waiting = None;
+        let leave = now + self.longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
+        self.frontend.last_call(leave - LAST_ANSWERS - LAST_CALL);
         self.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
-        self.turn.deadlines.set(now + self.longest + LEAVE_AFTER, Due::Leave);
+        self.turn.deadlines.set(leave - LAST_ANSWERS, Due::LastAnswers);
+        self.turn.deadlines.set(leave, Due::Leave);
     }
 
     /// Rereads the configuration after SIGHUP. What is under way is left alone, and so is everything where the
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -8,12 +8,17 @@
 
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
+use gradeshunt_stand_ins::script::{Act, Rule};
 use gradeshunt_stand_ins::site::{Plan, Site};
+use gradeshunt_stand_ins::upgrade::Standing;
 use serde_json::{json, Value};
 
 /// A wait that ends a test which fails, and bounds none that passes.
 const PATIENCE: Duration = Duration::from_secs(40);
 
+/// More clients than the process gets descriptors, or can make room for before it would close its socket.
+const CROWD: usize = 70;
+
 /// A process of the program at an address that is known before it runs.
 struct Program {
     child: Child,
@@ -64,6 +69,24 @@
             std::thread::yield_now();
         }
     }
+
+    fn terminate(&self) {
+        let kill = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        assert!(kill.is_ok_and(|s| s.success()));
+    }
+
+    fn exits(&mut self) {
+        assert!(self.child.wait().expect("it can be waited for").success());
+    }
+}
+
+/// Reads up to ReadyForQuery so many times; the types of all messages.
+fn until_ready(stream: &mut TcpStream, times: usize) -> std::io::Result<String> {
+    let mut order = String::new();
+    while order.matches('Z').count() < times {
+        order.push(char::from(wire::read(stream)?.0));
+    }
+    Ok(order)
 }
 
 fn read_of(id: usize) -> Vec<u8> {
@@ -72,19 +95,119 @@
     ))
 }
 
-/// A client fills all that is held for it, and a little of what the kernel holds, and leaves. Its end can't be read behind
-/// what it has sent: it is noticed all the same, and its request, which waits for a connection, is not sent on.
-#[test]
-fn client_that_floods_and_leaves_has_left() {
+/// A program whose only db host the test plays, and whose discovery takes calls and says nothing: it knows of no other.
+fn program_of_one_host(name: &str) -> (TcpListener, TcpListener, Program) {
     let host = TcpListener::bind("127.0.0.1:0").expect("a port");
     let site = Site::open(Plan { sets: vec![1], ..Plan::default() }).expect("a site");
     let mut config = site.config();
     config["known"]["instances"][0]["hostPort"] = json!(host.local_addr().expect("an address").to_string());
     config["settings"]["allowed"]["connectTimeout"] = json!(600_000.0);
-    // Discovery would say where the db host is: nobody answers there.
     let deaf = TcpListener::bind("127.0.0.1:0").expect("a port");
     config["discovery"] = json!(deaf.local_addr().expect("an address").to_string());
-    let program = Program::start("flood", config, "", |_| {});
+    let program = Program::start(name, config, "", |_| {});
+    (host, deaf, program)
+}
+
+/// What a db host says to a connection that comes up.
+fn welcome() -> Vec<u8> {
+    [wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat()
+}
+
+/// SIGTERM comes before the start is over: who has connected by then is served, and not reset with the socket. The disk
+/// stands, so that the process waits to see its folder.
+#[test]
+fn sigterm_amid_the_start_resets_nobody() {
+    let site = Site::open(Plan::default()).expect("a site");
+    let mut standing = None;
+    let mut program = Program::start("amid-start", site.config(), "", |tmp| {
+        // The folder that the processes of `n0` share.
+        let shared = tmp.join("gradeshunt-6e30");
+        std::fs::create_dir(&shared).expect("a folder");
+        standing = Some(Standing::begin(&shared).expect("a pipe"));
+    });
+    let mut client = program.connect();
+    client.write_all(&[wire::startup(&[("user", "portal")]), wire::query("")].concat()).expect("it is open");
+    program.terminate();
+    assert!(until_ready(&mut client, 2).expect("it is answered").ends_with("IZ"));
+    drop(standing);
+    assert_eq!(client.read(&mut [0]).expect("an end, and no reset"), 0);
+    drop(client);
+    program.exits();
+}
+
+/// SIGTERM comes while connections wait for which there is no descriptor: they are accepted as room is made, and not reset
+/// with the socket.
+#[test]
+fn sigterm_without_descriptors_resets_nobody() {
+    let site = Site::open(Plan::default()).expect("a site");
+    let mut program = Program::start("no-descriptors", site.config(), "ulimit -n 40;", |_| {});
+    let mut first = program.connect();
+    first.write_all(&[wire::startup(&[("user", "portal")]), wire::query("")].concat()).expect("it is open");
+    assert!(until_ready(&mut first, 2).expect("it serves").ends_with("IZ"));
+    let asked = [wire::startup(&[("user", "portal")]), wire::query("")].concat();
+    let connect = |_| {
+        let mut client = program.connect();
+        client.write_all(&asked).expect("it is open");
+        client
+    };
+    let mut crowd: Vec<_> = (0..CROWD).map(connect).collect();
+    program.terminate();
+    let answered = crowd.iter_mut().map(|c| until_ready(c, 2).is_ok_and(|o| o.ends_with("IZ")));
+    assert_eq!(answered.filter(|a| *a).count(), CROWD);
+    drop((first, crowd));
+    program.exits();
+}
+
+/// The platform kills soon after SIGTERM, however long clients would wait: what is still out then has its answer before.
+#[test]
+fn what_is_out_when_the_process_has_to_leave_is_answered() {
+    let site = Site::open(Plan::default()).expect("a site");
+    (0..3).for_each(|host| site.sets[0].script(host, Rule::always("page-read", Act::Hang)));
+    let mut program = Program::start("has-to-leave", site.config(), "", |_| {});
+    drop(program.connect());
+    let mut client = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
+    client.stream().write_all(&read_of(1)).expect("it is open");
+    program.terminate();
+    let reply = client.until_ready().expect("an answer, and no reset");
+    assert!(reply.code().is_some(), "{reply:?}");
+    drop(client);
+    program.exits();
+}
+
+/// The same for a value that has begun and stands still: an error would pass for its next bytes. The client gets what there
+/// is of it, and sees by the end that it is not whole.
+#[test]
+fn value_that_has_begun_breaks_off_when_the_process_has_to_leave() {
+    const PART: usize = 80_000;
+    let (host, _discovery, mut program) = program_of_one_host("broken-off");
+    let mut client = program.connect();
+    client.write_all(&[wire::startup(&[("user", "portal")]), read_of(1)].concat()).expect("it is open");
+    let (mut server, _) = host.accept().expect("it connects");
+    wire::read_startup(&mut server).expect("a startup message");
+    server.write_all(&welcome()).expect("it is open");
+    assert_eq!(wire::read(&mut server).expect("a query").0, b'Q');
+    // Of a row of 100,000 bytes most is sent.
+    let description = [&[0, 1][..], b"data\0", &[0; 6], &[0, 0, 0, 17], &[255; 6], &[0, 1]].concat();
+    let size = 100_000_i32;
+    let row = [&b"D"[..], &(size + 10).to_be_bytes(), &[0, 1], &size.to_be_bytes(), &[b'x'; PART]].concat();
+    server.write_all(&[wire::message(b'T', &description), row].concat()).expect("it is open");
+    until_ready(&mut client, 1).expect("it is welcome");
+    assert_eq!(wire::read(&mut client).expect("a description").0, b'T');
+    let mut begun = vec![0; 11 + PART];
+    client.read_exact(&mut begun).expect("what has come is passed on");
+    program.terminate();
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).expect("an end, and no reset");
+    assert!(rest.is_empty(), "{rest:?}");
+    drop((client, server));
+    program.exits();
+}
+
+/// A client fills all that is held for it, and a little of what the kernel holds, and leaves. Its end can't be read behind
+/// what it has sent: it is noticed all the same, and its request, which waits for a connection, is not sent on.
+#[test]
+fn client_that_floods_and_leaves_has_left() {
+    let (host, _discovery, program) = program_of_one_host("flood");
     let mut flood = program.connect();
     let mut bytes = wire::startup(&[("user", "portal")]);
     bytes.extend(read_of(1));
@@ -99,8 +222,7 @@
     let mut rest = Vec::new();
     let _ = flood.read_to_end(&mut rest);
     first.set_read_timeout(Some(PATIENCE)).expect("it can be set");
-    let welcome = [wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat();
-    first.write_all(&welcome).expect("it is open");
+    first.write_all(&welcome()).expect("it is open");
     let mut client = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
     client.stream().write_all(&read_of(7)).expect("it is open");
     let (tag, body) = wire::read(&mut first).expect("a query");
