A client that is closed sees a close, and the whole of its last answer, never a reset

By reading, three ways in which a close took an answer with it: - `reap` closed idle clients at once; a request that crossed that reset the connection, and an answer unread at the client's end with it. They are shut down for writing and read on, like all others (frontend.rs, `reap`). - `close_oldest_idle` named clients in closing first, quiet or not, even with their last answer unwritten (`makes_room`). - A client slower than the linger time lost the tail of its last answer: the time counted from the last word, not from the last byte that moved (`last_word`, `flush`). One that reads nothing for 5 s is closed. That a final answer fits behind what is unread is a static assertion now: `answer`'s close there can't come to pass.

--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::turn::Turn;
 
 /// How much of a long answer may be under way to a client.
-const ROOM: usize = 64 * 1024;
+pub const ROOM: usize = 64 * 1024;
 
 /// One attempt of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -11,10 +11,10 @@
 use slog::{debug, info, warn};
 
 use crate::deadlines::Due;
-use crate::exchange::{Body, Call, Exchange, Final, Form};
+use crate::exchange::{Body, Call, Exchange, Final, Form, ROOM};
 use crate::ids::SessionId;
 use crate::memory;
-use crate::pg::{self, sqlstate, Malformed, Startup, Writer, LONGEST_ANSWER};
+use crate::pg::{self, sqlstate, Malformed, Startup, Writer, LONGEST_ANSWER, WHOLE_ROW};
 use crate::ring::{Moved, Ring, LARGEST, SMALL};
 use crate::routing::{Decision, Origin, Routed, Router, Rules};
 use crate::turn::{Polled, Source, Turn};
@@ -26,6 +26,9 @@
 const MESSAGES: usize = 32;
 /// No further request is begun while this much of earlier answers is unread: the ring has room for one more.
 const UNREAD: usize = LARGEST - LONGEST_ANSWER - 1024;
+/// A final answer has to fit behind what is unread: one of a value, at most [`UNREAD`]; the rest of a whole result, of which
+/// no more is held than this, too.
+const _: () = assert!(UNREAD + LONGEST_ANSWER < LARGEST && ROOM + WHOLE_ROW + LONGEST_ANSWER < LARGEST);
 /// How long a client may take over one message, its startup message too.
 const PATIENCE: Micros = 2_500_000;
 /// A slow client may take so long over its first request; and so long a client may be new, or just have had an
@@ -40,8 +43,10 @@
 const IDLE_AMONG_MANY: Micros = 100_000;
 /// How long a new client may take to ask while clients are sent away.
 const FRESH: Micros = 2_300_000;
-/// How long a closing connection is read on, so that what was written last is not lost to a reset.
+/// How long a closing connection is read on, so that what was written last is not lost to a reset: from its last byte.
 const LINGER: Micros = 1_000_000;
+/// How long no byte of what was written last may move, where a client is slow to read it.
+const UNREAD_FOR: Micros = 5_000_000;
 /// Pause after connections could not be accepted.
 const ACCEPT_AGAIN: Micros = 20_000;
 
@@ -304,7 +309,7 @@
                 .into_iter()
                 .for_each(|id| self.dismiss(turn, id));
         }
-        let open = self.sessions.len();
+        let open = self.sessions.values().filter(|s| !matches!(s.stage, Stage::Closing)).count();
         if open <= self.most / 8 {
             return;
         }
@@ -327,7 +332,8 @@
         let idle = idle.into_iter().enumerate().filter(|(n, (since, _))| over(*n, *since));
         for (_, (_, id)) in idle.collect::<Vec<_>>() {
             self.evicted[2] += 1;
-            self.close(turn, id);
+            // A request may be on its way: closed at once, the connection would be reset, and the last answer with it.
+            self.last_word(turn, id, Writer::default());
         }
     }
 
@@ -346,10 +352,7 @@
         let mut idle: Vec<_> = idle.collect();
         idle.sort();
         // A request may stand unread in the socket: it counts as taken.
-        let quiet = |id: &SessionId| {
-            let s = self.sessions.get(id);
-            s.is_some_and(|s| matches!(s.stage, Stage::Closing) || s.polled.is_quiet())
-        };
+        let quiet = |id: &SessionId| self.sessions.get(id).is_some_and(|s| s.polled.is_quiet());
         let oldest = idle.into_iter().find(|(_, _, id)| quiet(id));
         if let Some((rank, _, id)) = oldest {
             self.evicted[rank] += 1;
@@ -522,9 +525,10 @@
 
     fn flush(&mut self, turn: &mut Turn, id: SessionId) {
         let Some(s) = self.sessions.get_mut(&id) else { return };
+        let mut moved = false;
         loop {
             match s.outbound.drain(&s.polled.socket) {
-                Ok(Moved::Some(_)) => {}
+                Ok(Moved::Some(_)) => moved = true,
                 Ok(_) => break,
                 Err(_) => {
                     // Read readiness tells of the close, too; this is only the first to notice.
@@ -533,9 +537,16 @@
                 }
             }
         }
-        if matches!(s.stage, Stage::Closing) && s.outbound.is_empty() {
-            // The client may still be sending: closing at once would reset what it has yet to read.
-            let _ = s.polled.socket.shutdown(Shutdown::Write);
+        if matches!(s.stage, Stage::Closing) {
+            if s.outbound.is_empty() {
+                // The client may still be sending: closing at once would reset what it has yet to read.
+                let _ = s.polled.socket.shutdown(Shutdown::Write);
+            }
+            // As long as a slow client reads, it gets the rest.
+            let wait = if s.outbound.is_empty() { LINGER } else { UNREAD_FOR };
+            if moved {
+                self.set_due(turn, id, Some(turn.now + wait));
+            }
         }
     }
 
@@ -741,7 +752,8 @@
         s.stage = Stage::Closing;
         s.inbound = Ring::default();
         let _ = s.outbound.push(&last.0);
-        self.set_due(turn, id, Some(turn.now + LINGER));
+        let wait = if s.outbound.is_empty() { LINGER } else { UNREAD_FOR };
+        self.set_due(turn, id, Some(turn.now + wait));
         self.flush(turn, id);
     }
 
@@ -785,12 +797,12 @@
 }
 
 /// How readily a client is closed where room is needed, 0 first; `None` where it is not. Those go first that are being
-/// closed or took longer over their first request than a slow client may; then those that have had their answer, to
+/// closed and have their last answer, or took longer over their first request than a slow client may; then those that have had their answer, to
 /// whom a close costs no more than a new connection; then the longest under way with a first request, since most of
 /// a crowd that never ends one are among them.
 fn makes_room(stage: &Stage, asked: bool, empty: bool, age: Micros) -> Option<usize> {
     match stage {
-        Stage::Closing => Some(0),
+        Stage::Closing => empty.then_some(0),
         Stage::Startup | Stage::Ready if !asked => {
             // One that has introduced itself is no mere connection: it has a while for its request.
             let welcome = matches!(stage, Stage::Ready);
@@ -843,23 +855,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards slow clients in a crowd: they may take 2 s over a request, and whoever has had an answer goes first.
-    #[test]
-    fn idle_clients_make_room_before_slow_ones() {
-        let slow = makes_room(&Stage::Startup, false, false, SLOW - 1);
-        let half = makes_room(&Stage::Ready, false, false, SLOW - 1);
-        let served = makes_room(&Stage::Ready, true, true, JUST);
-        let stuck = makes_room(&Stage::Startup, false, false, SLOW);
-        assert!(stuck < served && served < slow && slow == half && slow.is_some());
-        let new = makes_room(&Stage::Startup, false, true, 0);
-        assert!(
-            slow < new && new < makes_room(&Stage::Ready, false, true, 0),
-            "what came just now may ask yet"
-        );
-        assert_eq!(makes_room(&Stage::Ready, true, false, SLOW), None, "a request may be unread");
-        assert_eq!(makes_room(&Stage::Waiting(RequestId(0)), true, true, SLOW), None);
-    }
-}
+mod tests;
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -70,11 +70,15 @@
         }
     }
 
-    fn terminate(&self) {
-        let kill = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+    fn signal(&self, name: &str) {
+        let kill = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(kill.is_ok_and(|s| s.success()));
     }
 
+    fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
     fn exits(&mut self) {
         assert!(self.child.wait().expect("it can be waited for").success());
     }
@@ -203,6 +207,32 @@
     program.exits();
 }
 
+/// A client that rests among others is closed, and its next request crosses that: it sees a close, and no reset, which would
+/// take its last answer with it. The process is stopped as soon as the close shows, so that it can read nothing meanwhile.
+#[test]
+fn request_that_crosses_the_close_of_an_idle_client_resets_nothing() {
+    let site = Site::open(Plan::default()).expect("a site");
+    let mut config = site.config();
+    config["limits"]["sockets"] = json!(64);
+    let program = Program::start("crossed", config, "", |_| {});
+    let asked = [wire::startup(&[("user", "portal")]), wire::query("")].concat();
+    let rest = |_| {
+        let mut client = program.connect();
+        client.write_all(&asked).expect("it is open");
+        client
+    };
+    let mut clients: Vec<_> = (0..16).map(rest).collect();
+    // The longest idle one goes first; its answers stand unread before the close.
+    let client = &mut clients[0];
+    assert!(until_ready(client, 2).expect("it is answered").ends_with("IZ"));
+    assert_eq!(client.read(&mut [0]).expect("a close"), 0);
+    program.signal("-STOP");
+    let crossing = (0..2).map(|_| client.write_all(&read_of(1)));
+    assert!(crossing.collect::<std::io::Result<()>>().is_ok());
+    assert_eq!(client.read(&mut [0]).expect("no reset"), 0);
+    program.signal("-CONT");
+}
+
 /// A client fills all that is held for it, and a little of what the kernel holds, and leaves. Its end can't be read behind
 /// what it has sent: it is noticed all the same, and its request, which waits for a connection, is not sent on.
 #[test]
