Settings that can't be served refuse the start with the field's name

Need: bad input gets a clear error. Seen by trying: negative times, a deadline of 0, a sendCap of 0, negative prices, classes named twice or none at all were taken, and an odd limit or watch_silence_ms was passed over for the usual one without a word. Each refuses the start now with one line. tests/config.rs: 16 more cases, each seen to start the program before.

--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -85,11 +85,20 @@
         let facts = settings::read(value.get("settings").ok_or("settings is missing")?);
         let facts = facts.map_err(|e| format!("settings: {e}"));
         let seed = text("seed")?;
-        let sockets = value.pointer("/limits/sockets").and_then(Value::as_u64).unwrap_or(1024);
+        let limit = |key: &str, usual| {
+            let v = value.pointer(&format!("/limits/{key}")).filter(|v| !v.is_null());
+            let n = v.map(|v| v.as_u64().ok_or_else(|| format!("limits.{key} is not a whole number: {v}")));
+            n.transpose().map(|n| n.unwrap_or(usual))
+        };
+        let sockets = limit("sockets", 1024)?;
         if sockets < 64 {
             return Err(format!("limits.sockets is too small: {sockets}"));
         }
-        let memory_mb = value.pointer("/limits/memory_mb").and_then(Value::as_u64).unwrap_or(192);
+        let memory_mb = limit("memory_mb", 192)?;
+        let silence = value.get("watch_silence_ms").filter(|v| !v.is_null()).map(|v| {
+            let silence = settings::time(v).filter(|t| *t > 0);
+            silence.ok_or_else(|| format!("watch_silence_ms is not a time above 0: {v}"))
+        });
         let (name, listen, discovery) = (text("name")?.to_owned(), addr("listen")?, addr("discovery")?);
         let facts = facts?;
         let rules = rules.map(|file| rules::load(Path::new(&file), &facts)).transpose()?;
@@ -103,7 +112,7 @@
             seed: u64::from_str_radix(seed, 16).map_err(|_| format!("seed is not hex: {seed:?}"))?,
             sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
             memory: usize::try_from(memory_mb).unwrap_or(usize::MAX).saturating_mul(1 << 20),
-            silence: value.get("watch_silence_ms").and_then(settings::time).unwrap_or(SILENCE),
+            silence: silence.transpose()?.unwrap_or(SILENCE),
             known: value.get("known").cloned().unwrap_or(Value::Null),
             facts,
             rules,
--- a/crates/gradeshunt/tests/config.rs
+++ b/crates/gradeshunt/tests/config.rs
@@ -26,6 +26,50 @@
         ("odd-tenant", shared.replace("60.0", "-1.0"), "quotaRps of \"north\" is -1, and no rate"),
         ("twice-a-tenant", shared.replace("south", "north"), "names \"north\" twice"),
         ("no-worth", shared.replace("overShareWorth", "overWorth"), "overShareWorth is missing"),
+        (
+            "odd-limit",
+            good.replace("\"sockets\": 1024", "\"sockets\": \"many\""),
+            "limits.sockets is not a whole number",
+        ),
+        ("odd-memory", good.replace("192", "-1"), "limits.memory_mb is not a whole number"),
+        (
+            "odd-silence",
+            good.replace("\"seed\"", "\"watch_silence_ms\": 0, \"seed\""),
+            "watch_silence_ms is not a time above 0",
+        ),
+        (
+            "no-class",
+            good.replace("\"categories\": [", "\"categories\": [], \"others\": ["),
+            "categories is empty",
+        ),
+        ("twice-a-class", good.replace("own-read", "page-read"), "categories names \"page-read\" twice"),
+        ("no-time", good.replace("1200.0", "0.0"), "deadline is not a time above 0"),
+        ("odd-time", good.replace("1200.0", "\"long\""), "deadline is not a time above 0"),
+        ("endless-time", good.replace("1200.0", "1e300"), "deadline is not a time above 0"),
+        ("odd-aim", good.replace("500.0", "-500.0"), "slo is not a time of 0 or more"),
+        (
+            "odd-window",
+            good.replace("\"keyTtl\": 2000.0", "\"keyTtl\": -1"),
+            "keyTtl is not a time of 0 or more",
+        ),
+        ("odd-price", good.replace("0.013", "-0.013"), "crossZone is not a number of 0 or more"),
+        ("odd-bound", good.replace("   200.0", "   -200.0"), "lagAllowed is not a time of 0 or more"),
+        ("no-attempt", good.replace("\"sendCap\": 8", "\"sendCap\": 0"), "sendCap is 0"),
+        (
+            "no-connect",
+            good.replace("\"connectTimeout\": 250.0", "\"connectTimeout\": 0"),
+            "connectTimeout is not a time above 0",
+        ),
+        (
+            "no-idle",
+            good.replace("\"connIdle\": 30000.0", "\"connIdle\": -5"),
+            "connIdle is not a time of 0 or more",
+        ),
+        (
+            "odd-grace",
+            good.replace("\"drainGrace\": 250.0", "\"drainGrace\": null"),
+            "drainGrace is not a time of 0 or more",
+        ),
         ("odd-known", good.replace("\"instances\"", "\"instance\""), "a list without instances"),
     ];
     for (name, text, complaint) in cases {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -92,6 +92,20 @@
         self.need(key, "a time", time)
     }
 
+    /// A time that lasts: what is negative is none.
+    fn span(&self, key: &str) -> Result<Micros> {
+        self.need(key, "a time of 0 or more", |v| time(v).filter(|t| *t >= 0))
+    }
+
+    /// A time in which something has to come to pass: in none nothing could.
+    fn limit(&self, key: &str) -> Result<Micros> {
+        self.need(key, "a time above 0", |v| time(v).filter(|t| *t > 0))
+    }
+
+    fn amount(&self, key: &str) -> Result<f64> {
+        self.need(key, "a number of 0 or more", |v| v.as_f64().filter(|n| *n >= 0.0))
+    }
+
     fn flag(&self, key: &str) -> Result<bool> {
         self.need(key, "true or false", Value::as_bool)
     }
@@ -131,7 +145,14 @@
         zero: family.time("positionZero")?,
     };
     for v in facts.list("categories")? {
-        names.classes.push(Keys::new("facts.categories[]", Some(v))?.text("name")?.to_owned());
+        let name = Keys::new("facts.categories[]", Some(v))?.text("name")?;
+        if names.class(name).is_some() {
+            return Err(format!("facts.categories names {name:?} twice"));
+        }
+        names.classes.push(name.to_owned());
+    }
+    if names.classes.is_empty() {
+        return Err("facts.categories is empty: no request could be of any class".into());
     }
     let tenants = tenants(&facts, &mut names.tenants)?;
     let (fleet, me) = (facts.count("fleetSize")?, facts.count("me")?);
@@ -147,7 +168,7 @@
         zone: names.zone(facts.text("zone")?)?,
         fleet,
         me,
-        tick: facts.time("tick")?,
+        tick: facts.span("tick")?,
         list_on_request: facts.word("membershipMode", |w| match w {
             "on_request" => Some(true),
             "pushed" => Some(false),
@@ -171,7 +192,7 @@
         prices: prices(&facts)?,
         tenants,
         // Of no use where nobody has a share.
-        over_share_worth: if names.tenants.is_empty() { 1.0 } else { facts.num("overShareWorth")? },
+        over_share_worth: if names.tenants.is_empty() { 1.0 } else { facts.amount("overShareWorth")? },
     };
     Ok(Facts { settings, names, connections: connections(&facts)? })
 }
@@ -198,15 +219,18 @@
 fn connections(facts: &Keys) -> Result<Connections> {
     let k = Keys::new("facts.allowed", facts.map.get("allowed"))?;
     // The simulator keeps the connections itself, so its adapter can do without these.
-    let or = |key: &str, usual| k.map.get(key).map_or(Ok(usual), |_| k.time(key));
-    Ok(Connections { idle: or("connIdle", 30_000_000)?, connect_timeout: or("connectTimeout", 250_000)? })
+    let given = |key: &str| k.map.contains_key(key);
+    Ok(Connections {
+        idle: if given("connIdle") { k.span("connIdle")? } else { 30_000_000 },
+        connect_timeout: if given("connectTimeout") { k.limit("connectTimeout")? } else { 250_000 },
+    })
 }
 
 fn behind(family: &Keys) -> Result<Behind> {
     Ok(match family.text("whenBehind")? {
         "silent" => Behind::Silent,
         "bounce" => Behind::Refuse,
-        "await" => Behind::Wait(family.time("catchUpWait")?),
+        "await" => Behind::Wait(family.span("catchUpWait")?),
         w => return Err(format!("unknown familyInfo.whenBehind {w:?}")),
     })
 }
@@ -220,7 +244,8 @@
     let mut classes = Vec::new();
     for (i, v) in list.iter().enumerate() {
         let k = Keys::new("facts.categories[]", Some(v))?;
-        let bound = time(&bounds[i]).ok_or("a value of familyInfo.lagAllowed is not a time")?;
+        let bound = time(&bounds[i]).filter(|t| *t >= 0);
+        let bound = bound.ok_or("a value of familyInfo.lagAllowed is not a time of 0 or more")?;
         let read = match levels[i].as_str() {
             "mutate" => ReadLevel::Write,
             "strong" => ReadLevel::Fresh,
@@ -232,11 +257,11 @@
         let effect = match k.text("repeat")? {
             "pure" => Effect::Safe,
             "side_effect" => Effect::Unsafe,
-            "token" => Effect::Keyed { scope: k.word("group", scope)?, window: k.time("keyTtl")? },
+            "token" => Effect::Keyed { scope: k.word("group", scope)?, window: k.span("keyTtl")? },
             w => return Err(format!("unknown repeat {w:?}")),
         };
-        let (aim, deadline) = (k.time("slo")?, k.time("deadline")?);
-        let (worth, late_worth) = (k.num("worth")?, k.num("lateWorth")?);
+        let (aim, deadline) = (k.span("slo")?, k.limit("deadline")?);
+        let (worth, late_worth) = (k.amount("worth")?, k.amount("lateWorth")?);
         classes.push(Class { aim, deadline, worth, late_worth, effect, read });
     }
     Ok(classes)
@@ -254,33 +279,37 @@
 fn rules(facts: &Keys) -> Result<Rules> {
     let k = Keys::new("facts.rules", facts.map.get("rules"))?;
     Ok(Rules {
-        answer_slack: k.time("answerSlack")?,
-        cold_share: k.num("coldShare")?,
-        cold: k.time("cold")?,
-        drain_grace: k.time("drainGrace")?,
-        fall_multiple: k.num("fallMultiple")?,
-        fall: k.time("fall")?,
-        must_ask_in: k.map.get("mustAskIn").map_or(Ok(0), |_| k.time("mustAskIn"))?,
+        answer_slack: k.span("answerSlack")?,
+        cold_share: k.amount("coldShare")?,
+        cold: k.span("cold")?,
+        drain_grace: k.span("drainGrace")?,
+        fall_multiple: k.amount("fallMultiple")?,
+        fall: k.span("fall")?,
+        must_ask_in: k.map.get("mustAskIn").map_or(Ok(0), |_| k.span("mustAskIn"))?,
         dropped_stay_open: k.map.get("droppedStayOpen").map_or(Ok(false), |_| k.flag("droppedStayOpen"))?,
     })
 }
 
 fn allowed(facts: &Keys) -> Result<Allowed> {
     let k = Keys::new("facts.allowed", facts.map.get("allowed"))?;
+    let attempts = k.count("sendCap")?;
+    if attempts == 0 {
+        return Err("facts.allowed.sendCap is 0: nothing could ever be sent".into());
+    }
     Ok(Allowed {
-        attempts: k.count("sendCap")?,
+        attempts,
         second_copies: k.flag("secondCopies")?,
         probes: k.flag("probing")?,
         cancel: k.flag("mayCancel")?,
         peers: k.flag("peers")?,
         retry_after: k.flag("retryAfter")?,
-        max_retry_after: k.time("maxRetryAfter")?,
+        max_retry_after: k.span("maxRetryAfter")?,
     })
 }
 
 fn prices(facts: &Keys) -> Result<Prices> {
     let k = Keys::new("facts.penalties", facts.map.get("penalties"))?;
-    Ok(Prices { probe: k.num("probe")?, cross_zone: k.num("crossZone")?, waste: k.num("waste")? })
+    Ok(Prices { probe: k.amount("probe")?, cross_zone: k.amount("crossZone")?, waste: k.amount("waste")? })
 }
 
 /// The FNV-1a hash: every driver's number for the same name.
