--- /dev/null
+++ b/tests/known_red.rs
@@ -0,0 +1,65 @@
+//! What CI makes of KNOWN-RED.txt: it passes over just the tests that are listed there, and no odd file hides any.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+
+const TESTS: &str =
+    "a::drains: test\na::drains_late: test\nstartup: test\nstartup: test\n\n4 tests, 0 benchmarks\n";
+
+fn run(name: &str, tests: &str, text: &str) -> Output {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&file, text).expect("a file");
+    let script = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join(".ci/known-red");
+    let mut child = Command::new(script)
+        .arg(&file)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    child.stdin.take().expect("a pipe").write_all(tests.as_bytes()).expect("it reads");
+    child.wait_with_output().expect("it ends")
+}
+
+#[test]
+fn listed_tests_alone_are_passed_over_and_printed() {
+    let line = "a::drains, a late drain is not heard, issue 32";
+    // With and without the last line end.
+    for text in [format!("{line}\n"), line.to_owned()] {
+        let out = run("one", TESTS, &text);
+        assert!(out.status.success());
+        assert_eq!(String::from_utf8_lossy(&out.stdout), "a::drains\n");
+        assert!(String::from_utf8_lossy(&out.stderr).contains(line));
+    }
+}
+
+#[test]
+fn odd_files_fail_the_run() {
+    let line = "a::drains, cause, issue 32\n";
+    let other = "a::drains_late, cause, issue 32\n";
+    let cases = [
+        ("twice", [line, other, line].concat(), "names a::drains again"),
+        ("nobody", "a::drain, cause, issue 32\n".to_owned(), "0 tests have that name"),
+        ("twice-there", "startup, cause, issue 32\n".to_owned(), "2 tests have that name"),
+        ("no-cause", "a::drains, issue 32\n".to_owned(), "is not 'TEST, cause, issue N'"),
+        ("no-issue", "a::drains, cause\n".to_owned(), "is not 'TEST, cause, issue N'"),
+        ("pattern", ".*, cause, issue 32\n".to_owned(), "is not 'TEST, cause, issue N'"),
+        ("option", "--skip, cause, issue 32\n".to_owned(), "is not 'TEST, cause, issue N'"),
+        ("blank", format!("{line}\n"), "line 2 is not"),
+        ("empty", String::new(), "no line"),
+    ];
+    for (name, text, complaint) in cases {
+        let out = run(name, TESTS, &text);
+        let said = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success() && said.contains(complaint), "{name}: {said}");
+    }
+}
+
+/// Four lines are refused even where each names a test of its own.
+#[test]
+fn four_lines_are_too_many() {
+    let lines = |text: &str| (0..4).map(|n| format!("t{n}{text}\n")).collect::<String>();
+    let out = run("four", &lines(": test"), &lines(", cause, issue 1"));
+    assert!(!out.status.success() && String::from_utf8_lossy(&out.stderr).contains("more than three lines"));
+}
