Guard against lists that are reset before their end

Need: an answer without a length may be reset on the way, and that is no end. By reading the program is sound: an error of the read fails the call, and a line without its end is no list.

--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -499,6 +499,7 @@
     late_repeat
     indented
     pushed
+    reset_list
     withdrawn
     gone_held
     gone_pipelined
@@ -538,6 +539,7 @@
     half_message
     indented
     pushed
+    reset_list
     withdrawn
     gone_held
     gone_pipelined
