A closed client that rests wakes the loop no more

At fault: `flush` shut a closing connection down for writing each time it was called, and each shutdown wakes the poll (sk_state_change), which calls `flush` again, until the client closes or the linger time is over. It was so before for clients sent away; since `reap` lingers, a hundred clients every ten seconds were. `Stage::Lingering` is entered with the one shutdown: a state, not a condition more.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -57,8 +57,10 @@
     Ready,
     /// A request is out.
     Waiting(RequestId),
-    /// The last word is written; whatever still comes is discarded until the client closes too.
+    /// The last word is being written; whatever still comes is discarded.
     Closing,
+    /// It is written, and sending shut down, once: each time wakes the poll. It is read on until the client closes too.
+    Lingering,
 }
 
 struct Session {
@@ -81,6 +83,13 @@
     wrote: Option<Micros>,
 }
 
+impl Session {
+    /// Whether it has had its last word, or is about to.
+    fn is_ending(&self) -> bool {
+        matches!(self.stage, Stage::Closing | Stage::Lingering)
+    }
+}
+
 /// Who waits for a request, and its id.
 struct Owner {
     session: SessionId,
@@ -281,7 +290,7 @@
         let between = match s.stage {
             Stage::Startup => !fresh,
             Stage::Ready => s.asked || !fresh,
-            Stage::Waiting(_) | Stage::Closing => false,
+            Stage::Waiting(_) | Stage::Closing | Stage::Lingering => false,
         };
         if between && s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet() {
             self.last_word(turn, id, Writer::default());
@@ -309,7 +318,7 @@
                 .into_iter()
                 .for_each(|id| self.dismiss(turn, id));
         }
-        let open = self.sessions.values().filter(|s| !matches!(s.stage, Stage::Closing)).count();
+        let open = self.sessions.values().filter(|s| !s.is_ending()).count();
         if open <= self.most / 8 {
             return;
         }
@@ -321,7 +330,7 @@
             let borne = match s.stage {
                 Stage::Startup => SLOW,
                 Stage::Ready if s.asked => idle_borne,
-                Stage::Ready | Stage::Waiting(_) | Stage::Closing => return None,
+                Stage::Ready | Stage::Waiting(_) | Stage::Closing | Stage::Lingering => return None,
             };
             let silent = s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet();
             (silent && turn.now - s.since > borne).then_some((s.since, *id))
@@ -368,7 +377,7 @@
         let Some(s) = self.sessions.get(&id).filter(|s| s.due.is_some_and(|due| due <= turn.now)) else {
             return;
         };
-        if matches!(s.stage, Stage::Closing) {
+        if s.is_ending() {
             return self.close(turn, id);
         }
         let (code, what) = (sqlstate::PROTOCOL_VIOLATION, "no whole message in time");
@@ -385,7 +394,7 @@
             }
             full = s.inbound.is_full();
             match s.inbound.fill(&s.polled.socket) {
-                Ok(Moved::Some(n)) if matches!(s.stage, Stage::Closing) => s.inbound.consume(n),
+                Ok(Moved::Some(n)) if s.is_ending() => s.inbound.consume(n),
                 Ok(Moved::Some(_)) => {
                     // Better one long request turned away than the process killed for memory.
                     let waiting = matches!(s.stage, Stage::Waiting(_));
@@ -490,7 +499,7 @@
             let step = match s.stage {
                 Stage::Startup => self.startup(turn, id),
                 Stage::Ready => self.message(turn, exchange, id),
-                Stage::Waiting(_) | Stage::Closing => break,
+                Stage::Waiting(_) | Stage::Closing | Stage::Lingering => break,
             };
             match step {
                 Ok(true) => worked = true,
@@ -512,7 +521,7 @@
     fn await_rest(&mut self, turn: &mut Turn, id: SessionId, worked: bool) {
         let Some(s) = self.sessions.get(&id) else { return };
         let part = match s.stage {
-            Stage::Startup | Stage::Closing => return,
+            Stage::Startup | Stage::Closing | Stage::Lingering => return,
             Stage::Ready => !s.inbound.is_empty() && s.outbound.len() <= UNREAD,
             Stage::Waiting(_) => false,
         };
@@ -537,16 +546,16 @@
                 }
             }
         }
-        if matches!(s.stage, Stage::Closing) {
-            if s.outbound.is_empty() {
-                // The client may still be sending: closing at once would reset what it has yet to read.
+        match s.stage {
+            // The client may still be sending: closing at once would reset what it has yet to read.
+            Stage::Closing if s.outbound.is_empty() => {
+                s.stage = Stage::Lingering;
                 let _ = s.polled.socket.shutdown(Shutdown::Write);
+                self.set_due(turn, id, Some(turn.now + LINGER));
             }
             // As long as a slow client reads, it gets the rest.
-            let wait = if s.outbound.is_empty() { LINGER } else { UNREAD_FOR };
-            if moved {
-                self.set_due(turn, id, Some(turn.now + wait));
-            }
+            Stage::Closing if moved => self.set_due(turn, id, Some(turn.now + UNREAD_FOR)),
+            _ => {}
         }
     }
 
@@ -748,12 +757,11 @@
 
     /// Writes the last message of a connection and closes it once the client has had it.
     fn last_word(&mut self, turn: &mut Turn, id: SessionId, last: Writer) {
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(s) = self.sessions.get_mut(&id).filter(|s| !s.is_ending()) else { return };
         s.stage = Stage::Closing;
         s.inbound = Ring::default();
         let _ = s.outbound.push(&last.0);
-        let wait = if s.outbound.is_empty() { LINGER } else { UNREAD_FOR };
-        self.set_due(turn, id, Some(turn.now + wait));
+        self.set_due(turn, id, Some(turn.now + UNREAD_FOR));
         self.flush(turn, id);
     }
 
@@ -761,7 +769,7 @@
     fn leave(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
         let waiting = self.sessions.get(&id).and_then(|s| match s.stage {
             Stage::Waiting(request) => Some(request),
-            Stage::Startup | Stage::Ready | Stage::Closing => None,
+            Stage::Startup | Stage::Ready | Stage::Closing | Stage::Lingering => None,
         });
         if let Some(request) = waiting {
             self.disown(request);
@@ -797,12 +805,12 @@
 }
 
 /// How readily a client is closed where room is needed, 0 first; `None` where it is not. Those go first that are being
-/// closed and have their last answer, or took longer over their first request than a slow client may; then those that have had their answer, to
-/// whom a close costs no more than a new connection; then the longest under way with a first request, since most of
-/// a crowd that never ends one are among them.
+/// closed and have their last answer, or took longer over their first request than a slow client may; then those that
+/// have had their answer, to whom a close costs no more than a new connection; then the longest under way with a first
+/// request, since most of a crowd that never ends one are among them.
 fn makes_room(stage: &Stage, asked: bool, empty: bool, age: Micros) -> Option<usize> {
     match stage {
-        Stage::Closing => empty.then_some(0),
+        Stage::Lingering => Some(0),
         Stage::Startup | Stage::Ready if !asked => {
             // One that has introduced itself is no mere connection: it has a while for its request.
             let welcome = matches!(stage, Stage::Ready);
@@ -815,7 +823,7 @@
             })
         }
         Stage::Ready if empty => Some(if age >= JUST { 2 } else { 5 }),
-        Stage::Startup | Stage::Ready | Stage::Waiting(_) => None,
+        Stage::Startup | Stage::Ready | Stage::Waiting(_) | Stage::Closing => None,
     }
 }
 
