--- a/crates/fleet-rig/tests/broken.rs
+++ b/crates/fleet-rig/tests/broken.rs
@@ -32,10 +32,15 @@
         ("late", Some("no final answer in their time")),
         ("double", Some("nobody asked for")),
     ];
-    let plays = cases.map(|(fault, told)| thread::spawn(move || (fault, told, play(fault))));
-    for play in plays {
-        let (fault, told, report) = play.join().expect("it plays");
-        let found = |what: &str| report.faults.iter().any(|f| f.contains(what));
-        assert!(told.map_or(report.faults.is_empty(), found), "{fault}: {}", report.table());
+    // Each play is a region with its processes and clients, in real time: all at once they would starve each other, so that
+    // a sound program is late and a cold host gets too little to be pushed over.
+    for some in cases.chunks(2) {
+        let plays: Vec<_> =
+            some.iter().map(|&(fault, told)| thread::spawn(move || (fault, told, play(fault)))).collect();
+        for play in plays {
+            let (fault, told, report) = play.join().expect("it plays");
+            let found = |what: &str| report.faults.iter().any(|f| f.contains(what));
+            assert!(told.map_or(report.faults.is_empty(), found), "{fault}: {}", report.table());
+        }
     }
 }
