A pipelined request's wait counts from when its last byte arrived

At fault: Frontend::deadline took turn.now, the time at which a request's turn comes, so that one that stood unread behind another on its connection got its whole wait anew.

Tests on real connections: messages in pieces, ten in one read, bytes that wait in the socket behind a full ring, the last call, a client that left, and a process with a held request. The test of the client that left guards what held before.

--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -297,6 +297,7 @@
         ("dispatches", "counter", figures.dispatches),
         ("gone_unsent", "counter", figures.gone_unsent),
         ("sent_after_gone", "counter", figures.sent_after_gone),
+        ("expired_unsent", "counter", figures.expired_unsent),
         ("concurrent", "gauge", figures.concurrent),
         ("targets", "gauge", figures.targets),
         ("targets_disabled", "gauge", figures.avoided),
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -194,6 +194,8 @@
     gone: u32,
     gone_unsent: u32,
     sent_after_gone: u32,
+    /// Requests whose wait was over when their turn came.
+    expired_unsent: u32,
     endings: BTreeMap<&'static str, u32>,
 }
 
@@ -285,12 +287,16 @@
             stalled: false,
         };
         self.requests.insert(id, request);
+        let refused = Final::Refused { retry_after: self.retry_after.get(class.0).copied().flatten() };
+        // Its wait was over before its turn came: nobody would have the answer of an attempt.
+        if deadline <= turn.now {
+            self.tally.expired_unsent += 1;
+            self.figures.expired_unsent += 1;
+            self.finish(turn, id, refused);
+            return id;
+        }
         if self.sites.as_mut().is_some_and(|s| !s.admits(group, class, tenant)) {
-            self.finish(
-                turn,
-                id,
-                Final::Refused { retry_after: self.retry_after.get(class.0).copied().flatten() },
-            );
+            self.finish(turn, id, refused);
             return id;
         }
         self.tell(
@@ -479,6 +485,7 @@
             "requests" => t.requests,
             "served" => t.served, "refused" => t.refused, "failed" => t.failed, "gone" => t.gone,
             "gone_unsent" => t.gone_unsent, "sent_after_gone" => t.sent_after_gone,
+            "expired_unsent" => t.expired_unsent,
             "attempts" => endings.join(","));
         for (name, t) in self.tenants.iter().zip(&self.figures.tenants) {
             let text = |c: &Count| format!("served={},refused={},failed={}", c.served, c.refused, c.failed);
--- a/crates/gradeshunt/src/figures.rs
+++ b/crates/gradeshunt/src/figures.rs
@@ -27,6 +27,8 @@
     /// Requests whose client left before any attempt was written, and those of them sent on all the same.
     pub gone_unsent: u64,
     pub sent_after_gone: u64,
+    /// Requests refused because their wait was over when their turn came, behind others on their connection.
+    pub expired_unsent: u64,
     /// Requests taken and not ended.
     pub concurrent: u64,
     /// Db hosts on the list, and those of them that get nothing new.
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -13,6 +13,7 @@
 use crate::deadlines::Due;
 use crate::exchange::{Body, Call, Exchange, Final, Form, ROOM};
 use crate::ids::SessionId;
+use crate::inbound::Inbound;
 use crate::memory;
 use crate::pg::{self, sqlstate, Malformed, Startup, Writer, LONGEST_ANSWER, WHOLE_ROW};
 use crate::ring::{Moved, Ring, LARGEST, SMALL};
@@ -65,7 +66,7 @@
 
 struct Session {
     polled: Polled,
-    inbound: Ring,
+    inbound: Inbound,
     outbound: Ring,
     stage: Stage,
     /// An unsupported message was answered with an error: all is passed over until Sync.
@@ -222,7 +223,7 @@
         let polled = Polled::new(turn, socket, Source::Session(id))?;
         let session = Session {
             polled,
-            inbound: Ring::default(),
+            inbound: Inbound::default(),
             outbound: Ring::default(),
             stage: Stage::Startup,
             skipping: false,
@@ -386,15 +387,17 @@
 
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
         let mut full = false;
+        let arrived = turn.now - turn.unread;
         for n in 0..=READS {
             let Some(s) = self.sessions.get_mut(&id) else { return };
             if n == READS {
+                s.inbound.note_unread(&s.polled.socket, arrived);
                 turn.again.push(Source::Session(id));
                 break;
             }
             full = s.inbound.is_full();
-            match s.inbound.fill(&s.polled.socket) {
-                Ok(Moved::Some(n)) if s.is_ending() => s.inbound.consume(n),
+            match s.inbound.fill(&s.polled.socket, arrived) {
+                Ok(Moved::Some(_)) if s.is_ending() => s.inbound.clear(),
                 Ok(Moved::Some(_)) => {
                     // Better one long request turned away than the process killed for memory.
                     let waiting = matches!(s.stage, Stage::Waiting(_));
@@ -410,6 +413,10 @@
                     s.ended = true;
                     break;
                 }
+                Ok(Moved::Nothing) if s.inbound.is_full() => {
+                    s.inbound.note_unread(&s.polled.socket, arrived);
+                    break;
+                }
                 Ok(Moved::Nothing) => break,
                 Ok(Moved::End) | Err(_) => {
                     s.ended = true;
@@ -605,7 +612,7 @@
         let Some(message) = pg::message(s.inbound.bytes(), pg::FRONTEND)? else { return Ok(false) };
         let (tag, size) = (message.tag, message.size);
         let text = if tag == b'Q' { pg::string(message.body)?.to_vec() } else { Vec::new() };
-        s.inbound.consume(size);
+        let arrived = s.inbound.consume(size).unwrap_or(turn.now);
         s.since = turn.now;
         s.asked |= tag == b'Q';
         let skipping = s.skipping;
@@ -625,7 +632,7 @@
                 w.ready()
             }
             _ if skipping => return Ok(true),
-            b'Q' => match self.query(turn, id, text) {
+            b'Q' => match self.query(turn, id, text, arrived) {
                 Ok(Step::Reply(w)) => w,
                 Ok(Step::Call(call, name)) => {
                     let request = exchange.submit(turn, *call);
@@ -653,7 +660,14 @@
         Ok(s.outbound.push(&reply.0))
     }
 
-    fn query(&mut self, turn: &Turn, session: SessionId, text: Vec<u8>) -> Result<Step, String> {
+    /// Works off a statement whose last byte arrived at `arrived`.
+    fn query(
+        &mut self,
+        turn: &Turn,
+        session: SessionId,
+        text: Vec<u8>,
+        arrived: Micros,
+    ) -> Result<Step, String> {
         let w = Writer::default();
         let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
         let words = statement.trim().trim_end_matches(';').trim();
@@ -675,7 +689,7 @@
             return Ok(Step::Reply(w.message(b'C', &[verb.as_bytes(), b"\0"]).ready()));
         }
         let c = match pg::comment(statement) {
-            Err(_) if self.router.is_some() => return self.plain(turn, session, text),
+            Err(_) if self.router.is_some() => return self.plain(turn, session, text, arrived),
             c => c?,
         };
         let mut class = self.names.class(c.class).ok_or_else(|| format!("unknown class {:?}", c.class))?;
@@ -703,7 +717,7 @@
         let since_write = after.map(|ms| (turn.now - turn.clock.at_unix_ms(ms as f64)).max(1));
         // No client of a class waits longer than its class does, whatever it says.
         let wait = (Micros::from(c.wait_ms) * 1000).min(self.settings.classes[class.0].deadline);
-        let deadline = self.deadline(turn, wait);
+        let deadline = self.deadline(arrived, wait);
         let id = Rc::from(c.id);
         let (repeat, wait_at) = (c.repeat, c.wait_at);
         let tenant = c.tenant.and_then(|t| self.names.tenant(t));
@@ -717,7 +731,13 @@
 
     /// A statement without a routing comment goes where the operators' rules say. The connection is its session: what
     /// it has written it sees.
-    fn plain(&mut self, turn: &Turn, session: SessionId, text: Vec<u8>) -> Result<Step, String> {
+    fn plain(
+        &mut self,
+        turn: &Turn,
+        session: SessionId,
+        text: Vec<u8>,
+        arrived: Micros,
+    ) -> Result<Step, String> {
         let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
         let (Some(router), Some(s)) = (&mut self.router, self.sessions.get_mut(&session)) else {
             return Err("the statement has no routing comment".to_owned());
@@ -741,25 +761,24 @@
             Body::new(text, None, Form::Result)
         };
         let key = Some(fnv(&format!("session {}", session.0)));
-        let deadline = self.deadline(turn, wait);
+        let deadline = self.deadline(arrived, wait);
         let tenant = None;
         let call =
             Call { class, group, key, deadline, since_write, repeat: false, checked: false, tenant, body };
         Ok(Step::Call(Box::new(call), id))
     }
 
-    /// When the wait of a request is over that has just been read. It counts from when the request was there, not from when
-    /// this process came to read it.
-    fn deadline(&self, turn: &Turn, wait: Micros) -> Micros {
-        let over = (turn.now + wait - turn.unread).min(self.last_call.unwrap_or(Micros::MAX));
-        over.max(turn.now + 1)
+    /// When the wait of a request is over whose last byte arrived at `arrived`. It counts from then, however long the
+    /// request stood behind others, and not from when its turn came.
+    fn deadline(&self, arrived: Micros, wait: Micros) -> Micros {
+        (arrived + wait).min(self.last_call.unwrap_or(Micros::MAX))
     }
 
     /// Writes the last message of a connection and closes it once the client has had it.
     fn last_word(&mut self, turn: &mut Turn, id: SessionId, last: Writer) {
         let Some(s) = self.sessions.get_mut(&id).filter(|s| !s.is_ending()) else { return };
         s.stage = Stage::Closing;
-        s.inbound = Ring::default();
+        s.inbound.clear();
         let _ = s.outbound.push(&last.0);
         self.set_due(turn, id, Some(turn.now + UNREAD_FOR));
         self.flush(turn, id);
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -122,3 +122,156 @@
     frontend.ready(&mut turn, &mut exchange, id);
     assert!(frontend.sessions.is_empty(), "it has closed too");
 }
+
+/// A query of `wait_ms`, as its bytes.
+fn read_of(number: usize, wait_ms: u32) -> Vec<u8> {
+    let statement = format!(
+        "/* id={number},c=page-read,d={wait_ms},cluster=1 */ SELECT data FROM facts WHERE code = '{number:x}'"
+    );
+    Writer::default().query(&[statement.as_bytes()]).0
+}
+
+/// A client whose first request is out, so that all that it sends next waits for its turn.
+struct Pipeline {
+    frontend: Frontend,
+    turn: Turn,
+    exchange: Exchange,
+    client: TcpStream,
+    id: SessionId,
+    _poll: calloop::EventLoop<'static, Ready>,
+}
+
+impl Pipeline {
+    fn begin() -> Pipeline {
+        let (frontend, turn, client, id, poll) = one_client();
+        let exchange = Exchange::new(frontend.settings.clone(), Vec::new(), 7, 0);
+        let mut pipeline = Pipeline { frontend, turn, exchange, client, id, _poll: poll };
+        pipeline.send(0, &Writer::default().startup("portal", "crm").0);
+        pipeline.send(0, &read_of(0, 1_200));
+        assert!(matches!(pipeline.frontend.sessions[&id].stage, Stage::Waiting(RequestId(0))));
+        pipeline
+    }
+
+    /// Sends bytes, which the client side finds at `at`.
+    fn send(&mut self, at: Micros, bytes: &[u8]) {
+        use std::io::Write;
+        self.turn.now = at;
+        self.client.write_all(bytes).expect("it is open");
+        while self.frontend.sessions[&self.id].polled.is_quiet() {}
+        self.frontend.ready(&mut self.turn, &mut self.exchange, self.id);
+    }
+
+    /// The first request is answered at `at`, and what stands behind it gets its turns. How many of those had no time left.
+    fn expired(&mut self, at: Micros) -> u64 {
+        self.turn.now = at;
+        self.frontend.answer(&mut self.turn, &mut self.exchange, RequestId(0), Final::Failed(None));
+        loop {
+            if let Some((request, answer)) = self.exchange.answers.pop_front() {
+                let crate::exchange::Answer::Final(last) = answer else { panic!("a part of an answer") };
+                // No db host is known: the module refuses what has little time left, too.
+                assert!(matches!(last, Final::Refused { .. }), "{last:?}");
+                self.frontend.answer(&mut self.turn, &mut self.exchange, request, last);
+            } else if self.turn.again.pop().is_some() {
+                self.frontend.ready(&mut self.turn, &mut self.exchange, self.id);
+            } else {
+                return self.exchange.figures().expired_unsent;
+            }
+        }
+    }
+}
+
+/// How many of the requests that `prepare` sends have no time left where the one before them is answered at `at`.
+fn expired_at(at: Micros, prepare: impl Fn(&mut Pipeline)) -> u64 {
+    let mut pipeline = Pipeline::begin();
+    prepare(&mut pipeline);
+    pipeline.expired(at)
+}
+
+/// Guards the wait of a request that comes in pieces: it counts from its last byte.
+#[test]
+fn wait_counts_from_the_last_byte() {
+    let pieces = |pipeline: &mut Pipeline| {
+        let bytes = read_of(1, 100);
+        let (first, last) = bytes.split_at(30);
+        pipeline.send(10_000, first);
+        pipeline.send(50_000, last);
+    };
+    assert_eq!(expired_at(149_999, pieces), 0);
+    assert_eq!(expired_at(150_000, pieces), 1);
+}
+
+/// Guards a pipeline: requests that came in one read, and then stood behind one that took long, have no time left.
+#[test]
+fn pipeline_of_ten_behind_a_long_request_is_over_with_its_wait() {
+    let ten = |pipeline: &mut Pipeline| {
+        let bytes: Vec<u8> = (1..=10).flat_map(|number| read_of(number, 100)).collect();
+        pipeline.send(10_000, &bytes);
+    };
+    assert_eq!(expired_at(109_999, ten), 0);
+    assert_eq!(expired_at(110_000, ten), 10);
+}
+
+/// Guards a request that stood in the socket while the client's ring was full: its wait counts from when it came there.
+#[test]
+fn wait_counts_while_the_ring_is_full() {
+    let behind_a_full_ring = |pipeline: &mut Pipeline| {
+        // Answered on the spot, once it is their turn.
+        let mut filler = b"SET a TO b".to_vec();
+        filler.resize(LARGEST / 4 - 6, b' ');
+        let filler = Writer::default().query(&[&filler]).0;
+        for _ in 0..4 {
+            for piece in filler.chunks(4096) {
+                pipeline.send(20_000, piece);
+            }
+        }
+        assert!(pipeline.frontend.sessions[&pipeline.id].inbound.is_full());
+        pipeline.send(50_000, &read_of(1, 100));
+    };
+    assert_eq!(expired_at(149_999, behind_a_full_ring), 0);
+    assert_eq!(expired_at(150_000, behind_a_full_ring), 1);
+}
+
+/// Guards the end of the process: no request is held beyond the last call, and one that comes later is refused at once.
+#[test]
+fn last_call_bounds_the_wait() {
+    let before = |pipeline: &mut Pipeline| {
+        pipeline.frontend.last_call(100_000);
+        pipeline.send(50_000, &read_of(1, 1_000));
+    };
+    assert_eq!(expired_at(99_999, before), 0);
+    assert_eq!(expired_at(100_000, before), 1);
+    let after = |pipeline: &mut Pipeline| {
+        pipeline.frontend.last_call(100_000);
+        pipeline.send(120_000, &read_of(1, 1_000));
+    };
+    assert_eq!(expired_at(120_001, after), 1);
+}
+
+/// Guards a pipeline whose client has left: none of it is taken up.
+#[test]
+fn pipeline_of_a_client_that_left_is_dropped() {
+    let mut pipeline = Pipeline::begin();
+    pipeline.send(10_000, &read_of(1, 100));
+    pipeline.client.shutdown(Shutdown::Both).expect("it is open");
+    while !pipeline.frontend.sessions[&pipeline.id].polled.has_hung_up() {}
+    pipeline.frontend.ready(&mut pipeline.turn, &mut pipeline.exchange, pipeline.id);
+    assert!(pipeline.frontend.sessions.is_empty() && pipeline.frontend.owners.is_empty());
+    assert!(pipeline.exchange.is_idle() && pipeline.exchange.answers.is_empty());
+    let next = pipeline.exchange.submit(&mut pipeline.turn, call_of(10_000));
+    assert_eq!(next, RequestId(1), "the second request was never taken up");
+}
+
+/// A request whose wait ends at `deadline`.
+fn call_of(deadline: Micros) -> Call {
+    Call {
+        class: leadmast::ClassId(0),
+        group: GroupId(1),
+        key: None,
+        deadline,
+        since_write: None,
+        repeat: false,
+        checked: true,
+        tenant: None,
+        body: Body::new(Vec::new(), None, Form::Value),
+    }
+}
--- /dev/null
+++ b/crates/gradeshunt/src/inbound/tests.rs
@@ -0,0 +1,83 @@
+//! Tests of the part named by the folder.
+
+use std::io::Write;
+use std::net::TcpListener;
+
+use super::*;
+use crate::ring::LARGEST;
+
+/// Two ends of a real connection; the second one does not block.
+fn connection() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let client = TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
+    let (server, _) = listener.accept().expect("it has connected");
+    server.set_nonblocking(true).expect("it can be set");
+    (client, server)
+}
+
+/// Sends bytes, and reads them at a time.
+fn pass(client: &mut TcpStream, server: &TcpStream, inbound: &mut Inbound, bytes: &[u8], at: Micros) {
+    client.write_all(bytes).expect("it is open");
+    let expected = inbound.len() + bytes.len();
+    while inbound.len() < expected {
+        inbound.fill(server, at).expect("it is open");
+    }
+}
+
+/// Guards messages in pieces and several in one read: each counts from its own last byte.
+#[test]
+fn each_message_has_the_time_of_its_last_byte() {
+    let (mut client, server) = connection();
+    let mut inbound = Inbound::default();
+    pass(&mut client, &server, &mut inbound, b"aabb", 10);
+    pass(&mut client, &server, &mut inbound, b"bcc", 30);
+    pass(&mut client, &server, &mut inbound, b"c", 20);
+    assert_eq!(inbound.bytes(), b"aabbbccc");
+    assert_eq!(inbound.consume(2), Some(10));
+    assert_eq!(inbound.consume(3), Some(30), "its last byte came with the second piece");
+    assert_eq!(inbound.consume(3), Some(30), "nothing arrives before what stands in front of it");
+    assert_eq!(inbound.consume(1), None);
+}
+
+/// Guards what stands in the socket while the ring is full: it keeps the time at which it was seen there.
+#[test]
+fn bytes_that_wait_in_the_socket_have_arrived() {
+    let (mut client, server) = connection();
+    let mut inbound = Inbound::default();
+    for _ in 0..LARGEST / 1024 {
+        pass(&mut client, &server, &mut inbound, &[b'x'; 1024], 5);
+    }
+    assert!(inbound.is_full());
+    let unread = || rustix::io::ioctl_fionread(&server).expect("the system tells");
+    client.write_all(b"yy").expect("it is open");
+    while unread() < 2 {}
+    inbound.note_unread(&server, 100);
+    client.write_all(b"z").expect("it is open");
+    while unread() < 3 {}
+    assert_eq!(inbound.consume(LARGEST), Some(5));
+    while inbound.len() < 3 {
+        inbound.fill(&server, 700).expect("it is open");
+    }
+    assert_eq!(inbound.consume(2), Some(100), "it was there while the ring was full");
+    assert_eq!(inbound.consume(1), Some(700), "nobody has seen it before");
+}
+
+/// Guards the memory that a client takes which sends a byte at a time: it is bounded, and no time is later than the true one.
+#[test]
+fn arrivals_are_bounded_and_never_late() {
+    let mut arrivals = Arrivals::default();
+    let count = 5_000_u64;
+    for n in 1..=count {
+        arrivals.record(n, n as Micros * 10);
+        assert!(arrivals.ranges.len() <= MAX_ARRIVALS);
+    }
+    let whole = count as Micros * 10;
+    for n in 1..=count {
+        let (told, true_time) = (arrivals.of(1).expect("it has arrived"), n as Micros * 10);
+        // Even ranges would be whole / MAX_ARRIVALS wide; merged by pairs, none is over four times that.
+        let early = true_time - told;
+        assert!((0..=4 * whole / MAX_ARRIVALS as Micros).contains(&early), "byte {n}: {early}");
+        arrivals.consume(1);
+    }
+    assert_eq!((arrivals.of(1), arrivals.ranges.capacity()), (None, 0));
+}
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -11,6 +11,7 @@
 mod figures;
 mod frontend;
 mod ids;
+mod inbound;
 mod memory;
 mod pace;
 mod pg;
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -8,7 +8,7 @@
 
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
-use gradeshunt_stand_ins::script::{Act, Rule};
+use gradeshunt_stand_ins::script::{Act, Rule, Table};
 use gradeshunt_stand_ins::site::{Plan, Site};
 use gradeshunt_stand_ins::upgrade::Standing;
 use serde_json::{json, Value};
@@ -264,3 +264,53 @@
         String::from_utf8_lossy(&body)
     );
 }
+
+/// Reads the next statement of a client that reaches a db host, and passes over what the proxy asks for itself.
+fn next_statement(server: &mut TcpStream) -> String {
+    loop {
+        let (tag, body) = wire::read(server).expect("a query");
+        let text = String::from_utf8_lossy(&body).into_owned();
+        if tag == b'Q' && text.contains("id=") {
+            return text;
+        }
+        let nothing = Table::of(&["x0", "x1"], &[&["0", "0"]]);
+        server.write_all(&[wire::table(&nothing), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    }
+}
+
+/// Ten requests stand behind one that is held until their time is over: each is refused as its turn comes, and none of them
+/// reaches the db host. That their time is over shows by another client's request, which is sent later, waits longer and
+/// is answered first.
+#[test]
+fn pipeline_whose_time_is_over_is_answered_and_never_sent() {
+    let (host, _discovery, program) = program_of_one_host("pipeline");
+    let mut client = program.connect();
+    let read_within = |id: usize, wait_ms: u32| {
+        let read = format!("SELECT data FROM facts WHERE code = '{id:x}'");
+        wire::query(&format!("/* id={id},c=page-read,d={wait_ms},cluster=1 */ {read}"))
+    };
+    let pipeline = (2..12).flat_map(|id| read_within(id, 1));
+    let bytes: Vec<u8> =
+        wire::startup(&[("user", "portal")]).into_iter().chain(read_of(1)).chain(pipeline).collect();
+    client.write_all(&bytes).expect("it is open");
+    let (mut server, _) = host.accept().expect("it connects");
+    server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    wire::read_startup(&mut server).expect("a startup message");
+    server.write_all(&welcome()).expect("it is open");
+    assert!(next_statement(&mut server).contains("id=1,"));
+
+    let mut other = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
+    other.stream().write_all(&read_within(100, 200)).expect("it is open");
+    assert!(other.until_ready().expect("an answer").code().is_some());
+
+    let row = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    server.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    client.write_all(&read_of(12)).expect("it is open");
+    assert!(next_statement(&mut server).contains("id=12,"), "what was over is not sent on");
+    until_ready(&mut client, 2).expect("the welcome, and the first answer");
+    for id in 2..12 {
+        let (tag, body) = wire::read(&mut client).expect("an answer");
+        assert_eq!((tag, wire::field(&body, b'C').as_deref()), (b'E', Some("53300")), "request {id}");
+        assert_eq!(until_ready(&mut client, 1).expect("it may go on"), "Z");
+    }
+}
