Program as a library with a thin main; the proxy, the log and the loop in files of their own

Change: main.rs holds the arguments and the exit code alone. What it held is moved without change of behaviour: proxy.rs (the parts and what passes between them), proxy/operators.rs, proxy/changes.rs (what file work has shown, the configuration read anew), proxy/lifetime.rs (serving, SIGTERM), logging.rs, run.rs (signals, loop). Public are the arguments and run().

Measured: the whole suite of the package passes, 151 tests in 10 files; no test was touched.

--- a/crates/gradeshunt/src/cli.rs
+++ b/crates/gradeshunt/src/cli.rs
@@ -17,13 +17,13 @@
 #[command(version, about)]
 pub struct Arguments {
     #[command(subcommand)]
-    pub command: Option<Command>,
+    pub(crate) command: Option<Command>,
     /// How lines of the log are written.
     #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
-    pub log_format: LogFormat,
+    pub(crate) log_format: LogFormat,
     /// What the log holds: `debug` adds all that the decisions hear and ask for.
     #[arg(long, global = true, value_enum, default_value_t = LogLevel::Info)]
-    pub log_level: LogLevel,
+    pub(crate) log_level: LogLevel,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
--- /dev/null
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -0,0 +1,81 @@
+//! From the first client served to the last answer: limits shared with another process, the clients' socket, SIGTERM.
+
+use leadmast::Micros;
+use slog::{info, warn};
+
+use super::{Proxy, OPERATORS};
+use crate::control::Control;
+use crate::deadlines::Due;
+use crate::shared::Duty;
+
+/// New connections go on coming for a while after SIGTERM.
+const ACCEPT_ON: Micros = 500_000;
+/// SIGKILL may follow SIGTERM when the longest deadline, counted as this much where it is longer, and a while have passed:
+/// by then all has its answer, and this process has left.
+const LONGEST_COUNTED: Micros = 3_000_000;
+const LEAVE_AFTER: Micros = 650_000;
+/// So long before it leaves, what is open gets its last answer; and so long before that requests are over that come late.
+const LAST_ANSWERS: Micros = 50_000;
+const LAST_CALL: Micros = 50_000;
+/// Descriptors kept for the log, the poll, the signals, discovery and files.
+const RESERVED: usize = 24;
+
+impl Proxy {
+    /// Two processes of a proxy share its limits while both live.
+    pub(super) fn share_limits(&mut self) {
+        let processes = 1 + usize::from(!self.shared.is_alone());
+        let sockets = (self.sockets / processes).saturating_sub(RESERVED + OPERATORS);
+        // A third of the descriptors for db hosts: an attempt needs one only while it is out, a client for
+        // as long as it likes.
+        let servers = sockets / 3;
+        self.backend.limit(&mut self.turn, servers);
+        // Rings may still grow when a third of the memory is held: by what is under way.
+        self.frontend.limit(&mut self.turn, sockets - servers, self.memory / processes / 3);
+    }
+
+    /// Serves clients from now on.
+    pub(super) fn serve(&mut self) {
+        let Some(listener) = self.waiting.take() else { return };
+        let listen = listener.local_addr().map(|a| a.to_string()).ok();
+        let opened = self.frontend.open(&mut self.turn, listener);
+        self.shared.turn_to(Duty::Serving);
+        if let Err(e) = opened {
+            warn!(self.turn.log, "cannot serve as it should be"; "error" => e.to_string());
+        }
+        info!(self.turn.log, "serving"; "control" => self.operators(), "listen" => listen);
+    }
+
+    /// Where operators call, for the log.
+    pub(super) fn operators(&self) -> Option<String> {
+        self.control.as_ref().and_then(Control::local_addr).map(|a| a.to_string())
+    }
+
+    /// After SIGTERM, where a successor serves: what waits on the clients' socket is the successor's.
+    pub(super) fn hand_over(&mut self) {
+        if self.terminating && self.shared.is_succeeded() {
+            self.frontend.close_listener(&mut self.turn, &mut self.exchange, true);
+        }
+    }
+
+    /// SIGTERM has come: serves on until all is answered.
+    pub(super) fn terminate(&mut self) {
+        if std::mem::replace(&mut self.terminating, true) {
+            return;
+        }
+        info!(self.turn.log, "terminating: serving on until all is answered");
+        // Clients may have connected to a socket of our own before it is served. One that the platform holds is another's.
+        if self.held {
+            self.waiting = None;
+        } else {
+            self.begin();
+            self.serve();
+        }
+        self.shared.turn_to(Duty::Leaving);
+        let now = self.turn.now;
+        let leave = now + self.longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
+        self.frontend.last_call(leave - LAST_ANSWERS - LAST_CALL);
+        self.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
+        self.turn.deadlines.set(leave - LAST_ANSWERS, Due::LastAnswers);
+        self.turn.deadlines.set(leave, Due::Leave);
+    }
+}
--- a/crates/gradeshunt/src/site_loss.rs
+++ b/crates/gradeshunt/src/site_loss.rs
@@ -9,7 +9,7 @@
 use crate::control::Answer;
 use crate::deadlines::Due;
 use crate::exchange::{Ask, Order};
-use crate::Proxy;
+use crate::proxy::Proxy;
 
 /// Who is beyond the plan for a lost site may come back after this part of its class's aim, while it can still be in time:
 /// what comes later is let in for nothing.
