The client side in modules of one job: listener, session, messages, statements

One file of 885 lines held the listener, the clients' connections, their messages, the routing of statements, the closing of idle clients and the answers.

Moved, with visibility raised to the parent where a sibling needs it, and no line of behaviour changed: the entry keeps the state and its limits, the rest stands in answers, eviction, listener, messages, session and statements. The doc comment shared by two constants is now one each; the tests differ only in their imports.

--- /dev/null
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -0,0 +1,123 @@
+//! The listener: clients are accepted here, until it closes.
+
+use std::io;
+use std::net::{TcpListener, TcpStream};
+
+use leadmast::Micros;
+use slog::warn;
+
+use super::session::{Session, Stage, PATIENCE};
+use super::{Frontend, Service};
+use crate::deadlines::Due;
+use crate::exchange::Exchange;
+use crate::ids::SessionId;
+use crate::inbound::Inbound;
+use crate::pg::{sqlstate, Writer};
+use crate::ring::Ring;
+use crate::routing::Origin;
+use crate::turn::{Polled, Source, Turn};
+
+/// Connections accepted in one turn.
+const ACCEPTS: usize = 64;
+
+/// Pause after connections could not be accepted.
+const ACCEPT_AGAIN: Micros = 20_000;
+
+/// What is left of the connections that the kernel has accepted for us.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Backlog {
+    Empty,
+    /// More may be waiting.
+    More,
+    /// The system gives no descriptor for the next one.
+    Stuck,
+}
+
+impl Frontend {
+    /// Accepts clients from now on.
+    pub fn open(&mut self, turn: &mut Turn, listener: TcpListener) -> io::Result<()> {
+        self.listener = Some(Polled::new(turn, listener, Source::Listener)?);
+        // What came before the socket was polled is told to nobody.
+        turn.again.push(Source::Listener);
+        Ok(())
+    }
+
+    pub fn accept(&mut self, turn: &mut Turn) {
+        if self.accept_some(turn) == Backlog::More {
+            turn.again.push(Source::Listener);
+        }
+    }
+
+    fn accept_some(&mut self, turn: &mut Turn) -> Backlog {
+        for _ in 0..ACCEPTS {
+            let Some(listener) = &self.listener else { return Backlog::Empty };
+            match listener.socket.accept() {
+                Ok((socket, _)) => {
+                    if let Err(e) = self.welcome(turn, socket) {
+                        warn!(turn.log, "cannot serve a connection"; "error" => e.to_string());
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Backlog::Empty,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
+                Err(e) => {
+                    // Out of descriptors, most likely: the listener stays readable, so it is tried again only
+                    // after a pause, with one more descriptor to spare.
+                    warn!(turn.log, "cannot accept connections"; "error" => e.to_string());
+                    self.close_oldest_idle(turn);
+                    turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::Accept);
+                    return Backlog::Stuck;
+                }
+            }
+        }
+        Backlog::More
+    }
+
+    pub(super) fn welcome(&mut self, turn: &mut Turn, socket: TcpStream) -> io::Result<()> {
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        let id = SessionId(self.next);
+        self.next += 1;
+        let full = self.sessions.len() >= self.most && !self.close_oldest_idle(turn);
+        let polled = Polled::new(turn, socket, Source::Session(id))?;
+        let session = Session {
+            polled,
+            inbound: Inbound::default(),
+            outbound: Ring::default(),
+            stage: Stage::Startup,
+            skipping: false,
+            ended: false,
+            asked: false,
+            since: turn.now,
+            due: None,
+            origin: Origin::default(),
+            writing: false,
+            wrote: None,
+        };
+        self.sessions.insert(id, session);
+        self.set_due(turn, id, Some(turn.now + PATIENCE));
+        if full {
+            warn!(turn.log, "too many clients, turning one away"; "clients" => self.sessions.len());
+            let error =
+                Writer::default().error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "too many clients", None);
+            self.last_word(turn, id, error);
+        }
+        Ok(())
+    }
+
+    /// Stops accepting after SIGTERM, and begins to close clients between requests. What waits on the socket is a
+    /// successor's where there is one; it is the same socket, and must not be shut down.
+    pub fn close_listener(&mut self, turn: &mut Turn, exchange: &mut Exchange, succeeded: bool) {
+        // Connections that the kernel has accepted count as the proxy's.
+        let backlog =
+            std::iter::repeat_with(|| if succeeded { Backlog::Empty } else { self.accept_some(turn) })
+                .find(|b| *b != Backlog::More);
+        if backlog == Some(Backlog::Stuck) {
+            // They would be reset with the socket: clients that leave make room for them.
+            turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::CloseListener);
+        } else if let Some(listener) = self.listener.take() {
+            listener.close(turn);
+        }
+        self.send_away(turn, exchange, Service::Closing);
+    }
+}
--- /dev/null
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -0,0 +1,164 @@
+//! What clients send, worked off message by message.
+
+use std::rc::Rc;
+
+use slog::info;
+
+use super::session::{Stage, PATIENCE};
+use super::statements::Step;
+use super::{Frontend, Owner, UNREAD};
+use crate::exchange::Exchange;
+use crate::ids::SessionId;
+use crate::pg::{self, sqlstate, Malformed, Startup, Writer};
+use crate::routing::Origin;
+use crate::turn::{Source, Turn};
+
+/// Messages of one connection worked off in one turn.
+const MESSAGES: usize = 32;
+
+impl Frontend {
+    /// Works off what has come, as far as the answers before it are out, and writes.
+    pub(super) fn work(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
+        let mut worked = false;
+        for n in 0..=MESSAGES {
+            let Some(s) = self.sessions.get_mut(&id) else { return };
+            if s.ended {
+                return self.leave(turn, exchange, id);
+            }
+            if s.outbound.len() > UNREAD {
+                break;
+            }
+            if n == MESSAGES {
+                turn.again.push(Source::Session(id));
+                break;
+            }
+            let step = match s.stage {
+                Stage::Startup => self.startup(turn, id),
+                Stage::Ready => self.message(turn, exchange, id),
+                Stage::Waiting(_) | Stage::Closing | Stage::Lingering => break,
+            };
+            match step {
+                Ok(true) => worked = true,
+                Ok(false) => break,
+                Err(Malformed(what)) => {
+                    info!(turn.log, "client broke the protocol"; "session" => id.0, "what" => what);
+                    let error = Writer::default().error("FATAL", sqlstate::PROTOCOL_VIOLATION, what, None);
+                    self.last_word(turn, id, error);
+                }
+            }
+        }
+        self.flush(turn, id);
+        self.tell_unread(exchange, id, 0);
+        self.await_rest(turn, id, worked);
+        self.dismiss(turn, id);
+    }
+
+    /// Sets the deadline for the rest of a message that has begun; each has its own, however slowly it drips.
+    fn await_rest(&mut self, turn: &mut Turn, id: SessionId, worked: bool) {
+        let Some(s) = self.sessions.get(&id) else { return };
+        let part = match s.stage {
+            Stage::Startup | Stage::Closing | Stage::Lingering => return,
+            Stage::Ready => !s.inbound.is_empty() && s.outbound.len() <= UNREAD,
+            Stage::Waiting(_) => false,
+        };
+        if !part {
+            self.set_due(turn, id, None);
+        } else if worked || s.due.is_none() {
+            self.set_due(turn, id, Some(turn.now + PATIENCE));
+        }
+    }
+
+    fn startup(&mut self, turn: &mut Turn, id: SessionId) -> Result<bool, Malformed> {
+        let Some(s) = self.sessions.get_mut(&id) else { return Ok(false) };
+        let Some((startup, size)) = pg::startup(s.inbound.bytes())? else { return Ok(false) };
+        s.inbound.consume(size);
+        let w = Writer::default();
+        match startup {
+            // Neither TLS nor GSSAPI is served: the client may go on in plain text.
+            Startup::Encryption => Ok(s.outbound.push(b"N")),
+            // Cancels are not served, and get no answer in this protocol.
+            Startup::Cancel => {
+                self.last_word(turn, id, w);
+                Ok(false)
+            }
+            Startup::Unsupported => {
+                let error =
+                    w.error("FATAL", sqlstate::FEATURE_NOT_SUPPORTED, "unsupported frontend protocol", None);
+                self.last_word(turn, id, error);
+                Ok(false)
+            }
+            Startup::Session { minor, options, parameters } => {
+                let named = |name: &str| {
+                    parameters.iter().find(|p| p.0 == name).map(|p| p.1.clone()).unwrap_or_default()
+                };
+                let (user, database) = (named("user"), named("database"));
+                // PostgreSQL's rule.
+                let database = if database.is_empty() { user.clone() } else { database };
+                s.origin = Origin { user, database, application_name: named("application_name") };
+                let w = if minor > 0 || !options.is_empty() { w.negotiate(&options) } else { w };
+                s.stage = Stage::Ready;
+                let fits = s.outbound.push(&w.welcome(id.0 as u32).0);
+                self.set_due(turn, id, None);
+                Ok(fits)
+            }
+        }
+    }
+
+    fn message(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        id: SessionId,
+    ) -> Result<bool, Malformed> {
+        let Some(s) = self.sessions.get_mut(&id) else { return Ok(false) };
+        let Some(message) = pg::message(s.inbound.bytes(), pg::FRONTEND)? else { return Ok(false) };
+        let (tag, size) = (message.tag, message.size);
+        let text = if tag == b'Q' { pg::string(message.body)?.to_vec() } else { Vec::new() };
+        let arrived = s.inbound.consume(size).unwrap_or(turn.now);
+        s.since = turn.now;
+        s.asked |= tag == b'Q';
+        let skipping = s.skipping;
+        let w = Writer::default();
+        let reply = match tag {
+            // Its last answer may not be written whole yet.
+            b'X' if !s.outbound.is_empty() => {
+                self.last_word(turn, id, w);
+                return Ok(false);
+            }
+            b'X' => {
+                s.ended = true;
+                return Ok(true);
+            }
+            b'S' => {
+                s.skipping = false;
+                w.ready()
+            }
+            _ if skipping => return Ok(true),
+            b'Q' => match self.query(turn, id, text, arrived) {
+                Ok(Step::Reply(w)) => w,
+                Ok(Step::Call(call, name)) => {
+                    let request = exchange.submit(turn, *call);
+                    self.ids.insert(Rc::clone(&name));
+                    self.owners.insert(request, Owner { session: id, id: name });
+                    if let Some(s) = self.sessions.get_mut(&id) {
+                        s.stage = Stage::Waiting(request);
+                    }
+                    return Ok(true);
+                }
+                Err(what) => w.error("ERROR", sqlstate::INVALID_PARAMETER, &what, None).ready(),
+            },
+            b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
+                s.skipping = tag != b'H';
+                w.error("ERROR", sqlstate::FEATURE_NOT_SUPPORTED, "only simple queries are supported", None)
+            }
+            b'F' => w
+                .error("ERROR", sqlstate::FEATURE_NOT_SUPPORTED, "function calls are not supported", None)
+                .ready(),
+            // Copy data that comes late is passed over, as PostgreSQL does.
+            b'd' | b'c' | b'f' => return Ok(true),
+            _ => return Err(Malformed("invalid frontend message type")),
+        };
+        let Some(s) = self.sessions.get_mut(&id) else { return Ok(false) };
+        Ok(s.outbound.push(&reply.0))
+    }
+}
--- /dev/null
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -0,0 +1,155 @@
+//! Statements become requests: by their routing comment, or by the rules that operators give.
+
+use std::rc::Rc;
+
+use leadmast::settings::fnv;
+use leadmast::{Effect, GroupId, Micros, ReadLevel};
+use slog::debug;
+
+use super::{Frontend, Service};
+use crate::exchange::{Body, Call, Form};
+use crate::ids::SessionId;
+use crate::pg::{self, sqlstate, Writer};
+use crate::routing::{Decision, Routed};
+use crate::turn::Turn;
+
+/// What a query comes to.
+pub(super) enum Step {
+    Reply(Writer),
+    /// A request, and its id.
+    Call(Box<Call>, Rc<str>),
+}
+
+impl Frontend {
+    /// Works off a statement whose last byte arrived at `arrived`.
+    pub(super) fn query(
+        &mut self,
+        turn: &Turn,
+        session: SessionId,
+        text: Vec<u8>,
+        arrived: Micros,
+    ) -> Result<Step, String> {
+        let w = Writer::default();
+        let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
+        let words = statement.trim().trim_end_matches(';').trim();
+        let unable = match self.service {
+            _ if !self.able => Some("no db host is known yet"),
+            Service::Running | Service::Closing => None,
+            Service::Standby => Some("the proxy is in standby"),
+        };
+        if let (true, Some(why)) = (words.is_empty(), unable) {
+            let error = w.error("ERROR", sqlstate::CANNOT_CONNECT_NOW, why, None);
+            return Ok(Step::Reply(error.ready()));
+        }
+        if words.is_empty() {
+            return Ok(Step::Reply(w.message(b'I', &[]).ready()));
+        }
+        let verb = words.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
+        // Sessions have no state of their own here, so there is nothing to set and nothing to discard.
+        if matches!(verb.as_str(), "SET" | "RESET" | "DISCARD") {
+            return Ok(Step::Reply(w.message(b'C', &[verb.as_bytes(), b"\0"]).ready()));
+        }
+        let c = match pg::comment(statement) {
+            Err(_) if self.router.is_some() => return self.plain(turn, session, text, arrived),
+            c => c?,
+        };
+        let mut class = self.names.class(c.class).ok_or_else(|| format!("unknown class {:?}", c.class))?;
+        let mut group = GroupId(c.cluster);
+        if let (Some(router), Some(s)) = (&mut self.router, self.sessions.get_mut(&session)) {
+            if let Some(decision) = router.contradicts(&self.settings, &s.origin, statement, class) {
+                match routed(decision) {
+                    Ok(r) => (class, group) = (r.class, r.group),
+                    Err(reply) => return Ok(Step::Reply(reply)),
+                }
+            }
+        }
+        let (read, effect) = (self.settings.classes[class.0].read, self.settings.classes[class.0].effect);
+        // Another client waits for the answer that this id has: nobody may be served with it instead.
+        if self.ids.contains(c.id) {
+            return Err("the id is that of an open request".to_owned());
+        }
+        if matches!(effect, Effect::Keyed { .. }) && !c.keyed {
+            return Err(format!("a request of class {:?} needs a key k", c.class));
+        }
+        let key = matches!(read, ReadLevel::Session | ReadLevel::Write).then(|| pg::first_literal(statement));
+        let key = key.flatten().map(|k| u64::from_str_radix(k, 16).unwrap_or_else(|_| fnv(k)));
+        let after = c.after.filter(|_| read == ReadLevel::Session);
+        // Never below one: a commit of just now is still a commit.
+        let since_write = after.map(|ms| (turn.now - turn.clock.at_unix_ms(ms as f64)).max(1));
+        // No client of a class waits longer than its class does, whatever it says.
+        let wait = (Micros::from(c.wait_ms) * 1000).min(self.settings.classes[class.0].deadline);
+        let deadline = self.deadline(arrived, wait);
+        let id = Rc::from(c.id);
+        let (repeat, wait_at) = (c.repeat, c.wait_at);
+        let tenant = c.tenant.and_then(|t| self.names.tenant(t));
+        debug!(turn.log, "request"; "class" => class.0, "wait_ms" => c.wait_ms);
+        let body = Body::new(text, Some(wait_at), Form::Value);
+        Ok(Step::Call(
+            Box::new(Call { class, group, key, deadline, since_write, repeat, checked: true, tenant, body }),
+            id,
+        ))
+    }
+
+    /// A statement without a routing comment goes where the operators' rules say. The connection is its session: what
+    /// it has written it sees.
+    fn plain(
+        &mut self,
+        turn: &Turn,
+        session: SessionId,
+        text: Vec<u8>,
+        arrived: Micros,
+    ) -> Result<Step, String> {
+        let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
+        let (Some(router), Some(s)) = (&mut self.router, self.sessions.get_mut(&session)) else {
+            return Err("the statement has no routing comment".to_owned());
+        };
+        let routed = match routed(router.decide(&self.settings, &s.origin, statement)) {
+            Ok(routed) => routed,
+            Err(reply) => return Ok(Step::Reply(reply)),
+        };
+        let Routed { class, group, wait, comment, writes } = routed;
+        self.plain += 1;
+        s.writing = writes;
+        let session_reads = self.settings.classes[class.0].read == ReadLevel::Session;
+        let since_write = s.wrote.filter(|_| session_reads).map(|at| (turn.now - at).max(1));
+        let id: Rc<str> = format!("plain-{:x}-{:x}", session.0, self.plain).into();
+        let body = if comment {
+            let mut body = format!("/* id={id},c={},d=", self.names.classes[class.0]);
+            let at = body.len()..body.len();
+            body += &format!(",cluster={} */ {statement}", group.0);
+            Body::new(body.into_bytes(), Some(at), Form::Result)
+        } else {
+            Body::new(text, None, Form::Result)
+        };
+        let key = Some(fnv(&format!("session {}", session.0)));
+        let deadline = self.deadline(arrived, wait);
+        let tenant = None;
+        let call =
+            Call { class, group, key, deadline, since_write, repeat: false, checked: false, tenant, body };
+        Ok(Step::Call(Box::new(call), id))
+    }
+
+    /// When the wait of a request is over whose last byte arrived at `arrived`. It counts from then, however long the
+    /// request stood behind others, and not from when its turn came.
+    fn deadline(&self, arrived: Micros, wait: Micros) -> Micros {
+        (arrived + wait).min(self.last_call.unwrap_or(Micros::MAX))
+    }
+}
+
+/// Where a plain statement goes, or what its client is told instead.
+fn routed(decision: Decision) -> Result<Routed, Writer> {
+    let w = Writer::default();
+    let unsupported = |what: &str| w.error("ERROR", sqlstate::FEATURE_NOT_SUPPORTED, what, None).ready();
+    Err(match decision {
+        Decision::Send(routed) => return Ok(routed),
+        Decision::Empty => Writer::default().message(b'I', &[]).ready(),
+        Decision::Session { verb } => {
+            unsupported(&format!("{verb} is not supported: the proxy keeps no state of a session"))
+        }
+        Decision::Several => unsupported("several statements in one query are not supported"),
+        Decision::NoRoute { access } => {
+            let what = format!("no route is given for a {} of this kind", access.name());
+            Writer::default().error("ERROR", sqlstate::NO_ROUTE, &what, None).ready()
+        }
+    })
+}
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -1,10 +1,18 @@
 //! Tests of the part named by the folder.
 
 use std::io::Read;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpListener, TcpStream};
 
-use super::*;
-use crate::turn::Ready;
+use leadmast::{GroupId, Micros, RequestId};
+
+use super::eviction::{makes_room, JUST, SLOW};
+use super::session::{Stage, LINGER, UNREAD_FOR};
+use super::Frontend;
+use crate::exchange::{Body, Call, Exchange, Final, Form};
+use crate::ids::SessionId;
+use crate::pg::{Writer, LONGEST_ANSWER};
+use crate::ring::LARGEST;
+use crate::turn::{Ready, Turn};
 
 /// Guards slow clients in a crowd: they may take 2 s over a request, and whoever has had an answer goes first.
 #[test]
