The import circle of deadlines, turn, exchange, site loss and proxy is opened

`deadlines` took `AttemptId` from `exchange`, which uses `deadlines` and `turn`; `exchange` used `site_loss`, which held methods of the proxy and so used `exchange`, `control` and `proxy`. Nine modules stood in one circle.

`AttemptId` stands in `ids` now, and `exchange` gives it on as before. The methods of the proxy stand in `proxy::sites`; `site_loss` keeps the two functions that `exchange` asks, and uses no other module of the program. Three fields of the proxy that were open to the crate are private again.

--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -2,11 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use leadmast::{Micros, TimerTag};
+use leadmast::{MemberId, Micros, RequestId, TimerTag};
 
-use crate::exchange::AttemptId;
-use crate::ids::{CallId, CallerId, ServerId, SessionId};
-use leadmast::{MemberId, RequestId};
+use crate::ids::{AttemptId, CallId, CallerId, ServerId, SessionId};
 
 /// What falls due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -14,6 +14,7 @@
 
 use crate::deadlines::Due;
 use crate::figures::{Count, Figures, TenantCount};
+pub use crate::ids::AttemptId;
 use crate::memory::Held;
 use crate::site_loss;
 use crate::turn::Turn;
@@ -21,13 +22,6 @@
 /// How much of a long answer may be under way to a client.
 pub const ROOM: usize = 64 * 1024;
 
-/// One attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AttemptId {
-    pub request: RequestId,
-    pub number: u32,
-}
-
 /// What an answer has to be.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Form {
@@ -214,7 +208,7 @@
     /// Names of the tenants, as in [`Figures::tenants`]; none where the settings name none.
     tenants: Vec<String>,
     /// What is done at the loss of a site, where operators have a plan for it. What it does is carried out by
-    /// [`crate::site_loss`].
+    /// `crate::proxy::sites`.
     pub sites: Option<Sites>,
     /// By class.
     retry_after: Vec<Option<Micros>>,
--- a/crates/gradeshunt/src/ids.rs
+++ b/crates/gradeshunt/src/ids.rs
@@ -1,4 +1,6 @@
-//! Numbers of the proxy's connections; none is used twice.
+//! Numbers of the proxy's connections, calls and attempts; none is used twice.
+
+use leadmast::RequestId;
 
 /// A client's connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -15,3 +17,10 @@
 /// A call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
+
+/// One attempt of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    pub request: RequestId,
+    pub number: u32,
+}
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod lifetime;
 mod operators;
+mod sites;
 
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -37,12 +38,12 @@
 /// The program: its parts, and what passes between them.
 pub struct Proxy {
     pub turn: Turn,
-    pub(crate) exchange: Exchange,
+    exchange: Exchange,
     frontend: Frontend,
     backend: Backend,
-    pub(crate) discovery: Discovery,
+    discovery: Discovery,
     control: Option<Control>,
-    pub(crate) shared: Shared,
+    shared: Shared,
     worker: Worker,
     pub pace: Pace,
     /// What this proxy may hold, with another process of it where there is one.
