Control part of the proxy and its turn of the loop stand by themselves

Change: Core holds the turn's surroundings, discovery's client, the decision module and the loop's account; it takes its own sources and deadlines and hands out steps (a list the module has heard, an order, an answer) to those who have sockets. Cycle is one turn of the loop, for whatever parts work it off. The proxy is a Core with sockets; the order of its work is as before.

--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -16,13 +16,17 @@
 
 /// What the proxy is told at its start.
 pub struct Config {
+    /// The proxy's name, the same after a restart.
     pub name: String,
+    /// Where clients connect.
     pub listen: SocketAddr,
     /// The descriptor on which the platform holds the clients' socket, where it does.
     pub listen_fd: Option<i32>,
+    /// Where discovery is called.
     pub discovery: SocketAddr,
     /// Where operators call, if anywhere.
     pub control: Option<SocketAddr>,
+    /// For random numbers.
     pub seed: u64,
     /// File descriptors that the proxy may hold.
     pub sockets: usize,
@@ -30,7 +34,9 @@
     pub memory: usize,
     /// How long discovery may be silent before a call to it counts as broken.
     pub silence: Micros,
+    /// The list of db hosts as this proxy last held it, in discovery's form; null where there is none.
     pub known: Value,
+    /// The settings, as the decision module reads them.
     pub facts: Facts,
     /// How plain statements are routed, where the operators' file says so.
     pub rules: Option<Rules>,
@@ -50,6 +56,14 @@
         Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
     }
 
+    /// Names of the tenants for the figures: those of the settings, and behind them, where there are any, one for requests
+    /// without a tenant's name.
+    pub(crate) fn tenants(&self) -> Vec<String> {
+        let mut tenants = self.facts.names.tenants.clone();
+        tenants.extend((!tenants.is_empty()).then(|| "?".to_owned()));
+        tenants
+    }
+
     /// What a check of it tells.
     pub fn summary(&self) -> String {
         let classes = self.facts.names.classes.join(", ");
--- /dev/null
+++ b/crates/gradeshunt/src/cycle.rs
@@ -0,0 +1,101 @@
+//! The loop: waits until a source is ready or a deadline falls due, and has the proxy's parts work it off.
+
+use std::os::fd::{AsFd, BorrowedFd};
+use std::time::Duration;
+
+use calloop::EventLoop;
+
+use crate::control_core::Core;
+use crate::deadlines::Due;
+use crate::turn::{Ready, Source};
+
+/// Those who work off what a turn of the loop brings.
+pub trait Parts {
+    /// The control part, which holds the deadlines.
+    fn core(&mut self) -> &mut Core;
+
+    /// Works off a source that has become ready.
+    fn event(&mut self, source: Source);
+
+    /// Works off a deadline that has fallen due.
+    fn due(&mut self, due: Due);
+}
+
+/// The loop of one proxy.
+pub struct Cycle {
+    event_loop: EventLoop<'static, Ready>,
+    ready: Ready,
+}
+
+impl Cycle {
+    /// Opens a poll.
+    ///
+    /// # Errors
+    ///
+    /// Where the system gives none.
+    pub fn open() -> Result<Cycle, String> {
+        let event_loop = EventLoop::try_new().map_err(|e| format!("cannot poll: {e}"))?;
+        Ok(Cycle { event_loop, ready: Ready::new() })
+    }
+
+    /// The poll, for those who add sources to it.
+    pub fn event_loop(&self) -> &EventLoop<'static, Ready> {
+        &self.event_loop
+    }
+
+    /// How long a turn may wait for sources before something is due: zero where there is work left, nothing where there
+    /// is no deadline.
+    pub fn wait(core: &Core) -> Option<Duration> {
+        let until = core.turn.deadlines.next();
+        let wait = until.map(|at| (at - core.turn.clock.now()).max(0));
+        let wait = if core.turn.again.is_empty() { wait } else { Some(0) };
+        wait.map(|t| Duration::from_micros(t as u64))
+    }
+
+    /// One turn: waits for sources, so long at most, then works off all that is ready and due.
+    ///
+    /// # Errors
+    ///
+    /// Where the system can't poll.
+    pub fn turn(&mut self, parts: &mut impl Parts, wait: Option<Duration>) -> Result<(), String> {
+        let until = parts.core().turn.deadlines.next();
+        self.event_loop.dispatch(wait, &mut self.ready).map_err(|e| format!("cannot poll: {e}"))?;
+        let mut sources = self.begin(parts.core(), until);
+        // Operators' calls are few and owed an answer whatever the load.
+        sources.sort_by_key(|s| !matches!(s, Source::Control | Source::Caller(_)));
+        for source in sources {
+            parts.event(source);
+            worked(parts.core(), source.name());
+        }
+        loop {
+            let turn = &mut parts.core().turn;
+            let Some(due) = turn.deadlines.pop(turn.now) else { break };
+            parts.due(due);
+            worked(parts.core(), due.name());
+        }
+        let core = parts.core();
+        core.pace.end(&core.turn.log);
+        Ok(())
+    }
+
+    /// The turn begins; gives what is to be worked off.
+    fn begin(&mut self, core: &mut Core, until: Option<leadmast::Micros>) -> Vec<Source> {
+        core.turn.now = core.turn.clock.now();
+        core.pace.begin(core.turn.now, until);
+        core.turn.unread = core.pace.unread();
+        let again = std::mem::take(&mut core.turn.again);
+        again.into_iter().chain(self.ready.drain(..)).collect()
+    }
+}
+
+impl AsFd for Cycle {
+    /// The poll's own descriptor, which is ready for reading when a source is.
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.event_loop.as_fd()
+    }
+}
+
+/// A source or a deadline of this name is worked off.
+fn worked(core: &mut Core, name: &'static str) {
+    core.pace.worked(name, core.turn.clock.now());
+}
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -29,8 +29,9 @@
     Reopen,
     /// An operator that should have made its call by now, or closed.
     Caller(CallerId),
-    /// Connections that could not be accepted are tried again.
+    /// Clients' connections that could not be accepted are tried again.
     Accept,
+    /// Operators' connections that could not be accepted are tried again.
     AcceptCallers,
     /// The folder that the processes of this proxy share is looked at.
     Look,
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -8,6 +8,8 @@
 mod clock;
 mod config;
 mod control;
+mod control_core;
+mod cycle;
 mod deadlines;
 mod discovery;
 mod exchange;
@@ -29,4 +31,9 @@
 mod turn;
 
 pub use cli::Arguments;
+pub use config::Config;
+pub use control_core::{Core, List, Step};
+pub use cycle::{Cycle, Parts};
+pub use deadlines::Due;
 pub use run::run;
+pub use turn::Source;
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -8,20 +8,20 @@
 use std::path::PathBuf;
 
 use calloop::EventLoop;
-use leadmast::{ListKind, Micros};
+use leadmast::Micros;
 use slog::{info, warn, Logger};
 
 use crate::backend::{self, Backend};
 use crate::config::Config;
 use crate::control::Control;
+use crate::control_core::{Core, List, Step};
+use crate::cycle::Parts;
 use crate::deadlines::Due;
-use crate::discovery::{self, Discovery, News};
-use crate::exchange::{self, Exchange};
+use crate::exchange;
 use crate::frontend::Frontend;
-use crate::pace::Pace;
 use crate::shared::worker::Worker;
 use crate::shared::{self, Shared};
-use crate::turn::{self, Ready, Source, Turn};
+use crate::turn::{self, Ready, Source};
 
 const SUMMARY: Micros = 10_000_000;
 /// Pace of the looks at what the processes of this proxy share.
@@ -36,15 +36,12 @@
 
 /// The program: its parts, and what passes between them.
 pub struct Proxy {
-    pub turn: Turn,
-    pub(crate) exchange: Exchange,
+    pub(crate) core: Core,
     frontend: Frontend,
     backend: Backend,
-    pub(crate) discovery: Discovery,
     control: Option<Control>,
     pub(crate) shared: Shared,
     worker: Worker,
-    pub pace: Pace,
     /// What this proxy may hold, with another process of it where there is one.
     sockets: usize,
     memory: usize,
@@ -52,8 +49,6 @@
     held: bool,
     /// The clients' socket, until it is served.
     waiting: Option<TcpListener>,
-    /// The list of db hosts from the configuration, until this process begins.
-    known: Option<News>,
     /// When it begins at the latest, until it has.
     begin_by: Option<Micros>,
     /// How long discovery may be silent.
@@ -64,7 +59,6 @@
     classes: Vec<String>,
     /// And of the tenants.
     tenants: Vec<String>,
-    news: Vec<News>,
     longest: Micros,
     terminating: bool,
     leave: bool,
@@ -73,36 +67,16 @@
 impl Proxy {
     /// Opens the sockets and starts the thread for file work. Clients are served once it has begun.
     pub fn new(
-        config: Config,
+        mut config: Config,
         file: Option<PathBuf>,
         event_loop: &EventLoop<'static, Ready>,
         log: Logger,
     ) -> Result<Proxy, String> {
-        let Config {
-            name,
-            listen,
-            listen_fd,
-            discovery,
-            control,
-            seed,
-            sockets,
-            memory,
-            silence,
-            known,
-            facts,
-            rules,
-            sites,
-        } = config;
-        let mut turn = Turn::new(event_loop.handle(), log);
+        let mut core = Core::new(&mut config, event_loop, log)?;
+        let tenants = config.tenants();
+        let Config { name, listen, listen_fd, control, sockets, memory, silence, facts, rules, .. } = config;
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let classes = facts.names.classes.clone();
-        let pace = discovery::Pace::new(&facts.settings);
-        let mut discovery = Discovery::new(discovery, silence, facts.names.clone(), pace);
-        let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
-        let mut tenants = facts.names.tenants.clone();
-        tenants.extend((!tenants.is_empty()).then(|| "?".to_owned()));
-        let mut exchange = Exchange::new(facts.settings.clone(), tenants.clone(), seed, turn.now);
-        exchange.sites = sites;
         let backend = Backend::new(facts.connections, &facts.names);
         let listener = match listen_fd {
             Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
@@ -111,7 +85,7 @@
         let mut frontend = Frontend::new(facts.settings, facts.names);
         frontend.route_by(rules);
         let listen = |addr| {
-            Control::listen(&turn, addr, OPERATORS).map_err(|e| format!("cannot listen at {addr}: {e}"))
+            Control::listen(&core.turn, addr, OPERATORS).map_err(|e| format!("cannot listen at {addr}: {e}"))
         };
         let control = control.map(listen).transpose()?;
         let handle = event_loop.handle();
@@ -120,33 +94,28 @@
         told.map_err(|e| format!("cannot poll: {e}"))?;
         let worker = Worker::start(move || shared::files::open(&name), file, ping);
         let worker = worker.map_err(|e| format!("cannot start a thread: {e}"))?;
+        let turn = &mut core.turn;
         turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
         turn.deadlines.set(turn.now, Due::Reap);
         turn.deadlines.set(turn.now + LOOK, Due::Look);
         let begin_by = turn.now + SEE;
         turn.deadlines.set(begin_by, Due::Begin);
-        let pace = Pace::new(turn.now);
         let mut proxy = Proxy {
-            turn,
-            exchange,
+            core,
             frontend,
             backend,
-            discovery,
             control,
             shared: Shared::new(),
             worker,
-            pace,
             sockets,
             memory,
             held: listen_fd.is_some(),
             waiting: Some(listener),
-            known,
             begin_by: Some(begin_by),
             silence,
             failed: None,
             classes,
             tenants,
-            news: Vec::new(),
             longest,
             terminating: false,
             leave: false,
@@ -161,28 +130,86 @@
     /// long. Beside another process there is time to hear discovery first; alone, clients wait already.
     fn begin(&mut self) {
         let Some(by) = self.begin_by.take() else { return };
-        self.turn.deadlines.clear(by, Due::Begin);
+        self.core.turn.deadlines.clear(by, Due::Begin);
         self.share_limits();
-        // What is known may be old: it comes before anything that discovery tells.
-        self.news.extend(self.known.take());
-        self.discovery.start(&mut self.turn, &mut self.news);
+        self.core.start();
         self.settle();
         if self.shared.is_alone() {
             self.serve();
         } else {
-            info!(self.turn.log, "starting beside another process"; "control" => self.operators());
-            self.turn.deadlines.set(self.turn.now + self.silence + HEAR, Due::Serve);
+            info!(self.core.turn.log, "starting beside another process"; "control" => self.operators());
+            self.core.turn.deadlines.set(self.core.turn.now + self.silence + HEAR, Due::Serve);
         }
     }
 
-    /// Works off a source that has become ready.
-    pub fn event(&mut self, source: Source) {
-        let (turn, exchange) = (&mut self.turn, &mut self.exchange);
+    /// Carries what the parts have for each other, until none has anything left.
+    fn settle(&mut self) {
+        loop {
+            if let Some(step) = self.core.step() {
+                self.take(step);
+            } else if let Some(task) = self.shared.next(self.core.turn.now) {
+                if !self.worker.ask(task) {
+                    warn!(self.core.turn.log, "file work is lost: its thread has ended or is too far behind");
+                }
+            } else {
+                return;
+            }
+        }
+    }
+
+    /// Does what the control part leaves to those who have sockets.
+    fn take(&mut self, step: Step) {
+        let Core { turn, exchange, .. } = &mut self.core;
+        match step {
+            Step::List(list) => self.list(&list),
+            Step::Order(order) => self.backend.carry_out(turn, exchange, order),
+            Step::Answer(request, exchange::Answer::Part(bytes)) => {
+                self.frontend.part(turn, exchange, request, &bytes)
+            }
+            Step::Answer(request, exchange::Answer::Final(last)) => {
+                self.frontend.answer(turn, exchange, request, last)
+            }
+        }
+    }
+
+    /// The module has heard of a list: the pool follows, and what is held out stays so.
+    fn list(&mut self, list: &List) {
+        let Core { turn, exchange, .. } = &mut self.core;
+        self.frontend.able |= list.entries() > 0;
+        self.backend.list(turn, exchange, list.kind, &list.listed);
+        // The ban on a name outlasts whatever the list says of it.
+        for l in list.listed.iter().filter(|l| self.shared.is_held_out(&l.id)) {
+            exchange.maintain(turn, l.member, true);
+            self.backend.maintain(turn, exchange, l.member, true);
+        }
+        let lost = |l: &&backend::Listed| exchange.sites.as_ref().is_some_and(|s| s.is_out(l.member));
+        for member in list.listed.iter().filter(lost).map(|l| l.member).collect::<Vec<_>>() {
+            exchange.maintain(turn, member, true);
+        }
+        if list.is_heard() && self.frontend.able {
+            self.serve();
+        }
+    }
+
+    /// Whether the program may end: all is answered, or it is time to leave.
+    pub fn is_done(&self) -> bool {
+        self.leave || (self.frontend.is_done() && self.core.exchange.is_idle())
+    }
+}
+
+impl Parts for Proxy {
+    fn core(&mut self) -> &mut Core {
+        &mut self.core
+    }
+
+    fn event(&mut self, source: Source) {
+        self.core.event(source);
+        let (turn, exchange) = (&mut self.core.turn, &mut self.core.exchange);
         match source {
             Source::Listener => self.frontend.accept(turn),
             Source::Session(id) => self.frontend.ready(turn, exchange, id),
             Source::Server(id) => self.backend.ready(turn, exchange, id),
-            Source::Call(id) => self.discovery.ready(turn, id, &mut self.news),
+            Source::Call(_) => {}
             Source::Control => self.control.iter_mut().for_each(|c| c.accept(turn)),
             Source::Caller(id) => self.call(id),
             Source::Terminate => self.terminate(),
@@ -192,18 +219,15 @@
         self.settle();
     }
 
-    /// Works off a deadline that has fallen due.
-    pub fn due(&mut self, due: Due) {
-        let (turn, exchange) = (&mut self.turn, &mut self.exchange);
+    fn due(&mut self, due: Due) {
+        self.core.due(due);
+        let (turn, exchange) = (&mut self.core.turn, &mut self.core.exchange);
         match due {
-            Due::Module(tag) => exchange.timer(turn, tag),
-            Due::Overdue(id) => exchange.overdue(turn, id),
+            Due::Module(_) | Due::Overdue(_) | Due::Call(_) | Due::Reopen => {}
             Due::Attempt(id) => self.backend.attempt_due(turn, exchange, id),
             Due::Probe(member) => self.backend.probe_due(turn, exchange, member),
             Due::Server(id) => self.backend.server_due(turn, exchange, id),
             Due::Session(id) => self.frontend.session_due(turn, id),
-            Due::Call(id) => self.discovery.call_due(turn, id, &mut self.news),
-            Due::Reopen => self.discovery.reopen_due(turn, &mut self.news),
             Due::Accept => self.frontend.accept(turn),
             Due::Caller(id) => self.control.iter_mut().for_each(|c| c.due(turn, id)),
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
@@ -221,7 +245,7 @@
             Due::Summary => {
                 exchange.sum_up(turn);
                 self.frontend.sum_up(turn);
-                self.pace.sum_up(&turn.log);
+                self.core.pace.sum_up(&turn.log);
                 turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
             }
             Due::LastAnswers => exchange.end_all(turn),
@@ -229,55 +253,4 @@
         }
         self.settle();
     }
-
-    /// Carries what the parts have for each other, until none has anything left.
-    fn settle(&mut self) {
-        loop {
-            let (turn, exchange) = (&mut self.turn, &mut self.exchange);
-            // The module hears of a change before the pool acts on it, and before anything else is sent.
-            if !self.news.is_empty() {
-                let news = self.news.remove(0);
-                for what in &news.why {
-                    warn!(turn.log, "unreadable entry in the list of db hosts"; "what" => what,
-                        "of" => news.unreadable);
-                }
-                self.frontend.able |= !news.entries.is_empty();
-                let heard = matches!(news.kind, ListKind::Full | ListKind::Incremental);
-                exchange.members(turn, news.kind, news.entries);
-                self.backend.list(turn, exchange, news.kind, &news.listed);
-                // The ban on a name outlasts whatever the list says of it.
-                for l in news.listed.iter().filter(|l| self.shared.is_held_out(&l.id)) {
-                    exchange.maintain(turn, l.member, true);
-                    self.backend.maintain(turn, exchange, l.member, true);
-                }
-                let lost = |l: &&backend::Listed| exchange.sites.as_ref().is_some_and(|s| s.is_out(l.member));
-                for member in news.listed.iter().filter(lost).map(|l| l.member).collect::<Vec<_>>() {
-                    exchange.maintain(turn, member, true);
-                }
-                if heard && self.frontend.able {
-                    self.serve();
-                }
-            } else if let Some(order) = exchange.orders.pop_front() {
-                self.backend.carry_out(turn, exchange, order);
-            } else if let Some((request, answer)) = exchange.answers.pop_front() {
-                match answer {
-                    exchange::Answer::Part(bytes) => self.frontend.part(turn, exchange, request, &bytes),
-                    exchange::Answer::Final(last) => self.frontend.answer(turn, exchange, request, last),
-                }
-            } else if let Some(ask) = exchange.asks.pop_front() {
-                self.discovery.ask(turn, ask, &mut self.news);
-            } else if let Some(task) = self.shared.next(turn.now) {
-                if !self.worker.ask(task) {
-                    warn!(turn.log, "file work is lost: its thread has ended or is too far behind");
-                }
-            } else {
-                return;
-            }
-        }
-    }
-
-    /// Whether the program may end: all is answered, or it is time to leave.
-    pub fn is_done(&self) -> bool {
-        self.leave || (self.frontend.is_done() && self.exchange.is_idle())
-    }
 }
--- a/crates/gradeshunt/src/proxy/changes.rs
+++ b/crates/gradeshunt/src/proxy/changes.rs
@@ -11,7 +11,7 @@
     /// Takes what the thread for file work has done.
     pub(super) fn file_work_done(&mut self) {
         while let Some(done) = self.worker.done() {
-            let changes = self.shared.done(self.turn.now, done);
+            let changes = self.shared.done(self.core.turn.now, done);
             changes.into_iter().for_each(|c| self.change(c));
         }
     }
@@ -31,7 +31,7 @@
             Change::Other { anew } => {
                 if anew {
                     let duty = self.shared.other().map(Duty::name);
-                    info!(self.turn.log, "other process of this proxy"; "duty" => duty);
+                    info!(self.core.turn.log, "other process of this proxy"; "duty" => duty);
                 }
                 self.share_limits();
                 self.hand_over();
@@ -40,14 +40,14 @@
                 let answer = match kept {
                     Ok(()) => Answer::new(200, if out { "held out\n" } else { "readmitted\n" }),
                     Err(e) => {
-                        warn!(self.turn.log, "cannot keep what an operator says"; "error" => e);
+                        warn!(self.core.turn.log, "cannot keep what an operator says"; "error" => e);
                         Answer::new(500, "cannot be kept\n")
                     }
                 };
                 self.answer(caller, &answer);
             }
             Change::Reread(config) => self.reload(config),
-            Change::Complain { what, why } => warn!(self.turn.log, "{}", what; "error" => why),
+            Change::Complain { what, why } => warn!(self.core.turn.log, "{}", what; "error" => why),
         }
     }
 
@@ -56,12 +56,14 @@
     fn reload(&mut self, config: Result<Box<Config>, String>) {
         match config {
             Ok(config) => {
-                info!(self.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
+                info!(self.core.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
                 self.frontend.route_by(config.rules);
                 self.replace_sites(config.sites);
-                self.discovery.move_to(&mut self.turn, config.discovery, config.silence, &mut self.news);
+                self.core.move_discovery(config.discovery, config.silence);
+            }
+            Err(why) => {
+                warn!(self.core.turn.log, "configuration kept, the new one can't be used"; "why" => why)
             }
-            Err(why) => warn!(self.turn.log, "configuration kept, the new one can't be used"; "why" => why),
         }
     }
 }
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -28,21 +28,21 @@
         // A third of the descriptors for db hosts: an attempt needs one only while it is out, a client for
         // as long as it likes.
         let servers = sockets / 3;
-        self.backend.limit(&mut self.turn, servers);
+        self.backend.limit(&mut self.core.turn, servers);
         // Rings may still grow when a third of the memory is held: by what is under way.
-        self.frontend.limit(&mut self.turn, sockets - servers, self.memory / processes / 3);
+        self.frontend.limit(&mut self.core.turn, sockets - servers, self.memory / processes / 3);
     }
 
     /// Serves clients from now on.
     pub(super) fn serve(&mut self) {
         let Some(listener) = self.waiting.take() else { return };
         let listen = listener.local_addr().map(|a| a.to_string()).ok();
-        let opened = self.frontend.open(&mut self.turn, listener);
+        let opened = self.frontend.open(&mut self.core.turn, listener);
         self.shared.turn_to(Duty::Serving);
         if let Err(e) = opened {
-            warn!(self.turn.log, "cannot serve as it should be"; "error" => e.to_string());
+            warn!(self.core.turn.log, "cannot serve as it should be"; "error" => e.to_string());
         }
-        info!(self.turn.log, "serving"; "control" => self.operators(), "listen" => listen);
+        info!(self.core.turn.log, "serving"; "control" => self.operators(), "listen" => listen);
     }
 
     /// Where operators call, for the log.
@@ -53,7 +53,7 @@
     /// After SIGTERM, where a successor serves: what waits on the clients' socket is the successor's.
     pub(super) fn hand_over(&mut self) {
         if self.terminating && self.shared.is_succeeded() {
-            self.frontend.close_listener(&mut self.turn, &mut self.exchange, true);
+            self.frontend.close_listener(&mut self.core.turn, &mut self.core.exchange, true);
         }
     }
 
@@ -62,7 +62,7 @@
         if std::mem::replace(&mut self.terminating, true) {
             return;
         }
-        info!(self.turn.log, "terminating: serving on until all is answered");
+        info!(self.core.turn.log, "terminating: serving on until all is answered");
         // Clients may have connected to a socket of our own before it is served. One that the platform holds is another's.
         if self.held {
             self.waiting = None;
@@ -71,11 +71,11 @@
             self.serve();
         }
         self.shared.turn_to(Duty::Leaving);
-        let now = self.turn.now;
+        let now = self.core.turn.now;
         let leave = now + self.longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
         self.frontend.last_call(leave - LAST_ANSWERS - LAST_CALL);
-        self.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
-        self.turn.deadlines.set(leave - LAST_ANSWERS, Due::LastAnswers);
-        self.turn.deadlines.set(leave, Due::Leave);
+        self.core.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
+        self.core.turn.deadlines.set(leave - LAST_ANSWERS, Due::LastAnswers);
+        self.core.turn.deadlines.set(leave, Due::Leave);
     }
 }
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -9,7 +9,9 @@
 impl Proxy {
     /// Works off an operator's connection.
     pub(super) fn call(&mut self, id: CallerId) {
-        let Some(command) = self.control.as_mut().and_then(|c| c.ready(&mut self.turn, id)) else { return };
+        let Some(command) = self.control.as_mut().and_then(|c| c.ready(&mut self.core.turn, id)) else {
+            return;
+        };
         if let Some(answer) = self.carry_out(id, command) {
             self.answer(id, &answer);
         }
@@ -18,13 +20,13 @@
     /// Answers an operator's call.
     pub(super) fn answer(&mut self, id: CallerId, answer: &Answer) {
         if let Some(control) = &mut self.control {
-            control.answer(&mut self.turn, id, answer);
+            control.answer(&mut self.core.turn, id, answer);
         }
     }
 
     /// Carries out what an operator asks for; the answer follows later where that is file work.
     fn carry_out(&mut self, caller: CallerId, command: control::Command) -> Option<Answer> {
-        let (turn, exchange) = (&mut self.turn, &mut self.exchange);
+        let (turn, exchange) = (&mut self.core.turn, &mut self.core.exchange);
         Some(match command {
             control::Command::Status if self.frontend.able && self.waiting.is_none() => {
                 Answer::new(200, "serving\n")
@@ -37,7 +39,7 @@
                 Some(text) => Answer::new(200, text),
                 None => Answer::new(404, "no rules for plain statements are given\n"),
             },
-            control::Command::Loop => Answer::new(200, self.pace.exposition()),
+            control::Command::Loop => Answer::new(200, self.core.pace.exposition()),
             control::Command::Sites => self.show_sites(),
             control::Command::HoldSite(name) => self.hold_site(&name, true),
             control::Command::LetSiteBack(name) => self.hold_site(&name, false),
@@ -55,7 +57,7 @@
     /// It stands where the other process looks, and will be found after this one, before it is confirmed.
     fn hold_out(&mut self, caller: CallerId, id: &str, out: bool) -> Option<Answer> {
         // One held out may be off the list by now.
-        if self.discovery.member(id).is_none() && !self.shared.is_held_out(id) {
+        if self.core.discovery.member(id).is_none() && !self.shared.is_held_out(id) {
             return Some(Answer::new(404, "no such db host\n"));
         }
         let taken = self.shared.hold_out(caller, id, out);
@@ -63,11 +65,11 @@
     }
 
     pub(super) fn maintain(&mut self, id: &str, out: bool) {
-        info!(self.turn.log, "db host held out or readmitted"; "id" => id, "out" => out);
-        let Some(member) = self.discovery.member(id) else { return };
+        info!(self.core.turn.log, "db host held out or readmitted"; "id" => id, "out" => out);
+        let Some(member) = self.core.discovery.member(id) else { return };
         // Its site may be out as well.
-        let lost = self.exchange.sites.as_ref().is_some_and(|s| s.is_out(member));
-        self.exchange.maintain(&mut self.turn, member, out || lost);
-        self.backend.maintain(&mut self.turn, &mut self.exchange, member, out);
+        let lost = self.core.exchange.sites.as_ref().is_some_and(|s| s.is_out(member));
+        self.core.exchange.maintain(&mut self.core.turn, member, out || lost);
+        self.backend.maintain(&mut self.core.turn, &mut self.core.exchange, member, out);
     }
 }
--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -2,14 +2,13 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
 
 use calloop::signals::{Signal, Signals};
-use calloop::EventLoop;
 use slog::info;
 
 use crate::cli::{self, Arguments, Command, LogFormat, LogLevel};
 use crate::config::Config;
+use crate::cycle::Cycle;
 use crate::logging;
 use crate::planning;
 use crate::proxy::Proxy;
@@ -19,53 +18,33 @@
 const NOT_BORNE: u8 = 3;
 
 /// Turns of the loop until the proxy is done.
-fn turns(mut event_loop: EventLoop<'static, Ready>, mut proxy: Proxy) -> Result<(), String> {
-    let mut ready = Ready::new();
+fn turns(mut cycle: Cycle, mut proxy: Proxy) -> Result<(), String> {
     while !proxy.is_done() {
-        let until = proxy.turn.deadlines.next();
-        let wait = until.map(|at| (at - proxy.turn.clock.now()).max(0));
-        let wait = if proxy.turn.again.is_empty() { wait } else { Some(0) };
-        let timeout = wait.map(|t| Duration::from_micros(t as u64));
-        event_loop.dispatch(timeout, &mut ready).map_err(|e| format!("cannot poll: {e}"))?;
-        proxy.turn.now = proxy.turn.clock.now();
-        proxy.pace.begin(proxy.turn.now, until);
-        proxy.turn.unread = proxy.pace.unread();
-        let again = std::mem::take(&mut proxy.turn.again);
-        let mut sources: Vec<_> = again.into_iter().chain(ready.drain(..)).collect();
-        // Operators' calls are few and owed an answer whatever the load.
-        sources.sort_by_key(|s| !matches!(s, Source::Control | Source::Caller(_)));
-        for source in sources {
-            proxy.event(source);
-            proxy.pace.worked(source.name(), proxy.turn.clock.now());
-        }
-        while let Some(due) = proxy.turn.deadlines.pop(proxy.turn.now) {
-            proxy.due(due);
-            proxy.pace.worked(due.name(), proxy.turn.clock.now());
-        }
+        let wait = Cycle::wait(&proxy.core);
+        cycle.turn(&mut proxy, wait)?;
         if let Some(why) = proxy.failed.take() {
             return Err(why);
         }
-        proxy.pace.end(&proxy.turn.log);
     }
-    info!(proxy.turn.log, "leaving");
+    info!(proxy.core.turn.log, "leaving");
     Ok(())
 }
 
 fn serve(file: Option<PathBuf>, format: LogFormat, level: LogLevel) -> Result<(), String> {
     let config = Config::load(file.as_deref())?;
-    let event_loop = EventLoop::try_new().map_err(|e| format!("cannot poll: {e}"))?;
+    let cycle = Cycle::open()?;
     // Before the log's thread starts, so that it inherits the mask: only the loop hears of signals.
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("cannot take signals: {e}"))?;
-    let handle = event_loop.handle();
+    let handle = cycle.event_loop().handle();
     let told = handle.insert_source(signals, move |event, (), ready: &mut Ready| {
         let reload = event.signal() == Signal::SIGHUP;
         ready.push(if reload { Source::Reload } else { Source::Terminate });
     });
     told.map_err(|e| format!("cannot take signals: {e}"))?;
     let (log, _guard) = logging::logger(format, level, &config.name);
-    let proxy = Proxy::new(config, file, &event_loop, log)?;
-    turns(event_loop, proxy)
+    let proxy = Proxy::new(config, file, cycle.event_loop(), log)?;
+    turns(cycle, proxy)
 }
 
 /// Does what the command line asks for; serving ends when the process is told to leave.
--- a/crates/gradeshunt/src/site_loss.rs
+++ b/crates/gradeshunt/src/site_loss.rs
@@ -36,31 +36,31 @@
 impl Proxy {
     /// Looks at the sites, and again when that is due.
     pub fn watch_sites(&mut self) {
-        let Some(sites) = &mut self.exchange.sites else { return };
-        let next = sites.look(self.turn.now);
-        self.turn.deadlines.set(next, Due::Sites);
+        let Some(sites) = &mut self.core.exchange.sites else { return };
+        let next = sites.look(self.core.turn.now);
+        self.core.turn.deadlines.set(next, Due::Sites);
         self.carry_out_sites();
     }
 
     fn carry_out_sites(&mut self) {
-        let Some(sites) = &mut self.exchange.sites else { return };
+        let Some(sites) = &mut self.core.exchange.sites else { return };
         let actions = std::mem::take(&mut sites.actions);
         for action in actions {
             match action {
                 Action::HoldOut(member) => {
-                    self.exchange.maintain(&mut self.turn, member, true);
-                    self.exchange.orders.push_back(Order::CloseIdle(member));
+                    self.core.exchange.maintain(&mut self.core.turn, member, true);
+                    self.core.exchange.orders.push_back(Order::CloseIdle(member));
                 }
                 Action::PutBack(member) => self.put_back(member),
-                Action::Probe(member) => self.exchange.orders.push_back(Order::Probe(member)),
+                Action::Probe(member) => self.core.exchange.orders.push_back(Order::Probe(member)),
                 Action::Changed(site, state, why) => {
-                    let name = self.exchange.sites.as_ref().map(|s| s.name(site).to_owned());
+                    let name = self.core.exchange.sites.as_ref().map(|s| s.name(site).to_owned());
                     match state {
                         State::Suspected { .. } | State::Lost { .. } => {
-                            warn!(self.turn.log, "site"; "why" => why, "state" => state.name(), "name" => name)
+                            warn!(self.core.turn.log, "site"; "why" => why, "state" => state.name(), "name" => name)
                         }
                         State::Whole | State::Returning { .. } => {
-                            info!(self.turn.log, "site"; "why" => why, "state" => state.name(), "name" => name)
+                            info!(self.core.turn.log, "site"; "why" => why, "state" => state.name(), "name" => name)
                         }
                     }
                 }
@@ -70,48 +70,48 @@
 
     /// Unless an operator holds it out by name.
     fn put_back(&mut self, member: MemberId) {
-        let by_hand = self.discovery.name(member).is_some_and(|id| self.shared.is_held_out(id));
+        let by_hand = self.core.discovery.name(member).is_some_and(|id| self.shared.is_held_out(id));
         if !by_hand {
-            self.exchange.maintain(&mut self.turn, member, false);
+            self.core.exchange.maintain(&mut self.core.turn, member, false);
         }
     }
 
     /// The operators' file was read anew.
     pub fn replace_sites(&mut self, sites: Option<Sites>) {
-        let former = self.exchange.sites.take();
+        let former = self.core.exchange.sites.take();
         let watched = former.is_some();
         match (sites, former) {
             (Some(mut sites), Some(former)) => {
                 sites.take_over(&former);
-                self.exchange.sites = Some(sites);
+                self.core.exchange.sites = Some(sites);
             }
-            (Some(sites), None) => self.exchange.sites = Some(sites),
+            (Some(sites), None) => self.core.exchange.sites = Some(sites),
             (None, Some(former)) => former.out().for_each(|member| self.put_back(member)),
             (None, None) => return,
         }
         self.carry_out_sites();
         if !watched {
             // It knows of no db host until the list comes anew.
-            self.exchange.asks.push_back(Ask::Fetch);
+            self.core.exchange.asks.push_back(Ask::Fetch);
             self.watch_sites();
         }
     }
 
     pub fn show_sites(&self) -> Answer {
-        match &self.exchange.sites {
+        match &self.core.exchange.sites {
             Some(sites) => Answer::new(200, sites.exposition()),
             None => Answer::new(404, "no file on sites is given\n"),
         }
     }
 
     pub fn hold_site(&mut self, name: &str, out: bool) -> Answer {
-        let Some(sites) = &mut self.exchange.sites else {
+        let Some(sites) = &mut self.core.exchange.sites else {
             return Answer::new(404, "no file on sites is given\n");
         };
-        if !sites.hold(self.turn.now, name, out) {
+        if !sites.hold(self.core.turn.now, name, out) {
             return Answer::new(404, "no such site\n");
         }
-        info!(self.turn.log, "site held out or let back by an operator"; "out" => out, "name" => name);
+        info!(self.core.turn.log, "site held out or let back by an operator"; "out" => out, "name" => name);
         self.carry_out_sites();
         Answer::new(200, if out { "held out\n" } else { "let back\n" })
     }
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -16,13 +16,21 @@
 /// What has become ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
+    /// The clients' listening socket.
     Listener,
+    /// A client's connection.
     Session(SessionId),
+    /// A connection to a db host.
     Server(ServerId),
+    /// A call to discovery.
     Call(CallId),
+    /// The operators' listening socket.
     Control,
+    /// An operator's connection.
     Caller(CallerId),
+    /// SIGTERM has come.
     Terminate,
+    /// SIGHUP has come.
     Reload,
     /// File work is done.
     Files,
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod site;
 pub mod toy;
 pub mod upgrade;
+pub mod watches;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
