Stand-in discovery for thousands of watches, in one thread and with counts

It counts calls, watches, lists, changes, empty lines and their bytes before it writes them, cuts all watches at once when told to, and answers a call with an old version by the whole list or by the changes since, as the protocol allows.

--- a/crates/stand-ins/src/watches.rs
+++ b/crates/stand-ins/src/watches.rs
@@ -63,7 +63,7 @@
     pub beats: u64,
     /// See [`Counts::beats`].
     pub beat_bytes: u64,
-    /// Bytes that the sockets have taken, heads of answers among them.
+    /// Bytes that the sockets have taken, heads of answers among them; told with the next round.
     pub written: u64,
 }
 
@@ -174,6 +174,8 @@
     /// When idle watches are due an empty line, by rising time; those that have been sent something since are passed over.
     beats: VecDeque<(Instant, u64)>,
     beat: Message,
+    /// Connections that may have something to write.
+    unwritten: Vec<u64>,
     counts: Counts,
 }
 
@@ -200,6 +202,7 @@
             next: COMMANDS + 1,
             beats: VecDeque::new(),
             beat: Message::chunk(Kind::Beat, "\n"),
+            unwritten: Vec::new(),
             counts: Counts::default(),
         })
     }
@@ -227,7 +230,9 @@
                 }
             }
             self.send_beats();
+            // Told before anything is written: who has read something finds it counted.
             self.tell();
+            self.write_all();
         }
     }
 
@@ -273,10 +278,7 @@
     fn send_to_all(&mut self, message: &Message) {
         let watches = self.connections.iter().filter(|(_, c)| c.is_watch());
         let ids: Vec<_> = watches.map(|(id, _)| *id).collect();
-        for id in ids {
-            self.send(id, message.clone());
-            self.write(id);
-        }
+        ids.into_iter().for_each(|id| self.send(id, message.clone()));
     }
 
     fn ready(&mut self, id: u64) {
@@ -286,7 +288,7 @@
             Ok(None) => {}
             Err(_) => return self.close(id),
         }
-        self.write(id);
+        self.unwritten.push(id);
     }
 
     fn answer(&mut self, id: u64, asked: Asked) {
@@ -316,6 +318,7 @@
             Kind::Head => {}
         }
         connection.queue(message);
+        self.unwritten.push(id);
         if connection.is_watch() {
             let at = Instant::now() + BEAT;
             connection.beat_at = Some(at);
@@ -323,11 +326,14 @@
         }
     }
 
-    fn write(&mut self, id: u64) {
-        let Some(connection) = self.connections.get_mut(&id) else { return };
-        match connection.write() {
-            Ok(written) => self.counts.written += written as u64,
-            Err(_) => self.close(id),
+    /// Writes what was queued in this round, and where sockets can take more.
+    fn write_all(&mut self) {
+        for id in std::mem::take(&mut self.unwritten) {
+            let Some(connection) = self.connections.get_mut(&id) else { continue };
+            match connection.write() {
+                Ok(written) => self.counts.written += written as u64,
+                Err(_) => self.close(id),
+            }
         }
     }
 
@@ -342,7 +348,6 @@
             self.beats.pop_front();
             if self.connections.get(&id).is_some_and(|c| c.beat_at == Some(at)) {
                 self.send(id, self.beat.clone());
-                self.write(id);
             }
         }
     }
