Hollow proxies, and the measurement of what control costs with them

Cause: nothing showed what a proxy of the fleet costs by db hosts known, or discovery by proxies, beyond a handful of processes.

--- a/crates/capacity/src/record.rs
+++ b/crates/capacity/src/record.rs
@@ -171,4 +171,8 @@
     pub const HOST_PROBES_BY_PROXIES: &str = "host.probes.by_proxies";
     /// Connections that a db host is asked for in a second, by proxies.
     pub const HOST_OPENED_BY_PROXIES: &str = "host.opened.by_proxies";
+    /// Processor time of a hollow proxy over that of a real one's loop alone, without its log's thread: a figure.
+    pub const HOLLOW_LOOP_CPU_SHARE: &str = "hollow.loop_cpu_share";
+    /// Processor time of a hollow proxy for a whole list over that of a real one: a figure.
+    pub const HOLLOW_LIST_CPU_SHARE: &str = "hollow.list_cpu_share";
 }
