`close_with` writes a client's last message and closes its connection

The method was called `last_word`, which told neither that it writes nor that it closes. Names and doc comments only.

--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -50,7 +50,7 @@
                 )
             }
             // An error would pass for bytes of the value that was cut.
-            Final::Broken => return self.last_word(turn, id, w),
+            Final::Broken => return self.close_with(turn, id, w),
             Final::Failed(Some(error)) => Writer(error),
             Final::Failed(None) => {
                 w.error("ERROR", sqlstate::SYSTEM_ERROR, "no db host has answered in time", None)
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -52,7 +52,7 @@
             Stage::Waiting(_) | Stage::Closing | Stage::Lingering => false,
         };
         if between && s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet() {
-            self.last_word(turn, id, Writer::default());
+            self.close_with(turn, id, Writer::default());
         }
     }
 
@@ -101,7 +101,7 @@
         for (_, (_, id)) in idle.collect::<Vec<_>>() {
             self.evicted[2] += 1;
             // A request may be on its way: closed at once, the connection would be reset, and the last answer with it.
-            self.last_word(turn, id, Writer::default());
+            self.close_with(turn, id, Writer::default());
         }
     }
 
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -100,7 +100,7 @@
             warn!(turn.log, "too many clients, turning one away"; "clients" => self.sessions.len());
             let error =
                 Writer::default().error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "too many clients", None);
-            self.last_word(turn, id, error);
+            self.close_with(turn, id, error);
         }
         Ok(())
     }
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -43,7 +43,7 @@
                 Err(Malformed(what)) => {
                     info!(turn.log, "client broke the protocol"; "session" => id.0, "what" => what);
                     let error = Writer::default().error("FATAL", sqlstate::PROTOCOL_VIOLATION, what, None);
-                    self.last_word(turn, id, error);
+                    self.close_with(turn, id, error);
                 }
             }
         }
@@ -78,13 +78,13 @@
             Startup::Encryption => Ok(s.outbound.push(b"N")),
             // Cancels are not served, and get no answer in this protocol.
             Startup::Cancel => {
-                self.last_word(turn, id, w);
+                self.close_with(turn, id, w);
                 Ok(false)
             }
             Startup::Unsupported => {
                 let error =
                     w.error("FATAL", sqlstate::FEATURE_NOT_SUPPORTED, "unsupported frontend protocol", None);
-                self.last_word(turn, id, error);
+                self.close_with(turn, id, error);
                 Ok(false)
             }
             Startup::Session { minor, options, parameters } => {
@@ -122,7 +122,7 @@
         let reply = match tag {
             // Its last answer may not be written whole yet.
             b'X' if !s.outbound.is_empty() => {
-                self.last_word(turn, id, w);
+                self.close_with(turn, id, w);
                 return Ok(false);
             }
             b'X' => {
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -35,7 +35,7 @@
     Ready,
     /// A request is out.
     Waiting(RequestId),
-    /// The last word is being written; whatever still comes is discarded.
+    /// The last message is being written; whatever still comes is discarded.
     Closing,
     /// It is written, and sending shut down, once: each time wakes the poll. It is read on until the client closes too.
     Lingering,
@@ -62,7 +62,7 @@
 }
 
 impl Session {
-    /// Whether it has had its last word, or is about to.
+    /// Whether its last message is written, or is being written.
     pub(super) fn is_ending(&self) -> bool {
         matches!(self.stage, Stage::Closing | Stage::Lingering)
     }
@@ -78,7 +78,7 @@
             return self.close(turn, id);
         }
         let (code, what) = (sqlstate::PROTOCOL_VIOLATION, "no whole message in time");
-        self.last_word(turn, id, Writer::default().error("FATAL", code, what, None));
+        self.close_with(turn, id, Writer::default().error("FATAL", code, what, None));
     }
 
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
@@ -101,7 +101,7 @@
                         warn!(turn.log, "too much in buffers, turning a client away"; "bytes" => memory::held());
                         let w = Writer::default();
                         let error = w.error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "out of memory", None);
-                        return self.last_word(turn, id, error);
+                        return self.close_with(turn, id, error);
                     }
                 }
                 // What has come fills the ring, and hides whether the client is still there.
@@ -155,7 +155,7 @@
     }
 
     /// Writes the last message of a connection and closes it once the client has had it.
-    pub(super) fn last_word(&mut self, turn: &mut Turn, id: SessionId, last: Writer) {
+    pub(super) fn close_with(&mut self, turn: &mut Turn, id: SessionId, last: Writer) {
         let Some(s) = self.sessions.get_mut(&id).filter(|s| !s.is_ending()) else { return };
         s.stage = Stage::Closing;
         s.inbound.clear();
