Accepted connections and the startup reply go by their standard names

Three different things were called `welcome`: accepting a client (`accept_session`), accepting an operator's call (`accept_caller`) and the messages that answer a startup message (`startup_reply`). Names, comments and the messages of expectations in tests only.

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -14,7 +14,7 @@
 use crate::ring::{Moved, Ring};
 use crate::turn::{Polled, Source, Turn};
 
-/// Who the proxy is to db hosts; they welcome anyone.
+/// User and database that the proxy names to db hosts, which accept any.
 const USER: &str = "portal";
 const DATABASE: &str = "crm";
 /// The share of a db host's idle time after which a connection is dropped here: well before the host drops
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -121,7 +121,7 @@
         for _ in 0..self.most {
             match self.listener.socket.accept() {
                 Ok((socket, _)) => {
-                    if let Err(e) = self.welcome(turn, socket) {
+                    if let Err(e) = self.accept_caller(turn, socket) {
                         warn!(turn.log, "cannot serve an operator's connection"; "error" => e.to_string());
                     }
                 }
@@ -137,7 +137,7 @@
         turn.again.push(Source::Control);
     }
 
-    fn welcome(&mut self, turn: &mut Turn, socket: TcpStream) -> io::Result<()> {
+    fn accept_caller(&mut self, turn: &mut Turn, socket: TcpStream) -> io::Result<()> {
         if self.callers.len() >= self.most {
             // Whoever has been silent longest makes room; one whose call stands unread is spared.
             let silent = |c: &Caller| match c.stage {
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -134,12 +134,12 @@
         Stage::Lingering => Some(0),
         Stage::Startup | Stage::Ready if !asked => {
             // One that has introduced itself is no mere connection: it has a while for its request.
-            let welcome = matches!(stage, Stage::Ready);
+            let started = matches!(stage, Stage::Ready);
             Some(match age {
                 SLOW.. => 1,
                 GUEST.. => 3,
-                JUST.. if !welcome => 3,
-                _ if !welcome => 4,
+                JUST.. if !started => 3,
+                _ if !started => 4,
                 _ => 5,
             })
         }
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -53,7 +53,7 @@
             let Some(listener) = &self.listener else { return Backlog::Empty };
             match listener.socket.accept() {
                 Ok((socket, _)) => {
-                    if let Err(e) = self.welcome(turn, socket) {
+                    if let Err(e) = self.accept_session(turn, socket) {
                         warn!(turn.log, "cannot serve a connection"; "error" => e.to_string());
                     }
                 }
@@ -73,7 +73,7 @@
         Backlog::More
     }
 
-    pub(super) fn welcome(&mut self, turn: &mut Turn, socket: TcpStream) -> io::Result<()> {
+    pub(super) fn accept_session(&mut self, turn: &mut Turn, socket: TcpStream) -> io::Result<()> {
         socket.set_nonblocking(true)?;
         socket.set_nodelay(true)?;
         let id = SessionId(self.next);
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -97,7 +97,7 @@
                 s.origin = Origin { user, database, application_name: named("application_name") };
                 let w = if minor > 0 || !options.is_empty() { w.negotiate(&options) } else { w };
                 s.stage = Stage::Ready;
-                let fits = s.outbound.push(&w.welcome(id.0 as u32).0);
+                let fits = s.outbound.push(&w.startup_reply(id.0 as u32).0);
                 self.set_due(turn, id, None);
                 Ok(fits)
             }
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -48,7 +48,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let client = TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
     let (socket, _) = listener.accept().expect("it has connected");
-    frontend.welcome(&mut turn, socket).expect("it is welcome");
+    frontend.accept_session(&mut turn, socket).expect("it is accepted");
     let id = *frontend.sessions.first_key_value().expect("a session").0;
     (frontend, turn, client, id, poll)
 }
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -217,8 +217,8 @@
         self
     }
 
-    /// What welcomes a client, up to its first ReadyForQuery.
-    pub fn welcome(self, process: u32) -> Self {
+    /// The reply to a startup message, up to and with the first ReadyForQuery.
+    pub fn startup_reply(self, process: u32) -> Self {
         let mut w = self.message(b'R', &[&0u32.to_be_bytes()]);
         let parameters = [
             ("server_version", "15.0 (gradeshunt)"),
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -113,7 +113,7 @@
 }
 
 /// What a db host says to a connection that comes up.
-fn welcome() -> Vec<u8> {
+fn startup_reply() -> Vec<u8> {
     [wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat()
 }
 
@@ -171,7 +171,8 @@
     (0..3).for_each(|host| site.sets[0].script(host, Rule::always("page-read", Act::Hang)));
     let mut program = Program::start("has-to-leave", site.config(), "", |_| {});
     drop(program.connect());
-    let mut client = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
+    let mut client =
+        Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts");
     client.stream().write_all(&read_of(1)).expect("it is open");
     program.terminate();
     let reply = client.until_ready().expect("an answer, and no reset");
@@ -190,14 +191,14 @@
     client.write_all(&[wire::startup(&[("user", "portal")]), read_of(1)].concat()).expect("it is open");
     let (mut server, _) = host.accept().expect("it connects");
     wire::read_startup(&mut server).expect("a startup message");
-    server.write_all(&welcome()).expect("it is open");
+    server.write_all(&startup_reply()).expect("it is open");
     assert_eq!(wire::read(&mut server).expect("a query").0, b'Q');
     // Of a row of 100,000 bytes most is sent.
     let description = [&[0, 1][..], b"data\0", &[0; 6], &[0, 0, 0, 17], &[255; 6], &[0, 1]].concat();
     let size = 100_000_i32;
     let row = [&b"D"[..], &(size + 10).to_be_bytes(), &[0, 1], &size.to_be_bytes(), &[b'x'; PART]].concat();
     server.write_all(&[wire::message(b'T', &description), row].concat()).expect("it is open");
-    until_ready(&mut client, 1).expect("it is welcome");
+    until_ready(&mut client, 1).expect("its session starts");
     assert_eq!(wire::read(&mut client).expect("a description").0, b'T');
     let mut begun = vec![0; 11 + PART];
     client.read_exact(&mut begun).expect("what has come is passed on");
@@ -254,8 +255,9 @@
     let mut rest = Vec::new();
     let _ = flood.read_to_end(&mut rest);
     first.set_read_timeout(Some(PATIENCE)).expect("it can be set");
-    first.write_all(&welcome()).expect("it is open");
-    let mut client = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
+    first.write_all(&startup_reply()).expect("it is open");
+    let mut client =
+        Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts");
     client.stream().write_all(&read_of(7)).expect("it is open");
     let (tag, body) = wire::read(&mut first).expect("a query");
     assert!(
@@ -296,10 +298,11 @@
     let (mut server, _) = host.accept().expect("it connects");
     server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
     wire::read_startup(&mut server).expect("a startup message");
-    server.write_all(&welcome()).expect("it is open");
+    server.write_all(&startup_reply()).expect("it is open");
     assert!(next_statement(&mut server).contains("id=1,"));
 
-    let mut other = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
+    let mut other =
+        Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts");
     other.stream().write_all(&read_within(100, 200)).expect("it is open");
     assert!(other.until_ready().expect("an answer").code().is_some());
 
@@ -307,7 +310,7 @@
     server.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat()).expect("it is open");
     client.write_all(&read_of(12)).expect("it is open");
     assert!(next_statement(&mut server).contains("id=12,"), "what was over is not sent on");
-    until_ready(&mut client, 2).expect("the welcome, and the first answer");
+    until_ready(&mut client, 2).expect("the startup reply, and the first answer");
     for id in 2..12 {
         let (tag, body) = wire::read(&mut client).expect("an answer");
         assert_eq!((tag, wire::field(&body, b'C').as_deref()), (b'E', Some("53300")), "request {id}");
--- a/crates/gradeshunt/tests/plain.rs
+++ b/crates/gradeshunt/tests/plain.rs
@@ -48,7 +48,7 @@
     fn client(&self) -> Client {
         let listen = self.process.listen.expect("it tells where");
         let identity = [("user", "reporter"), ("database", "results"), ("application_name", "page")];
-        Client::connect(listen, &identity, Duration::from_secs(60)).expect("it is welcome")
+        Client::connect(listen, &identity, Duration::from_secs(60)).expect("its session starts")
     }
 
     /// Numbers of the db hosts that have run a statement that holds this.
--- a/crates/gradeshunt/tests/try_it.rs
+++ b/crates/gradeshunt/tests/try_it.rs
@@ -70,8 +70,8 @@
     process.ready().expect("it serves");
     let listen = process.listen.expect("it tells where");
     let patience = Duration::from_secs(60);
-    let mut client =
-        Client::connect(listen, &[("user", "portal"), ("database", "crm")], patience).expect("welcome");
+    let mut client = Client::connect(listen, &[("user", "portal"), ("database", "crm")], patience)
+        .expect("its session starts");
     for statement in statements {
         let reply = client.query(statement).expect("an answer");
         assert_eq!(reply.value().as_deref(), Some("hello"), "{reply:?}");
--- a/crates/stand-ins/src/postgres/client.rs
+++ b/crates/stand-ins/src/postgres/client.rs
@@ -17,7 +17,7 @@
     /// SQLSTATE, text, and detail of an error.
     pub error: Option<(String, String, Option<String>)>,
     pub notices: Vec<String>,
-    /// Settings that were reported behind the welcome.
+    /// Settings that were reported in the startup reply.
     pub parameters: Vec<(String, String)>,
     /// Types of all messages, in order.
     pub order: String,
@@ -74,7 +74,7 @@
 }
 
 impl Client {
-    /// Connects and is welcomed. `patience` bounds each wait for bytes, so that a test that fails ends.
+    /// Connects and starts a session. `patience` bounds each wait for bytes, so that a test that fails ends.
     pub fn connect(addr: SocketAddr, parameters: &[(&str, &str)], patience: Duration) -> io::Result<Client> {
         let mut client = Client::open(addr, parameters, patience)?;
         client.until_ready()?;
--- a/crates/stand-ins/src/upgrade.rs
+++ b/crates/stand-ins/src/upgrade.rs
@@ -83,8 +83,8 @@
         return Outcome::Lost;
     }
     match client.until_ready() {
-        // Turned away before it was welcome.
-        Ok(welcome) if welcome.error.is_some() => welcome.outcome(),
+        // Turned away before its session started.
+        Ok(startup) if startup.error.is_some() => startup.outcome(),
         Ok(_) => client.until_ready().map_or(Outcome::Lost, |reply| reply.outcome()),
         Err(_) => Outcome::Lost,
     }
