A silent watch is opened anew in time for a refused call, heard before or not

Cause: a watch that was never heard was a failed call, which the decisions repeat 1 to 2 s later; one that had been heard was opened anew within 1 s. What discovery has counts as told after 6 s, after SIGHUP after 4 s, and the call that brings it takes time as well.

Change: a silent watch is one thing, heard or not (`Call::heard` is gone), and is opened anew within 0.5 s, each proxy at its turn. A watch that was never heard is no news to the decisions any more; that it is not called again at once is still tested.

--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -25,8 +25,9 @@
 /// Reads of a call in one turn.
 const READS: usize = 8;
 /// Within this time all proxies of a fleet open watches anew that fell silent for all at once, each at its turn. What a
-/// silent watch misses counts as told 6 s after its silence began: 3 s show that it is silent, and a call may wait for 2 s.
-const REOPEN_WITHIN: Micros = 1_000_000;
+/// silent watch misses counts as told 6 s after its silence began: 3 s show that it is silent, a call that is refused is
+/// repeated within 2 s, and the rest is for the call that brings it.
+const REOPEN_WITHIN: Micros = 500_000;
 
 /// How the list comes, and how soon a watch that has ended is opened anew.
 #[derive(Clone, Copy, Debug)]
@@ -55,9 +56,8 @@
     inbound: Ring,
     outbound: Ring,
     answer: Answer,
-    /// The version after which it was asked for changes; and whether it has begun to be answered.
+    /// The version after which it was asked for changes.
     after: u64,
-    heard: bool,
     /// By when something has to be whole: the head, a line, the list. Bytes alone don't count: one that drips an endless
     /// line would keep the watch, and nothing be heard any more.
     due: Micros,
@@ -169,15 +169,16 @@
         let inbound = Ring::default();
         let answer = Answer::new(ask == Ask::Watch);
         let after = self.reader.generation();
-        let call = Call { ask, former: false, polled, inbound, outbound, answer, after, heard: false, due };
+        let call = Call { ask, former: false, polled, inbound, outbound, answer, after, due };
         self.calls.insert(id, call);
         Ok(())
     }
 
     pub fn call_due(&mut self, turn: &mut Turn, id: CallId, news: &mut Vec<News>) {
         let Some(call) = self.calls.get(&id).filter(|c| c.due <= turn.now) else { return };
-        // Discovery is there, as far as is known: all it takes is another watch, before what this one misses counts.
-        if call.ask == Ask::Watch && !call.former && call.heard && self.pace.pushed.is_none() {
+        // Whether it was ever heard or not, discovery may be there for others: all it takes is another watch, before what
+        // this one misses counts.
+        if call.ask == Ask::Watch && !call.former && self.pace.pushed.is_none() {
             warn!(turn.log, "watch has fallen silent, opening another");
             self.end(turn, id);
             let wait = REOPEN_WITHIN as f64 * self.pace.turn;
@@ -235,7 +236,6 @@
             }
         }
         if whole.any {
-            call.heard = true;
             turn.deadlines.clear(call.due, Due::Call(id));
             call.due = turn.now + self.silence;
             turn.deadlines.set(call.due, Due::Call(id));
