Clients that leave before a further attempt, or while the loop stands, are tested

Three orders had no test: the attempt fails after its client has left (gone_failed), its second one waits for a connection then (gone_repeat), and both the close and the connection come while the process stands (crossings). Sound: nothing is sent on.

One order is wrong and open: the connection comes up first and the client leaves then, while the loop stands. The loop works off events in the order in which they came (main.rs), so the request is written before the close is read. Seen: the db host got id=1 where id=7 was due.

--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -264,3 +264,30 @@
         String::from_utf8_lossy(&body)
     );
 }
+
+/// A client leaves while the process stands, and the connection for which its request waits comes up in the same time: the
+/// request is not sent on, whichever of the two came first. The next client's is.
+fn leaves_while_the_process_stands(name: &str, meanwhile: impl Fn(&mut TcpStream, &mut TcpStream)) {
+    let (host, _discovery, program) = program_of_one_host(name);
+    let mut client = program.connect();
+    client.write_all(&[wire::startup(&[("user", "portal")]), read_of(1)].concat()).expect("it is open");
+    let (mut server, _) = host.accept().expect("it connects");
+    wire::read_startup(&mut server).expect("a startup message");
+    server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    program.signal("-STOP");
+    meanwhile(&mut client, &mut server);
+    program.signal("-CONT");
+    let mut next = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
+    next.stream().write_all(&read_of(7)).expect("it is open");
+    let (tag, body) = wire::read(&mut server).expect("a query");
+    let body = String::from_utf8_lossy(&body);
+    assert!(tag == b'Q' && body.contains("id=7,"), "{body}");
+}
+
+#[test]
+fn client_that_leaves_before_its_connection_comes_up_gets_no_attempt() {
+    leaves_while_the_process_stands("left-first", |client, server| {
+        client.shutdown(Shutdown::Both).expect("it is open");
+        server.write_all(&welcome()).expect("it is open");
+    });
+}
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -503,6 +503,8 @@
     withdrawn
     gone_held
     gone_pipelined
+    gone_failed
+    gone_repeat
     ;
     shared:
     startup
@@ -543,6 +545,8 @@
     withdrawn
     gone_held
     gone_pipelined
+    gone_failed
+    gone_repeat
     ;
     only_shared:
     spoilt_error
