Cold hosts are tested under the sum of 24 proxies, a burst and the rule's own bound

Wanted: a cold db host falls at more than N + 2 x root of N + 2 requests of mean work within the settings' time, over all proxies. 24 instances of the decisions share three members that work off what they are sent; one starts cold as a burst of half as much again begins. Old drivers and such as are 2 s old, small members and large, three rules.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -150,3 +150,187 @@
     assert_eq!(tried(100_000), 0, "it lags by a second, and 300 ms are allowed");
     assert_eq!(tried(4_000_000), 300);
 }
+
+/// When a cold member starts, and what the settings say of those: their share of capacity at first, the time until they are warm, and the multiple
+/// of what they bear that pushes them over when it is sent within the last time.
+#[derive(Clone, Copy, Debug)]
+struct ColdRule {
+    starts: Micros,
+    share: f64,
+    cold: Micros,
+    multiple: f64,
+    fall: Micros,
+}
+
+/// Drivers of the fleet that share its members.
+const CROWD: usize = 24;
+/// A burst begins when the cold member starts, and lasts so long.
+const BURST: Micros = 6_000_000;
+/// For so long the work is measured once it is warm.
+const WARM: Micros = 4_000_000;
+/// Work of the two classes, as parts of the lighter one's; one request in ten is heavy.
+const HEAVY: f64 = 3.0;
+const MEAN_WORK: f64 = 1.2;
+/// Requests take this long besides the work on them.
+const ROUND_TRIP: Micros = 5_000;
+
+/// A member that works off what all drivers send it, one request after the other.
+struct Served {
+    /// Light requests a second that it bears when warm.
+    capacity: f64,
+    free: Micros,
+    /// What has come, and its work.
+    arrived: Vec<(Micros, f64)>,
+}
+
+impl Served {
+    fn new(capacity: f64) -> Served {
+        Served { capacity, free: 0, arrived: Vec::new() }
+    }
+
+    /// When a request that comes now is answered.
+    fn take(&mut self, now: Micros, work: f64, share: f64) -> Micros {
+        self.arrived.push((now, work));
+        self.free = self.free.max(now) + (work / (self.capacity * share) * 1e6) as Micros;
+        self.free + ROUND_TRIP
+    }
+}
+
+impl ColdRule {
+    /// What a member has warmed up to.
+    fn warmth(&self, at: Micros) -> f64 {
+        let warm = (at - self.starts) as f64 / self.cold as f64;
+        (self.share + (1.0 - self.share) * warm.max(0.0)).min(1.0)
+    }
+
+    /// The most work sent within the time of the rule, as a share of what would push the member over.
+    fn worst(&self, member: &Served) -> f64 {
+        let of = &member.arrived;
+        let within = |from: Micros| of.iter().filter(move |(at, _)| (from..from + self.fall).contains(at));
+        let share = |(from, _): &(Micros, f64)| {
+            let seconds = self.fall as f64 / 1e6;
+            let allowed = self.multiple * self.warmth(*from) * member.capacity * seconds / MEAN_WORK;
+            let sent = within(*from).map(|(_, work)| work).sum::<f64>() / MEAN_WORK;
+            sent / (allowed + 2.0 * allowed.sqrt() + 2.0)
+        };
+        of.iter().filter(|(at, _)| *at < self.starts + self.cold).map(share).fold(0.0, f64::max)
+    }
+}
+
+/// One driver, and what it waits for.
+struct Instance {
+    driver: Driver,
+    /// How much of the driver's log has been carried out.
+    seen: usize,
+    asked: u64,
+    heavy: Vec<bool>,
+    attempts: std::collections::BTreeMap<u64, u32>,
+    /// When attempts are answered.
+    answers: Vec<(Micros, Micros, (u64, u32, MemberId))>,
+}
+
+impl Instance {
+    fn new(settings: Settings, seed: u64) -> Instance {
+        let mut driver = Driver::seeded(settings, seed);
+        driver.members(&[PRIMARY, THIRD], PRIMARY);
+        let (heavy, answers) = (Vec::new(), Vec::new());
+        Instance { driver, seen: 0, asked: 0, heavy, attempts: Default::default(), answers }
+    }
+
+    fn ask(&mut self, heavy: bool) {
+        self.heavy.push(heavy);
+        self.driver.request_in(self.asked, usize::from(heavy), GROUP);
+        self.asked += 1;
+    }
+
+    /// Hands over the answers that are due, and what the driver has sent since.
+    fn turn(&mut self, now: Micros, members: &mut [Served], rule: &ColdRule) {
+        self.driver.run_to(now);
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.answers).into_iter().partition(|(at, ..)| *at <= now);
+        self.answers = later;
+        for (_, sent, attempt) in due {
+            if self.driver.still_out().iter().any(|(out, _)| *out == attempt) {
+                self.driver.ok_after(attempt, Some(now), attempt.2 == PRIMARY, now - sent);
+            }
+        }
+        self.send(now, members, rule);
+    }
+
+    fn send(&mut self, now: Micros, members: &mut [Served], rule: &ColdRule) {
+        for (_, action) in &self.driver.log[self.seen..] {
+            let Action::Send { request, member, .. } = action else { continue };
+            let number = self.attempts.entry(request.0).or_default();
+            let attempt = (request.0, *number, *member);
+            *number += 1;
+            let work = if self.heavy[request.0 as usize] { HEAVY } else { 1.0 };
+            let share = if *member == REPLICA { rule.warmth(now) } else { 1.0 };
+            let answered = members[member.0 as usize].take(now, work, share);
+            self.answers.push((answered, now, attempt));
+        }
+        self.seen = self.driver.log.len();
+    }
+}
+
+/// What a cold member is sent by a crowd of drivers under a burst beyond what warm members bear, at most, as a share of what
+/// would push it over; and its share of the work when it is warm.
+fn sent_to_a_cold_member(rule: ColdRule, capacity: f64, seed: u64) -> (f64, f64) {
+    let mut s = settings(vec![ANY, ANY]);
+    s.fleet = CROWD as u32;
+    (s.rules.cold_share, s.rules.cold) = (rule.share, rule.cold);
+    (s.rules.fall_multiple, s.rules.fall) = (rule.multiple, rule.fall);
+    let mut members: Vec<_> = (0..3).map(|_| Served::new(capacity)).collect();
+    let instances = (0..CROWD as u64).map(|n| Instance::new(s.clone(), seed * 1_000 + n));
+    let mut instances: Vec<_> = instances.collect();
+    let mut rng = fastrand::Rng::with_seed(seed);
+    const STEP: Micros = 5_000;
+    let ends = rule.starts + rule.cold + WARM;
+    for step in 0..ends / STEP {
+        let now = step * STEP;
+        let load = if (rule.starts..rule.starts + BURST).contains(&now) { 1.5 } else { 0.9 };
+        // Of each driver in one step.
+        let chance = 2.0 * capacity * load / MEAN_WORK / CROWD as f64 * STEP as f64 / 1e6;
+        for instance in &mut instances {
+            if now == rule.starts {
+                let started = Entry { since: Some(now), ..entry(REPLICA, false) };
+                instance.driver.list(ListKind::Incremental, vec![started]);
+            }
+            instance.turn(now, &mut members, &rule);
+            let many = chance as u64 + u64::from(rng.f64() < chance.fract());
+            for _ in 0..many {
+                instance.ask(rng.u8(0..10) == 0);
+            }
+            instance.send(now, &mut members, &rule);
+        }
+    }
+    let work = |m: &Served| m.arrived.iter().filter(|(at, _)| *at > ends - WARM).map(|a| a.1).sum::<f64>();
+    let all: f64 = members.iter().map(work).sum();
+    (rule.worst(&members[REPLICA.0 as usize]), work(&members[REPLICA.0 as usize]) / all)
+}
+
+#[test]
+fn cold_member_is_not_pushed_over_by_the_sum_of_a_crowd_under_a_burst() {
+    // Guards rule 4 over the sum of twenty to thirty drivers, each of which sees a twenty-fourth of the traffic: more than
+    // N + 2 x root of N + 2 requests of mean work within the time of the rule push a cold member over. Small members too,
+    // where chance has the largest part.
+    let rules = [(0.17, 18, 4.0, 3_000_000), (0.2, 10, 2.5, 1_500_000), (0.1, 12, 2.0, 1_000_000)];
+    let mut highest = 0.0_f64;
+    for (share, seconds, multiple, fall) in rules {
+        // Old drivers, and such as have started two seconds before.
+        for starts in [12_000_000, 2_000_000] {
+            let rule = ColdRule { starts, share, cold: seconds * 1_000_000, multiple, fall };
+            for (capacity, seed) in [(40.0, 0), (40.0, 1), (300.0, 2)] {
+                let (worst, warm) = sent_to_a_cold_member(rule, capacity, seed);
+                assert!(worst < 1.0, "{rule:?}, {capacity} a second, seed {seed}: {worst}");
+                assert!(
+                    warm > 0.2,
+                    "{rule:?}, {capacity} a second, seed {seed}: {warm} of the work when warm"
+                );
+                highest = highest.max(worst);
+            }
+        }
+    }
+    // What is left idle while others drown is a loss, too.
+    println!("at most {highest:.3} of what pushes a cold member over");
+    assert!(highest > 0.25, "{highest}");
+}
