A process without a list asks discovery from its start, and readiness is tested

Cause: where discovery is asked, the decisions ask in the turn after their first event. A process whose configuration has no list gives them none: it refuses requests before they get there, with "no db host is known yet". It never asked, and was never ready. Discovery::start watched only where lists are pushed; it watches always now.

Seen without the change: process_that_starts_without_a_list_is_ready_once_it_is_told_one waits 40 s in vain for a call, and the log has not one line of discovery. With it both tests on readiness pass for discovery down, silent and slow, asked and pushing.

A third test fills all descriptors while discovery is down and finds that it is heard and db hosts are reached at its return. Sound; seen to fail with the clients' share of descriptors taken for all of them: nobody is turned away then, the system refuses instead. Tests of the program, exchanges and crossings passed.

--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -81,11 +81,10 @@
         Discovery { addr, silence, pace, reopen: None, reader, calls: BTreeMap::new(), next: 0 }
     }
 
-    /// Watches from now on, where the list is pushed: nobody asks for it then.
+    /// Watches from now on. The decisions ask for nothing before their first event, and a process without a list has none:
+    /// it turns requests away.
     pub fn start(&mut self, turn: &mut Turn, news: &mut Vec<News>) {
-        if self.pace.pushed.is_some() {
-            self.ask(turn, Ask::Watch, news);
-        }
+        self.ask(turn, Ask::Watch, news);
     }
 
     /// A watch is to be opened anew.
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -3,8 +3,9 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
@@ -16,6 +17,9 @@
 /// A wait that ends a test which fails, and bounds none that passes.
 const PATIENCE: Duration = Duration::from_secs(40);
 
+/// Pace of the looks at a log.
+const LOOK: Duration = Duration::from_millis(2);
+
 /// As many clients as would hold all descriptors that the process gets, beside its own.
 const HOLDERS: usize = 36;
 
@@ -53,12 +57,22 @@
             .env("TMPDIR", folder.join("tmp"))
             .env_remove("ROUTER_CONTROL")
             .env_remove("ROUTER_LISTEN_FD")
-            .stderr(Stdio::null())
+            .stderr(std::fs::File::create(folder.join("log")).expect("a file"))
             .spawn()
             .expect("it starts");
         Program { child, addr, folder }
     }
 
+    /// Waits for a line of its log.
+    fn until_logged(&self, what: &str) {
+        let began = Instant::now();
+        let log = || std::fs::read_to_string(self.folder.join("log")).expect("its log");
+        while !log().contains(what) {
+            assert!(began.elapsed() < PATIENCE, "{what}: {}", log());
+            std::thread::sleep(LOOK);
+        }
+    }
+
     /// Connects as soon as its socket listens.
     fn connect(&self) -> TcpStream {
         loop {
@@ -291,3 +305,183 @@
         server.write_all(&welcome()).expect("it is open");
     });
 }
+
+/// An address at which nobody listens yet.
+fn free_addr() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+}
+
+/// Listens there, and waits for a connection no longer than a test that fails may take.
+fn listen_at(addr: SocketAddr) -> TcpListener {
+    let listener = TcpListener::bind(addr).expect("the port is free");
+    socket2::SockRef::from(&listener).set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    listener
+}
+
+/// How discovery's answer to a watch begins.
+const WATCH_BEGINS: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Discovery takes a call, and tells the whole list on a watch that stays open.
+fn tell(discovery: &TcpListener, list: &Value) -> TcpStream {
+    let (mut watch, _) = discovery.accept().expect("a call");
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        watch.read_exact(&mut byte).expect("a head");
+        head.extend(byte);
+    }
+    let line = format!("{list}\n");
+    watch.write_all(WATCH_BEGINS).expect("it is open");
+    write!(watch, "{:x}\r\n{line}\r\n", line.len()).expect("it is open");
+    watch
+}
+
+/// A program that knows of no db host, while discovery is down.
+fn program_without_a_list(name: &str, shell: &str, sockets: u32) -> (Site, SocketAddr, Program) {
+    let site = Site::open(Plan { sockets, ..Plan::default() }).expect("a site");
+    let mut config = site.config();
+    let discovery = free_addr();
+    config["discovery"] = json!(discovery.to_string());
+    config["known"] = json!({"generation": 0, "reset": true, "instances": []});
+    let program = Program::start(name, config, shell, |_| {});
+    (site, discovery, program)
+}
+
+/// Clients that hold all descriptors: each begins a message, comes again once it is closed, and goes on until told.
+fn hold_descriptors(addr: SocketAddr, over: &AtomicBool) {
+    let half = [wire::startup(&[("user", "portal")]), b"Q\0".to_vec()].concat();
+    while !over.load(Ordering::Relaxed) {
+        let Ok(mut client) = TcpStream::connect(addr) else { continue };
+        client.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+        // It may be closed before it has said anything.
+        let _ = client.write_all(&half);
+        let _ = client.read_to_end(&mut Vec::new());
+    }
+}
+
+/// Whether a request is served; where there is no room for its client, it is not.
+fn is_served(program: &Program, id: usize) -> bool {
+    let Ok(mut client) = Client::connect(program.addr, &[("user", "portal")], PATIENCE) else { return false };
+    let asked = client.stream().write_all(&read_of(id));
+    asked.is_ok() && client.until_ready().is_ok_and(|reply| reply.code().is_none())
+}
+
+/// Clients hold all descriptors that they may while discovery is down. Once it is back, the process still has one for its call
+/// and some for db hosts, of which it knew none before: it hears the list, and serves. The system gives it no more than its
+/// settings say.
+#[test]
+fn discovery_is_heard_and_db_hosts_are_reached_while_clients_hold_all_descriptors() {
+    const DESCRIPTORS: u32 = 64;
+    let shell = format!("ulimit -n {DESCRIPTORS};");
+    let (site, discovery, program) = program_without_a_list("held-descriptors", &shell, DESCRIPTORS);
+    drop(program.connect());
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        (0..DESCRIPTORS).for_each(|_| drop(scope.spawn(|| hold_descriptors(program.addr, &over))));
+        program.until_logged("too many clients, turning one away");
+        let _watch = tell(&listen_at(discovery), &site.discovery.whole());
+        program.until_logged("list of db hosts");
+        let served = (1..1_000).any(|id| is_served(&program, id));
+        over.store(true, Ordering::Relaxed);
+        program.signal("-KILL");
+        assert!(served, "no client was let in, or none reached a db host");
+    });
+}
+
+/// What discovery does while a process starts.
+#[derive(Clone, Copy, Debug)]
+enum DiscoveryIs {
+    /// It refuses connections.
+    Down,
+    /// It takes calls and says nothing.
+    Silent,
+    /// It begins an answer, of which a list never becomes whole.
+    Slow,
+}
+
+/// A process that has just started, at a site whose discovery the test plays, and discovery's part in it.
+struct Started {
+    site: Site,
+    discovery_is: DiscoveryIs,
+    discovery: SocketAddr,
+    call: Option<TcpStream>,
+    program: Program,
+}
+
+impl Started {
+    /// `known`: its configuration has the list of db hosts.
+    fn open(discovery_is: DiscoveryIs, mode: &str, known: bool) -> Started {
+        let site = Site::open(Plan::default()).expect("a site");
+        let mut config = site.config();
+        config["settings"]["membershipMode"] = json!(mode);
+        if !known {
+            config["known"] = Value::Null;
+        }
+        let discovery = free_addr();
+        config["discovery"] = json!(discovery.to_string());
+        let listener = if let DiscoveryIs::Down = discovery_is { None } else { Some(listen_at(discovery)) };
+        let name = format!("ready-{discovery_is:?}-{mode}-{known}");
+        let program = Program::start(&name, config, "", |_| {});
+        let mut call = listener.map(|l| l.accept().expect("a call").0);
+        if let (DiscoveryIs::Slow, Some(call)) = (discovery_is, &mut call) {
+            call.write_all(WATCH_BEGINS).and_then(|()| call.write_all(b"1\r\n{\r\n")).expect("it is open");
+        }
+        Started { site, discovery_is, discovery, call, program }
+    }
+
+    /// The messages that answer the empty query on a new connection.
+    fn answer_to_the_empty_query(&self) -> String {
+        let mut client = self.program.connect();
+        let asked = [wire::startup(&[("user", "portal")]), wire::query("")].concat();
+        client.write_all(&asked).expect("it is open");
+        until_ready(&mut client, 2).expect("it is answered")
+    }
+
+    /// Discovery tells the whole list: on the call that waits for it, or on the next one.
+    fn list_is_told(&mut self) {
+        let list = format!("{}\n", self.site.discovery.whole());
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+        match (self.discovery_is, &mut self.call) {
+            (DiscoveryIs::Silent, Some(call)) => {
+                call.write_all(WATCH_BEGINS).and_then(|()| call.write_all(chunk(&list).as_bytes()))
+            }
+            (DiscoveryIs::Slow, Some(call)) => call.write_all(chunk(&list[1..]).as_bytes()),
+            (_, call) => {
+                *call = Some(tell(&listen_at(self.discovery), &self.site.discovery.whole()));
+                Ok(())
+            }
+        }
+        .expect("the call is open");
+    }
+}
+
+/// Each way in which discovery fails to tell the list, where it is asked and where it pushes.
+fn discoveries() -> impl Iterator<Item = (DiscoveryIs, &'static str)> {
+    let modes = |is| ["on_request", "pushed"].map(|mode| (is, mode));
+    [DiscoveryIs::Down, DiscoveryIs::Silent, DiscoveryIs::Slow].into_iter().flat_map(modes)
+}
+
+/// A process that starts alone with the list of its configuration is ready whatever discovery does: that has told it nothing
+/// yet when it answers the empty query, and a call's silence, 600 s here, is not over.
+#[test]
+fn process_that_starts_with_a_list_is_ready_before_discovery_says_anything() {
+    for (discovery_is, mode) in discoveries() {
+        let started = Started::open(discovery_is, mode, true);
+        let answer = started.answer_to_the_empty_query();
+        assert!(answer.ends_with("IZ"), "{discovery_is:?}, {mode}: {answer}");
+    }
+}
+
+/// One without a list has nobody to send a request to, and says so; it is ready once it is told one.
+#[test]
+fn process_that_starts_without_a_list_is_ready_once_it_is_told_one() {
+    for (discovery_is, mode) in discoveries() {
+        let mut started = Started::open(discovery_is, mode, false);
+        let answer = started.answer_to_the_empty_query();
+        assert!(answer.ends_with("EZ"), "{discovery_is:?}, {mode}: {answer}");
+        started.list_is_told();
+        started.program.until_logged("list of db hosts");
+        let answer = started.answer_to_the_empty_query();
+        assert!(answer.ends_with("IZ"), "{discovery_is:?}, {mode}: {answer}");
+    }
+}
