Draining clients goes by its standard name

`send_away`, `dismiss`, `stand_by` and `last_call` are `drain`, `close_if_draining`, `set_standby` and `drain_deadline` with its setter; the grace for a client's first request is `FIRST_REQUEST_GRACE`. Names and doc comments only; the test of the deadline is named after it.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -61,7 +61,7 @@
     next: u64,
     service: Service,
     /// After SIGTERM: until when all that is still taken has its answer.
-    last_call: Option<Micros>,
+    drain_deadline: Option<Micros>,
     /// Clients closed to make room since the last summary, by how readily.
     evicted: [u32; 6],
     /// Whether the proxy knows of db hosts at all.
@@ -86,7 +86,7 @@
             ids: HashSet::new(),
             next: 0,
             service: Service::Running,
-            last_call: None,
+            drain_deadline: None,
             evicted: [0; 6],
             able: false,
             router: None,
@@ -114,8 +114,8 @@
     }
 
     /// After SIGTERM no request is held beyond `at`: whoever told us to end may kill us soon after.
-    pub fn last_call(&mut self, at: Micros) {
-        self.last_call = Some(at);
+    pub fn set_drain_deadline(&mut self, at: Micros) {
+        self.drain_deadline = Some(at);
     }
 
     /// Whether the listener is closed and every client has had its answers.
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -21,31 +21,32 @@
 /// Pace at which idle clients are looked over, and what is borne of them among many.
 const REAP: Micros = 50_000;
 const IDLE_AMONG_MANY: Micros = 100_000;
-/// How long a new client may take to ask while clients are sent away.
-const FRESH: Micros = 2_300_000;
+/// How long a new client may take over its first request while the proxy drains.
+const FIRST_REQUEST_GRACE: Micros = 2_300_000;
 
 impl Frontend {
-    /// Clients are sent away between requests, or served on.
-    pub fn stand_by(&mut self, turn: &mut Turn, exchange: &mut Exchange, standby: bool) {
+    /// Begins to close clients between requests, or serves them on.
+    pub fn set_standby(&mut self, turn: &mut Turn, exchange: &mut Exchange, standby: bool) {
         match self.service {
             Service::Closing => {}
-            _ if standby => self.send_away(turn, exchange, Service::Standby),
+            _ if standby => self.drain(turn, exchange, Service::Standby),
             _ => self.service = Service::Running,
         }
     }
 
-    pub(super) fn send_away(&mut self, turn: &mut Turn, exchange: &mut Exchange, service: Service) {
+    pub(super) fn drain(&mut self, turn: &mut Turn, exchange: &mut Exchange, service: Service) {
         self.service = service;
         for id in self.sessions.keys().copied().collect::<Vec<_>>() {
             self.ready(turn, exchange, id);
         }
     }
 
-    /// Closes a client that is sent away, once it is quiet: nothing unread, nothing unanswered. One that has yet
+    /// While the proxy drains, closes a client once it is quiet: nothing unread, nothing unanswered. One that has yet
     /// to ask gets its time; its request is on its way, as a rule.
-    pub(super) fn dismiss(&mut self, turn: &mut Turn, id: SessionId) {
+    pub(super) fn close_if_draining(&mut self, turn: &mut Turn, id: SessionId) {
         let Some(s) = self.sessions.get(&id).filter(|_| self.service != Service::Running) else { return };
-        let fresh = turn.now - s.since <= FRESH && self.last_call.is_none_or(|at| turn.now < at);
+        let fresh =
+            turn.now - s.since <= FIRST_REQUEST_GRACE && self.drain_deadline.is_none_or(|at| turn.now < at);
         let between = match s.stage {
             Stage::Startup => !fresh,
             Stage::Ready => s.asked || !fresh,
@@ -75,7 +76,7 @@
                 .copied()
                 .collect::<Vec<_>>()
                 .into_iter()
-                .for_each(|id| self.dismiss(turn, id));
+                .for_each(|id| self.close_if_draining(turn, id));
         }
         let open = self.sessions.values().filter(|s| !s.is_ending()).count();
         if open <= self.most / 8 {
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -118,6 +118,6 @@
         } else if let Some(listener) = self.listener.take() {
             listener.close(turn);
         }
-        self.send_away(turn, exchange, Service::Closing);
+        self.drain(turn, exchange, Service::Closing);
     }
 }
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -50,7 +50,7 @@
         self.flush(turn, id);
         self.tell_unread(exchange, id, 0);
         self.await_rest(turn, id, worked);
-        self.dismiss(turn, id);
+        self.close_if_draining(turn, id);
     }
 
     /// Sets the deadline for the rest of a message that has begun; each has its own, however slowly it drips.
--- a/crates/gradeshunt/src/frontend/statements.rs
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -132,7 +132,7 @@
     /// When the wait of a request is over whose last byte arrived at `arrived`. It counts from then, however long the
     /// request stood behind others, and not from when its turn came.
     fn deadline(&self, arrived: Micros, wait: Micros) -> Micros {
-        (arrived + wait).min(self.last_call.unwrap_or(Micros::MAX))
+        (arrived + wait).min(self.drain_deadline.unwrap_or(Micros::MAX))
     }
 }
 
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -239,17 +239,17 @@
     assert_eq!(expired_at(150_000, behind_a_full_ring), 1);
 }
 
-/// Guards the end of the process: no request is held beyond the last call, and one that comes later is refused at once.
+/// Guards the end of the process: no request is held beyond the drain deadline, and one that comes later is refused at once.
 #[test]
-fn last_call_bounds_the_wait() {
+fn drain_deadline_bounds_the_wait() {
     let before = |pipeline: &mut Pipeline| {
-        pipeline.frontend.last_call(100_000);
+        pipeline.frontend.set_drain_deadline(100_000);
         pipeline.send(50_000, &read_of(1, 1_000));
     };
     assert_eq!(expired_at(99_999, before), 0);
     assert_eq!(expired_at(100_000, before), 1);
     let after = |pipeline: &mut Pipeline| {
-        pipeline.frontend.last_call(100_000);
+        pipeline.frontend.set_drain_deadline(100_000);
         pipeline.send(120_000, &read_of(1, 1_000));
     };
     assert_eq!(expired_at(120_001, after), 1);
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -73,7 +73,7 @@
         self.shared.turn_to(Duty::Leaving);
         let now = self.turn.now;
         let leave = now + self.longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
-        self.frontend.last_call(leave - LAST_ANSWERS - LAST_CALL);
+        self.frontend.set_drain_deadline(leave - LAST_ANSWERS - LAST_CALL);
         self.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
         self.turn.deadlines.set(leave - LAST_ANSWERS, Due::LastAnswers);
         self.turn.deadlines.set(leave, Due::Leave);
