Evicting clients goes by its standard name

`makes_room`, the client side's `close_oldest_idle` (which closes by rank, not by age alone) and the constants `SLOW`, `JUST`, `GUEST`, `IDLE`, `REAP` and `IDLE_AMONG_MANY` are `eviction_rank`, `evict_one`, `SLOW_CLIENT`, `RECENT`, `NEW_CLIENT`, `IDLE_LIMIT`, `REAP_INTERVAL` and `CROWDED_IDLE_LIMIT`, each with a doc comment of its own.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -110,7 +110,7 @@
     pub fn limit(&mut self, turn: &mut Turn, most: usize, most_memory: usize) {
         (self.most, self.most_memory) = (most, most_memory);
         // Another process has the rest from now on.
-        while self.sessions.len() > most && self.close_oldest_idle(turn) {}
+        while self.sessions.len() > most && self.evict_one(turn) {}
     }
 
     /// After SIGTERM no request is held beyond `at`: whoever told us to end may kill us soon after.
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -11,16 +11,18 @@
 use crate::pg::Writer;
 use crate::turn::Turn;
 
-/// A slow client may take so long over its first request; and so long a client may be new, or just have had an
-/// answer, before it goes where room is needed.
-pub(super) const SLOW: Micros = 2_100_000;
-pub(super) const JUST: Micros = 50_000;
-const GUEST: Micros = 500_000;
-/// A client without a request so long expects to be closed.
-const IDLE: Micros = 2_000_000;
-/// Pace at which idle clients are looked over, and what is borne of them among many.
-const REAP: Micros = 50_000;
-const IDLE_AMONG_MANY: Micros = 100_000;
+/// How long a slow client may take over its first request.
+pub(super) const SLOW_CLIENT: Micros = 2_100_000;
+/// A client that connected, or had its answer, less than this ago is evicted last.
+pub(super) const RECENT: Micros = 50_000;
+/// A client that has started its session and not asked yet is evicted late until it is this old.
+const NEW_CLIENT: Micros = 500_000;
+/// A client that has been without a request for this long expects to be closed.
+const IDLE_LIMIT: Micros = 2_000_000;
+/// Interval between searches for idle clients.
+const REAP_INTERVAL: Micros = 50_000;
+/// How long a client may be idle while many are open.
+const CROWDED_IDLE_LIMIT: Micros = 100_000;
 /// How long a new client may take over its first request while the proxy drains.
 const FIRST_REQUEST_GRACE: Micros = 2_300_000;
 
@@ -68,7 +70,7 @@
     /// nothing. Together they would hold all that clients may hold, and nobody else's request would get through. Where few are open, as with a
     /// person at a prompt, none is closed.
     pub fn reap(&mut self, turn: &mut Turn) {
-        turn.deadlines.set(turn.now + REAP, Due::Reap);
+        turn.deadlines.set(turn.now + REAP_INTERVAL, Due::Reap);
         if self.service != Service::Running {
             return self
                 .sessions
@@ -85,19 +87,19 @@
         // One at a time beyond so many, the longest idle first: a close may cross a request.
         let excess = open.saturating_sub(self.most * 2 / 5);
         // The fuller, the sooner: their clients, too, have only so many connections.
-        let idle_borne = if open > self.most * 3 / 5 { JUST } else { IDLE_AMONG_MANY };
+        let idle_limit = if open > self.most * 3 / 5 { RECENT } else { CROWDED_IDLE_LIMIT };
         let idle = self.sessions.iter().filter_map(|(id, s)| {
-            let borne = match s.stage {
-                Stage::Startup => SLOW,
-                Stage::Ready if s.asked => idle_borne,
+            let limit = match s.stage {
+                Stage::Startup => SLOW_CLIENT,
+                Stage::Ready if s.asked => idle_limit,
                 Stage::Ready | Stage::Waiting(_) | Stage::Closing | Stage::Lingering => return None,
             };
             let silent = s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet();
-            (silent && turn.now - s.since > borne).then_some((s.since, *id))
+            (silent && turn.now - s.since > limit).then_some((s.since, *id))
         });
         let mut idle: Vec<_> = idle.collect();
         idle.sort();
-        let over = |n: usize, since: Micros| n < excess || turn.now - since > IDLE;
+        let over = |n: usize, since: Micros| n < excess || turn.now - since > IDLE_LIMIT;
         let idle = idle.into_iter().enumerate().filter(|(n, (since, _))| over(*n, *since));
         for (_, (_, id)) in idle.collect::<Vec<_>>() {
             self.evicted[2] += 1;
@@ -106,11 +108,11 @@
         }
     }
 
-    /// Makes room by closing the client that [`makes_room`] names first, the oldest of equals.
-    pub(super) fn close_oldest_idle(&mut self, turn: &mut Turn) -> bool {
+    /// Closes the client with the lowest [`eviction_rank`], the oldest of equals; false where none may be closed.
+    pub(super) fn evict_one(&mut self, turn: &mut Turn) -> bool {
         let rank = |s: &Session| {
             let empty = s.inbound.is_empty() && s.outbound.is_empty();
-            makes_room(&s.stage, s.asked, empty, turn.now - s.since)
+            eviction_rank(&s.stage, s.asked, empty, turn.now - s.since)
         };
         let idle = self.sessions.iter().filter_map(|(id, s)| Some((rank(s)?, s.since, *id)));
         let mut idle: Vec<_> = idle.collect();
@@ -126,25 +128,25 @@
     }
 }
 
-/// How readily a client is closed where room is needed, 0 first; `None` where it is not. Those go first that are being
-/// closed and have their last answer, or took longer over their first request than a slow client may; then those that
+/// In which order clients are closed where room is needed, 0 first; `None` for those that are not. Those go first that
+/// are being closed and have their last answer, or took longer over their first request than a slow client may; then those that
 /// have had their answer, to whom a close costs no more than a new connection; then the longest under way with a first
 /// request, since most of a crowd that never ends one are among them.
-pub(super) fn makes_room(stage: &Stage, asked: bool, empty: bool, age: Micros) -> Option<usize> {
+pub(super) fn eviction_rank(stage: &Stage, asked: bool, empty: bool, age: Micros) -> Option<usize> {
     match stage {
         Stage::Lingering => Some(0),
         Stage::Startup | Stage::Ready if !asked => {
             // One that has introduced itself is no mere connection: it has a while for its request.
             let started = matches!(stage, Stage::Ready);
             Some(match age {
-                SLOW.. => 1,
-                GUEST.. => 3,
-                JUST.. if !started => 3,
+                SLOW_CLIENT.. => 1,
+                NEW_CLIENT.. => 3,
+                RECENT.. if !started => 3,
                 _ if !started => 4,
                 _ => 5,
             })
         }
-        Stage::Ready if empty => Some(if age >= JUST { 2 } else { 5 }),
+        Stage::Ready if empty => Some(if age >= RECENT { 2 } else { 5 }),
         Stage::Startup | Stage::Ready | Stage::Waiting(_) | Stage::Closing => None,
     }
 }
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -64,7 +64,7 @@
                     // Out of descriptors, most likely: the listener stays readable, so it is tried again only
                     // after a pause, with one more descriptor to spare.
                     warn!(turn.log, "cannot accept connections"; "error" => e.to_string());
-                    self.close_oldest_idle(turn);
+                    self.evict_one(turn);
                     turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::Accept);
                     return Backlog::Stuck;
                 }
@@ -78,7 +78,7 @@
         socket.set_nodelay(true)?;
         let id = SessionId(self.next);
         self.next += 1;
-        let full = self.sessions.len() >= self.most && !self.close_oldest_idle(turn);
+        let full = self.sessions.len() >= self.most && !self.evict_one(turn);
         let polled = Polled::new(turn, socket, Source::Session(id))?;
         let session = Session {
             polled,
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -5,7 +5,7 @@
 
 use leadmast::{GroupId, Micros, RequestId};
 
-use super::eviction::{makes_room, JUST, SLOW};
+use super::eviction::{eviction_rank, RECENT, SLOW_CLIENT};
 use super::session::{Stage, LINGER, UNREAD_FOR};
 use super::Frontend;
 use crate::exchange::{Body, Call, Exchange, Final, Form};
@@ -17,22 +17,25 @@
 /// Guards slow clients in a crowd: they may take 2 s over a request, and whoever has had an answer goes first.
 #[test]
 fn idle_clients_make_room_before_slow_ones() {
-    let slow = makes_room(&Stage::Startup, false, false, SLOW - 1);
-    let half = makes_room(&Stage::Ready, false, false, SLOW - 1);
-    let served = makes_room(&Stage::Ready, true, true, JUST);
-    let stuck = makes_room(&Stage::Startup, false, false, SLOW);
+    let slow = eviction_rank(&Stage::Startup, false, false, SLOW_CLIENT - 1);
+    let half = eviction_rank(&Stage::Ready, false, false, SLOW_CLIENT - 1);
+    let served = eviction_rank(&Stage::Ready, true, true, RECENT);
+    let stuck = eviction_rank(&Stage::Startup, false, false, SLOW_CLIENT);
     assert!(stuck < served && served < slow && slow == half && slow.is_some());
-    let new = makes_room(&Stage::Startup, false, true, 0);
-    assert!(slow < new && new < makes_room(&Stage::Ready, false, true, 0), "what came just now may ask yet");
-    assert_eq!(makes_room(&Stage::Ready, true, false, SLOW), None, "a request may be unread");
-    assert_eq!(makes_room(&Stage::Waiting(RequestId(0)), true, true, SLOW), None);
+    let new = eviction_rank(&Stage::Startup, false, true, 0);
+    assert!(
+        slow < new && new < eviction_rank(&Stage::Ready, false, true, 0),
+        "what came just now may ask yet"
+    );
+    assert_eq!(eviction_rank(&Stage::Ready, true, false, SLOW_CLIENT), None, "a request may be unread");
+    assert_eq!(eviction_rank(&Stage::Waiting(RequestId(0)), true, true, SLOW_CLIENT), None);
 }
 
 /// Guards the last answer of a client that is being closed: while it is unwritten its connection makes no room.
 #[test]
 fn closing_client_makes_room_once_it_has_its_last_answer() {
-    assert_eq!(makes_room(&Stage::Closing, true, false, SLOW), None);
-    assert_eq!(makes_room(&Stage::Lingering, true, true, 0), Some(0));
+    assert_eq!(eviction_rank(&Stage::Closing, true, false, SLOW_CLIENT), None);
+    assert_eq!(eviction_rank(&Stage::Lingering, true, true, 0), Some(0));
 }
 
 /// A client side with one client on a real connection, and a clock that the test sets.
