`proc_stats` reads the system's statistics of a thread

The module was called `strain` and its reading an account. `ProcStats` reads a `Sample` now. Names and doc comments only.

--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -20,13 +20,13 @@
 mod pace;
 mod pg;
 mod planning;
+mod proc_stats;
 mod proxy;
 mod ring;
 mod routing;
 mod run;
 mod shared;
 mod site_loss;
-mod strain;
 mod turn;
 
 pub use cli::Arguments;
--- a/crates/gradeshunt/src/pace.rs
+++ b/crates/gradeshunt/src/pace.rs
@@ -7,7 +7,7 @@
 use leadmast::Micros;
 use slog::{info, warn, Logger};
 
-use crate::strain::{Account, Strain};
+use crate::proc_stats::{ProcStats, Sample};
 
 /// A turn that takes longer is told in the log.
 const SLOW: Micros = 50_000;
@@ -52,8 +52,8 @@
 
 /// The account of turns.
 pub struct Pace {
-    strain: Strain,
-    sampled: (Micros, Account),
+    proc_stats: ProcStats,
+    sampled: (Micros, Sample),
     start: Micros,
     last: Micros,
     late: Micros,
@@ -69,10 +69,10 @@
 
 impl Pace {
     pub fn new(now: Micros) -> Self {
-        let strain = Strain::open();
+        let proc_stats = ProcStats::open();
         Pace {
-            sampled: (now, strain.account()),
-            strain,
+            sampled: (now, proc_stats.sample()),
+            proc_stats,
             start: now,
             last: now,
             late: 0,
@@ -93,7 +93,7 @@
         self.former = self.last - self.start;
         (self.start, self.last) = (now, now);
         if now - self.sampled.0 > SAMPLE {
-            self.sampled = (now, self.strain.account());
+            self.sampled = (now, self.proc_stats.sample());
         }
     }
 
@@ -117,7 +117,7 @@
         if lap.took <= SLOW && lap.late <= SLOW {
             return;
         }
-        let now = self.strain.account();
+        let now = self.proc_stats.sample();
         let since = now.since(self.sampled.1);
         self.sampled = (self.last, now);
         let parts: Vec<_> =
--- a/crates/gradeshunt/src/strain.rs
+++ b/crates/gradeshunt/src/proc_stats.rs
@@ -1,4 +1,4 @@
-//! What the system tells of this thread and its machine: proc(5), `/proc/thread-self/schedstat`, `/proc/thread-self/stat`
+//! Statistics of this thread and its machine from the system: proc(5), `/proc/thread-self/schedstat`, `/proc/thread-self/stat`
 //! and `/proc/stat`. These are no files of a disk, and reading them waits for nothing.
 
 use std::fs::File;
@@ -6,9 +6,9 @@
 
 use leadmast::Micros;
 
-/// A thread's account with the system since it started.
+/// What a thread has used since it started.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Account {
+pub struct Sample {
     /// On a CPU.
     pub ran: Micros,
     /// Runnable, without a CPU.
@@ -16,14 +16,14 @@
     /// Page faults that had to be read from a disk.
     pub major_faults: u64,
     /// Taken from all CPUs of this machine by the one that it runs on, where it is a virtual one: nothing of this
-    /// machine runs meanwhile, and no account of its own shows it.
+    /// machine runs meanwhile, and no figure of its own shows it.
     pub stolen: Micros,
 }
 
-impl Account {
-    /// What has been added since an earlier account.
-    pub fn since(self, earlier: Account) -> Account {
-        Account {
+impl Sample {
+    /// What has been added since an earlier sample.
+    pub fn since(self, earlier: Sample) -> Sample {
+        Sample {
             ran: self.ran - earlier.ran,
             waited: self.waited - earlier.waited,
             major_faults: self.major_faults.saturating_sub(earlier.major_faults),
@@ -32,31 +32,31 @@
     }
 }
 
-/// The open accounts of the thread that opened them; nothing where the system keeps none.
-pub struct Strain {
+/// The open files with the statistics of the thread that opened them; `None` where the system has no such file.
+pub struct ProcStats {
     schedule: Option<File>,
     stat: Option<File>,
     machine: Option<File>,
 }
 
-impl Strain {
+impl ProcStats {
     pub fn open() -> Self {
         let open = |what| File::open(format!("/proc/{what}")).ok();
         let (schedule, stat) = (open("thread-self/schedstat"), open("thread-self/stat"));
-        Strain { schedule, stat, machine: open("stat") }
+        ProcStats { schedule, stat, machine: open("stat") }
     }
 
-    pub fn account(&self) -> Account {
+    pub fn sample(&self) -> Sample {
         let text = |file: &Option<File>| {
             let mut bytes = [0; 1024];
             let n = file.as_ref().and_then(|f| f.read_at(&mut bytes, 0).ok()).unwrap_or(0);
             String::from_utf8_lossy(&bytes[..n]).into_owned()
         };
-        account(&text(&self.schedule), &text(&self.stat), &text(&self.machine))
+        parse(&text(&self.schedule), &text(&self.stat), &text(&self.machine))
     }
 }
 
-fn account(schedule: &str, stat: &str, machine: &str) -> Account {
+fn parse(schedule: &str, stat: &str, machine: &str) -> Sample {
     let mut ns = schedule.split_whitespace().map(|n| n.parse::<Micros>().unwrap_or(0) / 1000);
     // The name before it, in brackets, may hold anything; major faults are the tenth field behind that.
     let fields = stat.rsplit_once(')').map_or("", |s| s.1);
@@ -64,7 +64,7 @@
     // The first line is of all CPUs together, in ticks of 10 ms; the eighth figure is what was stolen.
     let stolen =
         machine.split_whitespace().nth(8).and_then(|n| n.parse::<Micros>().ok()).unwrap_or(0) * 10_000;
-    Account { ran: ns.next().unwrap_or(0), waited: ns.next().unwrap_or(0), major_faults, stolen }
+    Sample { ran: ns.next().unwrap_or(0), waited: ns.next().unwrap_or(0), major_faults, stolen }
 }
 
 #[cfg(test)]
@@ -74,10 +74,10 @@
     #[test]
     fn reads_what_the_system_writes() {
         let stat = "17 (a) b) S 1 2 3 4 5 6 70 80 9 100 11 12 13";
-        let read = account("5000000 2000999 17\n", stat, "cpu  1 2 3 4 5 6 7 8 9\ncpu0 1");
-        assert_eq!(read, Account { ran: 5000, waited: 2000, major_faults: 9, stolen: 80_000 });
-        assert_eq!(account("", "", ""), Account::default());
-        let now = Strain::open().account();
-        assert!(Strain::open().account().ran >= now.ran);
+        let read = parse("5000000 2000999 17\n", stat, "cpu  1 2 3 4 5 6 7 8 9\ncpu0 1");
+        assert_eq!(read, Sample { ran: 5000, waited: 2000, major_faults: 9, stolen: 80_000 });
+        assert_eq!(parse("", "", ""), Sample::default());
+        let now = ProcStats::open().sample();
+        assert!(ProcStats::open().sample().ran >= now.ran);
     }
 }
