--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -355,7 +355,7 @@
 fn client_that_leaves_before_its_connection_comes_up_gets_no_attempt() {
     leaves_while_the_process_stands("left-first", |client, server| {
         client.shutdown(Shutdown::Both).expect("it is open");
-        server.write_all(&welcome()).expect("it is open");
+        server.write_all(&startup_reply()).expect("it is open");
     });
 }
 
