Clients are worked off before db hosts in each turn

Seen: a client leaves in the turn in which the connection for its request comes up, the connection first; the request was written before the close was read. At fault: the loop (Cycle::turn) worked off sources in the order in which the poll told of them. Change: rank() puts clients before db hosts, behind operators as before.

--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -61,8 +61,7 @@
         let until = parts.core().turn.deadlines.next();
         self.event_loop.dispatch(wait, &mut self.ready).map_err(|e| format!("cannot poll: {e}"))?;
         let mut sources = self.begin(parts.core(), until);
-        // Operators' calls are few and owed an answer whatever the load.
-        sources.sort_by_key(|s| !matches!(s, Source::Control | Source::Caller(_)));
+        sources.sort_by_key(|source| rank(*source));
         for source in sources {
             parts.event(source);
             worked(parts.core(), source.name());
@@ -95,6 +94,22 @@
     }
 }
 
+/// The order in which sources of one turn are worked off, 0 first. Operators' calls are few and owed an answer whatever the
+/// load. Clients come before db hosts: of a client that has left in the same turn in which a connection came up for its
+/// request, nothing may be sent on.
+fn rank(source: Source) -> u8 {
+    match source {
+        Source::Control | Source::Caller(_) => 0,
+        Source::Session(_) => 1,
+        Source::Listener
+        | Source::Server(_)
+        | Source::Call(_)
+        | Source::Terminate
+        | Source::Reload
+        | Source::Files => 2,
+    }
+}
+
 /// A source or a deadline of this name is worked off.
 fn worked(core: &mut Core, name: &'static str) {
     core.pace.worked(name, core.turn.clock.now());
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -359,6 +359,14 @@
     });
 }
 
+#[test]
+fn client_that_leaves_after_its_connection_came_up_gets_no_attempt() {
+    leaves_while_the_process_stands("left-second", |client, server| {
+        server.write_all(&startup_reply()).expect("it is open");
+        client.shutdown(Shutdown::Both).expect("it is open");
+    });
+}
+
 /// An address at which nobody listens yet.
 fn free_addr() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
