--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -4,10 +4,13 @@
 //! The exchange owns the module. It hands it events one at a time and queues what the module asks for; the
 //! turn carries the queues to the two sides, so that the module is never re-entered.
 
+mod forwarding;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::Range;
 use std::rc::Rc;
 
+use gradeshunt_placement::Source;
 use gradeshunt_sites::proxy::Sites;
 use leadmast::*;
 use slog::{debug, error, info};
@@ -15,6 +18,7 @@
 use crate::deadlines::Due;
 use crate::figures::{Count, Figures, TenantCount};
 use crate::memory::Held;
+use crate::placing::Placing;
 use crate::site_loss;
 use crate::turn::Turn;
 
@@ -77,6 +81,8 @@
     pub checked: bool,
     /// Whose it is, where the settings name tenants.
     pub tenant: Option<TenantId>,
+    /// Whether it came from a client or from another proxy.
+    pub source: Source,
     pub body: Body,
 }
 
@@ -147,6 +153,12 @@
     Error(Vec<u8>),
     /// An error of the statement's own, such as a duplicate key: it would be the same anywhere.
     Verdict(Vec<u8>),
+    /// It has turned the request away, perhaps with the time after which to come again.
+    Refused {
+        retry_after: Option<Micros>,
+    },
+    /// It ends, and has not read the request.
+    Leaving,
 }
 
 struct Out {
@@ -175,6 +187,8 @@
     /// The final answer is given, or the client has gone.
     over: bool,
     error: Option<Vec<u8>>,
+    /// While another proxy has it.
+    forward: Option<Box<forwarding::Forward>>,
     /// The first part of a long answer was passed on: from then on it is this attempt's, without a deadline.
     begun: bool,
     /// How much of it the client side can take now, how much is on its way there, and whether the server side waits
@@ -216,6 +230,12 @@
     /// What is done at the loss of a site, where operators have a plan for it. What it does is carried out by
     /// [`crate::site_loss`].
     pub sites: Option<Sites>,
+    /// Which requests go to other proxies, where operators have a file on that.
+    pub placing: Option<Placing>,
+    /// Time that an answer takes from one proxy to another, at most.
+    hop: Micros,
+    /// By class.
+    effects: Vec<Effect>,
     /// By class.
     retry_after: Vec<Option<Micros>>,
     /// By class, of what is keyed: how long after its first send a repeat may still be sent.
@@ -243,6 +263,9 @@
             slack: settings.rules.answer_slack,
             max_attempts: settings.allowed.attempts,
             sites: None,
+            placing: None,
+            hop: settings.tick,
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
             retry_after: settings.classes.iter().map(|c| site_loss::back(&settings, c)).collect(),
             balancer: Balancer::new(settings, seed, now),
             requests: BTreeMap::new(),
@@ -262,7 +285,7 @@
     pub fn submit(&mut self, turn: &mut Turn, call: Call) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
-        let Call { class, group, key, deadline, since_write, repeat, checked, tenant, body } = call;
+        let Call { class, group, key, deadline, since_write, repeat, checked, tenant, source, body } = call;
         self.tally.requests += 1;
         // The module answers by the deadline. Should it not, the client gets its answer all the same.
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
@@ -281,6 +304,7 @@
             left: false,
             over: false,
             error: None,
+            forward: None,
             begun: false,
             room: ROOM,
             queued: 0,
@@ -299,22 +323,9 @@
             self.finish(turn, id, refused);
             return id;
         }
-        self.tell(
-            turn,
-            Event::Request(Arrival {
-                request: id,
-                class,
-                group,
-                key,
-                deadline,
-                since_write,
-                repeat,
-                checked,
-                tenant,
-            }),
-        );
-        let beyond = self.balancer.is_beyond(id);
-        self.requests.get_mut(&id).into_iter().for_each(|r| r.beyond = beyond);
+        let arrival =
+            Arrival { request: id, class, group, key, deadline, since_write, repeat, checked, tenant };
+        self.place(turn, source, arrival);
         id
     }
 
@@ -397,7 +408,10 @@
         self.answers.push_back((id, Answer::Part(bytes)));
         if !std::mem::replace(&mut r.begun, true) {
             turn.deadlines.clear(r.deadline + self.slack, Due::Overdue(id));
-            self.outcome(turn, id, attempt.number, member, Ending::Ok, true, elapsed, note);
+            // Of what another proxy serves the module knows nothing.
+            if r.forward.is_none() {
+                self.outcome(turn, id, attempt.number, member, Ending::Ok, true, elapsed, note);
+            }
         }
     }
 
@@ -405,6 +419,9 @@
         let Ended { attempt: AttemptId { request: id, number }, ending, note, said } = ended;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(out) = r.out.take_if(|o| o.number == number) else { return };
+        if r.forward.is_some() {
+            return self.forward_ended(turn, id, out, ending, said);
+        }
         r.error = None;
         if !ending.never_ran() {
             r.doubt_since.get_or_insert(out.since);
@@ -418,7 +435,7 @@
                 r.error = Some(bytes);
                 None
             }
-            Said::Nothing => None,
+            Said::Nothing | Said::Refused { .. } | Said::Leaving => None,
         };
         let last = over || answer.is_some();
         let broken = answer == Some(Final::Broken);
@@ -445,7 +462,9 @@
 
     /// An attempt is written whole.
     pub fn dispatched(&mut self, attempt: AttemptId) {
-        self.figures.dispatches += 1;
+        if !attempt.is_forward() {
+            self.figures.dispatches += 1;
+        }
         let Some(r) = self.requests.get_mut(&attempt.request) else { return };
         // Nobody waits for it: this must not be.
         if r.left && !r.written {
--- /dev/null
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -0,0 +1,160 @@
+//! Requests that are sent on to a home proxy. The module hears nothing of them, unless no home can be had and they are served
+//! from here after all.
+
+use gradeshunt_placement::{Bucket, Source};
+use leadmast::{Arrival, Effect, Ending, Event, MemberId, Micros, RequestId};
+use slog::{debug, info};
+
+use super::{AttemptId, Exchange, Final, Form, Order, Out, Said};
+use crate::placing::{self, Decision};
+use crate::turn::Turn;
+
+/// Numbers of tries at other proxies; the module numbers its attempts from 0 on.
+const FIRST_FORWARD: u32 = 1 << 16;
+
+/// A request on its way over other proxies.
+#[derive(Debug)]
+pub(super) struct Forward {
+    /// What the module is told should it be served from here.
+    arrival: Arrival,
+    bucket: Bucket,
+    /// The proxies that it was sent on to.
+    tried: Vec<MemberId>,
+}
+
+impl AttemptId {
+    /// Whether it is a try at another proxy, and no attempt at a db host.
+    pub fn is_forward(self) -> bool {
+        self.number >= FIRST_FORWARD
+    }
+}
+
+impl Exchange {
+    /// Sends a request on, or serves it from here. One that came from another proxy is always served here, so that none goes
+    /// round in circles.
+    pub(super) fn place(&mut self, turn: &mut Turn, source: Source, arrival: Arrival) {
+        let id = arrival.request;
+        // Only a value that tells its db host how long to wait can be had from another proxy as from a db host.
+        let body = self.requests.get(&id).map(|r| &r.body);
+        let plain = body.is_none_or(|b| b.wait_at.is_none() || b.form != Form::Value);
+        let Some(placing) = &mut self.placing else { return self.serve_here(turn, arrival) };
+        if source == Source::Proxy {
+            placing.counts.taken += 1;
+            return self.serve_here(turn, arrival);
+        }
+        if plain {
+            placing.counts.direct += 1;
+            return self.serve_here(turn, arrival);
+        }
+        let bucket = placing::bucket(arrival.group, arrival.key, id.0);
+        self.decide(turn, id, Forward { arrival, bucket, tried: Vec::new() });
+    }
+
+    fn decide(&mut self, turn: &mut Turn, id: RequestId, forward: Forward) {
+        let Some(placing) = &mut self.placing else { return self.serve_here(turn, forward.arrival) };
+        match placing.decide(turn.now, forward.arrival.group, forward.bucket, &forward.tried) {
+            Decision::Here => self.serve_here(turn, forward.arrival),
+            Decision::SendOn(peer) => self.send_on(turn, id, peer, forward),
+            Decision::Refuse => self.refuse(turn, id),
+        }
+    }
+
+    fn serve_here(&mut self, turn: &mut Turn, arrival: Arrival) {
+        let id = arrival.request;
+        self.tell(turn, Event::Request(arrival));
+        let beyond = self.balancer.is_beyond(id);
+        self.requests.get_mut(&id).into_iter().for_each(|r| r.beyond = beyond);
+    }
+
+    fn refuse(&mut self, turn: &mut Turn, id: RequestId) {
+        let class = self.requests.get(&id).map(|r| r.class.0);
+        let retry_after = class.and_then(|class| self.retry_after.get(class).copied().flatten());
+        self.finish(turn, id, Final::Refused { retry_after });
+    }
+
+    fn send_on(&mut self, turn: &mut Turn, id: RequestId, peer: MemberId, mut forward: Forward) {
+        let Some(r) = self.requests.get(&id) else { return };
+        // The home's last answer has to come back in time.
+        let last = r.deadline - self.hop;
+        if last <= turn.now {
+            return self.refuse(turn, id);
+        }
+        // What may be repeated leaves time for the next home.
+        let half = turn.now + (r.deadline - turn.now) / 2;
+        let until = if self.may_repeat(turn.now, id, half) { half.min(last) } else { last };
+        forward.tried.push(peer);
+        let number = FIRST_FORWARD + forward.tried.len() as u32;
+        debug!(turn.log, "sent on"; "request" => id.0, "member" => peer.0);
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let write_by = until.min(self.windows.get(r.class.0).copied().flatten().zip(r.doubt_since).map_or(until, |(w, at)| at + w));
+        r.out = Some(Out { number, member: peer, since: turn.now });
+        r.forward = Some(Box::new(forward));
+        let body = std::rc::Rc::clone(&r.body);
+        let attempt = AttemptId { request: id, number };
+        self.orders.push_back(Order::Start { attempt, member: peer, body, until, write_by });
+    }
+
+    /// Whether a request that may have run may be sent once more at `at`.
+    fn may_repeat(&self, now: Micros, id: RequestId, at: Micros) -> bool {
+        let Some(r) = self.requests.get(&id) else { return false };
+        match self.effects.get(r.class.0) {
+            Some(Effect::Safe) => true,
+            Some(Effect::Keyed { .. }) => {
+                let window = self.windows.get(r.class.0).copied().flatten();
+                window.is_some_and(|window| at < r.doubt_since.unwrap_or(now) + window)
+            }
+            Some(Effect::Unsafe) | None => false,
+        }
+    }
+
+    /// A try at another proxy has ended.
+    pub(super) fn forward_ended(
+        &mut self,
+        turn: &mut Turn,
+        id: RequestId,
+        out: Out,
+        ending: Ending,
+        said: Said,
+    ) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let Some(forward) = r.forward.take() else { return };
+        let (over, begun, group) = (r.over, r.begun, r.group);
+        let leaving = matches!(said, Said::Leaving);
+        let ran = !ending.never_ran() && !leaving;
+        if ran {
+            r.doubt_since.get_or_insert(out.since);
+        }
+        self.judge_peer(turn, &out, ending, &said, group);
+        if over {
+            return self.forget_if_done(id);
+        }
+        match said {
+            Said::Answer(bytes) => self.finish(turn, id, Final::Served(bytes)),
+            _ if begun => self.finish(turn, id, Final::Broken),
+            Said::Verdict(bytes) | Said::Error(bytes) => self.finish(turn, id, Final::Failed(Some(bytes))),
+            Said::Refused { retry_after } => self.finish(turn, id, Final::Refused { retry_after }),
+            Said::Nothing | Said::Leaving if !ran || self.may_repeat(turn.now, id, turn.now) => {
+                self.decide(turn, id, *forward);
+            }
+            Said::Nothing | Said::Leaving => self.finish(turn, id, Final::Failed(None)),
+        }
+        self.forget_if_done(id);
+    }
+
+    /// What the end of a try says of the proxy that it went to.
+    fn judge_peer(&mut self, turn: &mut Turn, out: &Out, ending: Ending, said: &Said, group: leadmast::GroupId) {
+        let Some(placing) = &mut self.placing else { return };
+        match (said, ending) {
+            (Said::Answer(_) | Said::Verdict(_) | Said::Error(_) | Said::Refused { .. }, _) => {
+                placing.answered(out.member, group);
+            }
+            (Said::Nothing, Ending::Moot | Ending::Cancelled | Ending::Ok | Ending::Error) => {}
+            (Said::Leaving, _) | (Said::Nothing, _) => {
+                info!(turn.log, "a proxy can't be had"; "member" => out.member.0, "ending" => super::name(ending));
+                placing.failed(turn.now, out.member);
+                // Connections that stand in the pool are no better: the next request needs one that has come up.
+                self.orders.push_back(Order::CloseIdle(out.member));
+            }
+        }
+    }
+}
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -19,6 +19,7 @@
 mod memory;
 mod pace;
 mod pg;
+mod placing;
 mod planning;
 mod proxy;
 mod ring;
--- /dev/null
+++ b/crates/gradeshunt/src/placing.rs
@@ -0,0 +1,251 @@
+//! Placement, carried out: which requests are sent on to a home proxy, and which of the homes can be had. What the homes are
+//! `gradeshunt_placement` says; docs/placement.md tells the mechanism.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use gradeshunt_placement::{Acting, Bucket, DirectSets, Member, Placement, Route, Source, BUCKETS};
+use leadmast::{GroupId, MemberId, Micros, Settings};
+
+/// Numbers of proxies among the members that connections are held to. Db hosts are numbered from 0 on.
+const FIRST_PEER: u32 = 1 << 31;
+/// A proxy that can't be had is tried again after the connect time-out, and then after twice as long each time, up to this
+/// many times as long.
+const LONGEST_BACKOFF: i64 = 32;
+
+/// Whether a member is a proxy, and no db host.
+pub fn is_peer(member: MemberId) -> bool {
+    member.0 >= FIRST_PEER
+}
+
+/// Another proxy of the group.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its name in the roster.
+    pub name: String,
+    /// Its number, which stays as long as this process lives.
+    pub member: MemberId,
+    /// Where other proxies reach it.
+    pub address: SocketAddr,
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// To the set's db hosts, from here.
+    Here,
+    /// To this proxy.
+    SendOn(MemberId),
+    /// Nowhere: no home can be had, and enough sets go to their db hosts from here already.
+    Refuse,
+}
+
+/// How a proxy has fared of late.
+#[derive(Clone, Copy, Debug, Default)]
+struct Health {
+    /// Failures since it last answered.
+    failures: u32,
+    /// Until when it is passed over.
+    until: Micros,
+}
+
+/// How requests were placed since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests of clients served here, as a home of their set.
+    pub home: u64,
+    /// Requests of clients sent on to another proxy, each try counted.
+    pub sent_on: u64,
+    /// Requests that came from another proxy.
+    pub taken: u64,
+    /// Requests of clients served here though this proxy is no home of their set.
+    pub direct: u64,
+    /// Requests refused since no home could be had.
+    pub refused: u64,
+}
+
+/// The part of this proxy in the placement, and what it knows of the others.
+pub struct Placing {
+    placement: Placement,
+    direct: DirectSets,
+    /// Numbers of all proxies that were ever named, so that none is given to another one.
+    numbers: BTreeMap<String, MemberId>,
+    health: BTreeMap<MemberId, Health>,
+    connect_timeout: Micros,
+    /// What came of it.
+    pub counts: Counts,
+}
+
+impl Placing {
+    /// By a placement; a proxy that can't be had is tried again after `connect_timeout` at the earliest.
+    pub fn new(placement: Placement, connect_timeout: Micros) -> Placing {
+        let direct = DirectSets::new(placement.settings().direct_sets);
+        let mut placing = Placing {
+            placement,
+            direct,
+            numbers: BTreeMap::new(),
+            health: BTreeMap::new(),
+            connect_timeout,
+            counts: Counts::default(),
+        };
+        placing.number_all();
+        placing
+    }
+
+    /// The operators' file was read anew: what is known of the proxies stays, and so do the counts.
+    pub fn replace(&mut self, placement: Placement) {
+        self.direct = DirectSets::new(placement.settings().direct_sets);
+        self.placement = placement;
+        self.number_all();
+    }
+
+    fn number_all(&mut self) {
+        for proxy in self.placement.proxies() {
+            let next = MemberId(FIRST_PEER + self.numbers.len() as u32);
+            self.numbers.entry(proxy.name.clone()).or_insert(next);
+        }
+    }
+
+    /// The own name.
+    pub fn own_name(&self) -> &str {
+        self.placement.proxy(self.placement.own()).map_or("", |proxy| &proxy.name)
+    }
+
+    /// Where this proxy listens for others, if anywhere.
+    pub fn own_address(&self) -> Option<SocketAddr> {
+        self.placement.proxy(self.placement.own()).and_then(|proxy| proxy.address)
+    }
+
+    /// The other proxies of the group that can be reached.
+    pub fn peers(&self) -> Vec<Peer> {
+        let own = self.own_name();
+        let others = self.placement.proxies().iter().filter(|proxy| proxy.name != own);
+        let peer = |proxy: &gradeshunt_placement::Proxy| {
+            let (member, address) = (*self.numbers.get(&proxy.name)?, proxy.address?);
+            Some(Peer { name: proxy.name.clone(), member, address })
+        };
+        others.filter_map(peer).collect()
+    }
+
+    /// Whether a proxy of this name is in the own group.
+    pub fn knows(&self, name: &str) -> bool {
+        self.placement.proxies().iter().any(|proxy| proxy.name == name)
+    }
+
+    /// Where a client's request goes; `tried`: the proxies that it was sent on to in vain.
+    pub fn decide(&mut self, now: Micros, group: GroupId, bucket: Bucket, tried: &[MemberId]) -> Decision {
+        let available = |member: Member| {
+            let number = self.number(member);
+            number.is_some_and(|n| !tried.contains(&n) && self.is_available(now, n))
+        };
+        match self.placement.route(Source::Client, group.0, bucket, available, &self.direct) {
+            Route::Serve => {
+                self.counts.home += 1;
+                Decision::Here
+            }
+            Route::SendOn(homes) => match homes.first().and_then(|home| self.number(*home)) {
+                Some(home) => {
+                    self.counts.sent_on += 1;
+                    Decision::SendOn(home)
+                }
+                None => self.go_direct(group),
+            },
+            Route::Direct => self.go_direct(group),
+            Route::Refuse => self.refuse(),
+        }
+    }
+
+    fn go_direct(&mut self, group: GroupId) -> Decision {
+        if !self.direct.begin(group.0) {
+            return self.refuse();
+        }
+        self.counts.direct += 1;
+        Decision::Here
+    }
+
+    fn refuse(&mut self) -> Decision {
+        self.counts.refused += 1;
+        Decision::Refuse
+    }
+
+    fn number(&self, member: Member) -> Option<MemberId> {
+        let proxy = self.placement.proxy(member).filter(|proxy| proxy.address.is_some())?;
+        self.numbers.get(&proxy.name).copied()
+    }
+
+    fn is_available(&self, now: Micros, peer: MemberId) -> bool {
+        self.health.get(&peer).is_none_or(|health| health.until <= now)
+    }
+
+    /// A proxy could not be reached, or has fallen silent.
+    pub fn failed(&mut self, now: Micros, peer: MemberId) {
+        let health = self.health.entry(peer).or_default();
+        // Requests that were out together fail together: they are one failure.
+        if health.until > now {
+            return;
+        }
+        let backoff = (1_i64 << health.failures.min(16)).min(LONGEST_BACKOFF);
+        health.failures += 1;
+        health.until = now + self.connect_timeout * backoff;
+    }
+
+    /// A proxy has answered a request of this set.
+    pub fn answered(&mut self, peer: MemberId, group: GroupId) {
+        self.health.remove(&peer);
+        self.direct.end(group.0);
+    }
+
+    /// Settings with the budgets that are bounded over the fleet divided by the homes of a set instead of all proxies. The
+    /// largest divisor of all sets is taken, so that no sum exceeds its bound. A tenant's share divides by the proxies as before.
+    pub fn divide_budgets(&self, settings: &mut Settings) {
+        let divisor = u32::try_from(self.divisor()).unwrap_or(u32::MAX);
+        let ratio = f64::from(divisor) / f64::from(settings.fleet);
+        for tenant in &mut settings.tenants {
+            tenant.rate *= ratio;
+        }
+        settings.fleet = divisor;
+    }
+
+    /// By what budgets that are bounded over the fleet divide.
+    pub fn divisor(&self) -> u64 {
+        let listed = self.placement.sets().clusters().map(|set| self.placement.divisor(set, Acting::Home));
+        let unlisted = self.placement.divisor(u64::MAX, Acting::Home);
+        listed.max().unwrap_or(unlisted)
+    }
+
+    /// One line for the log.
+    pub fn summary(&self) -> String {
+        let count = self.placement.proxies().len();
+        format!("group {} of {count} proxies", self.placement.group())
+    }
+
+    /// What operators are shown: the group, its proxies with how they fare, counts.
+    pub fn exposition(&self, now: Micros) -> String {
+        let mut text = format!("group {}\nself {}\ndivisor {}\n", self.placement.group(), self.own_name(), self.divisor());
+        for proxy in self.placement.proxies() {
+            let number = self.numbers.get(&proxy.name).copied().unwrap_or_default();
+            let state = match proxy.address {
+                _ if proxy.name == self.own_name() => "self",
+                None => "no address",
+                Some(_) if self.is_available(now, number) => "available",
+                Some(_) => "unavailable",
+            };
+            let _ = writeln!(text, "proxy {} {state}", proxy.name);
+        }
+        let Counts { home, sent_on, taken, direct, refused } = self.counts;
+        let _ = writeln!(text, "sets_direct {}", self.direct.len());
+        let _ = writeln!(text, "requests home={home} sent_on={sent_on} taken={taken} direct={direct} refused={refused}");
+        text
+    }
+}
+
+/// The session bucket of a request: that of its session's key, or any where it has none.
+pub fn bucket(group: GroupId, key: Option<u64>, request: u64) -> Bucket {
+    let key = key.unwrap_or(request);
+    let hash = leadmast::settings::fnv(&format!("{} {key}", group.0));
+    Bucket::new((hash % u64::from(BUCKETS)) as u16)
+}
+
+#[cfg(test)]
+mod tests;
