--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -34,6 +34,8 @@
     connections: Connections,
     fields: Vec<String>,
     most: usize,
+    /// Who the proxy is to others of its group.
+    own_name: String,
     hosts: BTreeMap<MemberId, Host>,
     servers: BTreeMap<ServerId, Server>,
     attempts: BTreeMap<AttemptId, (Micros, Place)>,
@@ -47,6 +49,7 @@
             connections,
             fields: names.fields.clone(),
             most: 0,
+            own_name: String::new(),
             hosts: BTreeMap::new(),
             servers: BTreeMap::new(),
             attempts: BTreeMap::new(),
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -11,6 +11,7 @@
 use crate::exchange::Exchange;
 use crate::ids::ServerId;
 use crate::pg::Writer;
+use crate::placing::{is_peer, PEER_USER};
 use crate::ring::{Moved, Ring};
 use crate::turn::{Polled, Source, Turn};
 
@@ -80,7 +81,12 @@
             stage: Stage::Starting { by },
             refused: None,
         };
-        if !s.outbound.push(&Writer::default().startup(USER, DATABASE).0) {
+        let startup = if is_peer(member) {
+            Writer::default().startup(PEER_USER, DATABASE, Some(&self.own_name))
+        } else {
+            Writer::default().startup(USER, DATABASE, None)
+        };
+        if !s.outbound.push(&startup.0) {
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         host.starting += 1;
--- a/crates/gradeshunt/src/backend/hosts.rs
+++ b/crates/gradeshunt/src/backend/hosts.rs
@@ -10,6 +10,7 @@
 use super::Backend;
 use crate::exchange::Exchange;
 use crate::ids::ServerId;
+use crate::placing::{is_peer, Peer};
 use crate::turn::Turn;
 
 /// Whether anything new may go to a db host.
@@ -57,7 +58,9 @@
         let mut closed = Vec::new();
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             let all: BTreeSet<_> = listed.iter().map(|l| l.member).collect();
-            for (member, host) in self.hosts.iter_mut().filter(|(m, _)| !all.contains(m)) {
+            // Other proxies are none of discovery's db hosts.
+            let missing = |m: &MemberId| !all.contains(m) && !is_peer(*m);
+            for (member, host) in self.hosts.iter_mut().filter(|(m, _)| missing(m)) {
                 host.standing = Standing::Gone;
                 closed.push(*member);
             }
@@ -68,17 +71,7 @@
                 Phase::Draining => Standing::Draining,
                 Phase::Removed => Standing::Gone,
             };
-            let host = self.hosts.entry(l.member).or_insert_with(|| Host {
-                addr: l.addr,
-                standing,
-                held_out: false,
-                idle: Vec::new(),
-                starting: 0,
-                servers: 0,
-                waiting: VecDeque::new(),
-            });
-            let moved = host.addr != l.addr;
-            (host.addr, host.standing) = (l.addr, standing);
+            let moved = self.take_over(l.member, l.addr, standing);
             if standing != Standing::Open {
                 closed.push(l.member);
             } else if moved {
@@ -91,6 +84,41 @@
         }
     }
 
+    /// Takes over the other proxies of the group. Those that are not named any more get nothing new.
+    pub fn set_peers(&mut self, turn: &mut Turn, exchange: &mut Exchange, own_name: &str, peers: &[Peer]) {
+        own_name.clone_into(&mut self.own_name);
+        let named: BTreeSet<_> = peers.iter().map(|peer| peer.member).collect();
+        let gone = self.hosts.keys().copied().filter(|m| is_peer(*m) && !named.contains(m));
+        for member in gone.collect::<Vec<_>>() {
+            if let Some(host) = self.hosts.get_mut(&member) {
+                host.standing = Standing::Gone;
+            }
+            self.stop(turn, exchange, member);
+            self.forget_if_gone(member);
+        }
+        for peer in peers {
+            if self.take_over(peer.member, peer.address, Standing::Open) {
+                self.close_idle(turn, peer.member);
+            }
+        }
+    }
+
+    /// Takes over where a host is and how it stands; true where it has moved.
+    fn take_over(&mut self, member: MemberId, addr: SocketAddr, standing: Standing) -> bool {
+        let host = self.hosts.entry(member).or_insert_with(|| Host {
+            addr,
+            standing,
+            held_out: false,
+            idle: Vec::new(),
+            starting: 0,
+            servers: 0,
+            waiting: VecDeque::new(),
+        });
+        let moved = host.addr != addr;
+        (host.addr, host.standing) = (addr, standing);
+        moved
+    }
+
     /// Operators hold a db host out, or readmit it.
     pub fn maintain(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId, out: bool) {
         let Some(host) = self.hosts.get_mut(&member) else { return };
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -14,7 +14,8 @@
 use crate::deadlines::Due;
 use crate::exchange::{name, AttemptId, Body, Ended, Exchange, Form, Said};
 use crate::ids::ServerId;
-use crate::pg::{sqlstate, Writer};
+use crate::pg::{self, sqlstate, Writer};
+use crate::placing::is_peer;
 use crate::turn::Turn;
 
 /// What a connection is used for.
@@ -201,6 +202,14 @@
                     Ending::Error if reply.error.as_deref().is_some_and(sqlstate::is_verdict) => {
                         Said::Verdict(reply.bytes)
                     }
+                    Ending::Error
+                        if is_peer(member) && reply.error.as_deref() == Some(sqlstate::PROXY_LEAVING) =>
+                    {
+                        Said::Leaving
+                    }
+                    Ending::Full if reply.error.is_some() => {
+                        Said::Refused { retry_after: pg::retry_after(&reply.bytes) }
+                    }
                     // A spoilt answer says nothing: handed on, it would leave the client without a word.
                     Ending::Error if reply.error.is_some() => Said::Error(reply.bytes),
                     _ => Said::Nothing,
--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -7,6 +7,7 @@
 use leadmast::Micros;
 use serde_json::Value;
 
+use gradeshunt_placement::Placement;
 use gradeshunt_sites::proxy::Sites;
 
 use crate::routing::{rules, Rules};
@@ -36,6 +37,8 @@
     pub rules: Option<Rules>,
     /// What is done at the loss of a site, where the operators' file says so.
     pub sites: Option<Sites>,
+    /// Which proxy serves which set, where the operators' file says so.
+    pub placement: Option<Placement>,
 }
 
 impl Config {
@@ -56,7 +59,8 @@
         let routes = self.rules.as_ref().map_or(0, |r| r.routes.len());
         let Config { name, listen, discovery, .. } = self;
         let sites = self.sites.as_ref().map(|s| format!(", {}", s.summary())).unwrap_or_default();
-        format!("{name}: listens at {listen}, discovery at {discovery}, classes {classes}, {routes} routes{sites}")
+        let placement = self.placement.as_ref().map(|p| format!(", in group {}", p.group())).unwrap_or_default();
+        format!("{name}: listens at {listen}, discovery at {discovery}, classes {classes}, {routes} routes{sites}{placement}")
     }
 
     fn parse(text: &str) -> Result<Config, String> {
@@ -82,6 +86,7 @@
             named.or_else(|| value.get(key).and_then(Value::as_str).map(str::to_owned))
         };
         let (rules, sites) = (file("ROUTER_RULES", "rules"), file("ROUTER_SITES", "sites"));
+        let placement = file("ROUTER_PLACEMENT", "placement");
         let facts = settings::read(value.get("settings").ok_or("settings is missing")?);
         let facts = facts.map_err(|e| format!("settings: {e}"));
         let seed = text("seed")?;
@@ -103,6 +108,7 @@
         let facts = facts?;
         let rules = rules.map(|file| rules::load(Path::new(&file), &facts)).transpose()?;
         let sites = sites.map(|file| read_sites(&file, &facts)).transpose()?;
+        let placement = placement.map(|file| read_placement(&file, &name)).transpose()?;
         Ok(Config {
             name,
             listen,
@@ -117,10 +123,22 @@
             facts,
             rules,
             sites,
+            placement,
         })
     }
 }
 
+/// The operators' file on placement.
+fn read_placement(file: &str, own_name: &str) -> Result<Placement, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {file}: {e}"))?;
+    let placement = Placement::parse(file, &text, own_name).map_err(|e| e.to_string())?;
+    let own = placement.proxy(placement.own());
+    if own.is_none_or(|proxy| proxy.address.is_none()) {
+        return Err(format!("{file}: proxy {own_name:?} is this one, and has no address for other proxies"));
+    }
+    Ok(placement)
+}
+
 /// The operators' file on sites. Plans are made here, away from the loop.
 fn read_sites(file: &str, facts: &Facts) -> Result<Sites, String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {file}: {e}"))?;
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -41,6 +41,8 @@
     /// Nothing new to a site's db hosts, until it is let back.
     HoldSite(String),
     LetSiteBack(String),
+    /// Which group this proxy is in, and how the others of it stand.
+    Placement,
     /// Clients are to be sent away, or served again.
     Standby,
     Active,
@@ -249,6 +251,7 @@
         ["maintenance", "enter", name] => ("PUT", Command::HoldOut(id(name)?)),
         ["maintenance", "exit", name] => ("PUT", Command::Readmit(id(name)?)),
         ["sites"] => ("GET", Command::Sites),
+        ["placement"] => ("GET", Command::Placement),
         ["sites", "hold", name] => ("PUT", Command::HoldSite(id(name)?)),
         ["sites", "back", name] => ("PUT", Command::LetSiteBack(id(name)?)),
         ["standby"] => ("PUT", Command::Standby),
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -31,6 +31,7 @@
     Caller(CallerId),
     /// Connections that could not be accepted are tried again.
     Accept,
+    AcceptPeers,
     AcceptCallers,
     /// The folder that the processes of this proxy share is looked at.
     Look,
@@ -58,7 +59,7 @@
         match self {
             Due::Module(_) => "module's timers",
             Due::Overdue(_) | Due::Attempt(_) | Due::Probe(_) | Due::Server(_) => "db hosts' deadlines",
-            Due::Session(_) | Due::Accept | Due::Reap | Due::CloseListener => "clients' deadlines",
+            Due::Session(_) | Due::Accept | Due::AcceptPeers | Due::Reap | Due::CloseListener => "clients' deadlines",
             Due::Call(_) | Due::Reopen => "discovery's deadlines",
             Due::Caller(_) | Due::AcceptCallers => "operators' deadlines",
             Due::Look | Due::Begin | Due::Serve | Due::Sites | Due::Summary => "housekeeping",
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -146,7 +146,7 @@
         let (frontend, turn, client, id, poll) = one_client();
         let exchange = Exchange::new(frontend.settings.clone(), Vec::new(), 7, 0);
         let mut pipeline = Pipeline { frontend, turn, exchange, client, id, _poll: poll };
-        pipeline.send(0, &Writer::default().startup("portal", "crm").0);
+        pipeline.send(0, &Writer::default().startup("portal", "crm", None).0);
         pipeline.send(0, &read_of(0, 1_200));
         assert!(matches!(pipeline.frontend.sessions[&id].stage, Stage::Waiting(RequestId(0))));
         pipeline
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -2,6 +2,8 @@
 
 use std::ops::Range;
 
+use leadmast::Micros;
+
 use crate::ring::LARGEST;
 
 /// Longest message taken, its length field included; a ring holds one and its type byte.
@@ -32,6 +34,10 @@
     pub const CANNOT_CONNECT_NOW: &str = "57P03";
     pub const SNAPSHOT_TOO_OLD: &str = "72000";
     pub const SYSTEM_ERROR: &str = "58000";
+    /// Invalid authorization: whoever connects is none that may.
+    pub const INVALID_AUTHORIZATION: &str = "28000";
+    /// A proxy ends, and has not read what another one sends it. No code of PostgreSQL's: a db host's must not be taken for it.
+    pub const PROXY_LEAVING: &str = "PX001";
     /// Insufficient privilege: the operators' rules let no such statement through.
     pub const NO_ROUTE: &str = "42501";
 
@@ -253,8 +259,10 @@
     }
 
     /// The proxy's own first packet on a db host connection.
-    pub fn startup(mut self, user: &str, database: &str) -> Self {
-        let body = format!("user\0{user}\0database\0{database}\0\0");
+    pub fn startup(mut self, user: &str, database: &str, application_name: Option<&str>) -> Self {
+        let application_name = application_name.map(|name| format!("application_name\0{name}\0"));
+        let application_name = application_name.unwrap_or_default();
+        let body = format!("user\0{user}\0database\0{database}\0{application_name}\0");
         self.0.extend((8 + body.len() as u32).to_be_bytes());
         self.0.extend(PROTOCOL_3.to_be_bytes());
         self.0.extend(body.as_bytes());
@@ -268,6 +276,15 @@
     }
 }
 
+/// The time after which a refused request may come again: the whole milliseconds in the field D of an ErrorResponse, where
+/// there are any.
+pub fn retry_after(error: &[u8]) -> Option<Micros> {
+    let fields = error.get(5..)?.split(|b| *b == 0);
+    let detail = fields.filter_map(|f| f.strip_prefix(b"D")).next()?;
+    let ms: u32 = std::str::from_utf8(detail).ok()?.parse().ok()?;
+    Some(Micros::from(ms) * 1000)
+}
+
 /// What the comment before a statement says.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Comment<'a> {
--- a/crates/gradeshunt/src/placing.rs
+++ b/crates/gradeshunt/src/placing.rs
@@ -1,13 +1,15 @@
 //! Placement, carried out: which requests are sent on to a home proxy, and which of the homes can be had. What the homes are
 //! `gradeshunt_placement` says; docs/placement.md tells the mechanism.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
 use gradeshunt_placement::{Acting, Bucket, DirectSets, Member, Placement, Route, Source, BUCKETS};
 use leadmast::{GroupId, MemberId, Micros, Settings};
 
+/// Who a proxy is to another one; its name comes as `application_name`.
+pub const PEER_USER: &str = "gradeshunt";
 /// Numbers of proxies among the members that connections are held to. Db hosts are numbered from 0 on.
 const FIRST_PEER: u32 = 1 << 31;
 /// A proxy that can't be had is tried again after the connect time-out, and then after twice as long each time, up to this
@@ -73,6 +75,8 @@
     numbers: BTreeMap<String, MemberId>,
     health: BTreeMap<MemberId, Health>,
     connect_timeout: Micros,
+    /// By what the budgets of this process divide, where they divide by homes.
+    divisor_in_force: Option<u64>,
     /// What came of it.
     pub counts: Counts,
 }
@@ -87,6 +91,7 @@
             numbers: BTreeMap::new(),
             health: BTreeMap::new(),
             connect_timeout,
+            divisor_in_force: None,
             counts: Counts::default(),
         };
         placing.number_all();
@@ -128,9 +133,9 @@
         others.filter_map(peer).collect()
     }
 
-    /// Whether a proxy of this name is in the own group.
-    pub fn knows(&self, name: &str) -> bool {
-        self.placement.proxies().iter().any(|proxy| proxy.name == name)
+    /// The names of all proxies of the own group, which may send requests on to this one.
+    pub fn group_names(&self) -> BTreeSet<String> {
+        self.placement.proxies().iter().map(|proxy| proxy.name.clone()).collect()
     }
 
     /// Where a client's request goes; `tried`: the proxies that it was sent on to in vain.
@@ -198,17 +203,24 @@
 
     /// Settings with the budgets that are bounded over the fleet divided by the homes of a set instead of all proxies. The
     /// largest divisor of all sets is taken, so that no sum exceeds its bound. A tenant's share divides by the proxies as before.
-    pub fn divide_budgets(&self, settings: &mut Settings) {
+    pub fn divide_budgets(mut self, settings: &mut Settings) -> Placing {
+        self.divisor_in_force = Some(self.divisor());
         let divisor = u32::try_from(self.divisor()).unwrap_or(u32::MAX);
         let ratio = f64::from(divisor) / f64::from(settings.fleet);
         for tenant in &mut settings.tenants {
             tenant.rate *= ratio;
         }
         settings.fleet = divisor;
+        self
     }
 
-    /// By what budgets that are bounded over the fleet divide.
-    pub fn divisor(&self) -> u64 {
+    /// Whether the placement asks for smaller budgets than this process has, which follow from the next start on.
+    pub fn needs_restart(&self) -> bool {
+        self.divisor_in_force.is_some_and(|in_force| in_force < self.divisor())
+    }
+
+    /// By what budgets that are bounded over the fleet divide, by the placement.
+    fn divisor(&self) -> u64 {
         let listed = self.placement.sets().clusters().map(|set| self.placement.divisor(set, Acting::Home));
         let unlisted = self.placement.divisor(u64::MAX, Acting::Home);
         listed.max().unwrap_or(unlisted)
@@ -222,7 +234,7 @@
 
     /// What operators are shown: the group, its proxies with how they fare, counts.
     pub fn exposition(&self, now: Micros) -> String {
-        let mut text = format!("group {}\nself {}\ndivisor {}\n", self.placement.group(), self.own_name(), self.divisor());
+        let mut text = format!("group {}\nself {}\ndivisor {}\n", self.placement.group(), self.own_name(), self.divisor_in_force.unwrap_or(0));
         for proxy in self.placement.proxies() {
             let number = self.numbers.get(&proxy.name).copied().unwrap_or_default();
             let state = match proxy.address {
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod lifetime;
 mod operators;
+mod placement;
 
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -19,6 +20,7 @@
 use crate::exchange::{self, Exchange};
 use crate::frontend::Frontend;
 use crate::pace::Pace;
+use crate::placing::Placing;
 use crate::shared::worker::Worker;
 use crate::shared::{self, Shared};
 use crate::turn::{self, Ready, Source, Turn};
@@ -52,6 +54,8 @@
     held: bool,
     /// The clients' socket, until it is served.
     waiting: Option<TcpListener>,
+    /// The socket for other proxies, until they are served.
+    peer_socket: Option<socket2::Socket>,
     /// The list of db hosts from the configuration, until this process begins.
     known: Option<News>,
     /// When it begins at the latest, until it has.
@@ -66,6 +70,7 @@
     tenants: Vec<String>,
     news: Vec<News>,
     longest: Micros,
+    connect_timeout: Micros,
     terminating: bool,
     leave: bool,
 }
@@ -92,6 +97,7 @@
             facts,
             rules,
             sites,
+            placement,
         } = config;
         let mut turn = Turn::new(event_loop.handle(), log);
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
@@ -101,8 +107,13 @@
         let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
         let mut tenants = facts.names.tenants.clone();
         tenants.extend((!tenants.is_empty()).then(|| "?".to_owned()));
-        let mut exchange = Exchange::new(facts.settings.clone(), tenants.clone(), seed, turn.now);
+        let connect_timeout = facts.connections.connect_timeout;
+        let placing = placement.map(|placement| Placing::new(placement, connect_timeout));
+        let mut settings = facts.settings.clone();
+        let placing = placing.map(|placing| placing.divide_budgets(&mut settings));
+        let mut exchange = Exchange::new(settings, tenants.clone(), seed, turn.now);
         exchange.sites = sites;
+        exchange.placing = placing;
         let backend = Backend::new(facts.connections, &facts.names);
         let listener = match listen_fd {
             Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
@@ -140,6 +151,7 @@
             memory,
             held: listen_fd.is_some(),
             waiting: Some(listener),
+            peer_socket: None,
             known,
             begin_by: Some(begin_by),
             silence,
@@ -148,10 +160,12 @@
             tenants,
             news: Vec::new(),
             longest,
+            connect_timeout,
             terminating: false,
             leave: false,
         };
         proxy.share_limits();
+        proxy.open_placement()?;
         proxy.watch_sites();
         proxy.settle();
         Ok(proxy)
@@ -180,6 +194,7 @@
         let (turn, exchange) = (&mut self.turn, &mut self.exchange);
         match source {
             Source::Listener => self.frontend.accept(turn),
+            Source::PeerListener => self.frontend.accept_peers(turn),
             Source::Session(id) => self.frontend.ready(turn, exchange, id),
             Source::Server(id) => self.backend.ready(turn, exchange, id),
             Source::Call(id) => self.discovery.ready(turn, id, &mut self.news),
@@ -205,6 +220,7 @@
             Due::Call(id) => self.discovery.call_due(turn, id, &mut self.news),
             Due::Reopen => self.discovery.reopen_due(turn, &mut self.news),
             Due::Accept => self.frontend.accept(turn),
+            Due::AcceptPeers => self.frontend.accept_peers(turn),
             Due::Caller(id) => self.control.iter_mut().for_each(|c| c.due(turn, id)),
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
             Due::Look => {
--- a/crates/gradeshunt/src/proxy/changes.rs
+++ b/crates/gradeshunt/src/proxy/changes.rs
@@ -59,6 +59,7 @@
                 info!(self.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
                 self.frontend.route_by(config.rules);
                 self.replace_sites(config.sites);
+                self.replace_placement(config.placement);
                 self.discovery.move_to(&mut self.turn, config.discovery, config.silence, &mut self.news);
             }
             Err(why) => warn!(self.turn.log, "configuration kept, the new one can't be used"; "why" => why),
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -38,6 +38,7 @@
         let Some(listener) = self.waiting.take() else { return };
         let listen = listener.local_addr().map(|a| a.to_string()).ok();
         let opened = self.frontend.open(&mut self.turn, listener);
+        self.serve_peers();
         self.shared.turn_to(Duty::Serving);
         if let Err(e) = opened {
             warn!(self.turn.log, "cannot serve as it should be"; "error" => e.to_string());
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -39,6 +39,7 @@
             },
             control::Command::Loop => Answer::new(200, self.pace.exposition()),
             control::Command::Sites => self.show_sites(),
+            control::Command::Placement => self.show_placement(),
             control::Command::HoldSite(name) => self.hold_site(&name, true),
             control::Command::LetSiteBack(name) => self.hold_site(&name, false),
             control::Command::Standby | control::Command::Active => {
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     Listener,
+    /// The socket at which other proxies connect.
+    PeerListener,
     Session(SessionId),
     Server(ServerId),
     Call(CallId),
@@ -32,7 +34,7 @@
     /// Its name in the log and the figures.
     pub fn name(self) -> &'static str {
         match self {
-            Source::Listener => "listener",
+            Source::Listener | Source::PeerListener => "listener",
             Source::Session(_) => "client",
             Source::Server(_) => "db host",
             Source::Call(_) => "discovery",
@@ -95,6 +97,18 @@
     Ok(socket.into())
 }
 
+/// A socket that is bound to an address and does not listen yet: whoever connects is refused. Another process of the same
+/// proxy may hold the address as well, during an upgrade.
+pub fn bound(addr: SocketAddr) -> std::io::Result<socket2::Socket> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&addr.into())?;
+    Ok(socket)
+}
+
 /// A listening socket that the platform holds and this process has inherited. A descriptor by its number alone is
 /// nobody's, so safe code can't take it: this asks the system for another one of the same socket.
 pub fn inherited(fd: i32) -> std::io::Result<TcpListener> {
