--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -2,11 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use leadmast::{Micros, TimerTag};
+use leadmast::{MemberId, Micros, RequestId, TimerTag};
 
-use crate::exchange::AttemptId;
-use crate::ids::{CallId, CallerId, ServerId, SessionId};
-use leadmast::{MemberId, RequestId};
+use crate::ids::{AttemptId, CallId, CallerId, ServerId, SessionId};
 
 /// What falls due.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,9 +27,11 @@
     Reopen,
     /// An operator that should have made its call by now, or closed.
     Caller(CallerId),
-    /// Connections that could not be accepted are tried again.
+    /// Clients' connections that could not be accepted are tried again.
     Accept,
+    /// Other proxies' connections that could not be accepted are tried again.
     AcceptPeers,
+    /// Operators' connections that could not be accepted are tried again.
     AcceptCallers,
     /// The folder that the processes of this proxy share is looked at.
     Look,
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -17,6 +17,7 @@
 
 use crate::deadlines::Due;
 use crate::figures::{Count, Figures, TenantCount};
+pub use crate::ids::AttemptId;
 use crate::memory::Held;
 use crate::placing::Placing;
 use crate::site_loss;
@@ -25,13 +26,6 @@
 /// How much of a long answer may be under way to a client.
 pub const ROOM: usize = 64 * 1024;
 
-/// One attempt of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct AttemptId {
-    pub request: RequestId,
-    pub number: u32,
-}
-
 /// What an answer has to be.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Form {
@@ -228,7 +222,7 @@
     /// Names of the tenants, as in [`Figures::tenants`]; none where the settings name none.
     tenants: Vec<String>,
     /// What is done at the loss of a site, where operators have a plan for it. What it does is carried out by
-    /// [`crate::site_loss`].
+    /// `crate::proxy::sites`.
     pub sites: Option<Sites>,
     /// Which requests go to other proxies, where operators have a file on that.
     pub placing: Option<Placing>,
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -1,10 +1,18 @@
 //! Tests of the part named by the folder.
 
 use std::io::Read;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpListener, TcpStream};
 
-use super::*;
-use crate::turn::Ready;
+use leadmast::{GroupId, Micros, RequestId};
+
+use super::eviction::{makes_room, JUST, SLOW};
+use super::session::{Stage, LINGER, UNREAD_FOR};
+use super::Frontend;
+use crate::exchange::{Body, Call, Exchange, Final, Form};
+use crate::ids::SessionId;
+use crate::pg::{Writer, LONGEST_ANSWER};
+use crate::ring::LARGEST;
+use crate::turn::{Ready, Turn};
 
 /// Guards slow clients in a crowd: they may take 2 s over a request, and whoever has had an answer goes first.
 #[test]
@@ -40,7 +48,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let client = TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
     let (socket, _) = listener.accept().expect("it has connected");
-    frontend.welcome(&mut turn, socket).expect("it is welcome");
+    frontend.welcome(&mut turn, socket, gradeshunt_placement::Source::Client).expect("it is welcome");
     let id = *frontend.sessions.first_key_value().expect("a session").0;
     (frontend, turn, client, id, poll)
 }
@@ -272,6 +280,7 @@
         repeat: false,
         checked: true,
         tenant: None,
+        source: gradeshunt_placement::Source::Client,
         body: Body::new(Vec::new(), None, Form::Value),
     }
 }
--- a/crates/gradeshunt/src/proxy/placement.rs
+++ b/crates/gradeshunt/src/proxy/placement.rs
@@ -22,7 +22,7 @@
 impl Proxy {
     /// Takes part in the placement that the configuration brings, if any. Other proxies are refused until this one serves.
     pub(super) fn open_placement(&mut self) -> Result<(), String> {
-        let Some(address) = self.exchange.placing.as_ref().and_then(Placing::own_address) else { return Ok(()) };
+        let Some(address) = self.core.exchange.placing.as_ref().and_then(Placing::own_address) else { return Ok(()) };
         self.peer_socket = Some(bind(address)?);
         self.use_peers();
         Ok(())
@@ -32,41 +32,41 @@
     pub(super) fn serve_peers(&mut self) {
         let Some(socket) = self.peer_socket.take() else { return };
         let listening = socket.listen(BACKLOG).map(|()| TcpListener::from(socket));
-        let opened = listening.and_then(|listener| self.frontend.listen_for_peers(&mut self.turn, listener));
+        let opened = listening.and_then(|listener| self.frontend.listen_for_peers(&mut self.core.turn, listener));
         if let Err(e) = opened {
-            warn!(self.turn.log, "cannot listen for other proxies"; "error" => e.to_string());
+            warn!(self.core.turn.log, "cannot listen for other proxies"; "error" => e.to_string());
         }
     }
 
     /// Connects the parts to what the placement says of the other proxies.
     fn use_peers(&mut self) {
-        let Some(placing) = &self.exchange.placing else { return };
+        let Some(placing) = &self.core.exchange.placing else { return };
         let (own_name, peers) = (placing.own_name().to_owned(), placing.peers());
-        info!(self.turn.log, "placement"; "peers" => peers.len(), "is" => placing.summary());
+        info!(self.core.turn.log, "placement"; "peers" => peers.len(), "is" => placing.summary());
         if placing.needs_restart() {
-            warn!(self.turn.log, "placement asks for smaller budgets, which follow from the next start on");
+            warn!(self.core.turn.log, "placement asks for smaller budgets, which follow from the next start on");
         }
         self.frontend.set_peers(placing.group_names());
-        self.backend.set_peers(&mut self.turn, &mut self.exchange, &own_name, &peers);
+        self.backend.set_peers(&mut self.core.turn, &mut self.core.exchange, &own_name, &peers);
     }
 
     /// The operators' file was read anew. One that can't be used changes nothing, and none at all leaves the placement in
     /// force: the budgets of this process are those of a home, and too large for a proxy among all.
     pub(super) fn replace_placement(&mut self, placement: Option<Placement>) {
         let Some(placement) = placement else {
-            if self.exchange.placing.is_some() {
-                warn!(self.turn.log, "placement kept: it can be left only by a restart");
+            if self.core.exchange.placing.is_some() {
+                warn!(self.core.turn.log, "placement kept: it can be left only by a restart");
             }
             return;
         };
         let own = placement.proxy(placement.own()).and_then(|proxy| proxy.address);
-        let former = self.exchange.placing.as_ref().and_then(Placing::own_address);
+        let former = self.core.exchange.placing.as_ref().and_then(Placing::own_address);
         let socket = own.filter(|_| own != former).map(bind).transpose();
         let socket = match socket {
             Ok(socket) => socket,
-            Err(why) => return warn!(self.turn.log, "placement kept, the new one can't be used"; "why" => why),
+            Err(why) => return warn!(self.core.turn.log, "placement kept, the new one can't be used"; "why" => why),
         };
-        match &mut self.exchange.placing {
+        match &mut self.core.exchange.placing {
             Some(placing) => placing.replace(placement),
             none => *none = Some(Placing::new(placement, self.connect_timeout)),
         }
@@ -81,8 +81,8 @@
 
     /// What operators are shown.
     pub(super) fn show_placement(&self) -> Answer {
-        match &self.exchange.placing {
-            Some(placing) => Answer::new(200, placing.exposition(self.turn.now)),
+        match &self.core.exchange.placing {
+            Some(placing) => Answer::new(200, placing.exposition(self.core.turn.now)),
             None => Answer::new(404, "no file on placement is given\n"),
         }
     }
