--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -73,7 +73,8 @@
         let routes = self.rules.as_ref().map_or(0, |r| r.routes.len());
         let Config { name, listen, discovery, .. } = self;
         let sites = self.sites.as_ref().map(|s| format!(", {}", s.summary())).unwrap_or_default();
-        let placement = self.placement.as_ref().map(|p| format!(", in group {}", p.group())).unwrap_or_default();
+        let placement =
+            self.placement.as_ref().map(|p| format!(", in group {}", p.group())).unwrap_or_default();
         format!("{name}: listens at {listen}, discovery at {discovery}, classes {classes}, {routes} routes{sites}{placement}")
     }
 
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -59,7 +59,9 @@
         match self {
             Due::Module(_) => "module's timers",
             Due::Overdue(_) | Due::Attempt(_) | Due::Probe(_) | Due::Server(_) => "db hosts' deadlines",
-            Due::Session(_) | Due::Accept | Due::AcceptPeers | Due::Reap | Due::CloseListener => "clients' deadlines",
+            Due::Session(_) | Due::Accept | Due::AcceptPeers | Due::Reap | Due::CloseListener => {
+                "clients' deadlines"
+            }
             Due::Call(_) | Due::Reopen => "discovery's deadlines",
             Due::Caller(_) | Due::AcceptCallers => "operators' deadlines",
             Due::Look | Due::Begin | Due::Serve | Due::Sites | Due::Summary => "housekeeping",
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -86,7 +86,9 @@
         let number = FIRST_FORWARD + forward.tried.len() as u32;
         debug!(turn.log, "sent on"; "request" => id.0, "member" => peer.0);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let write_by = until.min(self.windows.get(r.class.0).copied().flatten().zip(r.doubt_since).map_or(until, |(w, at)| at + w));
+        let write_by = until.min(
+            self.windows.get(r.class.0).copied().flatten().zip(r.doubt_since).map_or(until, |(w, at)| at + w),
+        );
         r.out = Some(Out { number, member: peer, since: turn.now });
         r.forward = Some(Box::new(forward));
         let body = std::rc::Rc::clone(&r.body);
@@ -142,7 +144,14 @@
     }
 
     /// What the end of a try says of the proxy that it went to.
-    fn judge_peer(&mut self, turn: &mut Turn, out: &Out, ending: Ending, said: &Said, group: leadmast::GroupId) {
+    fn judge_peer(
+        &mut self,
+        turn: &mut Turn,
+        out: &Out,
+        ending: Ending,
+        said: &Said,
+        group: leadmast::GroupId,
+    ) {
         let Some(placing) = &mut self.placing else { return };
         match (said, ending) {
             (Said::Answer(_) | Said::Verdict(_) | Said::Error(_) | Said::Refused { .. }, _) => {
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -132,9 +132,14 @@
     /// successor's where there is one; it is the same socket, and must not be shut down.
     pub fn close_listener(&mut self, turn: &mut Turn, exchange: &mut Exchange, succeeded: bool) {
         // Connections that the kernel has accepted count as the proxy's.
-        let backlog =
-            std::iter::repeat_with(|| if succeeded { Backlog::Empty } else { self.accept_some(turn, Source::Client) })
-                .find(|b| *b != Backlog::More);
+        let backlog = std::iter::repeat_with(|| {
+            if succeeded {
+                Backlog::Empty
+            } else {
+                self.accept_some(turn, Source::Client)
+            }
+        })
+        .find(|b| *b != Backlog::More);
         if backlog == Some(Backlog::Stuck) {
             // They would be reset with the socket: clients that leave make room for them.
             turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::CloseListener);
--- a/crates/gradeshunt/src/frontend/statements.rs
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use gradeshunt_placement::Source;
 use leadmast::settings::fnv;
 use leadmast::{Effect, GroupId, Micros, ReadLevel};
 use slog::debug;
@@ -49,8 +50,12 @@
         if matches!(verb.as_str(), "SET" | "RESET" | "DISCARD") {
             return Ok(Step::Reply(w.message(b'C', &[verb.as_bytes(), b"\0"]).ready()));
         }
+        let source = self.sessions.get(&session).map_or(Source::Client, |s| s.source);
         let c = match pg::comment(statement) {
-            Err(_) if self.router.is_some() => return self.plain(turn, session, text, arrived),
+            // Another proxy sends on what has a comment alone: its session is elsewhere.
+            Err(_) if self.router.is_some() && source == Source::Client => {
+                return self.plain(turn, session, text, arrived)
+            }
             c => c?,
         };
         let mut class = self.names.class(c.class).ok_or_else(|| format!("unknown class {:?}", c.class))?;
@@ -84,10 +89,9 @@
         let tenant = c.tenant.and_then(|t| self.names.tenant(t));
         debug!(turn.log, "request"; "class" => class.0, "wait_ms" => c.wait_ms);
         let body = Body::new(text, Some(wait_at), Form::Value);
-        Ok(Step::Call(
-            Box::new(Call { class, group, key, deadline, since_write, repeat, checked: true, tenant, body }),
-            id,
-        ))
+        let checked = true;
+        let call = Call { class, group, key, deadline, since_write, repeat, checked, tenant, source, body };
+        Ok(Step::Call(Box::new(call), id))
     }
 
     /// A statement without a routing comment goes where the operators' rules say. The connection is its session: what
@@ -123,9 +127,9 @@
         };
         let key = Some(fnv(&format!("session {}", session.0)));
         let deadline = self.deadline(arrived, wait);
-        let tenant = None;
-        let call =
-            Call { class, group, key, deadline, since_write, repeat: false, checked: false, tenant, body };
+        let (tenant, source) = (None, Source::Client);
+        let (repeat, checked) = (false, false);
+        let call = Call { class, group, key, deadline, since_write, repeat, checked, tenant, source, body };
         Ok(Step::Call(Box::new(call), id))
     }
 
--- a/crates/gradeshunt/src/placing.rs
+++ b/crates/gradeshunt/src/placing.rs
@@ -234,7 +234,12 @@
 
     /// What operators are shown: the group, its proxies with how they fare, counts.
     pub fn exposition(&self, now: Micros) -> String {
-        let mut text = format!("group {}\nself {}\ndivisor {}\n", self.placement.group(), self.own_name(), self.divisor_in_force.unwrap_or(0));
+        let mut text = format!(
+            "group {}\nself {}\ndivisor {}\n",
+            self.placement.group(),
+            self.own_name(),
+            self.divisor_in_force.unwrap_or(0)
+        );
         for proxy in self.placement.proxies() {
             let number = self.numbers.get(&proxy.name).copied().unwrap_or_default();
             let state = match proxy.address {
@@ -247,7 +252,10 @@
         }
         let Counts { home, sent_on, taken, direct, refused } = self.counts;
         let _ = writeln!(text, "sets_direct {}", self.direct.len());
-        let _ = writeln!(text, "requests home={home} sent_on={sent_on} taken={taken} direct={direct} refused={refused}");
+        let _ = writeln!(
+            text,
+            "requests home={home} sent_on={sent_on} taken={taken} direct={direct} refused={refused}"
+        );
         text
     }
 }
--- /dev/null
+++ b/crates/gradeshunt/src/placing/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the part named by the folder.
--- a/crates/gradeshunt/src/proxy/placement.rs
+++ b/crates/gradeshunt/src/proxy/placement.rs
@@ -22,7 +22,9 @@
 impl Proxy {
     /// Takes part in the placement that the configuration brings, if any. Other proxies are refused until this one serves.
     pub(super) fn open_placement(&mut self) -> Result<(), String> {
-        let Some(address) = self.core.exchange.placing.as_ref().and_then(Placing::own_address) else { return Ok(()) };
+        let Some(address) = self.core.exchange.placing.as_ref().and_then(Placing::own_address) else {
+            return Ok(());
+        };
         self.peer_socket = Some(bind(address)?);
         self.use_peers();
         Ok(())
@@ -32,7 +34,8 @@
     pub(super) fn serve_peers(&mut self) {
         let Some(socket) = self.peer_socket.take() else { return };
         let listening = socket.listen(BACKLOG).map(|()| TcpListener::from(socket));
-        let opened = listening.and_then(|listener| self.frontend.listen_for_peers(&mut self.core.turn, listener));
+        let opened =
+            listening.and_then(|listener| self.frontend.listen_for_peers(&mut self.core.turn, listener));
         if let Err(e) = opened {
             warn!(self.core.turn.log, "cannot listen for other proxies"; "error" => e.to_string());
         }
@@ -44,7 +47,10 @@
         let (own_name, peers) = (placing.own_name().to_owned(), placing.peers());
         info!(self.core.turn.log, "placement"; "peers" => peers.len(), "is" => placing.summary());
         if placing.needs_restart() {
-            warn!(self.core.turn.log, "placement asks for smaller budgets, which follow from the next start on");
+            warn!(
+                self.core.turn.log,
+                "placement asks for smaller budgets, which follow from the next start on"
+            );
         }
         self.frontend.set_peers(placing.group_names());
         self.backend.set_peers(&mut self.core.turn, &mut self.core.exchange, &own_name, &peers);
@@ -64,7 +70,9 @@
         let socket = own.filter(|_| own != former).map(bind).transpose();
         let socket = match socket {
             Ok(socket) => socket,
-            Err(why) => return warn!(self.core.turn.log, "placement kept, the new one can't be used"; "why" => why),
+            Err(why) => {
+                return warn!(self.core.turn.log, "placement kept, the new one can't be used"; "why" => why)
+            }
         };
         match &mut self.core.exchange.placing {
             Some(placing) => placing.replace(placement),
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -119,6 +119,21 @@
         self.own
     }
 
+    /// The proxies of the own group, by name.
+    pub fn proxies(&self) -> &[Proxy] {
+        &self.group.proxies
+    }
+
+    /// The sets.
+    pub fn sets(&self) -> &Sets {
+        &self.sets
+    }
+
+    /// The settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// A proxy of the group.
     pub fn proxy(&self, member: Member) -> Option<&Proxy> {
         self.group.proxies.get(member.0 as usize)
