--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -56,7 +56,7 @@
         };
         if between && s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet() {
             let last = if s.is_peer() { leaving() } else { Writer::default() };
-            self.last_word(turn, id, last);
+            self.close_with(turn, id, last);
         }
     }
 
@@ -105,7 +105,7 @@
         for (_, (_, id)) in idle.collect::<Vec<_>>() {
             self.evicted[2] += 1;
             // A request may be on its way: closed at once, the connection would be reset, and the last answer with it.
-            self.last_word(turn, id, Writer::default());
+            self.close_with(turn, id, Writer::default());
         }
     }
 
@@ -142,12 +142,12 @@
         Stage::Lingering => Some(0),
         Stage::Startup | Stage::Ready if !asked => {
             // One that has introduced itself is no mere connection: it has a while for its request.
-            let welcome = matches!(stage, Stage::Ready);
+            let started = matches!(stage, Stage::Ready);
             Some(match age {
                 SLOW.. => 1,
                 GUEST.. => 3,
-                JUST.. if !welcome => 3,
-                _ if !welcome => 4,
+                JUST.. if !started => 3,
+                _ if !started => 4,
                 _ => 5,
             })
         }
--- a/crates/gradeshunt/src/frontend/peers.rs
+++ b/crates/gradeshunt/src/frontend/peers.rs
@@ -34,7 +34,7 @@
         } else {
             return true;
         };
-        self.last_word(turn, id, Writer::default().error("FATAL", code, what, None));
+        self.close_with(turn, id, Writer::default().error("FATAL", code, what, None));
         false
     }
 }
