Requests are sent on to a home proxy where the operators' file says so

Change: placing.rs decides by crates/placement and keeps how the other proxies fare; exchange/forwarding.rs sends a request on to the homes in order over pooled connections, in PostgreSQL's protocol as it came, the wait rewritten; frontend/peers.rs serves the address for proxies alone, whose requests are never sent on again. A home that refuses, turns away or leaves (PX001) has not run the request; one that breaks off may have. Budgets divide by the homes, tenants' shares by the proxies as before. Off without the file.

--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -327,12 +327,14 @@
     pub fn gone(&mut self, turn: &mut Turn, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.left = true;
-        let (written, begun) = (r.written, r.begun);
+        let (written, begun, forwarded) = (r.written, r.begun, r.forward.is_some());
         let attempt = r.out.as_ref().map(|out| AttemptId { request: id, number: out.number });
         if self.end(turn, id) {
             // Of a long answer that has begun the module knows no more. What is not sent yet is no business of the
-            // settings on calling off: nothing reaches a db host.
-            self.orders.extend(attempt.map(if begun { Order::Abandon } else { Order::Withdraw }));
+            // settings on calling off: nothing reaches a db host. A home learns of it by the end of its connection, and keeps to
+            // the settings itself.
+            let abandon = begun || forwarded;
+            self.orders.extend(attempt.map(if abandon { Order::Abandon } else { Order::Withdraw }));
             self.tally.gone += 1;
             self.tally.gone_unsent += u32::from(!written);
             self.figures.gone_unsent += u64::from(!written);
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -3,7 +3,7 @@
 
 use gradeshunt_placement::{Bucket, Source};
 use leadmast::{Arrival, Effect, Ending, Event, MemberId, Micros, RequestId};
-use slog::{debug, info};
+use slog::{debug, warn};
 
 use super::{AttemptId, Exchange, Final, Form, Order, Out, Said};
 use crate::placing::{self, Decision};
@@ -79,9 +79,10 @@
         if last <= turn.now {
             return self.refuse(turn, id);
         }
-        // What may be repeated leaves time for the next home.
+        // A home that answers others is waited for. Of one that may be silent, what may be repeated leaves time for the next.
         let half = turn.now + (r.deadline - turn.now) / 2;
-        let until = if self.may_repeat(turn.now, id, half) { half.min(last) } else { last };
+        let heard = self.placing.as_ref().is_some_and(|placing| placing.is_heard(turn.now, peer));
+        let until = if !heard && self.may_repeat(turn.now, id, half) { half.min(last) } else { last };
         forward.tried.push(peer);
         let number = FIRST_FORWARD + forward.tried.len() as u32;
         debug!(turn.log, "sent on"; "request" => id.0, "member" => peer.0);
@@ -155,15 +156,29 @@
         let Some(placing) = &mut self.placing else { return };
         match (said, ending) {
             (Said::Answer(_) | Said::Verdict(_) | Said::Error(_) | Said::Refused { .. }, _) => {
-                placing.answered(out.member, group);
+                placing.answered(turn.now, out.member, group);
             }
             (Said::Nothing, Ending::Moot | Ending::Cancelled | Ending::Ok | Ending::Error) => {}
             (Said::Leaving, _) | (Said::Nothing, _) => {
-                info!(turn.log, "a proxy can't be had"; "member" => out.member.0, "ending" => super::name(ending));
-                placing.failed(turn.now, out.member);
-                // Connections that stand in the pool are no better: the next request needs one that has come up.
-                self.orders.push_back(Order::CloseIdle(out.member));
+                if placing.failed(turn.now, out.member) {
+                    let name = placing.name(out.member).map(str::to_owned);
+                    warn!(turn.log, "home proxy is unavailable"; "ending" => super::name(ending), "name" => name);
+                    self.leave_peer(turn.now, out.member);
+                }
             }
         }
     }
+
+    /// Takes back from a silent proxy what may be repeated, and closes the connections to it that stand in the pool: the next
+    /// request needs one that has come up.
+    fn leave_peer(&mut self, now: Micros, peer: MemberId) {
+        self.orders.push_back(Order::CloseIdle(peer));
+        let at_peer = self.requests.iter().filter_map(|(id, r)| {
+            let out = r.out.as_ref().filter(|out| out.member == peer && !r.begun && !r.over)?;
+            Some(AttemptId { request: *id, number: out.number })
+        });
+        let repeatable: Vec<_> =
+            at_peer.filter(|attempt| self.may_repeat(now, attempt.request, now)).collect();
+        self.orders.extend(repeatable.into_iter().map(Order::Abandon));
+    }
 }
--- a/crates/gradeshunt/src/placing.rs
+++ b/crates/gradeshunt/src/placing.rs
@@ -46,7 +46,9 @@
 /// How a proxy has fared of late.
 #[derive(Clone, Copy, Debug, Default)]
 struct Health {
-    /// Failures since it last answered.
+    /// When it last answered, if it has.
+    heard: Option<Micros>,
+    /// Failures since then.
     failures: u32,
     /// Until when it is passed over.
     until: Micros,
@@ -183,21 +185,33 @@
         self.health.get(&peer).is_none_or(|health| health.until <= now)
     }
 
-    /// A proxy could not be reached, or has fallen silent.
-    pub fn failed(&mut self, now: Micros, peer: MemberId) {
+    /// Whether a proxy has answered something within the connect time-out: it serves, however long one request takes.
+    pub fn is_heard(&self, now: Micros, peer: MemberId) -> bool {
+        let heard = self.health.get(&peer).and_then(|health| health.heard);
+        heard.is_some_and(|at| now - at < self.connect_timeout)
+    }
+
+    /// A proxy could not be reached, or has fallen silent. True where it was available until now.
+    pub fn failed(&mut self, now: Micros, peer: MemberId) -> bool {
         let health = self.health.entry(peer).or_default();
         // Requests that were out together fail together: they are one failure.
         if health.until > now {
-            return;
+            return false;
         }
         let backoff = (1_i64 << health.failures.min(16)).min(LONGEST_BACKOFF);
         health.failures += 1;
         health.until = now + self.connect_timeout * backoff;
+        true
+    }
+
+    /// The name of a proxy, for the log.
+    pub fn name(&self, peer: MemberId) -> Option<&str> {
+        self.numbers.iter().find(|(_, number)| **number == peer).map(|(name, _)| name.as_str())
     }
 
     /// A proxy has answered a request of this set.
-    pub fn answered(&mut self, peer: MemberId, group: GroupId) {
-        self.health.remove(&peer);
+    pub fn answered(&mut self, now: Micros, peer: MemberId, group: GroupId) {
+        self.health.insert(peer, Health { heard: Some(now), ..Health::default() });
         self.direct.end(group.0);
     }
 
@@ -232,6 +246,23 @@
         format!("group {} of {count} proxies", self.placement.group())
     }
 
+    /// The counts as metrics in Prometheus' text format.
+    pub fn metrics(&self) -> String {
+        let Counts { home, sent_on, taken, direct, refused } = self.counts;
+        let ways = [
+            ("home", home),
+            ("sent_on", sent_on),
+            ("taken", taken),
+            ("direct", direct),
+            ("refused", refused),
+        ];
+        let mut text = "# TYPE app_placement_requests counter\n".to_owned();
+        for (way, count) in ways {
+            let _ = writeln!(text, "app_placement_requests{{way=\"{way}\"}} {count}");
+        }
+        text
+    }
+
     /// What operators are shown: the group, its proxies with how they fare, counts.
     pub fn exposition(&self, now: Micros) -> String {
         let mut text = format!(
--- a/crates/gradeshunt/src/placing/tests.rs
+++ b/crates/gradeshunt/src/placing/tests.rs
@@ -1,1 +1,79 @@
 //! Tests of the part named by the folder.
+
+use super::*;
+
+/// Two proxies beside the own one, in one group of which each set has two homes.
+fn placing(own: &str) -> Placing {
+    let proxies = ["a", "b", "c"].map(|name| {
+        let port = 1000 + u16::from(name.as_bytes()[0]);
+        format!("proxy {{ name: \"{name}\" zone: \"z\" address: \"127.0.0.1:{port}\" }}")
+    });
+    let text =
+        format!("placement {{ group_size {{ least: 2 most: 9 }} direct_sets: 1 {} }}", proxies.join(" "));
+    Placing::new(Placement::parse("test", &text, own).expect("a placement"), 1_000)
+}
+
+/// Sets of which the own proxy is no home.
+fn foreign_sets(placing: &mut Placing) -> Vec<GroupId> {
+    let sets = (1..).map(GroupId);
+    let foreign = |set: &GroupId| placing.decide(0, *set, Bucket::new(0), &[]) != Decision::Here;
+    sets.filter(foreign).take(2).collect()
+}
+
+fn home(placing: &mut Placing, now: Micros, set: GroupId, tried: &[MemberId]) -> MemberId {
+    match placing.decide(now, set, Bucket::new(0), tried) {
+        Decision::SendOn(home) => home,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards the pause of a proxy that can't be had: it doubles, failures within it count once, and an answer ends it.
+#[test]
+fn unavailable_home_is_passed_over_for_longer_each_time() {
+    let mut placing = placing("a");
+    let set = foreign_sets(&mut placing)[0];
+    let first = home(&mut placing, 0, set, &[]);
+    assert!(placing.failed(0, first));
+    assert!(!placing.failed(999, first), "what was out with it fails with it");
+    assert_ne!(home(&mut placing, 999, set, &[]), first);
+    assert_eq!(home(&mut placing, 1_000, set, &[]), first);
+    assert!(placing.failed(1_000, first));
+    assert_ne!(home(&mut placing, 2_999, set, &[]), first);
+    placing.answered(2_999, first, set);
+    assert_eq!(home(&mut placing, 2_999, set, &[]), first);
+    assert!(placing.is_heard(3_998, first) && !placing.is_heard(3_999, first));
+}
+
+/// Guards the bound on sets that go to their db hosts from a proxy that is no home of theirs, and its end.
+#[test]
+fn sets_go_direct_up_to_their_number_and_only_while_no_home_can_be_had() {
+    let mut placing = placing("a");
+    let sets = foreign_sets(&mut placing);
+    let (one, other) = (sets[0], sets[1]);
+    let first = home(&mut placing, 0, one, &[]);
+    let second = home(&mut placing, 0, one, &[first]);
+    let all = [first, second];
+    assert_eq!(placing.decide(0, one, Bucket::new(0), &all), Decision::Here);
+    assert_eq!(placing.decide(0, one, Bucket::new(0), &all), Decision::Here, "it goes direct already");
+    assert_eq!(placing.decide(0, other, Bucket::new(0), &all), Decision::Refuse);
+    placing.answered(0, first, one);
+    assert_eq!(placing.decide(0, other, Bucket::new(0), &all), Decision::Here, "there is room again");
+    let counts = placing.counts;
+    assert_eq!((counts.direct, counts.refused), (3, 1));
+}
+
+/// Guards tenants' shares and the budgets of db hosts: these divide by the homes over all groups, those by all proxies.
+#[test]
+fn budgets_divide_by_homes_and_shares_by_proxies() {
+    let config = std::fs::read_to_string("../../examples/shared.json").expect("the example");
+    let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+    let mut settings = leadmast::settings::read(&config["settings"]).expect("settings").settings;
+    settings.fleet = 3_400;
+    let before: Vec<f64> = settings.tenants.iter().map(|t| t.rate / f64::from(settings.fleet)).collect();
+    let placing = placing("a").divide_budgets(&mut settings);
+    // One group, two versions of the roster with two homes each, and a slot for those that go direct.
+    assert_eq!(settings.fleet, 5);
+    let after: Vec<f64> = settings.tenants.iter().map(|t| t.rate / f64::from(settings.fleet)).collect();
+    assert!(!before.is_empty() && before.iter().zip(&after).all(|(a, b)| (a - b).abs() < 1e-9 * a));
+    assert!(!placing.needs_restart());
+}
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -5,6 +5,7 @@
 use super::Proxy;
 use crate::control::{self, Answer};
 use crate::ids::CallerId;
+use crate::placing::Placing;
 
 impl Proxy {
     /// Works off an operator's connection.
@@ -33,7 +34,9 @@
             }
             control::Command::Status => Answer::new(503, "starting\n"),
             control::Command::Figures => {
-                Answer::new(200, control::exposition(&exchange.figures(), &self.classes, &self.tenants))
+                let figures = control::exposition(&exchange.figures(), &self.classes, &self.tenants);
+                let placement = exchange.placing.as_ref().map(Placing::metrics).unwrap_or_default();
+                Answer::new(200, figures + &placement)
             }
             control::Command::Shapes => match self.frontend.exposition() {
                 Some(text) => Answer::new(200, text),
--- /dev/null
+++ b/crates/gradeshunt/tests/placement.rs
@@ -0,0 +1,388 @@
+//! Requests that are sent on to a home proxy, on real connections to a real process. The test plays the other proxies and the
+//! only db host, so that every order of events is forced by bytes awaited.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use gradeshunt_placement::{Bucket, Fleet, Member};
+use gradeshunt_stand_ins::postgres::client::{Client, Reply};
+use gradeshunt_stand_ins::postgres::wire;
+use gradeshunt_stand_ins::script::Table;
+use gradeshunt_stand_ins::site::{Plan, Site};
+use serde_json::json;
+
+/// A wait that ends a test which fails, and bounds none that passes.
+const PATIENCE: Duration = Duration::from_secs(40);
+/// The proxy under test, as the stand-in site names it.
+const OWN: &str = "n0";
+
+/// A bound port of the system's, and its address.
+fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    (listener, address)
+}
+
+/// A port that is free, and that nobody else is given soon.
+fn free_address() -> SocketAddr {
+    listener().1
+}
+
+/// A fleet of one group: the proxy under test, and two others that the test plays.
+struct Group {
+    /// The address for proxies of the one under test.
+    own: SocketAddr,
+    /// The two others' sockets, in the order in which they are homes of [`Group::set`].
+    homes: Vec<TcpListener>,
+    /// A set of which the proxy under test is no home.
+    set: u64,
+    text: String,
+}
+
+impl Group {
+    fn new(settings: &str) -> Group {
+        let own = free_address();
+        let mut others: Vec<_> = ["h1", "h2"].into_iter().map(|name| (name, listener())).collect();
+        let mut text = format!("placement {{ group_size {{ least: 2 most: 9 }} {settings}\n");
+        text += &format!("proxy {{ name: {OWN:?} zone: \"here\" address: \"{own}\" }}\n");
+        for (name, (_, address)) in &others {
+            text += &format!("proxy {{ name: {name:?} zone: \"here\" address: \"{address}\" }}\n");
+        }
+        text += "}\n";
+        let fleet = Fleet::parse("test", &text).expect("a placement");
+        let group = &fleet.groups()[0];
+        let name = |member: &Member| group.proxies[member.0 as usize].name.clone();
+        let homes = |set: u64| -> Vec<String> {
+            fleet.homes(group).of(set, Bucket::new(0)).iter().map(name).collect()
+        };
+        let set = (1..).find(|set| !homes(*set).contains(&OWN.to_owned())).expect("one of a third of all");
+        let place = |name: &str| homes(set).iter().position(|home| home == name);
+        others.sort_by_key(|(name, _)| place(name));
+        let homes = others.into_iter().map(|(_, (listener, _))| listener).collect();
+        Group { own, homes, set, text }
+    }
+}
+
+/// A process of the program, with all that it meets.
+struct Program {
+    child: Child,
+    addr: SocketAddr,
+    folder: PathBuf,
+    control: SocketAddr,
+    /// The only db host.
+    host: TcpListener,
+    _discovery: TcpListener,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Program {
+    fn start(name: &str, group: &Group) -> Program {
+        let (host, host_address) = listener();
+        let (discovery, discovery_address) = listener();
+        let (addr, control) = (free_address(), free_address());
+        let site = Site::open(Plan { sets: vec![1], ..Plan::default() }).expect("a site");
+        let mut config = site.config();
+        config["listen"] = json!(addr.to_string());
+        config["control"] = json!(control.to_string());
+        config["known"]["instances"][0]["hostPort"] = json!(host_address.to_string());
+        config["known"]["instances"][0]["cell"] = json!(group.set);
+        config["settings"]["allowed"]["connectTimeout"] = json!(600_000.0);
+        // It takes calls and says nothing.
+        config["discovery"] = json!(discovery_address.to_string());
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(folder.join("tmp")).expect("a folder");
+        std::fs::write(folder.join("placement.textproto"), &group.text).expect("a file");
+        config["placement"] = json!(folder.join("placement.textproto"));
+        std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
+        let child = Command::new(env!("CARGO_BIN_EXE_gradeshunt"))
+            .env("ROUTER_CONFIG", folder.join("config.json"))
+            .env("TMPDIR", folder.join("tmp"))
+            .env_remove("ROUTER_CONTROL")
+            .env_remove("ROUTER_LISTEN_FD")
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("it starts");
+        Program { child, addr, folder, control, host, _discovery: discovery }
+    }
+
+    fn client(&self) -> Client {
+        loop {
+            if let Ok(client) = Client::connect(self.addr, &[("user", "portal")], PATIENCE) {
+                return client;
+            }
+            std::thread::yield_now();
+        }
+    }
+
+    fn call(&self, path: &str) -> String {
+        let mut stream = TcpStream::connect(self.control).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+        write!(stream, "GET {path} HTTP/1.1\r\nHost: x\r\n\r\n").expect("it is open");
+        let mut text = String::new();
+        stream.read_to_string(&mut text).expect("an answer");
+        text
+    }
+}
+
+/// Takes the connection of a proxy that introduces itself, and welcomes it.
+fn accept(listener: &TcpListener) -> (TcpStream, String) {
+    let (mut stream, _) = listener.accept().expect("it connects");
+    stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    let (_, parameters) = wire::read_startup(&mut stream).expect("a startup message");
+    stream.write_all(&[wire::message(b'R', &[0; 4]), ready()].concat()).expect("it is open");
+    (stream, String::from_utf8_lossy(&parameters).into_owned())
+}
+
+fn ready() -> Vec<u8> {
+    wire::message(b'Z', b"I")
+}
+
+fn row(value: &str) -> Vec<u8> {
+    let table = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&[value]]) };
+    [wire::table(&table), ready()].concat()
+}
+
+/// Reads the next statement of a client's, and passes over what the proxy asks for itself.
+fn next_statement(stream: &mut TcpStream) -> String {
+    loop {
+        let (tag, body) = wire::read(stream).expect("a query");
+        let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
+        if tag == b'Q' && text.contains("id=") {
+            return text;
+        }
+        let nothing = Table::of(&["x0", "x1"], &[&["0", "0"]]);
+        stream.write_all(&[wire::table(&nothing), ready()].concat()).expect("it is open");
+    }
+}
+
+/// The wait that a statement tells, in milliseconds.
+fn wait_of(statement: &str) -> u64 {
+    let wait = statement.split_once(",d=").and_then(|(_, rest)| rest.split(',').next());
+    wait.and_then(|wait| wait.parse().ok()).expect("a wait")
+}
+
+fn read_of(id: u32, set: u64) -> String {
+    format!("/* id={id},c=page-read,d=300000,cluster={set} */ SELECT data FROM facts WHERE code = '{id:x}'")
+}
+
+/// A write that is never to run twice.
+fn unsafe_write_of(id: u32, set: u64) -> String {
+    format!("/* id={id},c=plain-write,d=300000,cluster={set} */ INSERT INTO facts (code) VALUES ('{id:x}')")
+}
+
+fn answer(client: &mut Client) -> Reply {
+    client.until_ready().expect("an answer, and no end")
+}
+
+/// The way of a request: it goes to the first home as it came, but for the wait, and its answer comes back; the next one goes
+/// over the connection that is there. The db host is not asked.
+#[test]
+fn request_goes_to_the_first_home_over_a_kept_connection() {
+    let group = Group::new("");
+    let program = Program::start("first-home", &group);
+    let mut client = program.client();
+    client.ask(&read_of(1, group.set)).expect("it is open");
+    let (mut home, parameters) = accept(&group.homes[0]);
+    assert!(parameters.contains("user\0gradeshunt\0") && parameters.contains("application_name\0n0\0"));
+    for id in 1..=3 {
+        let statement = next_statement(&mut home);
+        let wait = wait_of(&statement);
+        assert!(wait < 300_000, "the home has less time than the client");
+        assert_eq!(statement.replace(&format!(",d={wait},"), ",d=300000,"), read_of(id, group.set));
+        home.write_all(&row(&format!("v{id}"))).expect("it is open");
+        assert_eq!(answer(&mut client).value(), Some(format!("v{id}")));
+        if id < 3 {
+            client.ask(&read_of(id + 1, group.set)).expect("it is open");
+        }
+    }
+    let shown = program.call("/placement");
+    assert!(shown.contains("requests home=0 sent_on=3 taken=0 direct=0 refused=0"), "{shown}");
+    assert!(program.call("/status/metrics").contains("app_dispatches 0\n"));
+}
+
+/// A refusal is the home's own, and its advice reaches the client.
+#[test]
+fn refusal_of_a_home_keeps_its_advice() {
+    let group = Group::new("");
+    let program = Program::start("refusal", &group);
+    let mut client = program.client();
+    client.ask(&read_of(1, group.set)).expect("it is open");
+    let (mut home, _) = accept(&group.homes[0]);
+    next_statement(&mut home);
+    let refusal = wire::message(b'E', b"SERROR\0C53300\0Mno db host can take this now\0D170\0\0");
+    home.write_all(&[refusal, ready()].concat()).expect("it is open");
+    let reply = answer(&mut client);
+    let detail = reply.error.as_ref().and_then(|error| error.2.as_deref());
+    assert_eq!((reply.code(), detail), (Some("53300"), Some("170")));
+}
+
+/// A home that refuses the connection, one that turns it away and one that leaves before it has read the request have not run
+/// it: even a write that must never run twice goes to the next home.
+#[test]
+fn request_that_cannot_have_run_goes_to_the_next_home() {
+    for fault in ["refuses", "turns away", "leaves"] {
+        let mut group = Group::new("");
+        let program = Program::start(&format!("next-home-{}", fault.replace(' ', "-")), &group);
+        let first = group.homes.remove(0);
+        let mut client = program.client();
+        match fault {
+            "refuses" => {
+                drop(first);
+                client.ask(&unsafe_write_of(1, group.set)).expect("it is open");
+            }
+            "turns away" => {
+                client.ask(&unsafe_write_of(1, group.set)).expect("it is open");
+                let (mut stream, _) = first.accept().expect("it connects");
+                wire::read_startup(&mut stream).expect("a startup message");
+                stream.write_all(&wire::error("57P03", "leaving")).expect("it is open");
+            }
+            _ => {
+                client.ask(&unsafe_write_of(1, group.set)).expect("it is open");
+                let (mut stream, _) = accept(&first);
+                next_statement(&mut stream);
+                stream.write_all(&wire::error("PX001", "leaving")).expect("it is open");
+                stream.shutdown(Shutdown::Write).expect("it is open");
+            }
+        }
+        let (mut second, _) = accept(&group.homes[0]);
+        assert!(next_statement(&mut second).contains("id=1,"), "{fault}");
+        second.write_all(&row("done")).expect("it is open");
+        assert_eq!(answer(&mut client).value().as_deref(), Some("done"), "{fault}");
+    }
+}
+
+/// A home that breaks off after it had the request may have run it: a read goes to the next home, a write that must never run
+/// twice fails.
+#[test]
+fn request_that_may_have_run_is_repeated_only_where_its_class_permits() {
+    let group = Group::new("");
+    let program = Program::start("may-have-run", &group);
+    let mut client = program.client();
+    client.ask(&unsafe_write_of(1, group.set)).expect("it is open");
+    let (mut home, _) = accept(&group.homes[0]);
+    next_statement(&mut home);
+    drop(home);
+    assert_eq!(answer(&mut client).code(), Some("58000"));
+
+    let group = Group::new("");
+    let program = Program::start("read-may-have-run", &group);
+    let mut client = program.client();
+    client.ask(&read_of(2, group.set)).expect("it is open");
+    let (mut home, _) = accept(&group.homes[0]);
+    next_statement(&mut home);
+    drop(home);
+    let (mut second, _) = accept(&group.homes[1]);
+    assert!(next_statement(&mut second).contains("id=2,"));
+    second.write_all(&row("v")).expect("it is open");
+    assert_eq!(answer(&mut client).value().as_deref(), Some("v"));
+}
+
+/// Where no home can be had the proxy goes to the db host itself; where that is not allowed either, it refuses.
+#[test]
+fn request_without_a_home_goes_direct_or_is_refused() {
+    let mut group = Group::new("");
+    group.homes.clear();
+    let program = Program::start("direct", &group);
+    let mut client = program.client();
+    client.ask(&unsafe_write_of(1, group.set)).expect("it is open");
+    let (mut host, parameters) = accept(&program.host);
+    assert!(parameters.contains("user\0portal\0"));
+    assert!(next_statement(&mut host).contains("id=1,"));
+    host.write_all(&row("done")).expect("it is open");
+    assert_eq!(answer(&mut client).value().as_deref(), Some("done"));
+    assert!(program.call("/placement").contains("sets_direct 1\n"));
+
+    let mut group = Group::new("direct_sets: 0");
+    group.homes.clear();
+    let program = Program::start("not-direct", &group);
+    let mut client = program.client();
+    client.ask(&unsafe_write_of(1, group.set)).expect("it is open");
+    assert_eq!(answer(&mut client).code(), Some("53300"));
+}
+
+/// What comes from another proxy is served here, though this proxy is no home by its own file: nothing is sent on twice.
+#[test]
+fn request_of_another_proxy_is_never_sent_on() {
+    let group = Group::new("");
+    let program = Program::start("never-twice", &group);
+    drop(program.client());
+    let introduce = [("user", "gradeshunt"), ("application_name", "h1")];
+    let mut proxy = Client::connect(group.own, &introduce, PATIENCE).expect("it is welcome");
+    proxy.ask(&read_of(1, group.set)).expect("it is open");
+    let (mut host, _) = accept(&program.host);
+    assert!(next_statement(&mut host).contains("id=1,"));
+    host.write_all(&row("v")).expect("it is open");
+    assert_eq!(answer(&mut proxy).value().as_deref(), Some("v"));
+    assert!(program.call("/placement").contains("sent_on=0 taken=1"));
+}
+
+/// Whoever is no proxy of the group gets an error at the address for proxies; nothing else is touched.
+#[test]
+fn stranger_at_the_address_for_proxies_gets_an_error() {
+    let group = Group::new("");
+    let program = Program::start("stranger", &group);
+    let mut client = program.client();
+    let strangers =
+        [vec![("user", "portal")], vec![("user", "gradeshunt"), ("application_name", "h9")], vec![]];
+    for stranger in strangers {
+        let mut stream = TcpStream::connect(group.own).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+        stream.write_all(&wire::startup(&stranger)).expect("it is open");
+        let (tag, body) = wire::read(&mut stream).expect("an error");
+        assert_eq!((tag, wire::field(&body, b'C').as_deref()), (b'E', Some("28000")), "{stranger:?}");
+        assert_eq!(stream.read(&mut [0]).expect("an end, and no reset"), 0);
+    }
+    assert!(client.query("").expect("it is served").error.is_none());
+}
+
+/// A client leaves: the home sees it at once by the end of its connection.
+#[test]
+fn client_that_leaves_ends_the_attempt_at_the_home() {
+    let group = Group::new("");
+    let program = Program::start("leaves", &group);
+    let mut client = program.client();
+    client.ask(&read_of(1, group.set)).expect("it is open");
+    let (mut home, _) = accept(&group.homes[0]);
+    next_statement(&mut home);
+    drop(client);
+    assert_eq!(home.read(&mut [0]).expect("an end"), 0);
+}
+
+/// A home that drains tells other proxies before it closes their connections, so that what crosses the close has not run; it
+/// answers what it has read.
+#[test]
+fn draining_home_answers_what_it_has_and_tells_that_it_leaves() {
+    let group = Group::new("");
+    let program = Program::start("drains", &group);
+    drop(program.client());
+    let introduce = [("user", "gradeshunt"), ("application_name", "h1")];
+    let connect = || Client::connect(group.own, &introduce, PATIENCE).expect("it is welcome");
+    let (mut busy, mut idle) = (connect(), connect());
+    busy.ask(&read_of(1, group.set)).expect("it is open");
+    let (mut host, _) = accept(&program.host);
+    next_statement(&mut host);
+    let kill = Command::new("kill").arg("-TERM").arg(program.child.id().to_string()).status();
+    assert!(kill.is_ok_and(|status| status.success()));
+    last_message(&mut idle);
+    host.write_all(&row("v")).expect("it is open");
+    assert_eq!(answer(&mut busy).value().as_deref(), Some("v"));
+    last_message(&mut busy);
+}
+
+/// Reads the last message to another proxy, and the end behind it.
+fn last_message(proxy: &mut Client) {
+    let (tag, body) = wire::read(proxy.stream()).expect("a last message");
+    assert_eq!((tag, wire::field(&body, b'C').as_deref()), (b'E', Some("PX001")));
+    assert_eq!(proxy.stream().read(&mut [0]).expect("an end, and no reset"), 0);
+}
