--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -86,7 +86,7 @@
                     // Out of descriptors, most likely: the listener stays readable, so it is tried again only
                     // after a pause, with one more descriptor to spare.
                     warn!(turn.log, "cannot accept connections"; "error" => e.to_string());
-                    self.close_oldest_idle(turn);
+                    self.evict_one(turn);
                     turn.deadlines.set(turn.now + ACCEPT_AGAIN, again);
                     return Backlog::Stuck;
                 }
@@ -105,7 +105,7 @@
         socket.set_nodelay(true)?;
         let id = SessionId(self.next);
         self.next += 1;
-        let full = self.sessions.len() >= self.most && !self.close_oldest_idle(turn);
+        let full = self.sessions.len() >= self.most && !self.evict_one(turn);
         let polled = Polled::new(turn, socket, Polling::Session(id))?;
         let session = Session {
             polled,
@@ -155,6 +155,6 @@
         if let Some(listener) = self.peer_listener.take() {
             listener.close(turn);
         }
-        self.send_away(turn, exchange, Service::Closing);
+        self.drain(turn, exchange, Service::Closing);
     }
 }
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -23,13 +23,13 @@
 mod pg;
 mod placing;
 mod planning;
+mod proc_stats;
 mod proxy;
 mod ring;
 mod routing;
 mod run;
 mod shared;
 mod site_loss;
-mod strain;
 mod turn;
 
 pub use cli::Arguments;
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -74,7 +74,7 @@
         self.shared.turn_to(Duty::Leaving);
         let now = self.core.turn.now;
         let leave = now + self.longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
-        self.frontend.last_call(leave - LAST_ANSWERS - LAST_CALL);
+        self.frontend.set_drain_deadline(leave - LAST_ANSWERS - LAST_CALL);
         self.core.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
         self.core.turn.deadlines.set(leave - LAST_ANSWERS, Due::LastAnswers);
         self.core.turn.deadlines.set(leave, Due::Leave);
