--- a/crates/gradeshunt/src/control_core.rs
+++ b/crates/gradeshunt/src/control_core.rs
@@ -13,6 +13,7 @@
 use crate::discovery::{self, Discovery, News};
 use crate::exchange::{Answer, Exchange, Order};
 use crate::pace::Pace;
+use crate::placing::Placing;
 use crate::turn::{Ready, Source, Turn};
 
 /// The control part of a proxy.
@@ -77,8 +78,13 @@
         let known = std::mem::take(&mut config.known);
         let known = if known.is_null() { None } else { Some(discovery.known(&turn.clock, &known)?) };
         let tenants = config.tenants();
-        let mut exchange = Exchange::new(facts.settings.clone(), tenants, config.seed, turn.now);
+        let connect_timeout = facts.connections.connect_timeout;
+        let placing = config.placement.take().map(|placement| Placing::new(placement, connect_timeout));
+        let mut settings = facts.settings.clone();
+        let placing = placing.map(|placing| placing.divide_budgets(&mut settings));
+        let mut exchange = Exchange::new(settings, tenants, config.seed, turn.now);
         exchange.sites = config.sites.take();
+        exchange.placing = placing;
         let pace = Pace::new(turn.now);
         Ok(Core { turn, exchange, discovery, pace, known, news: Vec::new() })
     }
--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -102,6 +102,7 @@
         Source::Control | Source::Caller(_) => 0,
         Source::Session(_) => 1,
         Source::Listener
+        | Source::PeerListener
         | Source::Server(_)
         | Source::Call(_)
         | Source::Terminate
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -4,10 +4,13 @@
 //! The exchange owns the module. It hands it events one at a time and queues what the module asks for; the
 //! turn carries the queues to the two sides, so that the module is never re-entered.
 
+mod forwarding;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::ops::Range;
 use std::rc::Rc;
 
+use gradeshunt_placement::Source;
 use gradeshunt_sites::proxy::Sites;
 use leadmast::*;
 use slog::{debug, error, info};
@@ -16,6 +19,7 @@
 use crate::figures::{Count, Figures, TenantCount};
 pub use crate::ids::AttemptId;
 use crate::memory::Held;
+use crate::placing::Placing;
 use crate::site_loss;
 use crate::turn::Turn;
 
@@ -71,6 +75,8 @@
     pub checked: bool,
     /// Whose it is, where the settings name tenants.
     pub tenant: Option<TenantId>,
+    /// Whether it came from a client or from another proxy.
+    pub source: Source,
     pub body: Body,
 }
 
@@ -141,6 +147,12 @@
     Error(Vec<u8>),
     /// An error of the statement's own, such as a duplicate key: it would be the same anywhere.
     Verdict(Vec<u8>),
+    /// It has turned the request away, perhaps with the time after which to come again.
+    Refused {
+        retry_after: Option<Micros>,
+    },
+    /// It ends, and has not read the request.
+    Leaving,
 }
 
 struct Out {
@@ -169,6 +181,8 @@
     /// The final answer is given, or the client has gone.
     over: bool,
     error: Option<Vec<u8>>,
+    /// While another proxy has it.
+    forward: Option<Box<forwarding::Forward>>,
     /// The first part of a long answer was passed on: from then on it is this attempt's, without a deadline.
     begun: bool,
     /// How much of it the client side can take now, how much is on its way there, and whether the server side waits
@@ -210,6 +224,12 @@
     /// What is done at the loss of a site, where operators have a plan for it. What it does is carried out by
     /// `crate::proxy::sites`.
     pub sites: Option<Sites>,
+    /// Which requests go to other proxies, where operators have a file on that.
+    pub placing: Option<Placing>,
+    /// Time that an answer takes from one proxy to another, at most.
+    hop: Micros,
+    /// By class.
+    effects: Vec<Effect>,
     /// By class.
     retry_after: Vec<Option<Micros>>,
     /// By class, of what is keyed: how long after its first send a repeat may still be sent.
@@ -237,6 +257,9 @@
             slack: settings.rules.answer_slack,
             max_attempts: settings.allowed.attempts,
             sites: None,
+            placing: None,
+            hop: settings.tick,
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
             retry_after: settings.classes.iter().map(|c| site_loss::back(&settings, c)).collect(),
             balancer: Balancer::new(settings, seed, now),
             requests: BTreeMap::new(),
@@ -256,7 +279,7 @@
     pub fn submit(&mut self, turn: &mut Turn, call: Call) -> RequestId {
         let id = RequestId(self.next);
         self.next += 1;
-        let Call { class, group, key, deadline, since_write, repeat, checked, tenant, body } = call;
+        let Call { class, group, key, deadline, since_write, repeat, checked, tenant, source, body } = call;
         self.tally.requests += 1;
         // The module answers by the deadline. Should it not, the client gets its answer all the same.
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
@@ -275,6 +298,7 @@
             left: false,
             over: false,
             error: None,
+            forward: None,
             begun: false,
             room: ROOM,
             queued: 0,
@@ -293,22 +317,9 @@
             self.finish(turn, id, refused);
             return id;
         }
-        self.tell(
-            turn,
-            Event::Request(Arrival {
-                request: id,
-                class,
-                group,
-                key,
-                deadline,
-                since_write,
-                repeat,
-                checked,
-                tenant,
-            }),
-        );
-        let beyond = self.balancer.is_beyond(id);
-        self.requests.get_mut(&id).into_iter().for_each(|r| r.beyond = beyond);
+        let arrival =
+            Arrival { request: id, class, group, key, deadline, since_write, repeat, checked, tenant };
+        self.place(turn, source, arrival);
         id
     }
 
@@ -316,12 +327,14 @@
     pub fn gone(&mut self, turn: &mut Turn, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.left = true;
-        let (written, begun) = (r.written, r.begun);
+        let (written, begun, forwarded) = (r.written, r.begun, r.forward.is_some());
         let attempt = r.out.as_ref().map(|out| AttemptId { request: id, number: out.number });
         if self.end(turn, id) {
             // Of a long answer that has begun the module knows no more. What is not sent yet is no business of the
-            // settings on calling off: nothing reaches a db host.
-            self.orders.extend(attempt.map(if begun { Order::Abandon } else { Order::Withdraw }));
+            // settings on calling off: nothing reaches a db host. A home learns of it by the end of its connection, and keeps to
+            // the settings itself.
+            let abandon = begun || forwarded;
+            self.orders.extend(attempt.map(if abandon { Order::Abandon } else { Order::Withdraw }));
             self.tally.gone += 1;
             self.tally.gone_unsent += u32::from(!written);
             self.figures.gone_unsent += u64::from(!written);
@@ -391,7 +404,10 @@
         self.answers.push_back((id, Answer::Part(bytes)));
         if !std::mem::replace(&mut r.begun, true) {
             turn.deadlines.clear(r.deadline + self.slack, Due::Overdue(id));
-            self.outcome(turn, id, attempt.number, member, Ending::Ok, true, elapsed, note);
+            // Of what another proxy serves the module knows nothing.
+            if r.forward.is_none() {
+                self.outcome(turn, id, attempt.number, member, Ending::Ok, true, elapsed, note);
+            }
         }
     }
 
@@ -399,6 +415,9 @@
         let Ended { attempt: AttemptId { request: id, number }, ending, note, said } = ended;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(out) = r.out.take_if(|o| o.number == number) else { return };
+        if r.forward.is_some() {
+            return self.forward_ended(turn, id, out, ending, said);
+        }
         r.error = None;
         if !ending.never_ran() {
             r.doubt_since.get_or_insert(out.since);
@@ -412,7 +431,7 @@
                 r.error = Some(bytes);
                 None
             }
-            Said::Nothing => None,
+            Said::Nothing | Said::Refused { .. } | Said::Leaving => None,
         };
         let last = over || answer.is_some();
         let broken = answer == Some(Final::Broken);
@@ -439,7 +458,9 @@
 
     /// An attempt is written whole.
     pub fn dispatched(&mut self, attempt: AttemptId) {
-        self.figures.dispatches += 1;
+        if !attempt.is_forward() {
+            self.figures.dispatches += 1;
+        }
         let Some(r) = self.requests.get_mut(&attempt.request) else { return };
         // Nobody waits for it: this must not be.
         if r.left && !r.written {
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -4,12 +4,13 @@
 mod eviction;
 mod listener;
 mod messages;
+mod peers;
 mod session;
 mod statements;
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -50,6 +51,9 @@
 /// The client side.
 pub struct Frontend {
     listener: Option<Polled<TcpListener>>,
+    /// Where other proxies connect, and the names of those that may.
+    peer_listener: Option<Polled<TcpListener>>,
+    peer_names: BTreeSet<String>,
     settings: Settings,
     names: Names,
     most: usize,
@@ -77,6 +81,8 @@
     pub fn new(settings: Settings, names: Names) -> Self {
         Frontend {
             listener: None,
+            peer_listener: None,
+            peer_names: BTreeSet::new(),
             settings,
             names,
             most: 0,
@@ -120,6 +126,7 @@
 
     /// Whether the listener is closed and every client has had its answers.
     pub fn is_done(&self) -> bool {
-        self.service == Service::Closing && self.listener.is_none() && self.sessions.is_empty()
+        let listens = self.listener.is_some() || self.peer_listener.is_some();
+        self.service == Service::Closing && !listens && self.sessions.is_empty()
     }
 }
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -3,6 +3,7 @@
 use leadmast::Micros;
 use slog::info;
 
+use super::peers::leaving;
 use super::session::{Session, Stage};
 use super::{Frontend, Service};
 use crate::deadlines::Due;
@@ -50,12 +51,15 @@
         let fresh =
             turn.now - s.since <= FIRST_REQUEST_GRACE && self.drain_deadline.is_none_or(|at| turn.now < at);
         let between = match s.stage {
+            // Another proxy sends what crosses the close elsewhere.
+            Stage::Startup | Stage::Ready if s.is_peer() => true,
             Stage::Startup => !fresh,
             Stage::Ready => s.asked || !fresh,
             Stage::Waiting(_) | Stage::Closing | Stage::Lingering => false,
         };
         if between && s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet() {
-            self.close_with(turn, id, Writer::default());
+            let last = if s.is_peer() { leaving() } else { Writer::default() };
+            self.close_with(turn, id, last);
         }
     }
 
@@ -91,7 +95,7 @@
         let idle = self.sessions.iter().filter_map(|(id, s)| {
             let limit = match s.stage {
                 Stage::Startup => SLOW_CLIENT,
-                Stage::Ready if s.asked => idle_limit,
+                Stage::Ready if s.asked && !s.is_peer() => idle_limit,
                 Stage::Ready | Stage::Waiting(_) | Stage::Closing | Stage::Lingering => return None,
             };
             let silent = s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet();
@@ -111,6 +115,10 @@
     /// Closes the client with the lowest [`eviction_rank`], the oldest of equals; false where none may be closed.
     pub(super) fn evict_one(&mut self, turn: &mut Turn) -> bool {
         let rank = |s: &Session| {
+            // Whoever keeps a connection to a home needs it all the time.
+            if s.is_peer() && !matches!(s.stage, Stage::Lingering) {
+                return None;
+            }
             let empty = s.inbound.is_empty() && s.outbound.is_empty();
             eviction_rank(&s.stage, s.asked, empty, turn.now - s.since)
         };
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -95,6 +95,10 @@
                 // PostgreSQL's rule.
                 let database = if database.is_empty() { user.clone() } else { database };
                 s.origin = Origin { user, database, application_name: named("application_name") };
+                if s.is_peer() && !self.admit_peer(turn, id) {
+                    return Ok(false);
+                }
+                let Some(s) = self.sessions.get_mut(&id) else { return Ok(false) };
                 let w = if minor > 0 || !options.is_empty() { w.negotiate(&options) } else { w };
                 s.stage = Stage::Ready;
                 let fits = s.outbound.push(&w.startup_reply(id.0 as u32).0);
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -46,6 +46,8 @@
     pub(super) inbound: Inbound,
     pub(super) outbound: Ring,
     pub(super) stage: Stage,
+    /// Whether it is a client's or another proxy's. It follows from the address at which it came in.
+    pub(super) source: gradeshunt_placement::Source,
     /// An unsupported message was answered with an error: all is passed over until Sync.
     pub(super) skipping: bool,
     pub(super) ended: bool,
@@ -62,6 +64,11 @@
 }
 
 impl Session {
+    /// Whether it is another proxy's.
+    pub(super) fn is_peer(&self) -> bool {
+        self.source == gradeshunt_placement::Source::Proxy
+    }
+
     /// Whether its last message is written, or is being written.
     pub(super) fn is_ending(&self) -> bool {
         matches!(self.stage, Stage::Closing | Stage::Lingering)
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -51,7 +51,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let client = TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
     let (socket, _) = listener.accept().expect("it has connected");
-    frontend.accept_session(&mut turn, socket).expect("it is accepted");
+    frontend.accept_session(&mut turn, socket, gradeshunt_placement::Source::Client).expect("it is accepted");
     let id = *frontend.sessions.first_key_value().expect("a session").0;
     (frontend, turn, client, id, poll)
 }
@@ -157,7 +157,7 @@
         let (frontend, turn, client, id, poll) = one_client();
         let exchange = Exchange::new(frontend.settings.clone(), Vec::new(), 7, 0);
         let mut pipeline = Pipeline { frontend, turn, exchange, client, id, _poll: poll };
-        pipeline.send(0, &Writer::default().startup("portal", "crm").0);
+        pipeline.send(0, &Writer::default().startup("portal", "crm", None).0);
         pipeline.send(0, &read_of(0, 1_200));
         assert!(matches!(pipeline.frontend.sessions[&id].stage, Stage::Waiting(RequestId(0))));
         pipeline
@@ -283,6 +283,7 @@
         repeat: false,
         checked: true,
         tenant: None,
+        source: gradeshunt_placement::Source::Client,
         body: Body::new(Vec::new(), None, Form::Value),
     }
 }
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod lifetime;
 mod operators;
+mod placement;
 mod sites;
 
 use std::net::TcpListener;
@@ -50,6 +51,8 @@
     held: bool,
     /// The clients' socket, until it is served.
     waiting: Option<TcpListener>,
+    /// The socket for other proxies, until they are served.
+    peer_socket: Option<socket2::Socket>,
     /// When it begins at the latest, until it has.
     begin_by: Option<Micros>,
     /// How long discovery may be silent.
@@ -61,6 +64,7 @@
     /// And of the tenants.
     tenants: Vec<String>,
     longest: Micros,
+    connect_timeout: Micros,
     terminating: bool,
     leave: bool,
 }
@@ -78,6 +82,7 @@
         let Config { name, listen, listen_fd, control, sockets, memory, silence, facts, rules, .. } = config;
         let longest = facts.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let classes = facts.names.classes.clone();
+        let connect_timeout = facts.connections.connect_timeout;
         let backend = Backend::new(facts.connections, &facts.names);
         let listener = match listen_fd {
             Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
@@ -112,16 +117,19 @@
             memory,
             held: listen_fd.is_some(),
             waiting: Some(listener),
+            peer_socket: None,
             begin_by: Some(begin_by),
             silence,
             failed: None,
             classes,
             tenants,
             longest,
+            connect_timeout,
             terminating: false,
             leave: false,
         };
         proxy.share_limits();
+        proxy.open_placement()?;
         proxy.watch_sites();
         proxy.settle();
         Ok(proxy)
@@ -208,6 +216,7 @@
         let (turn, exchange) = (&mut self.core.turn, &mut self.core.exchange);
         match source {
             Source::Listener => self.frontend.accept(turn),
+            Source::PeerListener => self.frontend.accept_peers(turn),
             Source::Session(id) => self.frontend.ready(turn, exchange, id),
             Source::Server(id) => self.backend.ready(turn, exchange, id),
             Source::Call(_) => {}
@@ -230,6 +239,7 @@
             Due::Server(id) => self.backend.server_due(turn, exchange, id),
             Due::Session(id) => self.frontend.session_due(turn, id),
             Due::Accept => self.frontend.accept(turn),
+            Due::AcceptPeers => self.frontend.accept_peers(turn),
             Due::Caller(id) => self.control.iter_mut().for_each(|c| c.due(turn, id)),
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
             Due::Look => {
--- a/crates/gradeshunt/src/proxy/changes.rs
+++ b/crates/gradeshunt/src/proxy/changes.rs
@@ -59,6 +59,7 @@
                 info!(self.core.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
                 self.frontend.route_by(config.rules);
                 self.replace_sites(config.sites);
+                self.replace_placement(config.placement);
                 self.core.move_discovery(config.discovery, config.silence);
             }
             Err(why) => {
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -18,6 +18,8 @@
 pub enum Source {
     /// The clients' listening socket.
     Listener,
+    /// The socket at which other proxies connect.
+    PeerListener,
     /// A client's connection.
     Session(SessionId),
     /// A connection to a db host.
@@ -40,7 +42,7 @@
     /// Its name in the log and the figures.
     pub fn name(self) -> &'static str {
         match self {
-            Source::Listener => "listener",
+            Source::Listener | Source::PeerListener => "listener",
             Source::Session(_) => "client",
             Source::Server(_) => "db host",
             Source::Call(_) => "discovery",
@@ -103,6 +105,18 @@
     Ok(socket.into())
 }
 
+/// A socket that is bound to an address and does not listen yet: whoever connects is refused. Another process of the same
+/// proxy may hold the address as well, during an upgrade.
+pub fn bound(addr: SocketAddr) -> std::io::Result<socket2::Socket> {
+    use socket2::{Domain, Protocol, Socket, Type};
+    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&addr.into())?;
+    Ok(socket)
+}
+
 /// A listening socket that the platform holds and this process has inherited. A descriptor by its number alone is
 /// nobody's, so safe code can't take it: this asks the system for another one of the same socket.
 pub fn inherited(fd: i32) -> std::io::Result<TcpListener> {
