--- a/crates/capacity/src/record.rs
+++ b/crates/capacity/src/record.rs
@@ -171,4 +171,36 @@
     pub const HOST_PROBES_BY_PROXIES: &str = "host.probes.by_proxies";
     /// Connections that a db host is asked for in a second, by proxies.
     pub const HOST_OPENED_BY_PROXIES: &str = "host.opened.by_proxies";
+    /// Statements a second that each proxy sends to one db host in the measurements by proxies: a figure.
+    pub const HOST_STATEMENTS_PER_PROXY: &str = "host.statements_per_proxy";
+    /// Statements a second of the proxy in the measurements by db hosts that the statements go to: a figure.
+    pub const STATEMENT_RATE: &str = "statement.rate";
+    /// Seconds that an unused connection to a db host is kept in those measurements: a figure.
+    pub const STATEMENT_REST_SECONDS: &str = "statement.rest_seconds";
+    /// Bytes of one answer of a proxy's figures, by db hosts known.
+    pub const FIGURES_BYTES_BY_HOSTS: &str = "figures.bytes.by_hosts";
+    /// Bytes a second that a proxy writes to its log on an ordinary day: a figure.
+    pub const LOG_BYTES: &str = "log.bytes";
+
+    // What the simulation of placement gives. All are figures, at the size that is designed for.
+
+    /// Connections at the db host that holds most, on the ordinary day: a figure, in connections.
+    pub const PLACEMENT_HOST_CONNECTIONS: &str = "placement.host_connections";
+    /// Connections at the db host that holds most, at the worst moment of all events: a figure, in connections.
+    pub const PLACEMENT_HOST_CONNECTIONS_WORST: &str = "placement.host_connections_worst";
+    /// Connections to db hosts and proxies of the proxy that holds most, on the ordinary day: a figure, in connections.
+    pub const PLACEMENT_PROXY_CONNECTIONS: &str = "placement.proxy_connections";
+    /// Connections to db hosts and proxies of the proxy that holds most, at the worst moment of all events: a figure,
+    /// in connections.
+    pub const PLACEMENT_PROXY_CONNECTIONS_WORST: &str = "placement.proxy_connections_worst";
+    /// New connections over statements on the ordinary day: a figure, a part of one.
+    pub const PLACEMENT_NEW_CONNECTIONS_SHARE: &str = "placement.new_connections_share";
+    /// New connections over statements in the worst minute of all events: a figure, a part of one.
+    pub const PLACEMENT_NEW_CONNECTIONS_SHARE_WORST: &str = "placement.new_connections_share_worst";
+    /// Statements that pass a second proxy over all statements: a figure, a part of one.
+    pub const PLACEMENT_FORWARDED_SHARE: &str = "placement.forwarded_share";
+    /// Db hosts that a proxy sends to by itself: a figure, in db hosts.
+    pub const PLACEMENT_HOSTS_PER_PROXY: &str = "placement.hosts_per_proxy";
+    /// Proxies that send to one db host by themselves: a figure, in proxies.
+    pub const PLACEMENT_PROXIES_PER_HOST: &str = "placement.proxies_per_host";
 }
