Page on capacity: tables generated from the record, and a test that keeps the two together

Cause: a table that is typed in parts from its measurement. Change: docs/CAPACITY.md with prose and generated blocks; the page example of crates/capacity writes them from a record. The test calculates them anew and names the first line that differs; it also fits each line of the record anew. An example record, made up and called so, tests the page.

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fit;
 pub mod formula;
 pub mod model;
+pub mod page;
 pub mod record;
 pub mod resting;
 pub mod rows;
