Capacity: placement's mean and largest figures beside today's, by the same skew and work

Cause: the simulation of placement gives the mean and the largest db host apart, with skew; today's measured connections are a mean without it. Change: mean beside the measured mean, largest beside the model's for the most used set; the share of statements that find no connection and the largest load of a proxy, with names for them. The names of placement have no figures yet and stand as not measured.

--- a/crates/capacity/src/comparison.rs
+++ b/crates/capacity/src/comparison.rs
@@ -41,14 +41,24 @@
     };
     vec![
         compare(
-            "connections at a db host, ordinary day",
+            "connections at a db host, in the mean",
             count,
             model.allowed.host_connections,
             line(names::HOST_CONNECTIONS_BY_PROXIES, design.proxies, count),
+            names::PLACEMENT_HOST_CONNECTIONS_MEAN,
+        ),
+        compare(
+            "connections at the db host that holds most, ordinary day (today: by the model)",
+            count,
+            model.allowed.host_connections,
+            Some(Formula::product([
+                Factor::times(design.proxies, "proxies"),
+                Factor::times(model.pool_of_hottest_host().held, "connections of a proxy by the model"),
+            ])),
             names::PLACEMENT_HOST_CONNECTIONS,
         ),
         compare(
-            "connections at a db host, worst moment",
+            "connections at the db host that holds most, worst moment",
             count,
             model.allowed.host_connections,
             None,
@@ -133,5 +143,19 @@
         today: Some(attempts(Factor::times(design.proxies, "proxies"))),
         placed: attempts(model.figure(names::PLACEMENT_PROXIES_PER_HOST, Unit::Count)),
     };
-    vec![cpu, probes, search]
+    let waiting = Comparison {
+        quantity: "statements that find no free connection to their db host",
+        unit: Unit::Share,
+        limit: None,
+        today: None,
+        placed: Formula::product([model.figure(names::PLACEMENT_WAITING_SHARE, Unit::Share)]),
+    };
+    let load = Comparison {
+        quantity: "the largest load of a proxy over the mean of its group",
+        unit: Unit::Count,
+        limit: Some(model.allowed.load_over_mean),
+        today: None,
+        placed: Formula::product([model.figure(names::PLACEMENT_LOAD_OVER_MEAN, Unit::Count)]),
+    };
+    vec![cpu, probes, search, waiting, load]
 }
--- a/crates/capacity/src/design.rs
+++ b/crates/capacity/src/design.rs
@@ -77,6 +77,8 @@
     pub proxy_connections: f64,
     /// New connections to db hosts as a share of statements: the aim of placement.
     pub new_connections_share: f64,
+    /// The largest load of a proxy over the mean of its group: the aim of placement.
+    pub load_over_mean: f64,
     /// Bytes of the longest list that a proxy takes: the limit of the program.
     pub list_bytes: f64,
 }
@@ -92,6 +94,7 @@
         host_connections: 128.0,
         proxy_connections: 512.0,
         new_connections_share: 0.01,
+        load_over_mean: 1.25,
         list_bytes: 2.0 * 1024.0 * 1024.0,
     };
 }
--- a/crates/capacity/src/page/tables.rs
+++ b/crates/capacity/src/page/tables.rs
@@ -41,6 +41,10 @@
             "new connections over statements (aim of placement)",
             Unit::Share.show(allowed.new_connections_share),
         ),
+        (
+            "the largest load of a proxy over the mean of its group (aim of placement)",
+            number(allowed.load_over_mean),
+        ),
     ];
     for (what, value) in stated {
         table.row(&[what, &value]);
--- a/crates/capacity/src/record.rs
+++ b/crates/capacity/src/record.rs
@@ -195,6 +195,8 @@
 
     // What the simulation of placement gives. All are figures, at the size that is designed for.
 
+    /// Connections at a db host on the ordinary day, in the mean of all: a figure, in connections.
+    pub const PLACEMENT_HOST_CONNECTIONS_MEAN: &str = "placement.host_connections_mean";
     /// Connections at the db host that holds most, on the ordinary day: a figure, in connections.
     pub const PLACEMENT_HOST_CONNECTIONS: &str = "placement.host_connections";
     /// Connections at the db host that holds most, at the worst moment of all events: a figure, in connections.
@@ -208,6 +210,10 @@
     pub const PLACEMENT_NEW_CONNECTIONS_SHARE: &str = "placement.new_connections_share";
     /// New connections over statements in the worst minute of all events: a figure, a part of one.
     pub const PLACEMENT_NEW_CONNECTIONS_SHARE_WORST: &str = "placement.new_connections_share_worst";
+    /// Statements that find no free connection to their db host over all statements: a figure, a part of one.
+    pub const PLACEMENT_WAITING_SHARE: &str = "placement.waiting_share";
+    /// The largest load of a proxy over the mean of its group: a figure, without a unit.
+    pub const PLACEMENT_LOAD_OVER_MEAN: &str = "placement.load_over_mean";
     /// Statements that pass a second proxy over all statements: a figure, a part of one.
     pub const PLACEMENT_FORWARDED_SHARE: &str = "placement.forwarded_share";
     /// Proxies that send to one db host by themselves: a figure, in proxies.
--- a/crates/capacity/tests/rows.rs
+++ b/crates/capacity/tests/rows.rs
@@ -250,11 +250,15 @@
     let all = comparison::all(&Model::stated(&record));
     let of = |quantity| all.iter().find(|one| one.quantity == quantity).expect("the quantity");
     let placed = |quantity| of(quantity).placed.outcome().value().expect("a value");
-    assert_near(placed("connections at a db host, ordinary day"), 120.0);
+    let most = "connections at the db host that holds most, ordinary day (today: by the model)";
+    assert_near(placed(most), 120.0);
+    let today = of(most).today.as_ref().and_then(|formula| formula.outcome().value());
+    let model = Model::stated(&record);
+    assert_eq!(today, Some(3_400.0 * model.pool_of_hottest_host().held));
     // 588.235 × 162 us, and half as much again for the statements that are passed on.
     assert_near(placed("processor time of a proxy's statements"), 0.142941);
     assert_near(placed("probes at a db host"), 30.0);
-    let worst = of("connections at a db host, worst moment");
+    let worst = of("connections at the db host that holds most, worst moment");
     assert_eq!((worst.today.as_ref(), worst.placed.outcome().value()), (None, None));
 }
 
