Capacity: a cost below 0 is noise and stands as not measured

Change: lines, slopes and shares below 0 count as not measured in the rows; the slopes' table still shows them as they are.

--- a/crates/capacity/src/formula.rs
+++ b/crates/capacity/src/formula.rs
@@ -30,7 +30,7 @@
         /// Whether the line predicted the further size within the bound; `true` for a figure.
         confirmed: bool,
     },
-    /// The record lacks this series or figure.
+    /// The record lacks this series or figure, or what it gives is noise.
     Missing {
         /// Its name in the record.
         name: &'static str,
--- a/crates/capacity/src/model.rs
+++ b/crates/capacity/src/model.rs
@@ -42,12 +42,15 @@
     }
 
     /// What the series `name` gives at `x`, in `unit`: the value of the further size where that is `x`, as measured; else
-    /// what the line gives there.
+    /// what the line gives there. Below 0 either is noise and counts as not measured.
     pub fn line_at(&self, name: &'static str, x: f64, unit: Unit) -> Factor {
         let Some(series) = self.record.series(name) else { return Factor::Missing { name } };
         let further = series.check.measured;
         let is_measured = further.x == x;
         let value = if is_measured { further.y } else { series.line.at(x) };
+        if value < 0.0 {
+            return Factor::Missing { name };
+        }
         let how = if is_measured { "measured at" } else { "by the line at" };
         let text = format!("{} {how} {} {}", unit.show(value), Unit::Count.show(x), series.x_unit);
         Factor::Measured { name, value, text, confirmed: is_measured || series.check.holds() }
@@ -61,10 +64,14 @@
         }
     }
 
-    /// The slope of the line `name`, in `unit` for each x.
+    /// The slope of the line `name`, in `unit` for each x. Below 0 it is noise and counts as not measured: no cost here
+    /// falls as its size grows.
     pub fn slope(&self, name: &'static str, unit: Unit) -> Factor {
         let Some(series) = self.record.series(name) else { return Factor::Missing { name } };
         let value = series.line.slope;
+        if value < 0.0 {
+            return Factor::Missing { name };
+        }
         let text = format!("{} each (by {})", unit.show(value), series.x_unit);
         Factor::Measured { name, value, text, confirmed: series.check.holds() }
     }
@@ -75,9 +82,11 @@
         Factor::Measured { name, value: figure.value, text: unit.show(figure.value), confirmed: true }
     }
 
-    /// One over the figure `name`, which is in `unit`.
+    /// One over the figure `name`, which is in `unit`. A figure that is not above 0 is noise and counts as not measured.
     pub fn over_figure(&self, name: &'static str, unit: Unit) -> Factor {
-        let Some(figure) = self.record.figure(name) else { return Factor::Missing { name } };
+        let Some(figure) = self.record.figure(name).filter(|figure| figure.value > 0.0) else {
+            return Factor::Missing { name };
+        };
         let text = format!("1/({})", unit.show(figure.value));
         Factor::Measured { name, value: 1.0 / figure.value, text, confirmed: true }
     }
--- a/crates/capacity/tests/rows.rs
+++ b/crates/capacity/tests/rows.rs
@@ -309,6 +309,10 @@
     let quantity = "processor time of taking in the list";
     let unknown = row(&Model::stated(&record), Role::Control, Event::Release, quantity);
     assert_eq!(unknown.outcome(), Outcome::NotMeasured(vec![names::HOLLOW_LIST_CPU_SHARE]));
+    // A share below 0 is noise.
+    let noise = with_figure(record.clone(), names::HOLLOW_LIST_CPU_SHARE, -1.4);
+    let unknown = row(&Model::stated(&noise), Role::Control, Event::Release, quantity);
+    assert_eq!(unknown.outcome(), Outcome::NotMeasured(vec![names::HOLLOW_LIST_CPU_SHARE]));
     let record = with_figure(record, names::HOLLOW_LIST_CPU_SHARE, 0.5);
     // 6,700 × 4 us in 10 s, twice that at a real one; 3.6% of a core is allowed.
     let known = row(&Model::stated(&record), Role::Control, Event::Release, quantity);
@@ -328,3 +332,17 @@
     assert_near(cpu, 0.0882353 + 0.235294 * opened);
     assert!((0.15..0.25).contains(&opened), "{opened}");
 }
+
+#[test]
+fn cost_below_nothing_is_noise_and_no_measurement() {
+    let idle = names::PROXY_IDLE_CPU_BY_HOSTS;
+    let change = names::CHANGE_BYTES_BY_CHANGES;
+    let record = record(&[(idle, 0.003, -1e-6), (change, 900.0, -2.0)]);
+    let model = Model::stated(&record);
+    // 0.003 - 6,700 × 0.000001 s a second.
+    let cpu = row(&model, Role::Control, Event::RackLost, "processor time while the changes come in");
+    assert!(cpu.formula.missing().contains(&idle), "{:?}", cpu.formula.missing());
+    let bytes =
+        row(&model, Role::Control, Event::RackLost, "time to be sent the changes, at the bytes allowed");
+    assert_eq!(bytes.outcome(), Outcome::NotMeasured(vec![change]));
+}
