Measurement of capacity: the subcommand, its table, record and drawing

Cause: the slopes of a fleet's costs had a record and no command that fills it. Change: gradeshunt-measure capacity [--quick] [--json FILE] [--plot FILE.svg] runs its parts one after the other, tells on standard error what it is at, prints each slope with its error and its prediction of a further size, and checks predictions (not in a quick run) and counts (in any).

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,6 +1,8 @@
 //! Named measurements: `gradeshunt-measure NAME` prints a table, then one line `RESULT name=value ...`, and ends with
-//! status 1 where a bound is missed. Each ends within 45 s unless `--long` is given. They are no part of CI.
+//! status 1 where a bound is missed. Each ends within 45 s unless `--long` is given, but `capacity`, which takes up to 15
+//! minutes, or 2 with `--quick`. `capacity --quick` is a part of CI, and no other.
 
+mod capacity;
 mod classing;
 mod fleet;
 mod relay;
@@ -40,6 +42,8 @@
     Classing,
     /// CPU of the program for each request, commented and plain, beside another program (`--baseline`).
     Relay(relay::Options),
+    /// What proxies, discovery and db hosts spend, as slopes over sizes; counts alone with `--quick`.
+    Capacity(capacity::Options),
 }
 
 /// What a measurement came to.
@@ -71,6 +75,7 @@
         Name::Fleet(options) => fleet::measure(&setting, &options),
         Name::Classing => Ok(classing::measure(&setting)),
         Name::Relay(options) => relay::measure(&setting, &options),
+        Name::Capacity(options) => capacity::measure(&setting, &options),
     };
     let _ = std::fs::remove_dir_all(&setting.folder);
     report.map_err(|e| e.to_string())
