--- a/crates/stand-ins/src/site.rs
+++ b/crates/stand-ins/src/site.rs
@@ -72,15 +72,22 @@
 
     /// The program's configuration.
     pub fn config(&self) -> Value {
-        let Plan { deadline, aim, sockets, memory, positions, .. } = &self.plan;
+        self.plan.config(&self.discovery)
+    }
+}
+
+impl Plan {
+    /// The program's configuration, with what discovery lists now as what it knows.
+    pub fn config(&self, discovery: &Discovery) -> Value {
+        let Plan { deadline, aim, sockets, memory, positions, .. } = self;
         let class = |name: &str, group: &str, repeat: &str, worth: f64| {
-            json!({"deadline": deadline, "group": group, "keyTtl": self.plan.window.as_millis() as f64,
+            json!({"deadline": deadline, "group": group, "keyTtl": self.window.as_millis() as f64,
                 "lateWorth": 0.0, "name": name, "repeat": repeat, "slo": aim, "worth": worth})
         };
-        json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "discovery": self.discovery.addr().to_string(),
+        json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "7", "discovery": discovery.addr().to_string(),
         "watch_silence_ms": 600000,
         "limits": {"cores": 1.0, "memory_mb": memory, "sockets": sockets},
-        "known": self.discovery.whole(),
+        "known": discovery.whole(),
         "settings": {
             "allowed": {"mayCancel": true, "maxRetryAfter": 2000.0, "peers": false, "probing": true,
                 "retryAfter": true, "secondCopies": false, "sendCap": 8, "connIdle": 30000.0,
