A prediction where nothing was measured is off without bound, and survives the file

Cause: at a further size of zero the distance was infinite, which JSON writes as null, and the record could not be read back. Change: the distance is bounded by the greatest number; names of a statement's CPU by connections opened, and of connections by db hosts reached. Measured: record_survives_the_file with such a series failed before the bound (null for a number) by reading of the code, and passes with it.

--- a/crates/capacity/src/record.rs
+++ b/crates/capacity/src/record.rs
@@ -60,6 +60,8 @@
         let line = Line::fit(&points)?;
         let predicted = line.at(further.x);
         let off = if further.y == predicted { 0.0 } else { (predicted - further.y).abs() / further.y.abs() };
+        // JSON has no infinity: where nothing was measured, any other prediction is as far off as can be.
+        let off = off.min(f64::MAX);
         let check = Check { measured: further, predicted, off };
         Ok(Series {
             name: name.to_owned(),
@@ -165,6 +167,11 @@
     pub const STATEMENT_CONNECTIONS_BY_HOSTS: &str = "statement.connections.by_hosts";
     /// Connections that a proxy opens a statement, by db hosts that the statements go to.
     pub const STATEMENT_OPENED_BY_HOSTS: &str = "statement.opened.by_hosts";
+    /// A proxy's processor time a statement, by connections that it opens a statement.
+    pub const STATEMENT_CPU_BY_OPENED: &str = "statement.cpu.by_opened";
+    /// Connections that a proxy holds to db hosts, by db hosts that got a statement within the time for which idle
+    /// connections are kept.
+    pub const STATEMENT_CONNECTIONS_BY_REACHED: &str = "statement.connections.by_reached";
     /// Connections that a db host holds, by proxies.
     pub const HOST_CONNECTIONS_BY_PROXIES: &str = "host.connections.by_proxies";
     /// Probes that a db host gets in a second, by proxies.
--- a/crates/capacity/tests/fit.rs
+++ b/crates/capacity/tests/fit.rs
@@ -49,10 +49,14 @@
 #[test]
 fn record_survives_the_file() {
     let straight = points(&[(0.0, 0.0), (10.0, 10.5), (20.0, 20.0), (30.0, 30.0)]);
-    let further = Point { x: 100.0, y: 99.0 };
-    let series = Series::new(names::LIST_BYTES_BY_HOSTS, ("db hosts", "bytes"), "so", straight, further);
-    let series = series.expect("a series");
-    let record = Record { program: "abc".into(), cores: 8, series: vec![series], ..Record::default() };
+    let series = |y| {
+        let further = Point { x: 100.0, y };
+        Series::new(names::LIST_BYTES_BY_HOSTS, ("db hosts", "bytes"), "so", straight.clone(), further)
+            .expect("a series")
+    };
+    // Where nothing was measured, the prediction is off without bound.
+    let series = vec![series(99.0), series(0.0)];
+    let record = Record { program: "abc".into(), cores: 8, series, ..Record::default() };
     let text = serde_json::to_string(&record).expect("JSON");
     let read: Record = serde_json::from_str(&text).expect("the same record");
     assert_eq!(read, record);
