--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -165,12 +165,31 @@
         self.child.id()
     }
 
-    /// CPU time that it has taken, in clock ticks of 10 ms: proc(5), fields 14 and 15 of `stat`.
+    /// Processor time that its threads have taken, to the nanosecond: the first field of each thread's `schedstat`
+    /// (Documentation/scheduler/sched-stats.rst of Linux). A thread that has ended takes its time with it; those of the
+    /// program live as long as it does.
     pub fn cpu(&self) -> io::Result<Duration> {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
-        let fields: Vec<_> = text.rsplit_once(')').map_or("", |s| s.1).split_whitespace().collect();
-        let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<u64>().ok()).unwrap_or(0);
-        Ok(Duration::from_millis((ticks(11) + ticks(12)) * 10))
+        let mut taken = Duration::ZERO;
+        for thread in std::fs::read_dir(format!("/proc/{}/task", self.child.id()))? {
+            // One that ends meanwhile has no figure any more.
+            let Ok(text) = std::fs::read_to_string(thread?.path().join("schedstat")) else { continue };
+            let nanoseconds = text.split(' ').next().and_then(|field| field.parse().ok());
+            taken += Duration::from_nanos(nanoseconds.ok_or(io::ErrorKind::InvalidData)?);
+        }
+        Ok(taken)
+    }
+
+    /// Memory that it holds, in bytes: the resident pages of `status` in proc(5).
+    pub fn memory(&self) -> io::Result<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().trim_end_matches("kB").trim().parse::<u64>().ok());
+        Ok(kilobytes.ok_or(io::ErrorKind::InvalidData)? * 1024)
+    }
+
+    /// File descriptors that it holds.
+    pub fn descriptors(&self) -> io::Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))?.count())
     }
 }
 
