--- a/crates/stand-ins/src/postgres/farm.rs
+++ b/crates/stand-ins/src/postgres/farm.rs
@@ -38,11 +38,12 @@
     pub opened: u64,
     /// Probes answered since the start: `SHOW pressure`.
     pub probes: u64,
-    /// Statements answered since the start, but probes, and the bytes of their text.
+    /// Statements answered since the start, but probes, and the bytes of their text behind the routing comment, which a
+    /// proxy writes anew.
     pub statements: u64,
     pub statement_bytes: u64,
-    /// When the last statement came that was no probe.
-    pub last_statement: Option<Instant>,
+    /// When the last probe or statement came.
+    pub last_asked: Option<Instant>,
 }
 
 /// What all db hosts have seen.
@@ -99,9 +100,9 @@
         lock(&self.seen).clone()
     }
 
-    /// Db hosts that got a statement within this time.
+    /// Db hosts that got a probe or a statement within this time.
     pub fn reached(&self, within: Duration) -> usize {
-        let recent = |t: &&Traffic| t.last_statement.is_some_and(|last| last.elapsed() <= within);
+        let recent = |t: &&Traffic| t.last_asked.is_some_and(|last| last.elapsed() <= within);
         lock(&self.seen).hosts.iter().filter(recent).count()
     }
 }
@@ -255,14 +256,14 @@
             return Err(());
         }
         let statement = message[HEAD..].strip_suffix(b"\0").ok_or(())?;
+        traffic.last_asked = Some(Instant::now());
         let answer = if statement.starts_with(b"SHOW") {
             traffic.probes += 1;
             let pressure = format!("x0={:.3},x1={}", now().as_secs_f64(), u8::from(primary));
             one("pressure", &pressure, "SHOW")
         } else {
             traffic.statements += 1;
-            traffic.statement_bytes += statement.len() as u64;
-            traffic.last_statement = Some(Instant::now());
+            traffic.statement_bytes += without_comment(statement).len() as u64;
             one("said", "done", "SELECT 1")
         };
         let role = if primary { "primary" } else { "standby" };
@@ -272,6 +273,12 @@
     }
 }
 
+/// The text of a statement behind the comment that leads it, or all of it.
+pub fn without_comment(statement: &[u8]) -> &[u8] {
+    let end = statement.windows(2).position(|pair| pair == b"*/").filter(|_| statement.starts_with(b"/*"));
+    end.map_or(statement, |end| &statement[end + 2..])
+}
+
 fn ready() -> Vec<u8> {
     wire::message(b'Z', b"I")
 }
