--- a/crates/measure/src/capacity/data/stage.rs
+++ b/crates/measure/src/capacity/data/stage.rs
@@ -15,6 +15,8 @@
 /// rest a third is for db hosts.
 const KEPT: u32 = 24 + 12;
 const SHARE_OF_HOSTS: u32 = 3;
+/// The share of a db host's idle time for which the program keeps a connection: `IDLE_SHARE` of its module `backend`.
+const KEPT_SHARE: f64 = 0.6;
 /// Memory that an operator gives one proxy.
 const MEMORY_MB: u32 = 256;
 
@@ -30,7 +32,7 @@
 pub struct Limits {
     /// Descriptors of a proxy.
     pub sockets: u32,
-    /// How long a connection to a db host may be idle.
+    /// How long a connection to a db host may be idle, as the db host sees it.
     pub idle: Duration,
 }
 
@@ -39,6 +41,11 @@
     pub fn host_connections(&self) -> u64 {
         u64::from((self.sockets - KEPT) / SHARE_OF_HOSTS)
     }
+
+    /// How long a proxy keeps an idle connection.
+    pub fn kept(&self) -> Duration {
+        self.idle.mul_f64(KEPT_SHARE)
+    }
 }
 
 impl Stage {
--- a/crates/stand-ins/src/postgres/farm.rs
+++ b/crates/stand-ins/src/postgres/farm.rs
@@ -213,24 +213,29 @@
 impl Connection {
     /// Reads and answers; false where the connection has ended.
     fn serve(&mut self, primary: bool, traffic: &mut Traffic) -> bool {
+        let open = self.receive();
+        loop {
+            match self.take(primary, traffic) {
+                // A proxy waits for each answer, so that one always fits into the socket's buffer.
+                Ok(Some(answer)) if self.stream.write_all(&answer).is_ok() => {}
+                Ok(None) => return open,
+                Ok(Some(_)) | Err(()) => return false,
+            }
+        }
+    }
+
+    /// Reads all that is there; false behind the end. What came before the end is still a message that was sent.
+    fn receive(&mut self) -> bool {
         let mut chunk = [0; CHUNK];
         loop {
             match self.stream.read(&mut chunk) {
                 Ok(0) => return false,
                 Ok(n) => self.inbound.extend_from_slice(&chunk[..n]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return false,
             }
         }
-        loop {
-            match self.take(primary, traffic) {
-                // A proxy waits for each answer, so that one always fits into the socket's buffer.
-                Ok(Some(answer)) if self.stream.write_all(&answer).is_ok() => {}
-                Ok(None) => return true,
-                Ok(Some(_)) | Err(()) => return false,
-            }
-        }
     }
 
     /// Takes the next whole message and makes its answer; nothing while there is none, an error where it ends the
--- a/crates/stand-ins/tests/farm.rs
+++ b/crates/stand-ins/tests/farm.rs
@@ -66,3 +66,19 @@
     assert_eq!(client.stream().read(&mut [0; 8]).expect("it ends"), 0);
     until_open(&farm, 0);
 }
+
+/// A proxy that gives up on a slow answer closes the connection right behind its statement: that was sent all the same.
+#[test]
+fn counts_a_statement_whose_sender_has_closed() {
+    let farm = HostFarm::open(&[1]).expect("it opens");
+    for sent in 1..=50 {
+        let mut client = connect(&farm, 0);
+        client.ask("SELECT 1").expect("it writes");
+        drop(client);
+        let since = Instant::now();
+        while farm.seen().sum(|t| t.statements) < sent {
+            assert!(since.elapsed() < PATIENCE, "{sent}: {:?}", farm.seen());
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
