--- a/crates/measure/src/capacity/data/load.rs
+++ b/crates/measure/src/capacity/data/load.rs
@@ -26,7 +26,7 @@
     pub served: u64,
     pub refused: u64,
     pub failed: u64,
-    /// Why the first of those that were not served was not.
+    /// What the first of those that failed was told.
     pub why: Option<String>,
 }
 
@@ -43,13 +43,13 @@
     fn take(&mut self, text: &str, reply: &Reply) {
         self.statements += 1;
         self.bytes += without_comment(text.as_bytes()).len() as u64;
-        if let (Some(error), None) = (&reply.error, &self.why) {
-            self.why = Some(format!("{text}: {error:?}"));
-        }
         match reply.outcome() {
             Outcome::Served => self.served += 1,
             Outcome::Refused => self.refused += 1,
-            _ => self.failed += 1,
+            _ => {
+                self.failed += 1;
+                self.why.get_or_insert_with(|| format!("{text}: {:?}", reply.error));
+            }
         }
     }
 }
