--- a/crates/measure/src/capacity/control.rs
+++ b/crates/measure/src/capacity/control.rs
@@ -49,6 +49,17 @@
     Point { x: size as f64, y: cost }
 }
 
+/// The least value: what else the machine does adds to processor time, by its caches, and takes nothing away.
+fn least(values: &[f64]) -> f64 {
+    values.iter().copied().fold(f64::INFINITY, f64::min)
+}
+
+/// The value in the middle.
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or_default()
+}
+
 /// A slope through all points but the last, which it has to predict.
 fn series(name: &str, units: (&str, &str), how: &str, mut points: Vec<Point>) -> io::Result<Series> {
     let further = points.pop().ok_or_else(|| io::Error::other(format!("{name}: no point")))?;
--- a/crates/stand-ins/src/watches.rs
+++ b/crates/stand-ins/src/watches.rs
@@ -7,7 +7,7 @@
 mod catalogue;
 mod connection;
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -29,6 +29,8 @@
 const BACKLOG: i32 = 4096;
 /// Events taken from the poll at a time.
 const EVENTS: usize = 1024;
+/// Calls whose times are noted without more memory, so that what watches hold can be told from it.
+const CALLS: usize = 16_384;
 /// Names of the sources in the poll that are no connection.
 const LISTENER: u64 = 0;
 const COMMANDS: u64 = 1;
@@ -100,7 +102,8 @@
         let addr = listener.local_addr()?;
         let (commands, received) = channel();
         let wake = Arc::new(eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?);
-        let told = Arc::new(Told { counts: Mutex::default(), changed: Condvar::new() });
+        let counts = Counts { calls_at: Vec::with_capacity(CALLS), ..Counts::default() };
+        let told = Arc::new(Told { counts: Mutex::new(counts), changed: Condvar::new() });
         let service = Service::new(listener, received, &wake, &told, Catalogue::new(entries, first))?;
         let (tell_id, thread_id) = channel();
         let serve = move || {
@@ -169,10 +172,10 @@
     poll: OwnedFd,
     told: Arc<Told>,
     catalogue: Catalogue,
-    connections: HashMap<u64, Connection>,
+    connections: BTreeMap<u64, Connection>,
     next: u64,
-    /// When idle watches are due an empty line, by rising time; those that have been sent something since are passed over.
-    beats: VecDeque<(Instant, u64)>,
+    /// When idle watches are due an empty line.
+    beats: BTreeSet<(Instant, u64)>,
     beat: Message,
     /// Connections that may have something to write.
     unwritten: Vec<u64>,
@@ -198,19 +201,19 @@
             poll,
             told: Arc::clone(told),
             catalogue,
-            connections: HashMap::new(),
+            connections: BTreeMap::new(),
             next: COMMANDS + 1,
-            beats: VecDeque::new(),
+            beats: BTreeSet::new(),
             beat: Message::chunk(Kind::Beat, "\n"),
             unwritten: Vec::new(),
-            counts: Counts::default(),
+            counts: Counts { calls_at: Vec::with_capacity(CALLS), ..Counts::default() },
         })
     }
 
     fn run(mut self) {
         let mut events = Vec::with_capacity(EVENTS);
         loop {
-            let wait = self.beats.front().map(|(at, _)| at.saturating_duration_since(Instant::now()));
+            let wait = self.beats.first().map(|(at, _)| at.saturating_duration_since(Instant::now()));
             let wait = wait.and_then(|w| Timespec::try_from(w).ok());
             events.clear();
             let spare = rustix::buffer::spare_capacity(&mut events);
@@ -321,8 +324,10 @@
         self.unwritten.push(id);
         if connection.is_watch() {
             let at = Instant::now() + BEAT;
-            connection.beat_at = Some(at);
-            self.beats.push_back((at, id));
+            if let Some(former) = connection.beat_at.replace(at) {
+                self.beats.remove(&(former, id));
+            }
+            self.beats.insert((at, id));
         }
     }
 
@@ -338,17 +343,17 @@
     }
 
     fn close(&mut self, id: u64) {
-        let closed = self.connections.remove(&id);
-        self.counts.watches -= u64::from(closed.is_some_and(|c| c.is_watch()));
+        let Some(closed) = self.connections.remove(&id) else { return };
+        self.counts.watches -= u64::from(closed.is_watch());
+        if let Some(at) = closed.beat_at {
+            self.beats.remove(&(at, id));
+        }
     }
 
     fn send_beats(&mut self) {
         let now = Instant::now();
-        while let Some((at, id)) = self.beats.front().copied().filter(|(at, _)| *at <= now) {
-            self.beats.pop_front();
-            if self.connections.get(&id).is_some_and(|c| c.beat_at == Some(at)) {
-                self.send(id, self.beat.clone());
-            }
+        while let Some((_, id)) = self.beats.first().copied().filter(|(at, _)| *at <= now) {
+            self.send(id, self.beat.clone());
         }
     }
 
