--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 
 mod classing;
 mod fleet;
+mod placement;
 mod relay;
 mod upgrade;
 
@@ -38,6 +39,8 @@
     Fleet(fleet::Options),
     /// The classing of statements: time on a hit and on a miss, hit rates under floods, memory.
     Classing,
+    /// Groups and homes at the size of the fleet, by arithmetic: connections, loads, moves, beside every proxy to every host.
+    Placement(placement::Options),
     /// CPU of the program for each request, commented and plain, beside another program (`--baseline`).
     Relay(relay::Options),
 }
@@ -61,7 +64,8 @@
 fn run(arguments: Arguments) -> Result<Report, String> {
     let beside = || std::env::current_exe().map(|me| me.with_file_name("gradeshunt"));
     let program = arguments.program.map_or_else(beside, Ok).map_err(|e| e.to_string())?;
-    if !program.exists() {
+    let needs_program = !matches!(arguments.name, Name::Classing | Name::Placement(_));
+    if needs_program && !program.exists() {
         return Err(format!("no program at {}: build it, or name it by --program", program.display()));
     }
     let folder = std::env::temp_dir().join(format!("gradeshunt-measure-{}", std::process::id()));
@@ -70,6 +74,7 @@
         Name::Upgrade(options) => upgrade::measure(&setting, &options),
         Name::Fleet(options) => fleet::measure(&setting, &options),
         Name::Classing => Ok(classing::measure(&setting)),
+        Name::Placement(options) => placement::measure(&setting, &options),
         Name::Relay(options) => relay::measure(&setting, &options),
     };
     let _ = std::fs::remove_dir_all(&setting.folder);
--- a/crates/placement/src/budget.rs
+++ b/crates/placement/src/budget.rs
@@ -24,14 +24,15 @@
 /// What budgets divide by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
-    pub(crate) groups: u32,
-    pub(crate) group_proxies: u32,
+    groups: u32,
+    group_place: u32,
+    group_proxies: u32,
 }
 
 impl Budget {
-    /// For a proxy in a group of `group_proxies`, in a fleet of so many groups.
-    pub fn new(groups: u32, group_proxies: u32) -> Budget {
-        Budget { groups: groups.max(1), group_proxies }
+    /// For a proxy in the group at a place, from 0, in a fleet of so many groups; the group has `group_proxies`.
+    pub fn new(groups: u32, group_place: u32, group_proxies: u32) -> Budget {
+        Budget { groups: groups.max(1), group_place, group_proxies }
     }
 
     /// By what a budget that is bounded over the fleet divides for one proxy and one set. The module's doc comment states the
@@ -46,11 +47,18 @@
         }
     }
 
-    /// Connections to each db host of a set that a first home holds at most, of those that a host bears from the whole fleet.
-    /// At least 1, so a set of more parts than a group has connections exceeds `most`. Homes that wait for the loss of the first
-    /// are not counted: this bounds load in ordinary times, it is no rule.
-    pub fn connections(&self, cluster: u64, most: u32, sets: &Sets, settings: &Settings) -> u32 {
-        let first_homes = self.groups.saturating_mul(sets.parts(cluster, settings));
-        (most / first_homes.max(1)).max(1)
+    /// Connections to each db host of a set that the first home of a part holds at most, where a db host bears `most` from the
+    /// whole fleet. Over all groups and parts they sum up to `most`; where there are more groups and parts than that, each has
+    /// one all the same, and the sum exceeds `most`. Homes that wait for the loss of the first are not counted: this bounds load in
+    /// ordinary times, it is no rule.
+    pub fn connections(&self, cluster: u64, part: u32, most: u32, sets: &Sets, settings: &Settings) -> u32 {
+        let parts = u64::from(sets.parts(cluster, settings));
+        let first_homes = u64::from(self.groups) * parts;
+        let most = u64::from(most);
+        // What is left by whole shares goes to other groups for each set.
+        let place =
+            (u64::from(self.group_place) * parts + u64::from(part)).wrapping_add(cluster) % first_homes;
+        let one_more = u64::from(place < most % first_homes);
+        u32::try_from(most / first_homes + one_more).unwrap_or(u32::MAX).max(1)
     }
 }
--- a/crates/placement/src/fleet.rs
+++ b/crates/placement/src/fleet.rs
@@ -64,10 +64,11 @@
         Homes::new(group, &self.sets, &self.settings)
     }
 
-    /// By what the fleet's budgets divide in one group.
+    /// By what the fleet's budgets divide in one group. One that is none of the fleet's is taken for the first.
     pub fn budget(&self, group: &Group) -> Budget {
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        Budget::new(count(self.groups.len()), count(group.proxies.len()))
+        let place = self.groups.iter().position(|g| g.id == group.id).unwrap_or(0);
+        Budget::new(count(self.groups.len()), count(place), count(group.proxies.len()))
     }
 }
 
@@ -147,8 +148,9 @@
         self.budget.divisor(cluster, acting, &self.sets, &self.settings)
     }
 
-    /// Connections to each db host of a set, by [`Budget::connections`].
-    pub fn connections(&self, cluster: u64, most: u32) -> u32 {
-        self.budget.connections(cluster, most, &self.sets, &self.settings)
+    /// Connections to each db host of a set for the part of this bucket, by [`Budget::connections`].
+    pub fn connections(&self, cluster: u64, bucket: Bucket, most: u32) -> u32 {
+        let part = bucket.part(self.sets.parts(cluster, &self.settings));
+        self.budget.connections(cluster, part, most, &self.sets, &self.settings)
     }
 }
--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -142,6 +142,27 @@
         self.load(member).buckets as f64 / f64::from(BUCKETS)
     }
 
+    /// How many sets have another first home than before, by the proxies' names; a set of which a part of the buckets has one
+    /// counts as that part. A set that was split otherwise or is new counts as one.
+    pub fn sets_moved(&self, before: &Homes) -> f64 {
+        let moved = self.sets.iter().map(|(cluster, parts)| match before.sets.get(cluster) {
+            Some(then) if then.len() == parts.len() => {
+                let same = |(now, then): &(&Vec<Member>, &Vec<Member>)| {
+                    self.first_name(now) == before.first_name(then)
+                };
+                let stayed = parts.iter().zip(then).filter(same).count();
+                1.0 - stayed as f64 / parts.len() as f64
+            }
+            _ => 1.0,
+        });
+        moved.sum()
+    }
+
+    fn first_name(&self, homes: &[Member]) -> Option<&str> {
+        let first = homes.first()?;
+        self.names.get(first.0 as usize).map(String::as_str)
+    }
+
     /// The proxies' names, by their places.
     pub fn names(&self) -> &[String] {
         &self.names
--- a/crates/placement/tests/assignment.rs
+++ b/crates/placement/tests/assignment.rs
@@ -10,7 +10,7 @@
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use support::{group, moved, proxy, roster, settings, zipf, zone_of};
+use support::{group, proxy, roster, settings, zipf, zone_of};
 
 /// The same cases on every run.
 fn fixed(cases: u32) -> ProptestConfig {
@@ -77,6 +77,22 @@
     assert_eq!(of_light.len(), 1);
 }
 
+#[test]
+fn counts_what_moved() {
+    let all = zone_of("a", 20, 1);
+    let (sets, settings) = (zipf(400, 0.5), settings(10, 20));
+    let homes =
+        |proxies: &[gradeshunt_placement::Proxy]| Homes::new(&group(proxies.to_vec()), &sets, &settings);
+    let before = homes(&all);
+    assert_eq!(before.sets_moved(&before), 0.0);
+    // What one proxy served has moved at least, and all of it where nobody is left of those before.
+    let served: f64 = before.sets_at(Member(0));
+    assert!(homes(&all[1..]).sets_moved(&before) >= served - 1e-9);
+    assert!((homes(&zone_of("b", 20, 1)).sets_moved(&before) - 400.0).abs() < 1e-9);
+    let split_otherwise = Homes::new(&group(all.clone()), &zipf(400, 1.5), &settings);
+    assert!(split_otherwise.sets_moved(&before) >= 1.0);
+}
+
 #[test]
 fn a_set_that_is_not_listed_has_homes_all_the_same() {
     let homes = Homes::new(&group(zone_of("a", 10, 1)), &zipf(5, 0.5), &settings(8, 10));
@@ -110,7 +126,7 @@
             let mut left = all.clone();
             left.remove(gone);
             let after = Homes::new(&group(left), &sets, &settings);
-            let moved = moved(&before, &after);
+            let moved = after.sets_moved(&before);
             let bound = 2.0 * sets.len() as f64 / proxies as f64;
             prop_assert!(moved <= bound, "{moved} of {} sets moved, at most {bound}", sets.len());
             prop_assert!(moved > 0.0, "what it served is served by another one now");
--- a/crates/placement/tests/budget.rs
+++ b/crates/placement/tests/budget.rs
@@ -63,13 +63,13 @@
     let sets = Sets::new(&sets).expect("sets");
     let settings = settings(100, 130);
     // 32 groups, two versions of two homes, and the slot of those that go direct.
-    let budget = Budget::new(32, 106);
+    let budget = Budget::new(32, 0, 106);
     assert_eq!(budget.divisor(1, Acting::Home, &sets, &settings), 32 * 5);
     assert_eq!(budget.divisor(1, Acting::Direct, &sets, &settings), 32 * 5 * 130);
-    let larger = Budget::new(32, 200);
+    let larger = Budget::new(32, 0, 200);
     assert_eq!(larger.divisor(1, Acting::Direct, &sets, &settings), 32 * 5 * 200);
-    assert_eq!(budget.connections(1, 128, &sets, &settings), 4);
-    assert_eq!(budget.connections(1, 10, &sets, &settings), 1);
+    assert_eq!(budget.connections(1, 0, 128, &sets, &settings), 4);
+    assert_eq!(budget.connections(1, 0, 10, &sets, &settings), 1);
 }
 
 #[test]
@@ -77,9 +77,13 @@
     let sets = Sets::new(&[Set { cluster: 1, weight: 1.0 }, Set { cluster: 2, weight: 99.0 }]).expect("sets");
     let settings = settings(2, 4);
     assert_eq!(sets.parts(2, &settings), 16);
-    let budget = Budget::new(3, 4);
+    let budget = Budget::new(3, 0, 4);
     assert_eq!(budget.divisor(2, Acting::Home, &sets, &settings), 3 * (2 * 16 * 2 + 1));
-    assert_eq!(budget.connections(2, 128, &sets, &settings), 2);
+    // 128 over 3 groups of 16 parts: two each, and one more for 32 of the 48.
+    let of = |group, part| Budget::new(3, group, 4).connections(2, part, 128, &sets, &settings);
+    let all: Vec<u32> = (0..3).flat_map(|group| (0..16).map(move |part| of(group, part))).collect();
+    assert_eq!(all.iter().sum::<u32>(), 128);
+    assert!(all.iter().all(|one| (2..=3).contains(one)), "{all:?}");
 }
 
 /// With one roster in force, two homes in each of six groups have a fifth of the group's slots each, and the others share one.
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses some of these")]
 
-use gradeshunt_placement::{Group, GroupSize, Homes, Member, Proxy, Roster, Set, Sets, Settings, ZoneGroups};
+use gradeshunt_placement::{Group, GroupSize, Proxy, Roster, Set, Sets, Settings, ZoneGroups};
 
 /// A proxy without an address.
 pub fn proxy(name: &str, zone: &str) -> Proxy {
@@ -50,19 +50,3 @@
     );
     fleet.expect("a fleet").groups()[0].clone()
 }
-
-/// How many sets have another first home; a set of which a part of the buckets has one counts as that part.
-pub fn moved(before: &Homes, after: &Homes) -> f64 {
-    let mut moved = 0.0;
-    for ((cluster, then), (other, now)) in before.parts().zip(after.parts()) {
-        assert_eq!(
-            (cluster, then.len()),
-            (other, now.len()),
-            "the parts of a set don't depend on who is there"
-        );
-        let first = |homes: &Homes, list: &[Member]| homes.names()[list[0].0 as usize].clone();
-        let changed = then.iter().zip(now).filter(|(a, b)| first(before, a) != first(after, b)).count();
-        moved += changed as f64 / then.len() as f64;
-    }
-    moved
-}
