A proxy is the first home of at most 1.4 times its group's mean of sets

At the design size a proxy's connections reached 523 (bound 512), as they follow the number of sets at a proxy however light these are, and that was bounded by 1.5 times the mean.

--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -11,8 +11,9 @@
 
 /// The largest load of a proxy, as a fraction of its group's mean: 5/4.
 const LOAD_BOUND: (u128, u128) = (5, 4);
-/// The most sets that a proxy is the first home of, as a fraction of its group's mean: 3/2.
-const SETS_BOUND: (u128, u128) = (3, 2);
+/// The most sets that a proxy is the first home of, as a fraction of its group's mean: 7/5. Its connections to db hosts follow
+/// their number, however light they are.
+const SETS_BOUND: (u128, u128) = (7, 5);
 
 /// A proxy by its place in its group's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/placement/tests/assignment.rs
+++ b/crates/placement/tests/assignment.rs
@@ -113,8 +113,9 @@
 proptest! {
     #![proptest_config(fixed(12))]
 
-    /// Five proxies of each group, in turn, go; read backwards, they come. Where proxies have fewer than about 16 sets each, a
-    /// quarter of the mean is less than a few sets, many proxies are full, and more moves: docs/placement.md has the figures.
+    /// Five proxies of each group, in turn, go; read backwards, they come. These are samples: the bound is met nearly always, not
+    /// proved. Of the 3,400 proxies of the design size a few move a little more, and where proxies have fewer than about 16
+    /// sets each many do, as many proxies are full then: docs/placement.md has the figures.
     #[test]
     fn one_proxy_moves_at_most_two_nths_of_its_groups_sets(
         seed in any::<u64>(), proxies in 20_usize..=130, sets_each in 16_u64..25, exponent in 0.0_f64..1.2,
