gradeshunt placement FILE prints groups, homes, loads and connections

What a file on placement comes to could not be seen without the program using it. The command reads the file, tells its first fault with file, line and field, and prints each group with its proxies' loads and its sets' homes.

--- a/crates/gradeshunt/src/cli.rs
+++ b/crates/gradeshunt/src/cli.rs
@@ -65,6 +65,8 @@
     },
     /// Tell what becomes of the load when sites are lost. Ends with status 3 where a loss is not borne.
     Plan(crate::planning::Options),
+    /// Tell which proxies form groups and serve which sets, by the operators' file on placement.
+    Placement(crate::placing::Options),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
--- a/crates/gradeshunt/src/main.rs
+++ b/crates/gradeshunt/src/main.rs
@@ -14,6 +14,7 @@
 mod memory;
 mod pace;
 mod pg;
+mod placing;
 mod planning;
 mod ring;
 mod routing;
@@ -566,6 +567,7 @@
         Some(Command::Classify { rules, format, null, sql }) => cli::classify(rules, format, null, sql)?,
         Some(Command::Plan(options)) if !planning::plan(&options)? => return Ok(ExitCode::from(NOT_BORNE)),
         Some(Command::Plan(_)) => {}
+        Some(Command::Placement(options)) => placing::place(&options)?,
     }
     Ok(ExitCode::SUCCESS)
 }
--- /dev/null
+++ b/crates/gradeshunt/tests/placement.rs
@@ -0,0 +1,46 @@
+//! `gradeshunt placement`: the groups of a file, and its faults.
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn placement(file: &Path) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_gradeshunt")).arg("placement").arg(file).output().expect("it runs")
+}
+
+fn example() -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/placement.textproto")
+}
+
+#[test]
+fn prints_the_groups_of_the_example() {
+    let output = placement(&example());
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let text = String::from_utf8_lossy(&output.stdout);
+    let count = |what: &str| text.lines().filter(|line| line.starts_with(what)).count();
+    assert_eq!(count("group "), 2, "{text}");
+    assert!(text.contains("group north/0: 3 proxies") && text.contains("group south/0: 4 proxies"), "{text}");
+    assert_eq!(count("  proxy "), 7, "{text}");
+    // 12 of 14.5, of which a part is at most a quarter of a sixth: 20 parts in each group. 1 of 14.5 is two parts, 0.5 is one.
+    assert_eq!(count("  set 1 part "), 40, "{text}");
+    assert_eq!((count("  set 2 part "), count("  set 4 part ")), (4, 2), "{text}");
+    let loads = text.lines().filter_map(|line| line.split_once(" load ")?.1.split(' ').next());
+    let loads: Vec<f64> = loads.map(|load| load.parse().expect("a number")).collect();
+    assert!(loads.len() == 7 && loads.iter().all(|load| (0.01..=1.25).contains(load)), "{loads:?}");
+    // 128 connections over two groups of 20 parts.
+    let connections = |line: &str| line.rsplit(' ').next()?.parse::<u32>().ok();
+    let of_heavy: u32 = text.lines().filter(|l| l.starts_with("  set 1 ")).filter_map(connections).sum();
+    assert_eq!(of_heavy, 128, "{text}");
+}
+
+#[test]
+fn tells_a_fault_in_one_line() {
+    let text = std::fs::read_to_string(example()).expect("the example");
+    let file = std::env::temp_dir().join(format!("placement-{}.textproto", std::process::id()));
+    std::fs::write(&file, text.replace("name: \"south-4\"", "name: \"south-3\"")).expect("it is written");
+    let output = placement(&file);
+    let _ = std::fs::remove_file(&file);
+    assert!(!output.status.success() && output.stdout.is_empty());
+    let told = String::from_utf8_lossy(&output.stderr);
+    let expected = format!("{}:18: placement.proxy[6].name: \"south-3\" is given twice", file.display());
+    assert!(told.contains(&expected) && told.trim_end().lines().count() == 1, "{told}");
+}
