A setting bounds the parts that a heavy set is split into

Each part of a set has homes of its own in each group. The two heaviest sets of the design size had 7 and 5 parts, and with 32 groups more than the 128 connections that their hosts bear. most_parts bounds that (4096 where it is not given: no bound); parts above a quarter of the mean are then placed first.

--- a/crates/measure/src/placement.rs
+++ b/crates/measure/src/placement.rs
@@ -57,6 +57,9 @@
     /// Connections that a db host bears.
     #[arg(long, default_value_t = design_size().host_limit)]
     host_connections: u32,
+    /// Parts that a set is split into at most: the connections that a db host bears over the groups.
+    #[arg(long, default_value_t = design_size().settings.most_parts)]
+    most_parts: u32,
     #[arg(long, default_value_t = design_size().settings.group_size.least)]
     group_least: u32,
     #[arg(long, default_value_t = design_size().settings.group_size.most)]
@@ -77,6 +80,7 @@
             ..design_size()
         };
         model.settings.group_size = GroupSize { least: self.group_least, most: self.group_most };
+        model.settings.most_parts = self.most_parts;
         model
     }
 }
--- a/crates/measure/src/placement/model.rs
+++ b/crates/measure/src/placement/model.rs
@@ -94,6 +94,11 @@
         conn_idle: 30.0,
         primary: 1.0,
         host_limit: 128,
-        settings: Settings { group_size: GroupSize { least: 100, most: 130 }, ..Settings::default() },
+        settings: Settings {
+            group_size: GroupSize { least: 100, most: 130 },
+            // 128 connections over 32 groups.
+            most_parts: 4,
+            ..Settings::default()
+        },
     }
 }
--- a/crates/placement/src/file.rs
+++ b/crates/placement/src/file.rs
@@ -103,6 +103,7 @@
         homes: whole(Some(message), "homes", usual.homes)?,
         direct_sets: whole(Some(message), "direct_sets", usual.direct_sets)?,
         roster_versions: whole(Some(message), "roster_versions", usual.roster_versions)?,
+        most_parts: whole(Some(message), "most_parts", usual.most_parts)?,
     };
     let wrong = |error: SettingsError| message.wrong(error.field(), &error.to_string());
     settings.check().map_err(wrong)?;
--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -6,7 +6,7 @@
 
 use crate::groups::Group;
 use crate::score::{Purpose, Score};
-use crate::sets::{Bucket, Sets, BUCKETS};
+use crate::sets::{Bucket, Sets, BUCKETS, PARTS_PER_MEAN};
 use crate::settings::Settings;
 
 /// The largest load of a proxy, as a fraction of its group's mean: 5/4.
@@ -20,7 +20,7 @@
 pub struct Member(pub u32);
 
 /// The homes of each set's parts in one group. The first home of each part serves it, the others are for its loss. Nobody's
-/// load as a first home exceeds 5/4 of the mean while the group has no more than `group_size.most` proxies.
+/// load as a first home exceeds 5/4 of the mean while the group has no more than `group_size.most` proxies and `most_parts` does not bind.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Homes {
     /// What scores are made of.
@@ -182,7 +182,8 @@
     }
 }
 
-/// The parts of all sets in the order of their placing: the lightest first, since what a change displaces is what was placed
+/// The parts of all sets in the order of their placing. Parts of more than a quarter of the mean come before all others, while
+/// there is room for them; the settings bound how far sets are split. Then the lightest first, since what a change displaces is what was placed
 /// later, and the parts of heavy sets are few.
 fn parts_in_order(sets: &Sets, settings: &Settings) -> Vec<Part> {
     let mut parts = Vec::new();
@@ -192,9 +193,11 @@
         let buckets = u128::from(BUCKETS) / u128::from(count);
         parts.extend((0..count).map(|number| Part { cluster, number, weight, buckets }));
     }
+    let total: u128 = parts.iter().map(|part| part.weight).sum();
+    let quarter = total.div_ceil(PARTS_PER_MEAN * u128::from(settings.group_size.most.max(1)));
     parts.sort_by_cached_key(|part| {
         let score = Score::new(Purpose::PartOrder).number(part.cluster).number(part.number.into());
-        (part.weight, score.value(), part.cluster, part.number)
+        (part.weight <= quarter, part.weight, score.value(), part.cluster, part.number)
     });
     parts
 }
--- a/crates/placement/src/sets.rs
+++ b/crates/placement/src/sets.rs
@@ -9,7 +9,7 @@
 /// Session buckets of a set, as the tracker of writes and positions has them.
 pub const BUCKETS: u16 = 4_096;
 /// A part weighs at most this part of a proxy's mean load in a group of the largest size, as a divisor.
-const PARTS_PER_MEAN: u128 = 4;
+pub(crate) const PARTS_PER_MEAN: u128 = 4;
 /// Weights are whole numbers of this part of 1, so that sums don't depend on their order.
 const WEIGHT_UNITS: f64 = 1e6;
 /// The largest weight: the sum of a million such sets still fits.
@@ -120,12 +120,12 @@
     }
 
     /// Into how many parts a set's buckets are split: as few as keep each below a quarter of the mean load of a proxy in a group
-    /// of the largest size. It does not depend on which proxies there are. One that is not listed is whole.
+    /// of the largest size, and no more than the settings permit. It does not depend on which proxies there are. One that is not listed is whole.
     pub fn parts(&self, cluster: u64, settings: &Settings) -> u32 {
         let Some(weight) = self.weights.get(&cluster) else { return 1 };
         let proxies = u128::from(settings.group_size.most);
         let parts = (u128::from(*weight) * PARTS_PER_MEAN * proxies).div_ceil(self.total.max(1));
-        u32::try_from(parts).unwrap_or(u32::MAX).clamp(1, u32::from(BUCKETS))
+        u32::try_from(parts).unwrap_or(u32::MAX).clamp(1, settings.most_parts.clamp(1, BUCKETS.into()))
     }
 
     pub(crate) fn weights(&self) -> impl Iterator<Item = (u64, u64)> + '_ {
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use crate::sets::BUCKETS;
+
 /// How many proxies a group has, about. A group never has more than `most` while the mean of its zone's groups is below that;
 /// `least` and `most` together give the number of groups.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +25,9 @@
     pub direct_sets: u32,
     /// Versions of the roster that may be in force side by side.
     pub roster_versions: u32,
+    /// Parts that a set is split into at most. Each part has homes of its own in each group, which a db host must bear; where this
+    /// binds, a part weighs more than a quarter of a proxy's mean load, and loads may exceed 5/4 of it.
+    pub most_parts: u32,
 }
 
 impl Default for Settings {
@@ -32,6 +37,7 @@
             homes: 2,
             direct_sets: 8,
             roster_versions: 2,
+            most_parts: BUCKETS.into(),
         }
     }
 }
@@ -64,6 +70,9 @@
     /// `roster_versions` is 0.
     #[error("is 0, expected 1 version or more")]
     NoVersions,
+    /// `most_parts` is 0.
+    #[error("is 0, expected 1 part or more")]
+    NoParts,
 }
 
 impl SettingsError {
@@ -74,6 +83,7 @@
             SettingsError::MostBelowLeast { .. } => "group_size.most",
             SettingsError::NoHomes | SettingsError::HomesAboveGroup { .. } => "homes",
             SettingsError::NoVersions => "roster_versions",
+            SettingsError::NoParts => "most_parts",
         }
     }
 }
@@ -100,6 +110,9 @@
         if self.roster_versions == 0 {
             return Err(SettingsError::NoVersions);
         }
+        if self.most_parts == 0 {
+            return Err(SettingsError::NoParts);
+        }
         Ok(())
     }
 }
--- a/crates/placement/tests/assignment.rs
+++ b/crates/placement/tests/assignment.rs
@@ -77,6 +77,19 @@
     assert_eq!(of_light.len(), 1);
 }
 
+/// Two sets of a little more than a proxy's load each, in four parts at most: heavier than a quarter, and within the bound.
+#[test]
+fn a_set_is_split_into_no_more_parts_than_permitted() {
+    let settings = Settings { most_parts: 4, ..settings(100, 130) };
+    let sets = zipf(1_914, 0.5);
+    assert_eq!((sets.parts(7_919, &settings), sets.parts(2 * 7_919, &settings)), (4, 4));
+    for seed in 0..10 {
+        let homes = Homes::new(&group(zone_of("a", 106, seed)), &sets, &settings);
+        let most = (0..106).map(|n| homes.relative_load(Member(n))).fold(0.0, f64::max);
+        assert!(most <= 1.25, "seed {seed}: {most}");
+    }
+}
+
 #[test]
 fn counts_what_moved() {
     let all = zone_of("a", 20, 1);
--- a/crates/placement/tests/file.rs
+++ b/crates/placement/tests/file.rs
@@ -35,6 +35,7 @@
         homes: 2,
         direct_sets: 4,
         roster_versions: 3,
+        most_parts: 4_096,
     };
     assert_eq!(*fleet.settings(), expected);
     let groups: Vec<_> = fleet.groups().iter().map(|g| (g.id.to_string(), g.proxies.len())).collect();
@@ -138,6 +139,10 @@
         error(&with("roster_versions: 3", "roster_versions: 0")),
         "p.textproto:5: placement.roster_versions: is 0, expected 1 version or more"
     );
+    assert_eq!(
+        error(&with("homes: 2", "homes: 2 most_parts: 0")),
+        "p.textproto:3: placement.most_parts: is 0, expected 1 part or more"
+    );
     assert_eq!(
         error(&with("  proxy { name: \"d\" zone: \"south\" }\n", "")),
         "p.textproto:3: placement.homes: is 2, but group south/0 has 1 proxies"
