--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -21,6 +21,7 @@
 mod memory;
 mod pace;
 mod pg;
+mod placement_command;
 mod placing;
 mod planning;
 mod proc_stats;
