The rig judges a send after a drain by when it was written, not by when it was read

Cause: a db host of the rig counted a request as sent in the moment in which its thread read it. Between the program's write and that stand two threads (the link's and the host's), and on a starved machine each may wait. Forced: a request is written, the link holds it, the drain follows, 350 ms pass, and only then it is read. The rig said "sent long after its drain" of a program that had written it before.

Change: links ask the kernel when bytes came (SO_TIMESTAMPNS; the loopback delivers within the write), and a request that is read too late is a fault where it was written too late, by the same 250 ms and 50 ms of slack. Where the kernel has no time, that of the read counts, as before. The fault names both times, so that the next one tells which it was.

Result: the forced order is no fault by its write and is one by its read, in one test; a request written long after is found. A third test holds the kernel's time between two looks at the clock around the write; seen to fail with the times not asked for.

--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod outcome;
 pub mod region;
 pub mod script;
+pub mod written;
--- a/crates/fleet-rig/src/link.rs
+++ b/crates/fleet-rig/src/link.rs
@@ -1,10 +1,12 @@
 //! The link between a proxy and a db host: a relay on a port that the system gives, which a script breaks.
 
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError, Weak};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
+
+use crate::written::{self, Written};
 
 /// Bytes under way at most, each way of each connection.
 const PIECE: usize = 16 * 1024;
@@ -38,6 +40,8 @@
     changed: Condvar,
     /// Both ends of each open connection: whoever reads there is woken by a reset alone.
     open: Mutex<Vec<Weak<TcpStream>>>,
+    /// What came from the proxy, and when.
+    written: Written,
 }
 
 impl Inner {
@@ -64,7 +68,12 @@
     /// Where no port is to be had.
     pub fn open(target: SocketAddr) -> io::Result<Link> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let inner = Inner { state: Mutex::new(State::Up), changed: Condvar::new(), open: Mutex::default() };
+        let inner = Inner {
+            state: Mutex::new(State::Up),
+            changed: Condvar::new(),
+            open: Mutex::default(),
+            written: Written::default(),
+        };
         let link = Link { addr: listener.local_addr()?, inner: Arc::new(inner) };
         let inner = Arc::clone(&link.inner);
         thread::spawn(move || {
@@ -95,6 +104,11 @@
         *self.inner.state()
     }
 
+    /// When the proxy wrote a text to this link, for the last time.
+    pub fn written(&self, text: &str) -> Option<SystemTime> {
+        self.inner.written.last(text)
+    }
+
     /// Breaks or mends it.
     pub fn set(&self, state: State) {
         *self.inner.state() = state;
@@ -123,6 +137,7 @@
 /// Joins a connection with one to the db host.
 fn join(near: TcpStream, target: SocketAddr, inner: Arc<Inner>) -> io::Result<()> {
     let far = TcpStream::connect(target).inspect_err(|_| reset(&near))?;
+    written::keep_times(&near)?;
     near.set_nodelay(true)?;
     far.set_nodelay(true)?;
     let (near, far) = (Arc::new(near), Arc::new(far));
@@ -146,9 +161,9 @@
 fn pass(from: &TcpStream, to: &TcpStream, way: Way, inner: &Inner) {
     let mut piece = vec![0; PIECE];
     loop {
-        let n = match { from }.read(&mut piece) {
+        let (n, came) = match written::receive(from, &mut piece) {
             Err(e) if e.kind() == ErrorKind::Interrupted => continue,
-            Ok(0) => {
+            Ok((0, _)) => {
                 // What is held stays held; and the other way may go on: a peer may end its sending alone.
                 if waits(way, inner) {
                     let _ = to.shutdown(Shutdown::Write);
@@ -159,8 +174,11 @@
                 end(from);
                 return end(to);
             }
-            Ok(n) => n,
+            Ok(read) => read,
         };
+        if way == Way::ToHost {
+            inner.written.add(came, &piece[..n]);
+        }
         let delayed = *inner.state();
         if let State::Slow(delay) = delayed {
             thread::sleep(delay);
@@ -188,6 +206,8 @@
 
 #[cfg(test)]
 mod tests {
+    use std::io::Read;
+
     use super::*;
 
     /// A connection over a link, and the host's end of it.
--- a/crates/fleet-rig/src/region.rs
+++ b/crates/fleet-rig/src/region.rs
@@ -88,11 +88,12 @@
     // What the script has left broken stays so; clients' requests end all the same.
     std::mem::take(&mut region.loads).into_iter().for_each(Load::end);
     let mut faults: Vec<_> = told.err().map(|e| e.to_string()).into_iter().collect();
-    for h in &region.hosts {
+    for (n, h) in region.hosts.iter().enumerate() {
+        let written = |text: &str| region.fleet.iter().filter_map(|p| p.links[n].written(text)).max();
         // Of each kind the first: what comes behind its colon is the request.
         let of: BTreeMap<_, _> = h
             .engine
-            .faults(FALL.0, FALL.1)
+            .faults(FALL.0, FALL.1, written)
             .into_iter()
             .rev()
             .map(|f| (f.split(':').next().map(str::to_owned), f))
--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use crate::{lock, now};
 
@@ -12,6 +12,8 @@
 const WAIT: usize = 8;
 /// What a read may be older than its bound: the proxy judged it when it was sent, over a link and two loops.
 const SLACK: Duration = Duration::from_millis(50);
+/// What the rule on drains grants.
+const GRACE: Duration = Duration::from_millis(250);
 
 /// What a class asks of a db host.
 #[derive(Clone, Copy, Debug)]
@@ -47,8 +49,34 @@
     arrived: Vec<(Instant, f64)>,
     stale: Vec<String>,
     /// Listed as draining or gone since then.
-    drained: Option<Instant>,
-    after_drain: Vec<String>,
+    drained: Option<SystemTime>,
+    after_drain: Vec<AfterDrain>,
+}
+
+/// A request that was read long after the drain of its db host.
+struct AfterDrain {
+    drained: SystemTime,
+    read: SystemTime,
+    statement: String,
+}
+
+impl AfterDrain {
+    fn is_late(drained: SystemTime, at: SystemTime) -> bool {
+        at > drained + GRACE + SLACK
+    }
+
+    /// The fault, where it was written long after the drain, too.
+    fn fault(&self, written: Option<SystemTime>) -> Option<String> {
+        let sent = written.unwrap_or(self.read);
+        let after = |at: SystemTime| at.duration_since(self.drained).unwrap_or_default().as_millis();
+        AfterDrain::is_late(self.drained, sent).then(|| {
+            let (sent, read) = (after(sent), after(self.read));
+            format!(
+                "sent long after its drain: written after {sent} ms, read after {read} ms, {}",
+                self.statement
+            )
+        })
+    }
 }
 
 /// The engine of one db host.
@@ -74,7 +102,7 @@
 
     /// The list says from now on that it drains, or that it does not.
     pub fn drain(&self, drains: bool) {
-        lock(&self.book).drained = drains.then(Instant::now);
+        lock(&self.book).drained = drains.then(SystemTime::now);
     }
 
     /// Works on a statement, once there is room. `position`: up to where its data reaches.
@@ -85,8 +113,9 @@
         let mut book = lock(&self.book);
         let arrived = Instant::now();
         book.arrived.push((arrived, work.as_secs_f64()));
-        if book.drained.is_some_and(|since| arrived > since + Duration::from_millis(250) + SLACK) {
-            book.after_drain.push(statement.to_owned());
+        let read = SystemTime::now();
+        if let Some(drained) = book.drained.filter(|drained| AfterDrain::is_late(*drained, read)) {
+            book.after_drain.push(AfterDrain { drained, read, statement: statement.to_owned() });
         }
         let (at, reaches) = (now(), position());
         let after = field("after").and_then(|a| a.parse().ok()).map(Duration::from_millis);
@@ -120,11 +149,17 @@
     }
 
     /// What may not be: reads served from data that is too old, requests long after a drain was told, and more sent to it
-    /// while cold, in any time of `fall`, than `multiple` times what it bore.
-    pub fn faults(&self, multiple: f64, fall: Duration) -> Vec<String> {
+    /// while cold, in any time of `fall`, than `multiple` times what it bore. A request counts as sent when it was written,
+    /// where `written` knows that: on a busy machine it may be read long after.
+    pub fn faults(
+        &self,
+        multiple: f64,
+        fall: Duration,
+        written: impl Fn(&str) -> Option<SystemTime>,
+    ) -> Vec<String> {
         let book = lock(&self.book);
         let stale = book.stale.iter().map(|s| format!("stale read: {s}"));
-        let drained = book.after_drain.iter().map(|s| format!("sent long after its drain: {s}"));
+        let drained = book.after_drain.iter().filter_map(|late| late.fault(written(&late.statement)));
         let mut faults: Vec<_> = stale.chain(drained).collect();
         if let Some(cold) = book.cold {
             let of: Vec<_> = book
@@ -174,23 +209,23 @@
         (0..3).for_each(|_| assert!(good.work("/* c=r */", now).is_ok()));
         good.start_cold(Cold { since: Instant::now(), share: 0.2, lasts: Duration::from_secs(9) });
         assert!(good.work("/* c=r,after=1 */", now).is_ok());
-        assert_eq!(good.faults(4.0, Duration::from_secs(1)), Vec::<String>::new());
+        assert_eq!(good.faults(4.0, Duration::from_secs(1), |_| None), Vec::<String>::new());
         let old = engine(1);
         let behind = || now() - Duration::from_secs(1);
         assert!(old.work("/* c=r */", behind).is_ok());
         let after = now().as_millis();
         assert!(old.work(&format!("/* c=w,after={after} */"), behind).is_ok());
         assert!(old.work("/* c=w */", behind).is_ok(), "no bound");
-        assert_eq!(old.faults(4.0, Duration::from_secs(1)).len(), 2);
+        assert_eq!(old.faults(4.0, Duration::from_secs(1), |_| None).len(), 2);
         let drained = engine(1);
-        lock(&drained.book).drained = Instant::now().checked_sub(Duration::from_secs(1));
+        lock(&drained.book).drained = SystemTime::now().checked_sub(Duration::from_secs(1));
         assert!(drained.work("/* c=r */", now).is_ok());
-        assert!(drained.faults(4.0, Duration::from_secs(1))[0].contains("drain"));
+        assert!(drained.faults(4.0, Duration::from_secs(1), |_| None)[0].contains("drain"));
         let crowd = engine(1);
         crowd.start_cold(Cold { since: Instant::now(), share: 0.1, lasts: Duration::from_secs(60) });
         let since = Instant::now();
         lock(&crowd.book).arrived.extend((0..200).map(|_| (since, 0.005)));
-        assert!(crowd.faults(4.0, Duration::from_secs(1))[0].contains("pushed over"));
+        assert!(crowd.faults(4.0, Duration::from_secs(1), |_| None)[0].contains("pushed over"));
         assert!(crowd.asked(since, 2)[0] > 0.9);
     }
 }
