--- a/crates/sites/src/door.rs
+++ b/crates/sites/src/admission.rs
@@ -15,7 +15,7 @@
 /// What of each new half second counts in the measured rate.
 const FRESH: f64 = 0.5;
 
-/// However many are turned away behind the door, this share of those let in counts as work.
+/// However many of those let in are turned away later, this share of those let in counts as work.
 const LEAST_WORK: f64 = 0.2;
 
 /// A kind of requests: a class of the file for a set, by their places, and whose, where that counts.
@@ -45,7 +45,7 @@
 
 /// What one proxy lets in.
 #[derive(Debug)]
-pub struct Door {
+pub struct Admission {
     layout: Layout,
     here: SiteId,
     plans: BTreeMap<Vec<SiteId>, Outcome>,
@@ -55,12 +55,12 @@
     measured: Micros,
 }
 
-impl Door {
+impl Admission {
     /// With plans for each loss of one site, and of two where there are few.
     ///
     /// # Errors
     /// Where a plan can't be made, or a floor can't hold even with all sites.
-    pub fn new(layout: Layout, here: SiteId, now: Micros) -> Result<Door, String> {
+    pub fn new(layout: Layout, here: SiteId, now: Micros) -> Result<Admission, String> {
         let mut plans = BTreeMap::new();
         let few = layout.sites.len() <= PAIRS;
         for lost in
@@ -74,7 +74,7 @@
         if let Some(n) = short {
             return Err(format!("floor[{n}]: can't hold even while no site is lost"));
         }
-        Ok(Door { layout, here, plans, streams: BTreeMap::new(), bounds: Vec::new(), measured: now })
+        Ok(Admission { layout, here, plans, streams: BTreeMap::new(), bounds: Vec::new(), measured: now })
     }
 
     /// The file that it keeps to.
@@ -188,7 +188,7 @@
             bounds[d.set].1 += if layout.classes[d.class].write { work } else { 0.0 };
         }
         for u in &plan.used {
-            // The headroom is for planning. At the door it is room like any other: the module sees hosts fill by itself.
+            // The headroom is for planning. For admission it is room like any other: the module sees hosts fill by itself.
             let full = u.bears / layout.headroom;
             let spare = (full - u.work).max(0.0) / everyone;
             bounds[u.set].0 += spare;
--- a/crates/sites/src/proxy.rs
+++ b/crates/sites/src/proxy.rs
@@ -6,7 +6,7 @@
 use leadmast::settings::Facts;
 use leadmast::{ClassId, Entry, GroupId, ListKind, MemberId, Micros, Phase, TenantId, ZoneId};
 
-use crate::door::{Door, Kind, ANEW};
+use crate::admission::{Admission, Kind, ANEW};
 use crate::layout::{Layout, SiteId};
 use crate::watch::{self, Action, Failure, Listed, State, Terms, Watch};
 
@@ -14,7 +14,7 @@
 #[derive(Debug)]
 pub struct Sites {
     watch: Watch,
-    door: Door,
+    admission: Admission,
     /// Sites by zones, classes and sets of the file by those of the settings.
     zones: BTreeMap<ZoneId, SiteId>,
     classes: BTreeMap<ClassId, usize>,
@@ -84,9 +84,19 @@
         };
         let sets = layout.sets.iter().zip(0..).map(|(s, n)| (GroupId(s.cluster), n)).collect();
         let watch = Watch::new(terms, layout.sites.len(), now);
-        let door = Door::new(layout, here, now)?;
+        let admission = Admission::new(layout, here, now)?;
         let tenants = names.tenants.clone();
-        Ok(Sites { watch, door, zones, classes, sets, tenants, next: now, anew: now, actions: Vec::new() })
+        Ok(Sites {
+            watch,
+            admission,
+            zones,
+            classes,
+            sets,
+            tenants,
+            next: now,
+            anew: now,
+            actions: Vec::new(),
+        })
     }
 
     /// News of the list.
@@ -116,13 +126,13 @@
     /// Whether a request is let in.
     pub fn admits(&mut self, group: GroupId, class: ClassId, tenant: Option<TenantId>) -> bool {
         let kind = self.kind(group, class, tenant);
-        kind.is_none_or(|kind| self.door.admits(kind))
+        kind.is_none_or(|kind| self.admission.admits(kind))
     }
 
     /// One that was let in is sent to a db host for the first time.
     pub fn sent(&mut self, group: GroupId, class: ClassId, tenant: Option<TenantId>) {
         if let Some(kind) = self.kind(group, class, tenant) {
-            self.door.sent(&kind);
+            self.admission.sent(&kind);
         }
     }
 
@@ -130,14 +140,15 @@
         let (class, set) = (*self.classes.get(&class)?, *self.sets.get(&group)?);
         let named = tenant.and_then(|t| self.tenants.get(t.0));
         // A tenant that no demand names is nobody's in particular.
-        let named = named.filter(|t| self.door.layout().demands.iter().any(|d| d.tenant.as_ref() == Some(t)));
+        let named =
+            named.filter(|t| self.admission.layout().demands.iter().any(|d| d.tenant.as_ref() == Some(t)));
         Some((class, set, named.cloned()))
     }
 
     /// Goes on from what another file's has seen. What that one held out and this one knows nothing of is put back.
     pub fn take_over(&mut self, former: &Sites) {
-        let theirs = |s: &crate::layout::Site| former.door.layout().site(&s.name);
-        let places: Vec<_> = self.door.layout().sites.iter().map(theirs).collect();
+        let theirs = |s: &crate::layout::Site| former.admission.layout().site(&s.name);
+        let places: Vec<_> = self.admission.layout().sites.iter().map(theirs).collect();
         self.watch.take_over(&former.watch, &places);
         let dropped = former.watch.out().filter(|h| !self.watch.is_out(*h));
         self.actions.extend(dropped.map(Action::PutBack));
@@ -164,33 +175,33 @@
             if changed || now >= self.anew {
                 self.anew = now + ANEW;
                 let missing = self.missing();
-                self.door.anew(now, &missing, changed);
+                self.admission.anew(now, &missing, changed);
             }
         }
         self.next
     }
 
     fn missing(&self) -> Vec<f64> {
-        (0..self.door.layout().sites.len()).map(|s| self.watch.missing(SiteId(s))).collect()
+        (0..self.admission.layout().sites.len()).map(|s| self.watch.missing(SiteId(s))).collect()
     }
 
     /// An operator holds a site out, or lets it back; false where there is no such site.
     pub fn hold(&mut self, now: Micros, site: &str, out: bool) -> bool {
-        let Some(site) = self.door.layout().site(site) else { return false };
+        let Some(site) = self.admission.layout().site(site) else { return false };
         self.watch.hold(now, site, out, &mut self.actions);
         let missing = self.missing();
-        self.door.anew(now, &missing, true);
+        self.admission.anew(now, &missing, true);
         true
     }
 
     /// A site's name.
     pub fn name(&self, site: SiteId) -> &str {
-        &self.door.layout().sites[site.0].name
+        &self.admission.layout().sites[site.0].name
     }
 
     /// What a check of the file tells: how the loss of each site is borne.
     pub fn summary(&self) -> String {
-        let told = self.door.verdicts().map(|(lost, verdict)| {
+        let told = self.admission.verdicts().map(|(lost, verdict)| {
             let names: Vec<_> = lost.iter().map(|s| self.name(*s)).collect();
             format!("loss of {} {}", names.join(" and "), verdict.name())
         });
@@ -200,7 +211,7 @@
     /// What operators are shown: each site's state and why, what is used of it, and what is let in.
     pub fn exposition(&self) -> String {
         let mut text = String::new();
-        for (n, s) in self.door.layout().sites.iter().enumerate() {
+        for (n, s) in self.admission.layout().sites.iter().enumerate() {
             let (state, why) = self.watch.state(SiteId(n));
             let (used, listed) = self.watch.used(SiteId(n));
             let _ = write!(text, "site {} {}: {used} of {listed} db hosts in use", s.name, state.name());
@@ -209,10 +220,10 @@
             }
             let _ = writeln!(text, "{}{why}", if why.is_empty() { "" } else { "; " });
         }
-        let plan = if self.door.is_closed() { "kept to" } else { "not needed" };
+        let plan = if self.admission.is_closed() { "kept to" } else { "not needed" };
         let _ = writeln!(text, "plan {plan}");
-        let layout = self.door.layout();
-        for ((class, set, tenant), rate, share, refused) in self.door.shares() {
+        let layout = self.admission.layout();
+        for ((class, set, tenant), rate, share, refused) in self.admission.shares() {
             let (class, cluster) = (&layout.classes[*class].name, layout.sets[*set].cluster);
             let tenant = tenant.as_ref().map(|t| format!(" tenant {t}")).unwrap_or_default();
             let _ = writeln!(
--- a/crates/sites/tests/door.rs
+++ b/crates/sites/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Keeping to the plan: what one proxy lets in, and what all do in sum.
 
-use gradeshunt_sites::door::Door;
+use gradeshunt_sites::admission::Admission;
 use gradeshunt_sites::layout::{Layout, SiteId};
 
 /// North and south bear 10 s of work a second each, and are asked for 6 s.
@@ -24,22 +24,22 @@
 /// Ten seconds at one proxy in south, north lost after the second: requests a second of each class that come, and that are let
 /// in during the last five.
 fn lets_in(text: &str, come: [f64; 3], missing: f64) -> [f64; 3] {
-    let mut door = Door::new(Layout::parse(text).expect("a layout"), SiteId(1), 0).expect("plans");
+    let mut admission = Admission::new(Layout::parse(text).expect("a layout"), SiteId(1), 0).expect("plans");
     let (mut next, mut within) = ([0.0; 3], [0.0; 3]);
     for step in 1..=1000 {
         let now = step * 10_000;
         for class in 0..3 {
             while come[class] > 0.0 && next[class] <= now as f64 {
                 next[class] += 1e6 / come[class];
-                let goes = door.admits((class, 0, None));
+                let goes = admission.admits((class, 0, None));
                 if goes {
-                    door.sent(&(class, 0, None));
+                    admission.sent(&(class, 0, None));
                 }
                 within[class] += f64::from(u8::from(goes && now > 5_000_000)) / 5.0;
             }
         }
         let gone = if now >= 1_000_000 { missing } else { 0.0 };
-        door.anew(now, &[gone, 0.0], now == 1_000_000);
+        admission.anew(now, &[gone, 0.0], now == 1_000_000);
     }
     within
 }
@@ -90,9 +90,9 @@
 #[test]
 fn floor_that_never_holds_is_an_error() {
     let layout = Layout::parse(&TWO.replace("capacity: 10", "capacity: 1")).expect("a layout");
-    assert!(Door::new(layout, SiteId(0), 0).is_ok(), "without a floor nothing is promised");
+    assert!(Admission::new(layout, SiteId(0), 0).is_ok(), "without a floor nothing is promised");
     let text =
         format!("{} floor {{ class: \"page\" share: 0.9 }}", TWO.replace("capacity: 10", "capacity: 1"));
-    let why = Door::new(Layout::parse(&text).expect("a layout"), SiteId(0), 0).expect_err("never holds");
+    let why = Admission::new(Layout::parse(&text).expect("a layout"), SiteId(0), 0).expect_err("never holds");
     assert!(why.contains("floor[0]"), "{why}");
 }
