`loop_stats` keeps the statistics of the event loop's turns

The module was called `pace`, one turn's record a lap. Names and doc comments only; the status page, the metrics and the log lines keep theirs.

--- a/crates/gradeshunt/src/pace.rs
+++ b/crates/gradeshunt/src/loop_stats.rs
@@ -13,8 +13,8 @@
 const SLOW: Micros = 50_000;
 /// What stands unread for less is not counted.
 const BRIEF: Micros = 5_000;
-/// Age of the account beside a long turn, at most, as long as turns are short.
-const SAMPLE: Micros = 50_000;
+/// Greatest age of the sample that a long turn is compared with, as long as turns are short.
+const SAMPLE_AGE: Micros = 50_000;
 
 /// The longest of something in a span of the summary's length, and in the span before it: so that a scrape misses none.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,7 +41,7 @@
 
 /// One turn as it was.
 #[derive(Debug, PartialEq, Eq)]
-struct Lap {
+struct TurnRecord {
     /// From the wake-up to the end.
     took: Micros,
     /// How long after it should have woken, and could have, it did.
@@ -50,8 +50,8 @@
     parts: Vec<(&'static str, Micros, u32)>,
 }
 
-/// The account of turns.
-pub struct Pace {
+/// Statistics of the turns.
+pub struct LoopStats {
     proc_stats: ProcStats,
     sampled: (Micros, Sample),
     start: Micros,
@@ -67,10 +67,10 @@
     by_source: BTreeMap<&'static str, Longest>,
 }
 
-impl Pace {
+impl LoopStats {
     pub fn new(now: Micros) -> Self {
         let proc_stats = ProcStats::open();
-        Pace {
+        LoopStats {
             sampled: (now, proc_stats.sample()),
             proc_stats,
             start: now,
@@ -92,7 +92,7 @@
         self.late = until.map_or(0, |at| (now - at.max(self.last)).max(0));
         self.former = self.last - self.start;
         (self.start, self.last) = (now, now);
-        if now - self.sampled.0 > SAMPLE {
+        if now - self.sampled.0 > SAMPLE_AGE {
             self.sampled = (now, self.proc_stats.sample());
         }
     }
@@ -113,22 +113,22 @@
 
     /// The turn ends.
     pub fn end(&mut self, log: &Logger) {
-        let lap = self.lap();
-        if lap.took <= SLOW && lap.late <= SLOW {
+        let turn = self.record_turn();
+        if turn.took <= SLOW && turn.late <= SLOW {
             return;
         }
         let now = self.proc_stats.sample();
         let since = now.since(self.sampled.1);
         self.sampled = (self.last, now);
         let parts: Vec<_> =
-            lap.parts.iter().map(|(name, took, n)| format!("{name}={}ms/{n}", took / 1000)).collect();
-        let what = if lap.took > SLOW { "a turn took long" } else { "the loop woke late" };
-        warn!(log, "{}", what; "ms" => lap.took / 1000, "late_ms" => lap.late / 1000, "spent" => parts.join(","),
+            turn.parts.iter().map(|(name, took, n)| format!("{name}={}ms/{n}", took / 1000)).collect();
+        let what = if turn.took > SLOW { "a turn took long" } else { "the loop woke late" };
+        warn!(log, "{}", what; "ms" => turn.took / 1000, "late_ms" => turn.late / 1000, "spent" => parts.join(","),
             "cpu_ms" => since.ran / 1000, "without_cpu_ms" => since.waited / 1000, "major_faults" => since.major_faults,
             "stolen_ms" => since.stolen / 1000);
     }
 
-    fn lap(&mut self) -> Lap {
+    fn record_turn(&mut self) -> TurnRecord {
         let took = self.last - self.start;
         let mut parts: Vec<_> =
             std::mem::take(&mut self.spent).into_iter().map(|(name, (t, n))| (name, t, n)).collect();
@@ -140,11 +140,11 @@
         self.slow += u64::from(took > SLOW);
         self.longest.add(took);
         self.latest.add(self.late);
-        Lap { took, late: self.late, parts }
+        TurnRecord { took, late: self.late, parts }
     }
 
     /// Sums up in the log, and begins a new span.
-    pub fn sum_up(&mut self, log: &Logger) {
+    pub fn log_summary(&mut self, log: &Logger) {
         let worst = self.by_source.iter().max_by_key(|(_, l)| l.now);
         info!(log, "loop"; "turns" => self.turns, "longest_us" => self.longest.now, "latest_us" => self.latest.now,
             "most_by" => worst.map(|(name, _)| *name), "most_by_us" => worst.map(|(_, l)| l.now));
@@ -179,23 +179,27 @@
     /// Guards what a long turn is blamed on: the source that took most, and no lateness that was its own.
     #[test]
     fn a_turn_is_told_by_its_parts() {
-        let mut pace = Pace::new(0);
-        pace.begin(1_000, Some(900));
-        pace.worked("client", 3_000);
-        pace.worked("db host", 63_000);
-        pace.worked("client", 64_000);
-        let lap = pace.lap();
-        assert_eq!((lap.took, lap.late), (63_000, 100));
-        assert_eq!(lap.parts, [("db host", 60_000, 1), ("client", 3_000, 2)]);
-        pace.begin(64_500, Some(2_000));
-        assert_eq!(pace.lap().late, 500, "the turn before it was long; the poll was late by this much only");
-        assert_eq!(pace.unread(), 63_000, "what is read now may have come when that turn began");
-        pace.begin(70_000, Some(69_000));
-        assert_eq!(pace.unread(), 0);
-        pace.begin(90_000, Some(80_000));
-        assert_eq!(pace.unread(), 10_000);
-        assert_eq!((pace.turns, pace.slow, pace.longest.ever), (2, 1, 63_000));
-        let text = pace.exposition();
+        let mut loop_stats = LoopStats::new(0);
+        loop_stats.begin(1_000, Some(900));
+        loop_stats.worked("client", 3_000);
+        loop_stats.worked("db host", 63_000);
+        loop_stats.worked("client", 64_000);
+        let turn = loop_stats.record_turn();
+        assert_eq!((turn.took, turn.late), (63_000, 100));
+        assert_eq!(turn.parts, [("db host", 60_000, 1), ("client", 3_000, 2)]);
+        loop_stats.begin(64_500, Some(2_000));
+        assert_eq!(
+            loop_stats.record_turn().late,
+            500,
+            "the turn before it was long; the poll was late by this much only"
+        );
+        assert_eq!(loop_stats.unread(), 63_000, "what is read now may have come when that turn began");
+        loop_stats.begin(70_000, Some(69_000));
+        assert_eq!(loop_stats.unread(), 0);
+        loop_stats.begin(90_000, Some(80_000));
+        assert_eq!(loop_stats.unread(), 10_000);
+        assert_eq!((loop_stats.turns, loop_stats.slow, loop_stats.longest.ever), (2, 1, 63_000));
+        let text = loop_stats.exposition();
         assert!(
             text.contains("app_loop_longest_source_us{source=\"db host\",span=\"late\"} 60000\n"),
             "{text}"
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -19,13 +19,13 @@
 use crate::discovery::{self, Discovery, News};
 use crate::exchange::{self, Exchange};
 use crate::frontend::Frontend;
-use crate::pace::Pace;
+use crate::loop_stats::LoopStats;
 use crate::shared::worker::Worker;
 use crate::shared::{self, Shared};
 use crate::turn::{self, Ready, Source, Turn};
 
 const SUMMARY: Micros = 10_000_000;
-/// Pace of the looks at what the processes of this proxy share.
+/// Interval of the looks at what the processes of this proxy share.
 const LOOK: Micros = 50_000;
 /// A new process waits so long to see what others of its proxy do.
 const SEE: Micros = 2_000_000;
@@ -45,7 +45,7 @@
     control: Option<Control>,
     shared: Shared,
     worker: Worker,
-    pub pace: Pace,
+    pub loop_stats: LoopStats,
     /// What this proxy may hold, with another process of it where there is one.
     sockets: usize,
     memory: usize,
@@ -126,7 +126,7 @@
         turn.deadlines.set(turn.now + LOOK, Due::Look);
         let begin_by = turn.now + SEE;
         turn.deadlines.set(begin_by, Due::Begin);
-        let pace = Pace::new(turn.now);
+        let loop_stats = LoopStats::new(turn.now);
         let mut proxy = Proxy {
             turn,
             exchange,
@@ -136,7 +136,7 @@
             control,
             shared: Shared::new(),
             worker,
-            pace,
+            loop_stats,
             sockets,
             memory,
             held: listen_fd.is_some(),
@@ -222,7 +222,7 @@
             Due::Summary => {
                 exchange.sum_up(turn);
                 self.frontend.sum_up(turn);
-                self.pace.sum_up(&turn.log);
+                self.loop_stats.log_summary(&turn.log);
                 turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
             }
             Due::LastAnswers => exchange.end_all(turn),
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -37,7 +37,7 @@
                 Some(text) => Answer::new(200, text),
                 None => Answer::new(404, "no rules for plain statements are given\n"),
             },
-            control::Command::Loop => Answer::new(200, self.pace.exposition()),
+            control::Command::Loop => Answer::new(200, self.loop_stats.exposition()),
             control::Command::Sites => self.show_sites(),
             control::Command::HoldSite(name) => self.hold_site(&name, true),
             control::Command::LetSiteBack(name) => self.hold_site(&name, false),
--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -28,24 +28,24 @@
         let timeout = wait.map(|t| Duration::from_micros(t as u64));
         event_loop.dispatch(timeout, &mut ready).map_err(|e| format!("cannot poll: {e}"))?;
         proxy.turn.now = proxy.turn.clock.now();
-        proxy.pace.begin(proxy.turn.now, until);
-        proxy.turn.unread = proxy.pace.unread();
+        proxy.loop_stats.begin(proxy.turn.now, until);
+        proxy.turn.unread = proxy.loop_stats.unread();
         let again = std::mem::take(&mut proxy.turn.again);
         let mut sources: Vec<_> = again.into_iter().chain(ready.drain(..)).collect();
         // Operators' calls are few and owed an answer whatever the load.
         sources.sort_by_key(|s| !matches!(s, Source::Control | Source::Caller(_)));
         for source in sources {
             proxy.event(source);
-            proxy.pace.worked(source.name(), proxy.turn.clock.now());
+            proxy.loop_stats.worked(source.name(), proxy.turn.clock.now());
         }
         while let Some(due) = proxy.turn.deadlines.pop(proxy.turn.now) {
             proxy.due(due);
-            proxy.pace.worked(due.name(), proxy.turn.clock.now());
+            proxy.loop_stats.worked(due.name(), proxy.turn.clock.now());
         }
         if let Some(why) = proxy.failed.take() {
             return Err(why);
         }
-        proxy.pace.end(&proxy.turn.log);
+        proxy.loop_stats.end(&proxy.turn.log);
     }
     info!(proxy.turn.log, "leaving");
     Ok(())
