The server side's methods and constants tell what they do

`broke`, `spoilt`, `turned_away`, `failed_start`, `unserved`, `leave`, `up`, `pass`, `trail`, `told` and `unsent` are `connection_failed`, `answer_malformed`, `startup_refused`, `startup_failed`, `fail_surplus_job`, `cancel_job`, `connection_ready`, `forward_part`, `end_before_ready`, `take_status` and `unsent_ending`; the constants say whether they are a timeout, a grace or a size. Names and comments only; log lines stay.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -27,7 +27,7 @@
 use crate::turn::Turn;
 
 /// How long no byte of a long answer may move.
-const STALL: Micros = 5_000_000;
+const STALL_TIMEOUT: Micros = 5_000_000;
 
 /// The server side.
 pub struct Backend {
@@ -79,7 +79,7 @@
                 if let Some((_, Place::On(server))) = self.attempts.get(&id).copied() {
                     match self.read(turn, exchange, server) {
                         Ok(()) => self.ready(turn, exchange, server),
-                        Err(Malformed(what)) => self.spoilt(turn, exchange, server, what),
+                        Err(Malformed(what)) => self.answer_malformed(turn, exchange, server, what),
                     }
                 }
             }
@@ -103,7 +103,7 @@
                 Stage::Busy { reply, .. } => reply.passed,
                 _ => None,
             });
-            if let Some(at) = passed.map(|at| at + STALL).filter(|at| *at > turn.now) {
+            if let Some(at) = passed.map(|at| at + STALL_TIMEOUT).filter(|at| *at > turn.now) {
                 *until = at;
                 return turn.deadlines.set(at, Due::Attempt(id));
             }
@@ -115,16 +115,18 @@
         let Some((_, place)) = self.probes.get(&member).copied() else { return };
         // A machine that vanished leaves its connections open and silent: the pool's are no better.
         self.close_idle(turn, member);
-        self.leave(turn, exchange, place, Ending::Timeout, |j| matches!(j, Job::Probe { .. }));
+        self.cancel_job(turn, exchange, place, Ending::Timeout, |j| matches!(j, Job::Probe { .. }));
     }
 
     pub fn server_due(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         match self.servers.get(&id).map(|s| &s.stage) {
             Some(Stage::Starting { by }) if *by <= turn.now => {
-                self.broke(turn, exchange, id, "not up in time")
+                self.connection_failed(turn, exchange, id, "not up in time")
             }
             Some(Stage::Idle { until, .. }) if *until <= turn.now => self.close(turn, id),
-            Some(Stage::Busy { ready_by: Some(by), .. }) if *by <= turn.now => self.trail(turn, exchange, id),
+            Some(Stage::Busy { ready_by: Some(by), .. }) if *by <= turn.now => {
+                self.end_before_ready(turn, exchange, id)
+            }
             Some(Stage::Trailing { by }) if *by <= turn.now => self.close(turn, id),
             _ => {}
         }
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -90,8 +90,8 @@
         Ok(())
     }
 
-    /// A connection has no job any more: the oldest waiting one gets it, or the pool.
-    pub(super) fn up(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
+    /// A connection has come up, or answered: its job ends, and the oldest waiting one gets it, or else the pool.
+    pub(super) fn connection_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         let member = s.member;
         let until = turn.now + (self.connections.idle as f64 * IDLE_SHARE) as Micros;
@@ -127,7 +127,7 @@
         let Some(host) = self.hosts.get_mut(&member) else { return };
         if !host.takes_jobs() || surplus || copied {
             self.close(turn, id);
-            return self.unserved(turn, exchange, member, Ending::ConnectFailed);
+            return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
         }
         while let Some(job) = self.hosts.get_mut(&member).and_then(|h| h.waiting.pop_front()) {
             // Events are worked off before deadlines: its own may have passed while the connection came up.
--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -14,7 +14,13 @@
 
 impl Backend {
     /// A connection has broken, or can't be used any more.
-    pub(super) fn broke(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, why: &str) {
+    pub(super) fn connection_failed(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        id: ServerId,
+        why: &str,
+    ) {
         if let Some((member, unsent, job, reply)) = self.take_job(id) {
             info!(turn.log, "db host connection broke"; "member" => member.0, "why" => why, "unsent" => unsent);
             self.close(turn, id);
@@ -25,17 +31,23 @@
         let Some(s) = self.servers.get(&id) else { return };
         if let Stage::Starting { .. } = s.stage {
             info!(turn.log, "db host connection failed"; "member" => s.member.0, "why" => why);
-            self.failed_start(turn, exchange, id, Ending::ConnectFailed);
+            self.startup_failed(turn, exchange, id, Ending::ConnectFailed);
         } else {
             self.close(turn, id);
         }
     }
 
-    /// What came is no answer. The request has run, for all that is known; nothing of it is believed, and the
-    /// connection is of no further use. A db host that is not heard rightly once is not ill for that.
-    pub(super) fn spoilt(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, what: &str) {
+    /// What came is malformed. The request has run, for all that is known; nothing of it is believed, and the
+    /// connection is of no further use. One such answer does not make a db host unhealthy.
+    pub(super) fn answer_malformed(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        id: ServerId,
+        what: &str,
+    ) {
         let Some((member, unsent, job, reply)) = self.take_job(id) else {
-            return self.broke(turn, exchange, id, what);
+            return self.connection_failed(turn, exchange, id, what);
         };
         info!(turn.log, "db host's answer is spoilt"; "member" => member.0, "what" => what);
         self.close(turn, id);
@@ -60,25 +72,31 @@
     }
 
     /// The db host has answered the startup with an error.
-    pub(super) fn turned_away(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, code: &str) {
+    pub(super) fn startup_refused(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        id: ServerId,
+        code: &str,
+    ) {
         let member = self.servers.get(&id).map_or(0, |s| s.member.0);
         info!(turn.log, "db host turned a connection away"; "member" => member, "code" => code);
         let ending = match code {
             sqlstate::TOO_MANY_CONNECTIONS | sqlstate::CANNOT_CONNECT_NOW => Ending::Full,
             _ => Ending::ConnectFailed,
         };
-        self.failed_start(turn, exchange, id, ending);
+        self.startup_failed(turn, exchange, id, ending);
     }
 
     /// A connection did not come up: the oldest job goes with it, unless others still come up for all.
-    fn failed_start(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, ending: Ending) {
+    fn startup_failed(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, ending: Ending) {
         let Some(member) = self.servers.get(&id).map(|s| s.member) else { return };
         self.close(turn, id);
-        self.unserved(turn, exchange, member, ending);
+        self.fail_surplus_job(turn, exchange, member, ending);
     }
 
     /// Ends the oldest waiting job where fewer connections come up than jobs wait.
-    pub(super) fn unserved(
+    pub(super) fn fail_surplus_job(
         &mut self,
         turn: &mut Turn,
         exchange: &mut Exchange,
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -121,7 +121,7 @@
         let flushed =
             if pushed { self.flush(exchange, id) } else { Err(io::Error::other("the request is too long")) };
         if let Err(e) = flushed {
-            self.broke(turn, exchange, id, &e.to_string());
+            self.connection_failed(turn, exchange, id, &e.to_string());
         }
     }
 
@@ -143,10 +143,16 @@
         ending: Ending,
     ) {
         let Some((_, place)) = self.attempts.get(&id).copied() else { return };
-        self.leave(turn, exchange, place, ending, |j| matches!(j, Job::Attempt { id: i, .. } if *i == id));
+        self.cancel_job(
+            turn,
+            exchange,
+            place,
+            ending,
+            |j| matches!(j, Job::Attempt { id: i, .. } if *i == id),
+        );
     }
 
-    pub(super) fn leave(
+    pub(super) fn cancel_job(
         &mut self,
         turn: &mut Turn,
         exchange: &mut Exchange,
@@ -163,7 +169,7 @@
                 let ending = match job {
                     Job::Probe { .. } => ending,
                     Job::Attempt { since, .. } => {
-                        unsent(ending, turn.now - since, self.connections.connect_timeout)
+                        unsent_ending(ending, turn.now - since, self.connections.connect_timeout)
                     }
                 };
                 self.end(turn, exchange, member, job, ending, Reply::default());
@@ -221,7 +227,7 @@
 
 /// How an attempt ends that is given up while its connection comes up. Most are given up before that may take as long
 /// as the settings allow: waited for half as long in vain, they tell that the host is out of reach.
-pub(super) fn unsent(ending: Ending, waited: Micros, connect_timeout: Micros) -> Ending {
+pub(super) fn unsent_ending(ending: Ending, waited: Micros, connect_timeout: Micros) -> Ending {
     if ending == Ending::Timeout && waited >= connect_timeout / 2 {
         Ending::ConnectFailed
     } else {
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -16,27 +16,27 @@
 use crate::turn::{Source, Turn};
 
 /// How long ReadyForQuery may take behind a whole answer. What a db host tells of itself may come in between.
-const READY: Micros = 3_000;
-/// How long it may take until the connection is given up.
-const TRAIL: Micros = 500_000;
+const READY_GRACE: Micros = 3_000;
+/// How long ReadyForQuery may take until the connection is given up.
+const READY_TIMEOUT: Micros = 500_000;
 /// How much of a long answer is read at a time.
-const CHUNK: usize = 32 * 1024;
+const READ_SIZE: usize = 32 * 1024;
 /// Reads of one connection in one turn.
-const READS: usize = 8;
+const READS_PER_TURN: usize = 8;
 
 impl Backend {
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         if let Err(e) = self.flush(exchange, id) {
-            return self.broke(turn, exchange, id, &e.to_string());
+            return self.connection_failed(turn, exchange, id, &e.to_string());
         }
-        for _ in 0..READS {
+        for _ in 0..READS_PER_TURN {
             let Some(s) = self.servers.get_mut(&id) else { return };
             if s.is_passing() {
                 // What the client side can't take yet stays with the db host; it says when it can.
-                if s.inbound.len() >= CHUNK {
+                if s.inbound.len() >= READ_SIZE {
                     return;
                 }
-                s.inbound.reserve(CHUNK);
+                s.inbound.reserve(READ_SIZE);
             }
             let moved = s.inbound.fill(&s.polled.socket);
             let end = match moved {
@@ -47,14 +47,14 @@
                 Err(e) => Some(e.to_string()),
             };
             if let Err(Malformed(what)) = self.read(turn, exchange, id) {
-                return self.spoilt(turn, exchange, id, what);
+                return self.answer_malformed(turn, exchange, id, what);
             }
             if let Some(why) = end {
                 // The end is met again once the client side has taken what came before it.
                 if self.servers.get(&id).is_some_and(|s| s.is_passing() && !s.inbound.is_empty()) {
                     return;
                 }
-                return self.broke(turn, exchange, id, &why);
+                return self.connection_failed(turn, exchange, id, &why);
             }
         }
         turn.again.push(Source::Server(id));
@@ -68,7 +68,7 @@
         id: ServerId,
     ) -> Result<(), Malformed> {
         loop {
-            if self.pass(turn, exchange, id) {
+            if self.forward_part(turn, exchange, id) {
                 continue;
             }
             let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
@@ -96,8 +96,8 @@
                 // The client must not wait for what is not its answer.
                 if let Stage::Busy { reply, ready_by: ready_by @ None, .. } = &mut s.stage {
                     if reply.ending().is_some() {
-                        *ready_by = Some(turn.now + READY);
-                        turn.deadlines.set(turn.now + READY, Due::Server(id));
+                        *ready_by = Some(turn.now + READY_GRACE);
+                        turn.deadlines.set(turn.now + READY_GRACE, Due::Server(id));
                     }
                 }
                 return Ok(());
@@ -108,7 +108,7 @@
                     b'R' if message.body != [0; 4] => return Err(Malformed("it asks for a password")),
                     b'E' => {
                         let code = pg::error_code(message.body)?.to_owned();
-                        self.turned_away(turn, exchange, id, &code);
+                        self.startup_refused(turn, exchange, id, &code);
                         return Ok(());
                     }
                     b'R' | b'S' | b'K' | b'N' | b'v' => false,
@@ -124,13 +124,13 @@
             };
             s.inbound.consume(size);
             if up {
-                self.up(turn, exchange, id);
+                self.connection_ready(turn, exchange, id);
             }
         }
     }
 
     /// Passes on what has come of a long answer, as far as the client side can take it; true where some was.
-    fn pass(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> bool {
+    fn forward_part(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> bool {
         let Some(s) = self.servers.get_mut(&id) else { return false };
         let Stage::Busy { job: Job::Attempt { id: attempt, .. }, reply, .. } = &mut s.stage else {
             return false;
@@ -171,9 +171,9 @@
     }
 
     /// An answer is whole, and its ReadyForQuery late: the client does not wait for that, the connection does.
-    pub(super) fn trail(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
+    pub(super) fn end_before_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some((member, _, job, reply)) = self.take_job(id) else { return };
-        let by = turn.now + TRAIL;
+        let by = turn.now + READY_TIMEOUT;
         if let (Some(ending), Some(s)) = (reply.ending(), self.servers.get_mut(&id)) {
             s.stage = Stage::Trailing { by };
             turn.deadlines.set(by, Due::Server(id));
--- a/crates/gradeshunt/src/backend/reply.rs
+++ b/crates/gradeshunt/src/backend/reply.rs
@@ -46,7 +46,7 @@
                 return Err(Malformed("ReadyForQuery without an answer"))
             }
             b'Z' => return Ok(true),
-            b'S' => drop(self.told(message, turn)),
+            b'S' => drop(self.take_status(message, turn)),
             b'N' | b'A' => {}
             _ if self.ending().is_some() => return Err(Malformed("more than one answer")),
             b'E' => {
@@ -88,7 +88,7 @@
                 self.shape = Shape::Complete;
                 return Ok(true);
             }
-            b'S' if self.told(message, turn) => {}
+            b'S' if self.take_status(message, turn) => {}
             b'S' | b'N' => self.append(message)?,
             b'A' => {}
             _ if self.error.is_some() || self.shape == Shape::Row => {
@@ -124,7 +124,7 @@
     }
 
     /// What a db host tells of itself; false where a ParameterStatus is none of that.
-    fn told(&mut self, message: &pg::Message, turn: &Turn) -> bool {
+    fn take_status(&mut self, message: &pg::Message, turn: &Turn) -> bool {
         match pg::parameter_status(message.body) {
             Some(("log_position", value)) => {
                 self.position = value.parse().ok().and_then(|ms| turn.clock.position(ms));
