The client side's methods and constants tell what they do

`leave`, `disown`, `tell_unread`, `sum_up`, `routed` and `able` are `abandon_session`, `release_request`, `report_unread`, `log_summary`, `route_or_reply` and `has_hosts`; the constants say whether they are a timeout, a limit or a number a turn, those of the operators' side too.

--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -19,10 +19,10 @@
 const LONGEST_CALL: usize = 8 * 1024;
 const HEADERS: usize = 64;
 /// How long a caller may take over its call, and how long it is read on after the answer.
-const PATIENCE: Micros = 3_000_000;
+const CALL_TIMEOUT: Micros = 3_000_000;
 const LINGER: Micros = 500_000;
 /// Pause after callers could not be accepted.
-const ACCEPT_AGAIN: Micros = 20_000;
+const ACCEPT_RETRY: Micros = 20_000;
 
 /// What an operator asks for.
 #[derive(Debug, PartialEq, Eq)]
@@ -129,7 +129,7 @@
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
                     warn!(turn.log, "cannot accept an operator's connection"; "error" => e.to_string());
-                    turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::AcceptCallers);
+                    turn.deadlines.set(turn.now + ACCEPT_RETRY, Due::AcceptCallers);
                     return;
                 }
             }
@@ -156,7 +156,7 @@
         let id = CallerId(self.next);
         self.next += 1;
         let polled = Polled::new(turn, socket, Source::Caller(id))?;
-        let due = turn.now + PATIENCE;
+        let due = turn.now + CALL_TIMEOUT;
         turn.deadlines.set(due, Due::Caller(id));
         let (inbound, outbound) = (Ring::default(), Ring::default());
         self.callers.insert(id, Caller { polled, inbound, outbound, stage: Stage::Asking, due });
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -26,10 +26,10 @@
 use crate::turn::{Polled, Turn};
 
 /// No further request is begun while this much of earlier answers is unread: the ring has room for one more.
-const UNREAD: usize = LARGEST - LONGEST_ANSWER - 1024;
-/// A final answer has to fit behind what is unread: one of a value, at most [`UNREAD`]; the rest of a whole result, of which
+const UNREAD_LIMIT: usize = LARGEST - LONGEST_ANSWER - 1024;
+/// A final answer has to fit behind what is unread: one of a value, at most [`UNREAD_LIMIT`]; the rest of a whole result, of which
 /// no more is held than this, too.
-const _: () = assert!(UNREAD + LONGEST_ANSWER < LARGEST && ROOM + WHOLE_ROW + LONGEST_ANSWER < LARGEST);
+const _: () = assert!(UNREAD_LIMIT + LONGEST_ANSWER < LARGEST && ROOM + WHOLE_ROW + LONGEST_ANSWER < LARGEST);
 
 /// Who waits for a request, and its id.
 struct Owner {
@@ -65,7 +65,7 @@
     /// Clients closed to make room since the last summary, by how readily.
     evicted: [u32; 6],
     /// Whether the proxy knows of db hosts at all.
-    pub able: bool,
+    pub has_hosts: bool,
     /// Routes of plain statements, where the operators' file gives some.
     router: Option<Router>,
     /// Plain statements so far: each has a name of its own.
@@ -88,7 +88,7 @@
             service: Service::Running,
             drain_deadline: None,
             evicted: [0; 6],
-            able: false,
+            has_hosts: false,
             router: None,
             plain: 0,
         }
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -15,14 +15,14 @@
         let Some(id) = self.owners.get(&request).map(|o| o.session) else { return };
         let Some(s) = self.sessions.get_mut(&id) else { return };
         if !s.outbound.push(bytes) {
-            return self.leave(turn, exchange, id);
+            return self.abandon_session(turn, exchange, id);
         }
         self.flush(turn, id);
-        self.tell_unread(exchange, id, bytes.len());
+        self.report_unread(exchange, id, bytes.len());
     }
 
     /// Lets the server side go on with a long answer as far as there is room for it here.
-    pub(super) fn tell_unread(&self, exchange: &mut Exchange, id: SessionId, got: usize) {
+    pub(super) fn report_unread(&self, exchange: &mut Exchange, id: SessionId, got: usize) {
         if let Some(Session { stage: Stage::Waiting(request), outbound, .. }) = self.sessions.get(&id) {
             exchange.unread(*request, got, outbound.len());
         }
@@ -30,7 +30,7 @@
 
     /// The final answer of a request.
     pub fn answer(&mut self, turn: &mut Turn, exchange: &mut Exchange, request: RequestId, answer: Final) {
-        let Some(id) = self.disown(request) else { return };
+        let Some(id) = self.release_request(request) else { return };
         let Some(s) = self.sessions.get_mut(&id) else { return };
         (s.stage, s.since) = (Stage::Ready, turn.now);
         // What was committed was so by now; one that failed may have run as well.
@@ -68,7 +68,7 @@
     }
 
     /// A request is over: nobody waits for it, and its id is free.
-    pub(super) fn disown(&mut self, request: RequestId) -> Option<SessionId> {
+    pub(super) fn release_request(&mut self, request: RequestId) -> Option<SessionId> {
         let owner = self.owners.remove(&request)?;
         self.ids.remove(&owner.id);
         Some(owner.session)
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -60,7 +60,7 @@
     }
 
     /// Sums up in the log who was closed to make room.
-    pub fn sum_up(&mut self, turn: &Turn) {
+    pub fn log_summary(&mut self, turn: &Turn) {
         let [closing, mute, idle, slow, fresh, between] = std::mem::take(&mut self.evicted);
         info!(turn.log, "clients"; "open" => self.sessions.len(), "closing" => closing, "mute" => mute,
             "idle" => idle, "slow" => slow, "between" => between, "new" => fresh);
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -6,7 +6,7 @@
 use leadmast::Micros;
 use slog::warn;
 
-use super::session::{Session, Stage, PATIENCE};
+use super::session::{Session, Stage, MESSAGE_TIMEOUT};
 use super::{Frontend, Service};
 use crate::deadlines::Due;
 use crate::exchange::Exchange;
@@ -18,10 +18,10 @@
 use crate::turn::{Polled, Source, Turn};
 
 /// Connections accepted in one turn.
-const ACCEPTS: usize = 64;
+const ACCEPTS_PER_TURN: usize = 64;
 
 /// Pause after connections could not be accepted.
-const ACCEPT_AGAIN: Micros = 20_000;
+const ACCEPT_RETRY: Micros = 20_000;
 
 /// What is left of the connections that the kernel has accepted for us.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -49,7 +49,7 @@
     }
 
     fn accept_some(&mut self, turn: &mut Turn) -> Backlog {
-        for _ in 0..ACCEPTS {
+        for _ in 0..ACCEPTS_PER_TURN {
             let Some(listener) = &self.listener else { return Backlog::Empty };
             match listener.socket.accept() {
                 Ok((socket, _)) => {
@@ -65,7 +65,7 @@
                     // after a pause, with one more descriptor to spare.
                     warn!(turn.log, "cannot accept connections"; "error" => e.to_string());
                     self.evict_one(turn);
-                    turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::Accept);
+                    turn.deadlines.set(turn.now + ACCEPT_RETRY, Due::Accept);
                     return Backlog::Stuck;
                 }
             }
@@ -95,7 +95,7 @@
             wrote: None,
         };
         self.sessions.insert(id, session);
-        self.set_due(turn, id, Some(turn.now + PATIENCE));
+        self.set_due(turn, id, Some(turn.now + MESSAGE_TIMEOUT));
         if full {
             warn!(turn.log, "too many clients, turning one away"; "clients" => self.sessions.len());
             let error =
@@ -114,7 +114,7 @@
                 .find(|b| *b != Backlog::More);
         if backlog == Some(Backlog::Stuck) {
             // They would be reset with the socket: clients that leave make room for them.
-            turn.deadlines.set(turn.now + ACCEPT_AGAIN, Due::CloseListener);
+            turn.deadlines.set(turn.now + ACCEPT_RETRY, Due::CloseListener);
         } else if let Some(listener) = self.listener.take() {
             listener.close(turn);
         }
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -4,9 +4,9 @@
 
 use slog::info;
 
-use super::session::{Stage, PATIENCE};
+use super::session::{Stage, MESSAGE_TIMEOUT};
 use super::statements::Step;
-use super::{Frontend, Owner, UNREAD};
+use super::{Frontend, Owner, UNREAD_LIMIT};
 use crate::exchange::Exchange;
 use crate::ids::SessionId;
 use crate::pg::{self, sqlstate, Malformed, Startup, Writer};
@@ -14,21 +14,21 @@
 use crate::turn::{Source, Turn};
 
 /// Messages of one connection worked off in one turn.
-const MESSAGES: usize = 32;
+const MESSAGES_PER_TURN: usize = 32;
 
 impl Frontend {
     /// Works off what has come, as far as the answers before it are out, and writes.
     pub(super) fn work(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
         let mut worked = false;
-        for n in 0..=MESSAGES {
+        for n in 0..=MESSAGES_PER_TURN {
             let Some(s) = self.sessions.get_mut(&id) else { return };
             if s.ended {
-                return self.leave(turn, exchange, id);
+                return self.abandon_session(turn, exchange, id);
             }
-            if s.outbound.len() > UNREAD {
+            if s.outbound.len() > UNREAD_LIMIT {
                 break;
             }
-            if n == MESSAGES {
+            if n == MESSAGES_PER_TURN {
                 turn.again.push(Source::Session(id));
                 break;
             }
@@ -48,7 +48,7 @@
             }
         }
         self.flush(turn, id);
-        self.tell_unread(exchange, id, 0);
+        self.report_unread(exchange, id, 0);
         self.await_rest(turn, id, worked);
         self.close_if_draining(turn, id);
     }
@@ -58,13 +58,13 @@
         let Some(s) = self.sessions.get(&id) else { return };
         let part = match s.stage {
             Stage::Startup | Stage::Closing | Stage::Lingering => return,
-            Stage::Ready => !s.inbound.is_empty() && s.outbound.len() <= UNREAD,
+            Stage::Ready => !s.inbound.is_empty() && s.outbound.len() <= UNREAD_LIMIT,
             Stage::Waiting(_) => false,
         };
         if !part {
             self.set_due(turn, id, None);
         } else if worked || s.due.is_none() {
-            self.set_due(turn, id, Some(turn.now + PATIENCE));
+            self.set_due(turn, id, Some(turn.now + MESSAGE_TIMEOUT));
         }
     }
 
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -17,16 +17,16 @@
 use crate::turn::{Polled, Source, Turn};
 
 /// Reads of one connection in one turn.
-const READS: usize = 8;
+const READS_PER_TURN: usize = 8;
 
 /// How long a client may take over one message, its startup message too.
-pub(super) const PATIENCE: Micros = 2_500_000;
+pub(super) const MESSAGE_TIMEOUT: Micros = 2_500_000;
 
 /// How long a closing connection is read on, so that what was written last is not lost to a reset: from its last byte.
 pub(super) const LINGER: Micros = 1_000_000;
 
 /// How long no byte of what was written last may move, where a client is slow to read it.
-pub(super) const UNREAD_FOR: Micros = 5_000_000;
+pub(super) const CLOSE_STALL_TIMEOUT: Micros = 5_000_000;
 
 pub(super) enum Stage {
     /// Awaiting the startup message.
@@ -84,9 +84,9 @@
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
         let mut full = false;
         let arrived = turn.now - turn.unread;
-        for n in 0..=READS {
+        for n in 0..=READS_PER_TURN {
             let Some(s) = self.sessions.get_mut(&id) else { return };
-            if n == READS {
+            if n == READS_PER_TURN {
                 s.inbound.note_unread(&s.polled.socket, arrived);
                 turn.again.push(Source::Session(id));
                 break;
@@ -149,7 +149,7 @@
                 self.set_due(turn, id, Some(turn.now + LINGER));
             }
             // As long as a slow client reads, it gets the rest.
-            Stage::Closing if moved => self.set_due(turn, id, Some(turn.now + UNREAD_FOR)),
+            Stage::Closing if moved => self.set_due(turn, id, Some(turn.now + CLOSE_STALL_TIMEOUT)),
             _ => {}
         }
     }
@@ -160,18 +160,18 @@
         s.stage = Stage::Closing;
         s.inbound.clear();
         let _ = s.outbound.push(&last.0);
-        self.set_due(turn, id, Some(turn.now + UNREAD_FOR));
+        self.set_due(turn, id, Some(turn.now + CLOSE_STALL_TIMEOUT));
         self.flush(turn, id);
     }
 
-    /// The client has left.
-    pub(super) fn leave(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
+    /// Closes a connection whose client has left, or can't be served on; its request is withdrawn.
+    pub(super) fn abandon_session(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
         let waiting = self.sessions.get(&id).and_then(|s| match s.stage {
             Stage::Waiting(request) => Some(request),
             Stage::Startup | Stage::Ready | Stage::Closing | Stage::Lingering => None,
         });
         if let Some(request) = waiting {
-            self.disown(request);
+            self.release_request(request);
             exchange.gone(turn, request);
         }
         self.close(turn, id);
--- a/crates/gradeshunt/src/frontend/statements.rs
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -33,7 +33,7 @@
         let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
         let words = statement.trim().trim_end_matches(';').trim();
         let unable = match self.service {
-            _ if !self.able => Some("no db host is known yet"),
+            _ if !self.has_hosts => Some("no db host is known yet"),
             Service::Running | Service::Closing => None,
             Service::Standby => Some("the proxy is in standby"),
         };
@@ -57,7 +57,7 @@
         let mut group = GroupId(c.cluster);
         if let (Some(router), Some(s)) = (&mut self.router, self.sessions.get_mut(&session)) {
             if let Some(decision) = router.contradicts(&self.settings, &s.origin, statement, class) {
-                match routed(decision) {
+                match route_or_reply(decision) {
                     Ok(r) => (class, group) = (r.class, r.group),
                     Err(reply) => return Ok(Step::Reply(reply)),
                 }
@@ -103,7 +103,7 @@
         let (Some(router), Some(s)) = (&mut self.router, self.sessions.get_mut(&session)) else {
             return Err("the statement has no routing comment".to_owned());
         };
-        let routed = match routed(router.decide(&self.settings, &s.origin, statement)) {
+        let routed = match route_or_reply(router.decide(&self.settings, &s.origin, statement)) {
             Ok(routed) => routed,
             Err(reply) => return Ok(Step::Reply(reply)),
         };
@@ -137,7 +137,7 @@
 }
 
 /// Where a plain statement goes, or what its client is told instead.
-fn routed(decision: Decision) -> Result<Routed, Writer> {
+fn route_or_reply(decision: Decision) -> Result<Routed, Writer> {
     let w = Writer::default();
     let unsupported = |what: &str| w.error("ERROR", sqlstate::FEATURE_NOT_SUPPORTED, what, None).ready();
     Err(match decision {
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -6,7 +6,7 @@
 use leadmast::{GroupId, Micros, RequestId};
 
 use super::eviction::{eviction_rank, RECENT, SLOW_CLIENT};
-use super::session::{Stage, LINGER, UNREAD_FOR};
+use super::session::{Stage, CLOSE_STALL_TIMEOUT, LINGER};
 use super::Frontend;
 use crate::exchange::{Body, Call, Exchange, Final, Form};
 use crate::ids::SessionId;
@@ -79,7 +79,7 @@
     while !frontend.sessions[&id].outbound.is_empty() {
         rounds += 1;
         // Just before its time is over some of it moves.
-        turn.now += UNREAD_FOR - 1;
+        turn.now += CLOSE_STALL_TIMEOUT - 1;
         frontend.session_due(&mut turn, id);
         let before = frontend.sessions[&id].outbound.len();
         while frontend.sessions[&id].outbound.len() == before {
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -216,12 +216,12 @@
             Due::Begin => self.begin(),
             Due::Reap => self.frontend.reap(turn),
             Due::CloseListener => self.frontend.close_listener(turn, exchange, false),
-            Due::Serve if self.frontend.able => self.serve(),
+            Due::Serve if self.frontend.has_hosts => self.serve(),
             Due::Serve => turn.deadlines.set(turn.now + LOOK, Due::Serve),
             Due::Sites => self.watch_sites(),
             Due::Summary => {
                 exchange.sum_up(turn);
-                self.frontend.sum_up(turn);
+                self.frontend.log_summary(turn);
                 self.loop_stats.log_summary(&turn.log);
                 turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
             }
@@ -242,7 +242,7 @@
                     warn!(turn.log, "unreadable entry in the list of db hosts"; "what" => what,
                         "of" => news.unreadable);
                 }
-                self.frontend.able |= !news.entries.is_empty();
+                self.frontend.has_hosts |= !news.entries.is_empty();
                 let heard = matches!(news.kind, ListKind::Full | ListKind::Incremental);
                 exchange.members(turn, news.kind, news.entries);
                 self.backend.list(turn, exchange, news.kind, &news.listed);
@@ -255,7 +255,7 @@
                 for member in news.listed.iter().filter(lost).map(|l| l.member).collect::<Vec<_>>() {
                     exchange.maintain(turn, member, true);
                 }
-                if heard && self.frontend.able {
+                if heard && self.frontend.has_hosts {
                     self.serve();
                 }
             } else if let Some(order) = exchange.orders.pop_front() {
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -26,7 +26,7 @@
     fn carry_out(&mut self, caller: CallerId, command: control::Command) -> Option<Answer> {
         let (turn, exchange) = (&mut self.turn, &mut self.exchange);
         Some(match command {
-            control::Command::Status if self.frontend.able && self.waiting.is_none() => {
+            control::Command::Status if self.frontend.has_hosts && self.waiting.is_none() => {
                 Answer::new(200, "serving\n")
             }
             control::Command::Status => Answer::new(503, "starting\n"),
