--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -73,15 +73,15 @@
             worked(parts.core(), due.name());
         }
         let core = parts.core();
-        core.pace.end(&core.turn.log);
+        core.loop_stats.end(&core.turn.log);
         Ok(())
     }
 
     /// The turn begins; gives what is to be worked off.
     fn begin(&mut self, core: &mut Core, until: Option<leadmast::Micros>) -> Vec<Source> {
         core.turn.now = core.turn.clock.now();
-        core.pace.begin(core.turn.now, until);
-        core.turn.unread = core.pace.unread();
+        core.loop_stats.begin(core.turn.now, until);
+        core.turn.unread = core.loop_stats.unread();
         let again = std::mem::take(&mut core.turn.again);
         again.into_iter().chain(self.ready.drain(..)).collect()
     }
@@ -113,5 +113,5 @@
 
 /// A source or a deadline of this name is worked off.
 fn worked(core: &mut Core, name: &'static str) {
-    core.pace.worked(name, core.turn.clock.now());
+    core.loop_stats.worked(name, core.turn.clock.now());
 }
