--- a/crates/placement/tests/assignment.rs
+++ b/crates/placement/tests/assignment.rs
@@ -127,7 +127,7 @@
     #![proptest_config(fixed(12))]
 
     /// Five proxies of each group, in turn, go; read backwards, they come. These are samples: the bound is met nearly always, not
-    /// proved. Of the 3,400 proxies of the design size a few move a little more, and where proxies have fewer than about 16
+    /// proved. Of the 3,400 proxies of the design size 1% move more, and where proxies have fewer than about 16
     /// sets each many do, as many proxies are full then: docs/placement.md has the figures.
     #[test]
     fn one_proxy_moves_at_most_two_nths_of_its_groups_sets(
