--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -95,19 +95,20 @@
 }
 
 /// The order in which sources of one turn are worked off, 0 first. Operators' calls are few and owed an answer whatever the
-/// load. Clients come before db hosts: of a client that has left in the same turn in which a connection came up for its
-/// request, nothing may be sent on.
+/// load. Discovery comes next: what is sent in this turn may not go to a db host of which the turn has brought that it drains.
+/// Clients come before db hosts: of a client that has left in the turn in which a connection came up for its request, nothing
+/// may be sent on.
 fn rank(source: Source) -> u8 {
     match source {
         Source::Control | Source::Caller(_) => 0,
-        Source::Session(_) => 1,
+        Source::Call(_) => 1,
+        Source::Session(_) => 2,
         Source::Listener
         | Source::PeerListener
         | Source::Server(_)
-        | Source::Call(_)
         | Source::Terminate
         | Source::Reload
-        | Source::Files => 2,
+        | Source::Files => 3,
     }
 }
 
