The placement test's processes listen at loopback addresses of their own

Seen: request_that_may_have_run_... hung in a run of the whole workspace. Its process had ended at its start: a port that the test had picked and given back was taken by then, and the test waited for it for ever. Ruled out: the program (the process was a zombie). Change: each address is of a loopback IP of this test's own, so no port is picked; a process that ends at its start fails the test.

--- a/crates/gradeshunt/tests/placement.rs
+++ b/crates/gradeshunt/tests/placement.rs
@@ -1,10 +1,12 @@
 //! Requests that are sent on to a home proxy, on real connections to a real process. The test plays the other proxies and the
 //! only db host, so that every order of events is forced by bytes awaited.
 
+use std::cell::RefCell;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use gradeshunt_placement::{Bucket, Fleet, Member};
@@ -26,9 +28,13 @@
     (listener, address)
 }
 
-/// A port that is free, and that nobody else is given soon.
-fn free_address() -> SocketAddr {
-    listener().1
+/// An address that nobody else has: a loopback address of this test's own, by the number of its process and a counter.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!((1..255).contains(&number), "as many addresses as a byte counts");
+    (Ipv4Addr::new(127, high.max(1), low, number), 6432).into()
 }
 
 /// A fleet of one group: the proxy under test, and two others that the test plays.
@@ -44,7 +50,7 @@
 
 impl Group {
     fn new(settings: &str) -> Group {
-        let own = free_address();
+        let own = own_address();
         let mut others: Vec<_> = ["h1", "h2"].into_iter().map(|name| (name, listener())).collect();
         let mut text = format!("placement {{ group_size {{ least: 2 most: 9 }} {settings}\n");
         text += &format!("proxy {{ name: {OWN:?} zone: \"here\" address: \"{own}\" }}\n");
@@ -68,7 +74,7 @@
 
 /// A process of the program, with all that it meets.
 struct Program {
-    child: Child,
+    child: RefCell<Child>,
     addr: SocketAddr,
     folder: PathBuf,
     control: SocketAddr,
@@ -79,8 +85,9 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let child = self.child.get_mut();
+        let _ = child.kill();
+        let _ = child.wait();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -89,7 +96,7 @@
     fn start(name: &str, group: &Group) -> Program {
         let (host, host_address) = listener();
         let (discovery, discovery_address) = listener();
-        let (addr, control) = (free_address(), free_address());
+        let (addr, control) = (own_address(), own_address());
         let site = Site::open(Plan { sets: vec![1], ..Plan::default() }).expect("a site");
         let mut config = site.config();
         config["listen"] = json!(addr.to_string());
@@ -113,7 +120,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("it starts");
-        Program { child, addr, folder, control, host, _discovery: discovery }
+        Program { child: RefCell::new(child), addr, folder, control, host, _discovery: discovery }
     }
 
     fn client(&self) -> Client {
@@ -121,6 +128,8 @@
             if let Ok(client) = Client::connect(self.addr, &[("user", "portal")], PATIENCE) {
                 return client;
             }
+            let ended = self.child.borrow_mut().try_wait().expect("it can be asked");
+            assert!(ended.is_none(), "it ended at its start: {ended:?}");
             std::thread::yield_now();
         }
     }
@@ -372,7 +381,7 @@
     busy.ask(&read_of(1, group.set)).expect("it is open");
     let (mut host, _) = accept(&program.host);
     next_statement(&mut host);
-    let kill = Command::new("kill").arg("-TERM").arg(program.child.id().to_string()).status();
+    let kill = Command::new("kill").arg("-TERM").arg(program.child.borrow().id().to_string()).status();
     assert!(kill.is_ok_and(|status| status.success()));
     last_message(&mut idle);
     host.write_all(&row("v")).expect("it is open");
