Placement's file is tested for slips and for being read anew

Also the homes of the test listen at loopback addresses of its own: a port that a dropped home gave back was taken by another test's listener, and a request waited there for ever (request_without_a_home_... hung once in six).

--- a/crates/gradeshunt/tests/placement.rs
+++ b/crates/gradeshunt/tests/placement.rs
@@ -5,7 +5,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
@@ -21,11 +21,10 @@
 /// The proxy under test, as the stand-in site names it.
 const OWN: &str = "n0";
 
-/// A bound port of the system's, and its address.
+/// A socket that listens, and its address. Once it is dropped nobody else listens there.
 fn listener() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    (listener, address)
+    let address = own_address();
+    (TcpListener::bind(address).expect("it is free"), address)
 }
 
 /// An address that nobody else has: a loopback address of this test's own, by the number of its process and a counter.
@@ -117,7 +116,7 @@
             .env("TMPDIR", folder.join("tmp"))
             .env_remove("ROUTER_CONTROL")
             .env_remove("ROUTER_LISTEN_FD")
-            .stderr(Stdio::null())
+            .stderr(std::fs::File::create(folder.join("log")).expect("a file"))
             .spawn()
             .expect("it starts");
         Program { child: RefCell::new(child), addr, folder, control, host, _discovery: discovery }
@@ -134,6 +133,22 @@
         }
     }
 
+    /// The operators' file is replaced, and read anew.
+    fn reread(&self, text: &str) {
+        std::fs::write(self.folder.join("placement.textproto"), text).expect("a file");
+        let kill = Command::new("kill").arg("-HUP").arg(self.child.borrow().id().to_string()).status();
+        assert!(kill.is_ok_and(|status| status.success()));
+    }
+
+    /// Waits for a line of its log.
+    fn until_logged(&self, what: &str) {
+        while !std::fs::read_to_string(self.folder.join("log")).expect("its log").contains(what) {
+            let ended = self.child.borrow_mut().try_wait().expect("it can be asked");
+            assert!(ended.is_none(), "it ended: {ended:?}");
+            std::thread::yield_now();
+        }
+    }
+
     fn call(&self, path: &str) -> String {
         let mut stream = TcpStream::connect(self.control).expect("it listens");
         stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
@@ -395,3 +410,48 @@
     assert_eq!((tag, wire::field(&body, b'C').as_deref()), (b'E', Some("PX001")));
     assert_eq!(proxy.stream().read(&mut [0]).expect("an end, and no reset"), 0);
 }
+
+/// Operators' slips: a file or an address that can't be used refuses the start with one line that names it.
+#[test]
+fn file_that_cannot_be_used_refuses_the_start() {
+    let refused = |name: &str, edit: &dyn Fn(&Group) -> String| {
+        let mut group = Group::new("");
+        group.text = edit(&group);
+        let program = Program::start(name, &group);
+        let status = program.child.borrow_mut().wait().expect("it ends");
+        assert!(!status.success(), "{name}");
+        std::fs::read_to_string(program.folder.join("log")).expect("its log")
+    };
+    let unlisted = refused("unlisted", &|group| group.text.replace("\"n0\"", "\"n9\""));
+    assert!(
+        unlisted.contains("placement.textproto:")
+            && unlisted.contains("proxy")
+            && unlisted.contains("\"n0\"")
+    );
+    let twice = refused("twice", &|group| group.text.replace("\"h2\"", "\"h1\""));
+    assert!(twice.contains("placement.textproto:4") && twice.contains("\"h1\" is given twice"), "{twice}");
+    let nowhere = refused("nowhere", &|group| group.text.replace(&format!("address: \"{}\"", group.own), ""));
+    assert!(nowhere.contains("has no address for other proxies"), "{nowhere}");
+    // No address of this machine's.
+    let foreign = refused("foreign", &|group| group.text.replace(&group.own.to_string(), "192.0.2.1:6432"));
+    assert!(foreign.contains("cannot listen for other proxies at 192.0.2.1:6432"), "{foreign}");
+}
+
+/// SIGHUP reads the file anew: one that can't be used changes nothing, and one that can counts at once.
+#[test]
+fn roster_is_read_anew() {
+    let group = Group::new("");
+    let program = Program::start("read-anew", &group);
+    drop(program.client());
+    let before = program.call("/placement");
+    program.reread("placement { proxy {");
+    program.until_logged("the new one can't be used");
+    assert_eq!(program.call("/placement"), before);
+    let more = group.text.replacen("proxy {", "proxy { name: \"h3\" zone: \"here\" } proxy {", 1);
+    program.reread(&more);
+    while !program.call("/placement").contains("proxy h3 no address\n") {}
+    // Other proxies of the new roster may connect.
+    let introduce = [("user", "gradeshunt"), ("application_name", "h3")];
+    let mut proxy = Client::connect(group.own, &introduce, PATIENCE).expect("it is accepted");
+    assert!(proxy.query("").expect("it is served").error.is_none());
+}
