--- a/crates/measure/src/capacity/data/proxies.rs
+++ b/crates/measure/src/capacity/data/proxies.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use gradeshunt_capacity::fit::Point;
-use gradeshunt_capacity::record::names;
+use gradeshunt_capacity::record::{names, Figure};
 use gradeshunt_stand_ins::postgres::farm::Traffic;
 
 use super::checks::conserved;
@@ -69,8 +69,14 @@
         expected: 1..=u64::MAX,
         found: all_probes,
     });
+    measured.figures.push(Figure {
+        name: names::HOST_STATEMENTS_PER_PROXY.to_owned(),
+        value: RATE / HOSTS as f64,
+        unit: "statements a second".to_owned(),
+        how: "as the measurement by proxies is set up".to_owned(),
+    });
     let x = "proxies";
-    let by = "mean of 24 db hosts, each proxy sends 20 statements a second to all ; db hosts close idle connections after 3 s";
+    let by = "mean of 24 db hosts, each proxy sends 20 statements a second to all; the program keeps idle connections for 1.8 s";
     measured.series.push(series(names::HOST_CONNECTIONS_BY_PROXIES, (x, "connections"), by, connections)?);
     measured.series.push(series(names::HOST_PROBES_BY_PROXIES, (x, "probes a second"), by, probes)?);
     measured.series.push(series(
--- a/crates/measure/src/capacity/data/statements.rs
+++ b/crates/measure/src/capacity/data/statements.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gradeshunt_capacity::fit::Point;
-use gradeshunt_capacity::record::names;
+use gradeshunt_capacity::record::{names, Figure};
 use gradeshunt_stand_ins::program::Process;
 
 use super::checks::conserved;
@@ -139,6 +139,17 @@
     bench.window(sizes.window)?;
     measured.counts.extend(bench.counts("few connections")?);
 
+    let how = "as the measurement of statements is set up".to_owned();
+    let figure = |name: &str, value: f64, unit: &str| Figure {
+        name: name.to_owned(),
+        value,
+        unit: unit.to_owned(),
+        how: how.clone(),
+    };
+    let kept = limits.kept().as_secs_f64();
+    measured.figures.push(figure(names::STATEMENT_RATE, sizes.rate, "statements a second"));
+    measured.figures.push(figure(names::STATEMENT_REST_SECONDS, kept, "s"));
+
     let (x, by) =
         ("db hosts that statements go to", "400 statements a second to all sets alike, for 20 s before");
     let cpu_unit = "s of CPU a statement";
--- a/crates/measure/src/capacity/mod.rs
+++ b/crates/measure/src/capacity/mod.rs
@@ -8,6 +8,7 @@
 mod data;
 mod hollow;
 mod output;
+mod placement;
 mod plot;
 
 use std::io;
@@ -55,7 +56,8 @@
 type Measure = fn(Scale, &Setting, &mut dyn FnMut(&str)) -> io::Result<Measured>;
 
 /// The parts, in the order in which they are measured.
-const PARTS: &[(&str, Measure)] = &[("control", control::measure), ("data", data::measure)];
+const PARTS: &[(&str, Measure)] =
+    &[("control", control::measure), ("data", data::measure), ("placement", placement::measure)];
 
 #[derive(Args)]
 pub struct Options {
--- a/crates/measure/src/placement.rs
+++ b/crates/measure/src/placement.rs
@@ -10,7 +10,8 @@
 use gradeshunt_placement::GroupSize;
 
 use crate::{Report, Setting};
-use connections::{homes, overloaded_hosts, today, Connections, Figures};
+pub use connections::Figures;
+use connections::{homes, overloaded_hosts, today, Connections};
 use events::Moves;
 use model::{design_size, Model};
 use pool::{play, Load, Pool};
@@ -85,6 +86,11 @@
     }
 }
 
+/// What the program as it is built comes to at the size that is designed for.
+pub fn as_built() -> Result<Figures, String> {
+    homes(&design_size(), Connections::Unlimited)
+}
+
 pub fn measure(setting: &Setting, options: &Options) -> std::io::Result<Report> {
     let model = options.model();
     let step = if setting.long { 1 } else { STEP };
