--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod link;
 pub mod load;
 pub mod outcome;
+pub mod placement;
 pub mod region;
 pub mod script;
--- a/crates/fleet-rig/src/link.rs
+++ b/crates/fleet-rig/src/link.rs
@@ -25,6 +25,11 @@
     Over,
 }
 
+/// Reads along what passes towards the target on one connection.
+pub type Reader = Box<dyn FnMut(&[u8]) + Send>;
+/// Makes a reader for each connection.
+pub type Tap = Arc<dyn Fn() -> Reader + Send + Sync>;
+
 /// A running link; it ends with this value.
 pub struct Link {
     addr: SocketAddr,
@@ -38,6 +43,7 @@
     changed: Condvar,
     /// Both ends of each open connection: whoever reads there is woken by a reset alone.
     open: Mutex<Vec<Weak<TcpStream>>>,
+    tap: Option<Tap>,
 }
 
 impl Inner {
@@ -63,8 +69,17 @@
     /// # Errors
     /// Where no port is to be had.
     pub fn open(target: SocketAddr) -> io::Result<Link> {
+        Link::open_tapped(target, None)
+    }
+
+    /// The same, with a reader of what passes towards the target.
+    ///
+    /// # Errors
+    /// Where no port is to be had.
+    pub fn open_tapped(target: SocketAddr, tap: Option<Tap>) -> io::Result<Link> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let inner = Inner { state: Mutex::new(State::Up), changed: Condvar::new(), open: Mutex::default() };
+        let (state, changed, open) = (Mutex::new(State::Up), Condvar::new(), Mutex::default());
+        let inner = Inner { state, changed, open, tap };
         let link = Link { addr: listener.local_addr()?, inner: Arc::new(inner) };
         let inner = Arc::clone(&link.inner);
         thread::spawn(move || {
@@ -145,6 +160,7 @@
 /// Passes bytes one way until the connection ends.
 fn pass(from: &TcpStream, to: &TcpStream, way: Way, inner: &Inner) {
     let mut piece = vec![0; PIECE];
+    let mut reader = inner.tap.as_ref().filter(|_| way == Way::ToHost).map(|tap| tap());
     loop {
         let n = match { from }.read(&mut piece) {
             Err(e) if e.kind() == ErrorKind::Interrupted => continue,
@@ -170,6 +186,7 @@
             end(from);
             return end(to);
         }
+        reader.iter_mut().for_each(|read| read(&piece[..n]));
     }
 }
 
--- a/crates/fleet-rig/src/load.rs
+++ b/crates/fleet-rig/src/load.rs
@@ -1,6 +1,6 @@
 //! Open-loop clients: requests come when they come, however long others take, and each is told of by when it was due.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -14,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-/// So long beyond the wait of its request a client gives its connection up.
+/// The usual patience of clients.
 const PATIENCE: Duration = Duration::from_secs(3);
 /// Threads that ask, for each site.
 const WORKERS: usize = 160;
@@ -43,6 +43,8 @@
     pub took: Duration,
     pub site: usize,
     pub class: usize,
+    /// Its place among its site's requests.
+    pub number: u64,
     pub outcome: Outcome,
     pub tries: u32,
     /// The proxy that it asked last.
@@ -65,11 +67,13 @@
     site: usize,
     streams: Vec<Stream>,
     wait: Duration,
+    patience: Duration,
     front: Front,
     began: Instant,
     checker: Checker,
     book: Arc<Mutex<Vec<Done>>>,
     answered: Arc<AtomicU64>,
+    resent: Arc<Mutex<BTreeSet<String>>>,
     /// When each session's last write was confirmed, as Unix milliseconds.
     written: Mutex<BTreeMap<u64, u128>>,
 }
@@ -91,6 +95,10 @@
     pub checker: Checker,
     pub done: Arc<Mutex<Vec<Done>>>,
     pub answered: Arc<AtomicU64>,
+    /// So long beyond the wait of its request a client gives its connection up.
+    pub patience: Duration,
+    /// Ids that clients have sent twice, since the connection ended on which they were sent first.
+    pub resent: Arc<Mutex<BTreeSet<String>>>,
 }
 
 impl Books {
@@ -100,6 +108,8 @@
             checker: Checker::of_wait(wait),
             done: Arc::default(),
             answered: Arc::default(),
+            patience: PATIENCE,
+            resent: Arc::default(),
         }
     }
 }
@@ -120,11 +130,13 @@
             site,
             streams: streams.clone(),
             wait,
+            patience: books.patience,
             front,
             began: books.began,
             checker: books.checker.clone(),
             book: Arc::clone(&books.done),
             answered: Arc::clone(&books.answered),
+            resent: Arc::clone(&books.resent),
             written: Mutex::default(),
         });
         let mut threads = Vec::new();
@@ -144,6 +156,11 @@
     }
 }
 
+/// The id of one try of a request; `attempt` counts from 0.
+pub fn request_id(write: bool, site: usize, number: u64, attempt: u32) -> String {
+    format!("{}-{site:x}-{number:x}-{attempt}", if write { "w" } else { "r" })
+}
+
 /// Requests come as a Poisson process of each stream.
 fn schedule(streams: &[Stream], jobs: &Sender<Job>, over: &AtomicBool, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -175,7 +192,7 @@
         let (mut tries, mut over) = (0, Duration::ZERO);
         // One that came before this is late already; it goes on waiting all the same.
         let (outcome, at) = loop {
-            let id = format!("{}-{:x}-{number:x}-{tries}", if s.write { "w" } else { "r" }, shared.site);
+            let id = request_id(s.write, shared.site, number, tries);
             tries += 1;
             shared.checker.asked(&id);
             let since = Instant::now();
@@ -192,7 +209,17 @@
         };
         let took = due.elapsed();
         let due = due.saturating_duration_since(shared.began);
-        held(&shared.book).push(Done { due, took, site: shared.site, class: s.of, outcome, tries, at, over });
+        held(&shared.book).push(Done {
+            due,
+            took,
+            site: shared.site,
+            class: s.of,
+            number,
+            outcome,
+            tries,
+            at,
+            over,
+        });
         shared.answered.fetch_add(1, Ordering::Relaxed);
     }
 }
@@ -235,9 +262,12 @@
             Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
                 return (Outcome::Lost, None, Some(addr));
             }
-            Err(_) => on_new(addr, &statement, shared.wait),
+            Err(_) => {
+                held(&shared.resent).insert(id.to_owned());
+                on_new(addr, &statement, shared.wait + shared.patience)
+            }
         },
-        None => on_new(addr, &statement, shared.wait),
+        None => on_new(addr, &statement, shared.wait + shared.patience),
     };
     match reply {
         Ok((client, reply)) => {
@@ -254,9 +284,9 @@
     }
 }
 
-fn on_new(addr: SocketAddr, statement: &str, wait: Duration) -> Result<(Client, Reply), Outcome> {
+fn on_new(addr: SocketAddr, statement: &str, patience: Duration) -> Result<(Client, Reply), Outcome> {
     let identity = [("user", "portal"), ("database", "crm")];
-    let mut client = Client::connect(addr, &identity, wait + PATIENCE).map_err(|_| Outcome::Unreached)?;
+    let mut client = Client::connect(addr, &identity, patience).map_err(|_| Outcome::Unreached)?;
     let reply = client.query(statement).map_err(|_| Outcome::Lost)?;
     Ok((client, reply))
 }
--- /dev/null
+++ b/crates/gradeshunt/tests/placement_fleet.rs
@@ -0,0 +1,49 @@
+//! Several processes of the program with placement on, broken by faults that a seed draws. Plays wait for answers, never for
+//! time; docs/fleet-rig.md tells what is checked.
+
+use std::path::Path;
+use std::time::Duration;
+
+use gradeshunt_fleet_rig::placement::fleet::Options;
+use gradeshunt_fleet_rig::placement::play;
+use gradeshunt_fleet_rig::placement::roster::Shape;
+
+/// Far above what a busy machine adds to a wait: only a request that is never answered takes longer.
+const SLACK: Duration = Duration::from_secs(60);
+
+fn play_seed(seed: u64) {
+    let folder =
+        Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("placement-fleet-{seed}-{}", std::process::id()));
+    let options = Options {
+        program: Path::new(env!("CARGO_BIN_EXE_gradeshunt")),
+        folder: &folder,
+        seed,
+        shape: Shape { processes: 6, groups: 2 },
+        placement: true,
+        wait: Duration::from_secs(1),
+        slack: SLACK,
+        drains_at_once: false,
+    };
+    let report = play(&options).expect("it plays");
+    assert!(report.faults.is_empty(), "{:#?}\n{report}", report.marks);
+    assert!(!report.hops.is_empty(), "requests went over other proxies: {report}");
+    let seen = report.account;
+    assert!(seen.home > 0 && seen.sent_on > 0 && seen.taken > 0, "{seen:?}");
+    assert!(report.unavailable > 0, "a lost home was noticed: {:#?}", report.marks);
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn faults_of_seed_1_break_no_promise() {
+    play_seed(1);
+}
+
+#[test]
+fn faults_of_seed_2_break_no_promise() {
+    play_seed(2);
+}
+
+#[test]
+fn faults_of_seed_3_break_no_promise() {
+    play_seed(3);
+}
