--- a/crates/fleet-rig/src/placement/checks.rs
+++ b/crates/fleet-rig/src/placement/checks.rs
@@ -1,5 +1,7 @@
 //! What may not be in a play, whatever is broken.
 
+use std::time::Duration;
+
 use gradeshunt_stand_ins::checker::Checker;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -33,8 +35,8 @@
         outcomes(evidence),
         lost_writes(evidence),
         unsafe_twice(evidence),
-        without_answer(evidence),
-        late(evidence),
+        without_answer(evidence.done, evidence.outages),
+        late(evidence.done, evidence.outages, evidence.options.slack),
         at_hosts(evidence),
         evidence.fleet.hops.handed_on_twice(),
         connections(evidence.most, evidence.options.placement),
@@ -73,15 +75,16 @@
 }
 
 /// Requests that ended without a word, though their proxy ran all the time.
-fn without_answer(evidence: &Evidence) -> Vec<String> {
-    let silent = evidence.done.iter().filter(|done| done.outcome.at_the_door());
-    let unexcused = silent.filter(|done| !is_excused(done, evidence.outages));
+fn without_answer(done: &[Done], outages: &[Outage]) -> Vec<String> {
+    let silent = done.iter().filter(|done| done.outcome.at_the_door());
+    let unexcused = silent.filter(|done| !is_excused(done, outages));
     unexcused.map(|done| format!("a request ended without a word: {done:?}")).collect()
 }
 
-fn late(evidence: &Evidence) -> Vec<String> {
-    let late = evidence.done.iter().filter(|done| done.over > evidence.options.slack);
-    let unexcused = late.filter(|done| !is_excused(done, evidence.outages));
+/// Requests whose answer came this much later than their clients wait, though their proxy ran all the time.
+fn late(done: &[Done], outages: &[Outage], slack: Duration) -> Vec<String> {
+    let late = done.iter().filter(|done| done.over > slack);
+    let unexcused = late.filter(|done| !is_excused(done, outages));
     unexcused.map(|done| format!("a request was answered too late: {done:?}")).collect()
 }
 
@@ -116,8 +119,6 @@
 
 #[cfg(test)]
 mod tests {
-    use std::time::Duration;
-
     use gradeshunt_stand_ins::checker::Outcome;
 
     use super::*;
@@ -126,12 +127,12 @@
         Duration::from_millis(time)
     }
 
-    /// Guards the guard: only a request that met the outage of its own proxy is excused.
+    /// Guards the guard: a request without a word and one that is late are told, unless they met an outage of their own proxy.
     #[test]
     fn only_an_outage_of_its_own_proxy_excuses_a_request() {
         let (lost, whole) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into());
         let outages = [Outage { address: lost, from: ms(100), to: ms(200) }];
-        let done = |at, due, took| Done {
+        let request = |at, due, took| Done {
             due: ms(due),
             took: ms(took),
             site: 0,
@@ -140,13 +141,17 @@
             outcome: Outcome::Lost,
             tries: 1,
             at: Some(at),
-            over: Duration::ZERO,
+            over: ms(took),
+        };
+        let told = |at, due, took| {
+            let done = [request(at, due, took)];
+            (without_answer(&done, &outages).len(), late(&done, &outages, ms(8)).len())
         };
-        assert!(is_excused(&done(lost, 50, 60), &outages));
-        assert!(is_excused(&done(lost, 150, 1), &outages));
-        assert!(!is_excused(&done(lost, 50, 49), &outages));
-        assert!(!is_excused(&done(lost, 201, 9), &outages));
-        assert!(!is_excused(&done(whole, 150, 1), &outages));
+        assert_eq!(told(lost, 50, 60), (0, 0));
+        assert_eq!(told(lost, 150, 9), (0, 0));
+        assert_eq!(told(lost, 50, 49), (1, 1));
+        assert_eq!(told(lost, 201, 9), (1, 1));
+        assert_eq!(told(whole, 150, 8), (1, 0));
     }
 
     #[test]
--- a/crates/fleet-rig/src/placement/report.rs
+++ b/crates/fleet-rig/src/placement/report.rs
@@ -97,7 +97,7 @@
         json!({"seed": seed, "processes": processes, "groups": groups, "placement": placement,
             "asked": self.done.len(), "served": self.share(Outcome::Served),
             "refused": self.share(Outcome::Refused), "failed": self.share(Outcome::Failed),
-            "median_ms": milliseconds(self.median(false)), "median_hop_ms": milliseconds(self.median(true)),
+            "median_no_hop_ms": milliseconds(self.median(false)), "median_hop_ms": milliseconds(self.median(true)),
             "cpu_us": self.cpu_per_request().as_secs_f64() * 1e6, "at_host": self.most.at_host,
             "proxies_at_host": self.most.proxies_at_host, "at_proxy": self.most.at_proxy,
             "samples": self.most.samples, "hops": self.hops.len(), "unavailable": self.unavailable, "home": home, "sent_on": sent_on,
