--- a/crates/fleet-rig/src/placement/mod.rs
+++ b/crates/fleet-rig/src/placement/mod.rs
@@ -296,7 +296,9 @@
         for proxy in step.iter().filter_map(Fault::lost_home) {
             let line = format!("proxy {} unavailable\n", roster::name(proxy));
             let neighbours = self.fleet.neighbours(proxy);
-            let processes = neighbours.iter().filter_map(|other| self.fleet.proxies[*other].process.as_ref());
+            // One that is stopped answers no operator either.
+            let running = neighbours.iter().filter(|other| !self.absent.contains(other));
+            let processes = running.filter_map(|other| self.fleet.proxies[*other].process.as_ref());
             let mut shown = processes.filter_map(|process| process.call("GET", "/placement").ok());
             self.unavailable += usize::from(shown.any(|(_, body)| body.contains(&line)));
         }
