A release in the rig starts each successor beside the former process

Cause: the rig told a process to end and started the next one behind it.

Change: successors start first and say that they serve, then the former processes are told to end, as an upgrade goes.

--- a/crates/fleet-rig/src/placement/fleet.rs
+++ b/crates/fleet-rig/src/placement/fleet.rs
@@ -221,24 +221,26 @@
         Ok(())
     }
 
-    /// Tells these proxies to end, waits for it, and starts them anew.
+    /// Upgrades these proxies at once: beside each process its successor starts, and when all say that they serve the former
+    /// ones are told to end.
     ///
     /// # Errors
     /// Where one does not end well, or does not start.
     pub fn release(&mut self, wave: &[usize]) -> io::Result<()> {
+        let mut former = Vec::new();
         for proxy in wave {
-            let proxy = &mut self.proxies[*proxy];
-            proxy.settle();
-            proxy.process.iter().try_for_each(|process| process.signal("TERM"))?;
+            self.proxies[*proxy].settle();
+            former.extend(self.proxies[*proxy].process.take());
+            self.start_again(*proxy)?;
         }
-        for proxy in wave {
-            if let Some(mut process) = self.proxies[*proxy].process.take() {
-                if process.exits(ENDS)?.is_none_or(|status| !status.success()) {
-                    return Err(io::Error::other(format!("proxy {proxy} was told to end and did not")));
-                }
+        former.iter().try_for_each(|process| process.signal("TERM"))?;
+        for mut process in former {
+            let status = process.exits(ENDS)?;
+            if status.is_none_or(|status| !status.success()) {
+                return Err(io::Error::other(format!("a process told to end did not: {status:?}")));
             }
         }
-        wave.iter().try_for_each(|proxy| self.start_again(*proxy))
+        Ok(())
     }
 
     /// Whose connections each link's are, by the link's port.
