The plays with placement print what a hop adds to the median time

Cause: it had to be worked out from two columns.

Change: a column and a JSON field with the difference of the two medians.

--- a/crates/fleet-rig/src/placement/report.rs
+++ b/crates/fleet-rig/src/placement/report.rs
@@ -69,10 +69,15 @@
         times.get(times.len() / 2).copied()
     }
 
+    /// What a hop adds to the median time; nothing is told where it adds less than nothing.
+    pub fn added_by_hop(&self) -> Option<Duration> {
+        self.median(true)?.checked_sub(self.median(false)?)
+    }
+
     /// The head of a table of reports.
     pub fn head() -> String {
         format!(
-            "{:>4} {:<9} {:>7} {:>8} {:>8} {:>7} {:>8} {:>8} {:>9} {:>8} {:>8} {:>9} {:>7}",
+            "{:>4} {:<9} {:>7} {:>8} {:>8} {:>7} {:>8} {:>8} {:>8} {:>9} {:>8} {:>8} {:>9} {:>7}",
             "seed",
             "placement",
             "asked",
@@ -81,6 +86,7 @@
             "failed",
             "no hop",
             "hop",
+            "added",
             "CPU/req",
             "at host",
             "proxies",
@@ -97,7 +103,7 @@
         json!({"seed": seed, "processes": processes, "groups": groups, "placement": placement,
             "asked": self.done.len(), "served": self.share(Outcome::Served),
             "refused": self.share(Outcome::Refused), "failed": self.share(Outcome::Failed),
-            "median_no_hop_ms": milliseconds(self.median(false)), "median_hop_ms": milliseconds(self.median(true)),
+            "median_no_hop_ms": milliseconds(self.median(false)), "median_hop_ms": milliseconds(self.median(true)), "added_by_hop_ms": milliseconds(self.added_by_hop()),
             "cpu_us": self.cpu_per_request().as_secs_f64() * 1e6, "at_host": self.most.at_host,
             "proxies_at_host": self.most.proxies_at_host, "at_proxy": self.most.at_proxy,
             "samples": self.most.samples, "hops": self.hops.len(), "unavailable": self.unavailable, "home": home, "sent_on": sent_on,
@@ -112,7 +118,7 @@
         };
         writeln!(
             f,
-            "{:>4} {:<9} {:>7} {:>8.4} {:>8.4} {:>7.4} {:>8} {:>8} {:>6.0} us {:>8} {:>8} {:>9} {:>7}",
+            "{:>4} {:<9} {:>7} {:>8.4} {:>8.4} {:>7.4} {:>8} {:>8} {:>8} {:>6.0} us {:>8} {:>8} {:>9} {:>7}",
             self.options.seed,
             if self.options.placement { "on" } else { "off" },
             self.done.len(),
@@ -121,6 +127,7 @@
             self.share(Outcome::Failed),
             time(self.median(false)),
             time(self.median(true)),
+            time(self.added_by_hop()),
             self.cpu_per_request().as_secs_f64() * 1e6,
             self.most.at_host,
             self.most.proxies_at_host,
