--- a/crates/fleet-rig/src/placement/connections.rs
+++ b/crates/fleet-rig/src/placement/connections.rs
@@ -1,4 +1,5 @@
-//! Connections that stand at each db host and each proxy, counted from the system's table of sockets every few milliseconds.
+//! Connections that stand at each db host and each proxy, counted from the system's table of sockets, again and again. What
+//! comes and goes between two counts is not seen.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -6,7 +7,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
-/// Between two counts.
+/// From the end of one count to the next one; a count takes long where the whole machine has many sockets.
 const PERIOD: Duration = Duration::from_millis(20);
 /// The states of a socket, in `/proc/net/tcp`.
 const ESTABLISHED: &str = "01";
