--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod link;
 pub mod load;
 pub mod outcome;
+pub mod placement;
 pub mod region;
 pub mod script;
 pub mod written;
--- a/crates/fleet-rig/src/link.rs
+++ b/crates/fleet-rig/src/link.rs
@@ -27,6 +27,11 @@
     Over,
 }
 
+/// Reads along what passes towards the target on one connection.
+pub type Reader = Box<dyn FnMut(&[u8]) + Send>;
+/// Makes a reader for each connection.
+pub type Tap = Arc<dyn Fn() -> Reader + Send + Sync>;
+
 /// A running link; it ends with this value.
 pub struct Link {
     addr: SocketAddr,
@@ -42,6 +47,7 @@
     open: Mutex<Vec<Weak<TcpStream>>>,
     /// What came from the proxy, and when.
     written: Written,
+    tap: Option<Tap>,
 }
 
 impl Inner {
@@ -67,12 +73,21 @@
     /// # Errors
     /// Where no port is to be had.
     pub fn open(target: SocketAddr) -> io::Result<Link> {
+        Link::open_tapped(target, None)
+    }
+
+    /// The same, with a reader of what passes towards the target.
+    ///
+    /// # Errors
+    /// Where no port is to be had.
+    pub fn open_tapped(target: SocketAddr, tap: Option<Tap>) -> io::Result<Link> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let inner = Inner {
             state: Mutex::new(State::Up),
             changed: Condvar::new(),
             open: Mutex::default(),
             written: Written::default(),
+            tap,
         };
         let link = Link { addr: listener.local_addr()?, inner: Arc::new(inner) };
         let inner = Arc::clone(&link.inner);
@@ -160,6 +175,7 @@
 /// Passes bytes one way until the connection ends.
 fn pass(from: &TcpStream, to: &TcpStream, way: Way, inner: &Inner) {
     let mut piece = vec![0; PIECE];
+    let mut reader = inner.tap.as_ref().filter(|_| way == Way::ToHost).map(|tap| tap());
     loop {
         let (n, came) = match written::receive(from, &mut piece) {
             Err(e) if e.kind() == ErrorKind::Interrupted => continue,
@@ -188,6 +204,7 @@
             end(from);
             return end(to);
         }
+        reader.iter_mut().for_each(|read| read(&piece[..n]));
     }
 }
 
