--- a/crates/fleet-rig/src/placement/checks.rs
+++ b/crates/fleet-rig/src/placement/checks.rs
@@ -97,12 +97,14 @@
 
 /// Stale reads, requests long after a drain was told, cold db hosts pushed over.
 fn at_hosts(evidence: &Evidence) -> Vec<String> {
-    let of = |host: &super::fleet::Host| {
+    let proxies = &evidence.fleet.proxies;
+    let of = |(number, host): (usize, &super::fleet::Host)| {
         let id = host.id();
-        let faults = host.engine.faults(FALL.0, FALL.1);
+        let written = |text: &str| proxies.iter().filter_map(|proxy| proxy.links[number].written(text)).max();
+        let faults = host.engine.faults(FALL.0, FALL.1, written);
         faults.into_iter().map(move |fault| format!("db host {id}: {fault}"))
     };
-    evidence.fleet.hosts.iter().flat_map(of).collect()
+    evidence.fleet.hosts.iter().enumerate().flat_map(of).collect()
 }
 
 /// The bounds are those of placement: without it there are none.
