The rig counts a drain as told once its list is written to all watches

Seen: tests/sites.rs failed on the busy machine, 'written after 397 ms'. At fault in part: the rig took the drain's time before its own threads had written the list, so a rig without CPU blamed the program. Discovery::until_told waits for the writes to all open watches; the grace and the slack stay as they were. Ruled out by that fault's two times: a late read. Not judged: a process that itself gets no CPU after it was told.

--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery: the whole list over HTTP/1.1, and a watch that gets what changes, a line each.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -20,13 +20,21 @@
     entries: Vec<Value>,
     /// What has changed, each with the generation that it made.
     changes: VecDeque<(u64, Value)>,
+    /// Open watches, each with the generation that was last written to it.
+    watches: BTreeMap<u64, u64>,
+    next_watch: u64,
 }
 
+/// How long a watch may take no bytes before nobody waits for it any more.
+const TELLS: Duration = Duration::from_secs(10);
+
 /// The service. Clones are the same one.
 #[derive(Clone)]
 pub struct Discovery {
     addr: SocketAddr,
     list: Arc<(Mutex<List>, Condvar)>,
+    /// A watch was written to, or has ended.
+    told: Arc<Condvar>,
 }
 
 impl Discovery {
@@ -37,9 +45,12 @@
 
     pub fn open_at(addr: &str, entries: Vec<Value>) -> io::Result<Self> {
         let listener = TcpListener::bind(addr)?;
-        let list = List { generation: 1, entries, changes: VecDeque::new() };
-        let discovery =
-            Discovery { addr: listener.local_addr()?, list: Arc::new((Mutex::new(list), Condvar::new())) };
+        let list = List { generation: 1, entries, ..List::default() };
+        let discovery = Discovery {
+            addr: listener.local_addr()?,
+            list: Arc::new((Mutex::new(list), Condvar::new())),
+            told: Arc::default(),
+        };
         let served = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -72,7 +83,34 @@
         self.list.1.notify_all();
     }
 
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    /// Waits until the list as it is now is written to all open watches: from then on whoever watches has been told, however
+    /// late a thread of this stand-in came to it. Gives up after a while, where a watch takes no bytes.
+    pub fn until_told(&self) {
+        let list = lock(&self.list.0);
+        let generation = list.generation;
+        let behind = |list: &mut List| list.watches.values().any(|told| *told < generation);
+        drop(self.told.wait_timeout_while(list, TELLS, behind));
+    }
+
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        let watch = {
+            let mut list = lock(&self.list.0);
+            list.next_watch += 1;
+            list.next_watch
+        };
+        let served = self.serve_call(stream, watch);
+        lock(&self.list.0).watches.remove(&watch);
+        self.told.notify_all();
+        served
+    }
+
+    /// What this watch has been written is as new as this generation.
+    fn written(&self, watch: u64, generation: u64) {
+        lock(&self.list.0).watches.insert(watch, generation);
+        self.told.notify_all();
+    }
+
+    fn serve_call(&self, mut stream: TcpStream, watch: u64) -> io::Result<()> {
         let mut lines = BufReader::new(stream.try_clone()?).lines();
         let request = lines.next().transpose()?.unwrap_or_default();
         while lines.next().transpose()?.is_some_and(|l| !l.is_empty()) {}
@@ -86,6 +124,7 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{whole}\r\n",
             whole.len()
         )?;
+        self.written(watch, known);
         loop {
             let list = lock(&self.list.0);
             let waited = self.list.1.wait_timeout_while(list, BEAT, |l| l.generation == known);
@@ -99,6 +138,7 @@
                 false => json!({"generation": known, "reset": false, "instances": news}).to_string() + "\n",
             };
             write!(stream, "{:x}\r\n{line}\r\n", line.len())?;
+            self.written(watch, known);
         }
     }
 }
