--- a/crates/capacity/src/record.rs
+++ b/crates/capacity/src/record.rs
@@ -60,6 +60,8 @@
         let line = Line::fit(&points)?;
         let predicted = line.at(further.x);
         let off = if further.y == predicted { 0.0 } else { (predicted - further.y).abs() / further.y.abs() };
+        // JSON has no infinity: where nothing was measured, any other prediction is as far off as can be.
+        let off = off.min(f64::MAX);
         let check = Check { measured: further, predicted, off };
         Ok(Series {
             name: name.to_owned(),
@@ -165,6 +167,11 @@
     pub const STATEMENT_CONNECTIONS_BY_HOSTS: &str = "statement.connections.by_hosts";
     /// Connections that a proxy opens a statement, by db hosts that the statements go to.
     pub const STATEMENT_OPENED_BY_HOSTS: &str = "statement.opened.by_hosts";
+    /// A proxy's processor time a statement, by connections that it opens a statement.
+    pub const STATEMENT_CPU_BY_OPENED: &str = "statement.cpu.by_opened";
+    /// Connections that a proxy holds to db hosts, by db hosts that got a statement within the time for which idle
+    /// connections are kept.
+    pub const STATEMENT_CONNECTIONS_BY_REACHED: &str = "statement.connections.by_reached";
     /// Connections that a db host holds, by proxies.
     pub const HOST_CONNECTIONS_BY_PROXIES: &str = "host.connections.by_proxies";
     /// Probes that a db host gets in a second, by proxies.
@@ -175,4 +182,42 @@
     pub const HOLLOW_LOOP_CPU_SHARE: &str = "hollow.loop_cpu_share";
     /// Processor time of a hollow proxy for a whole list over that of a real one: a figure.
     pub const HOLLOW_LIST_CPU_SHARE: &str = "hollow.list_cpu_share";
+    /// Statements a second that each proxy sends to one db host in the measurements by proxies: a figure.
+    pub const HOST_STATEMENTS_PER_PROXY: &str = "host.statements_per_proxy";
+    /// Statements a second of the proxy in the measurements by db hosts that the statements go to: a figure.
+    pub const STATEMENT_RATE: &str = "statement.rate";
+    /// Seconds that an unused connection to a db host is kept in those measurements: a figure.
+    pub const STATEMENT_REST_SECONDS: &str = "statement.rest_seconds";
+    /// Bytes of one answer of a proxy's figures, by db hosts known.
+    pub const FIGURES_BYTES_BY_HOSTS: &str = "figures.bytes.by_hosts";
+    /// Bytes a second that a proxy writes to its log on an ordinary day: a figure.
+    pub const LOG_BYTES: &str = "log.bytes";
+    /// Bytes that a proxy writes to its log in the worst second of the loss of a zone: a figure.
+    pub const LOG_BYTES_ZONE_LOST: &str = "log.bytes_zone_lost";
+
+    // What the simulation of placement gives. All are figures, at the size that is designed for.
+
+    /// Connections at a db host on the ordinary day, in the mean of all: a figure, in connections.
+    pub const PLACEMENT_HOST_CONNECTIONS_MEAN: &str = "placement.host_connections_mean";
+    /// Connections at the db host that holds most, on the ordinary day: a figure, in connections.
+    pub const PLACEMENT_HOST_CONNECTIONS: &str = "placement.host_connections";
+    /// Connections at the db host that holds most, at the worst moment of all events: a figure, in connections.
+    pub const PLACEMENT_HOST_CONNECTIONS_WORST: &str = "placement.host_connections_worst";
+    /// Connections to db hosts and proxies of the proxy that holds most, on the ordinary day: a figure, in connections.
+    pub const PLACEMENT_PROXY_CONNECTIONS: &str = "placement.proxy_connections";
+    /// Connections to db hosts and proxies of the proxy that holds most, at the worst moment of all events: a figure,
+    /// in connections.
+    pub const PLACEMENT_PROXY_CONNECTIONS_WORST: &str = "placement.proxy_connections_worst";
+    /// New connections over statements on the ordinary day: a figure, a part of one.
+    pub const PLACEMENT_NEW_CONNECTIONS_SHARE: &str = "placement.new_connections_share";
+    /// New connections over statements in the worst minute of all events: a figure, a part of one.
+    pub const PLACEMENT_NEW_CONNECTIONS_SHARE_WORST: &str = "placement.new_connections_share_worst";
+    /// Statements that find no free connection to their db host over all statements: a figure, a part of one.
+    pub const PLACEMENT_WAITING_SHARE: &str = "placement.waiting_share";
+    /// The largest load of a proxy over the mean of its group: a figure, without a unit.
+    pub const PLACEMENT_LOAD_OVER_MEAN: &str = "placement.load_over_mean";
+    /// Statements that pass a second proxy over all statements: a figure, a part of one.
+    pub const PLACEMENT_FORWARDED_SHARE: &str = "placement.forwarded_share";
+    /// Proxies that send to one db host by themselves: a figure, in proxies.
+    pub const PLACEMENT_PROXIES_PER_HOST: &str = "placement.proxies_per_host";
 }
--- a/crates/gradeshunt/src/control_core.rs
+++ b/crates/gradeshunt/src/control_core.rs
@@ -12,7 +12,7 @@
 use crate::deadlines::Due;
 use crate::discovery::{self, Discovery, News};
 use crate::exchange::{Answer, Exchange, Order};
-use crate::pace::Pace;
+use crate::loop_stats::LoopStats;
 use crate::placing::Placing;
 use crate::turn::{Ready, Source, Turn};
 
@@ -21,7 +21,7 @@
     pub(crate) turn: Turn,
     pub(crate) exchange: Exchange,
     pub(crate) discovery: Discovery,
-    pub(crate) pace: Pace,
+    pub(crate) loop_stats: LoopStats,
     /// The list of db hosts from the configuration, until the proxy begins.
     known: Option<News>,
     news: Vec<News>,
@@ -85,8 +85,8 @@
         let mut exchange = Exchange::new(settings, tenants, config.seed, turn.now);
         exchange.sites = config.sites.take();
         exchange.placing = placing;
-        let pace = Pace::new(turn.now);
-        Ok(Core { turn, exchange, discovery, pace, known, news: Vec::new() })
+        let loop_stats = LoopStats::new(turn.now);
+        Ok(Core { turn, exchange, discovery, loop_stats, known, news: Vec::new() })
     }
 
     /// Takes in the list that the configuration gives, and watches discovery from now on.
--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -73,15 +73,15 @@
             worked(parts.core(), due.name());
         }
         let core = parts.core();
-        core.pace.end(&core.turn.log);
+        core.loop_stats.end(&core.turn.log);
         Ok(())
     }
 
     /// The turn begins; gives what is to be worked off.
     fn begin(&mut self, core: &mut Core, until: Option<leadmast::Micros>) -> Vec<Source> {
         core.turn.now = core.turn.clock.now();
-        core.pace.begin(core.turn.now, until);
-        core.turn.unread = core.pace.unread();
+        core.loop_stats.begin(core.turn.now, until);
+        core.turn.unread = core.loop_stats.unread();
         let again = std::mem::take(&mut core.turn.again);
         again.into_iter().chain(self.ready.drain(..)).collect()
     }
@@ -95,23 +95,24 @@
 }
 
 /// The order in which sources of one turn are worked off, 0 first. Operators' calls are few and owed an answer whatever the
-/// load. Clients come before db hosts: of a client that has left in the same turn in which a connection came up for its
-/// request, nothing may be sent on.
+/// load. Discovery comes next: what is sent in this turn may not go to a db host of which the turn has brought that it drains.
+/// Clients come before db hosts: of a client that has left in the turn in which a connection came up for its request, nothing
+/// may be sent on.
 fn rank(source: Source) -> u8 {
     match source {
         Source::Control | Source::Caller(_) => 0,
-        Source::Session(_) => 1,
+        Source::Call(_) => 1,
+        Source::Session(_) => 2,
         Source::Listener
         | Source::PeerListener
         | Source::Server(_)
-        | Source::Call(_)
         | Source::Terminate
         | Source::Reload
-        | Source::Files => 2,
+        | Source::Files => 3,
     }
 }
 
 /// A source or a deadline of this name is worked off.
 fn worked(core: &mut Core, name: &'static str) {
-    core.pace.worked(name, core.turn.clock.now());
+    core.loop_stats.worked(name, core.turn.clock.now());
 }
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -26,7 +26,7 @@
 use crate::turn::{self, Ready, Source};
 
 const SUMMARY: Micros = 10_000_000;
-/// Pace of the looks at what the processes of this proxy share.
+/// Interval of the looks at what the processes of this proxy share.
 const LOOK: Micros = 50_000;
 /// A new process waits so long to see what others of its proxy do.
 const SEE: Micros = 2_000_000;
@@ -184,7 +184,7 @@
     /// The module has heard of a list: the pool follows, and what is held out stays so.
     fn list(&mut self, list: &List) {
         let Core { turn, exchange, .. } = &mut self.core;
-        self.frontend.able |= list.entries() > 0;
+        self.frontend.has_hosts |= list.entries() > 0;
         self.backend.list(turn, exchange, list.kind, &list.listed);
         // The ban on a name outlasts whatever the list says of it.
         for l in list.listed.iter().filter(|l| self.shared.is_held_out(&l.id)) {
@@ -195,7 +195,7 @@
         for member in list.listed.iter().filter(lost).map(|l| l.member).collect::<Vec<_>>() {
             exchange.maintain(turn, member, true);
         }
-        if list.is_heard() && self.frontend.able {
+        if list.is_heard() && self.frontend.has_hosts {
             self.serve();
         }
     }
@@ -250,13 +250,13 @@
             Due::Begin => self.begin(),
             Due::Reap => self.frontend.reap(turn),
             Due::CloseListener => self.frontend.close_listener(turn, exchange, false),
-            Due::Serve if self.frontend.able => self.serve(),
+            Due::Serve if self.frontend.has_hosts => self.serve(),
             Due::Serve => turn.deadlines.set(turn.now + LOOK, Due::Serve),
             Due::Sites => self.watch_sites(),
             Due::Summary => {
                 exchange.sum_up(turn);
-                self.frontend.sum_up(turn);
-                self.core.pace.sum_up(&turn.log);
+                self.frontend.log_summary(turn);
+                self.core.loop_stats.log_summary(&turn.log);
                 turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
             }
             Due::LastAnswers => exchange.end_all(turn),
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -29,7 +29,7 @@
     fn carry_out(&mut self, caller: CallerId, command: control::Command) -> Option<Answer> {
         let (turn, exchange) = (&mut self.core.turn, &mut self.core.exchange);
         Some(match command {
-            control::Command::Status if self.frontend.able && self.waiting.is_none() => {
+            control::Command::Status if self.frontend.has_hosts && self.waiting.is_none() => {
                 Answer::new(200, "serving\n")
             }
             control::Command::Status => Answer::new(503, "starting\n"),
@@ -42,7 +42,7 @@
                 Some(text) => Answer::new(200, text),
                 None => Answer::new(404, "no rules for plain statements are given\n"),
             },
-            control::Command::Loop => Answer::new(200, self.core.pace.exposition()),
+            control::Command::Loop => Answer::new(200, self.core.loop_stats.exposition()),
             control::Command::Sites => self.show_sites(),
             control::Command::Placement => self.show_placement(),
             control::Command::HoldSite(name) => self.hold_site(&name, true),
--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -10,6 +10,7 @@
 use crate::config::Config;
 use crate::cycle::Cycle;
 use crate::logging;
+use crate::placement_command;
 use crate::planning;
 use crate::proxy::Proxy;
 use crate::turn::{Ready, Source};
@@ -60,6 +61,7 @@
         Some(Command::Classify { rules, format, null, sql }) => cli::classify(rules, format, null, sql)?,
         Some(Command::Plan(options)) if !planning::plan(&options)? => return Ok(ExitCode::from(NOT_BORNE)),
         Some(Command::Plan(_)) => {}
+        Some(Command::Placement(options)) => placement_command::place(&options)?,
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -9,7 +9,7 @@
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::{Act, Rule, Table};
-use gradeshunt_stand_ins::site::{Plan, Site};
+use gradeshunt_stand_ins::site::{entry, Plan, Site};
 use gradeshunt_stand_ins::upgrade::Standing;
 use serde_json::{json, Value};
 
@@ -536,3 +536,40 @@
         assert!(answer.ends_with("IZ"), "{discovery_is:?}, {mode}: {answer}");
     }
 }
+
+/// While the process stands a request comes, and then the list that says that its only db host drains: it is not sent on, though
+/// a connection to that host rests. The connection is closed.
+#[test]
+fn request_that_comes_just_before_a_drain_is_not_sent_there() {
+    let (host, discovery, program) = program_of_one_host("drains-meanwhile");
+    let address = host.local_addr().expect("an address").to_string();
+    let list = |generation: u32, lifecycle: &str| {
+        let mut entry = entry("s-1-0", &address, 1, true);
+        entry["lifecycle"] = json!(lifecycle);
+        json!({"generation": generation, "reset": generation == 2, "instances": [entry]})
+    };
+    let mut watch = tell(&discovery, &list(2, "ready"));
+    let mut client = program.connect();
+    client.write_all(&[wire::startup(&[("user", "portal")]), read_of(1)].concat()).expect("it is open");
+    let (mut server, _) = host.accept().expect("it connects");
+    server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    wire::read_startup(&mut server).expect("a startup message");
+    server.write_all(&startup_reply()).expect("it is open");
+    assert!(next_statement(&mut server).contains("id=1,"));
+    let row = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    server.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    until_ready(&mut client, 2).expect("the startup reply, and the first answer");
+
+    program.signal("-STOP");
+    client.write_all(&read_of(2)).expect("it is open");
+    let line = format!("{}\n", list(3, "draining"));
+    write!(watch, "{:x}\r\n{line}\r\n", line.len()).expect("it is open");
+    program.signal("-CONT");
+    let end = loop {
+        match wire::read(&mut server) {
+            Ok((_, body)) => assert!(!String::from_utf8_lossy(&body).contains("id=2,"), "it drains"),
+            Err(end) => break end,
+        }
+    };
+    assert_eq!(end.kind(), std::io::ErrorKind::UnexpectedEof, "{end}");
+}
--- a/crates/gradeshunt/tests/placement.rs
+++ b/crates/gradeshunt/tests/placement.rs
@@ -1,10 +1,12 @@
 //! Requests that are sent on to a home proxy, on real connections to a real process. The test plays the other proxies and the
 //! only db host, so that every order of events is forced by bytes awaited.
 
+use std::cell::RefCell;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use gradeshunt_placement::{Bucket, Fleet, Member};
@@ -19,16 +21,19 @@
 /// The proxy under test, as the stand-in site names it.
 const OWN: &str = "n0";
 
-/// A bound port of the system's, and its address.
+/// A socket that listens, and its address. Once it is dropped nobody else listens there.
 fn listener() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("an address");
-    (listener, address)
+    let address = own_address();
+    (TcpListener::bind(address).expect("it is free"), address)
 }
 
-/// A port that is free, and that nobody else is given soon.
-fn free_address() -> SocketAddr {
-    listener().1
+/// An address that nobody else has: a loopback address of this test's own, by the number of its process and a counter.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    assert!((1..255).contains(&number), "as many addresses as a byte counts");
+    (Ipv4Addr::new(127, high.max(1), low, number), 6432).into()
 }
 
 /// A fleet of one group: the proxy under test, and two others that the test plays.
@@ -44,7 +49,7 @@
 
 impl Group {
     fn new(settings: &str) -> Group {
-        let own = free_address();
+        let own = own_address();
         let mut others: Vec<_> = ["h1", "h2"].into_iter().map(|name| (name, listener())).collect();
         let mut text = format!("placement {{ group_size {{ least: 2 most: 9 }} {settings}\n");
         text += &format!("proxy {{ name: {OWN:?} zone: \"here\" address: \"{own}\" }}\n");
@@ -68,7 +73,7 @@
 
 /// A process of the program, with all that it meets.
 struct Program {
-    child: Child,
+    child: RefCell<Child>,
     addr: SocketAddr,
     folder: PathBuf,
     control: SocketAddr,
@@ -79,8 +84,9 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        let child = self.child.get_mut();
+        let _ = child.kill();
+        let _ = child.wait();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -89,7 +95,7 @@
     fn start(name: &str, group: &Group) -> Program {
         let (host, host_address) = listener();
         let (discovery, discovery_address) = listener();
-        let (addr, control) = (free_address(), free_address());
+        let (addr, control) = (own_address(), own_address());
         let site = Site::open(Plan { sets: vec![1], ..Plan::default() }).expect("a site");
         let mut config = site.config();
         config["listen"] = json!(addr.to_string());
@@ -110,10 +116,10 @@
             .env("TMPDIR", folder.join("tmp"))
             .env_remove("ROUTER_CONTROL")
             .env_remove("ROUTER_LISTEN_FD")
-            .stderr(Stdio::null())
+            .stderr(std::fs::File::create(folder.join("log")).expect("a file"))
             .spawn()
             .expect("it starts");
-        Program { child, addr, folder, control, host, _discovery: discovery }
+        Program { child: RefCell::new(child), addr, folder, control, host, _discovery: discovery }
     }
 
     fn client(&self) -> Client {
@@ -121,6 +127,24 @@
             if let Ok(client) = Client::connect(self.addr, &[("user", "portal")], PATIENCE) {
                 return client;
             }
+            let ended = self.child.borrow_mut().try_wait().expect("it can be asked");
+            assert!(ended.is_none(), "it ended at its start: {ended:?}");
+            std::thread::yield_now();
+        }
+    }
+
+    /// The operators' file is replaced, and read anew.
+    fn reread(&self, text: &str) {
+        std::fs::write(self.folder.join("placement.textproto"), text).expect("a file");
+        let kill = Command::new("kill").arg("-HUP").arg(self.child.borrow().id().to_string()).status();
+        assert!(kill.is_ok_and(|status| status.success()));
+    }
+
+    /// Waits for a line of its log.
+    fn until_logged(&self, what: &str) {
+        while !std::fs::read_to_string(self.folder.join("log")).expect("its log").contains(what) {
+            let ended = self.child.borrow_mut().try_wait().expect("it can be asked");
+            assert!(ended.is_none(), "it ended: {ended:?}");
             std::thread::yield_now();
         }
     }
@@ -372,7 +396,7 @@
     busy.ask(&read_of(1, group.set)).expect("it is open");
     let (mut host, _) = accept(&program.host);
     next_statement(&mut host);
-    let kill = Command::new("kill").arg("-TERM").arg(program.child.id().to_string()).status();
+    let kill = Command::new("kill").arg("-TERM").arg(program.child.borrow().id().to_string()).status();
     assert!(kill.is_ok_and(|status| status.success()));
     last_message(&mut idle);
     host.write_all(&row("v")).expect("it is open");
@@ -386,3 +410,48 @@
     assert_eq!((tag, wire::field(&body, b'C').as_deref()), (b'E', Some("PX001")));
     assert_eq!(proxy.stream().read(&mut [0]).expect("an end, and no reset"), 0);
 }
+
+/// Operators' slips: a file or an address that can't be used refuses the start with one line that names it.
+#[test]
+fn file_that_cannot_be_used_refuses_the_start() {
+    let refused = |name: &str, edit: &dyn Fn(&Group) -> String| {
+        let mut group = Group::new("");
+        group.text = edit(&group);
+        let program = Program::start(name, &group);
+        let status = program.child.borrow_mut().wait().expect("it ends");
+        assert!(!status.success(), "{name}");
+        std::fs::read_to_string(program.folder.join("log")).expect("its log")
+    };
+    let unlisted = refused("unlisted", &|group| group.text.replace("\"n0\"", "\"n9\""));
+    assert!(
+        unlisted.contains("placement.textproto:")
+            && unlisted.contains("proxy")
+            && unlisted.contains("\"n0\"")
+    );
+    let twice = refused("twice", &|group| group.text.replace("\"h2\"", "\"h1\""));
+    assert!(twice.contains("placement.textproto:4") && twice.contains("\"h1\" is given twice"), "{twice}");
+    let nowhere = refused("nowhere", &|group| group.text.replace(&format!("address: \"{}\"", group.own), ""));
+    assert!(nowhere.contains("has no address for other proxies"), "{nowhere}");
+    // No address of this machine's.
+    let foreign = refused("foreign", &|group| group.text.replace(&group.own.to_string(), "192.0.2.1:6432"));
+    assert!(foreign.contains("cannot listen for other proxies at 192.0.2.1:6432"), "{foreign}");
+}
+
+/// SIGHUP reads the file anew: one that can't be used changes nothing, and one that can counts at once.
+#[test]
+fn roster_is_read_anew() {
+    let group = Group::new("");
+    let program = Program::start("read-anew", &group);
+    drop(program.client());
+    let before = program.call("/placement");
+    program.reread("placement { proxy {");
+    program.until_logged("the new one can't be used");
+    assert_eq!(program.call("/placement"), before);
+    let more = group.text.replacen("proxy {", "proxy { name: \"h3\" zone: \"here\" } proxy {", 1);
+    program.reread(&more);
+    while !program.call("/placement").contains("proxy h3 no address\n") {}
+    // Other proxies of the new roster may connect.
+    let introduce = [("user", "gradeshunt"), ("application_name", "h3")];
+    let mut proxy = Client::connect(group.own, &introduce, PATIENCE).expect("it is accepted");
+    assert!(proxy.query("").expect("it is served").error.is_none());
+}
--- a/crates/placement/src/homes.rs
+++ b/crates/placement/src/homes.rs
@@ -6,20 +6,21 @@
 
 use crate::groups::Group;
 use crate::score::{Purpose, Score};
-use crate::sets::{Bucket, Sets, BUCKETS};
+use crate::sets::{Bucket, Sets, BUCKETS, PARTS_PER_MEAN};
 use crate::settings::Settings;
 
 /// The largest load of a proxy, as a fraction of its group's mean: 5/4.
 const LOAD_BOUND: (u128, u128) = (5, 4);
-/// The most sets that a proxy is the first home of, as a fraction of its group's mean: 3/2.
-const SETS_BOUND: (u128, u128) = (3, 2);
+/// The most sets that a proxy is the first home of, as a fraction of its group's mean: 7/5. Its connections to db hosts follow
+/// their number, however light they are.
+const SETS_BOUND: (u128, u128) = (7, 5);
 
 /// A proxy by its place in its group's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Member(pub u32);
 
 /// The homes of each set's parts in one group. The first home of each part serves it, the others are for its loss. Nobody's
-/// load as a first home exceeds 5/4 of the mean while the group has no more than `group_size.most` proxies.
+/// load as a first home exceeds 5/4 of the mean while the group has no more than `group_size.most` proxies and `most_parts` does not bind.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Homes {
     /// What scores are made of.
@@ -142,6 +143,27 @@
         self.load(member).buckets as f64 / f64::from(BUCKETS)
     }
 
+    /// How many sets have another first home than before, by the proxies' names; a set of which a part of the buckets has one
+    /// counts as that part. A set that was split otherwise or is new counts as one.
+    pub fn sets_moved(&self, before: &Homes) -> f64 {
+        let moved = self.sets.iter().map(|(cluster, parts)| match before.sets.get(cluster) {
+            Some(then) if then.len() == parts.len() => {
+                let same = |(now, then): &(&Vec<Member>, &Vec<Member>)| {
+                    self.first_name(now) == before.first_name(then)
+                };
+                let stayed = parts.iter().zip(then).filter(same).count();
+                1.0 - stayed as f64 / parts.len() as f64
+            }
+            _ => 1.0,
+        });
+        moved.sum()
+    }
+
+    fn first_name(&self, homes: &[Member]) -> Option<&str> {
+        let first = homes.first()?;
+        self.names.get(first.0 as usize).map(String::as_str)
+    }
+
     /// The proxies' names, by their places.
     pub fn names(&self) -> &[String] {
         &self.names
@@ -160,7 +182,8 @@
     }
 }
 
-/// The parts of all sets in the order of their placing: the lightest first, since what a change displaces is what was placed
+/// The parts of all sets in the order of their placing. Parts of more than a quarter of the mean come before all others, while
+/// there is room for them; the settings bound how far sets are split. Then the lightest first, since what a change displaces is what was placed
 /// later, and the parts of heavy sets are few.
 fn parts_in_order(sets: &Sets, settings: &Settings) -> Vec<Part> {
     let mut parts = Vec::new();
@@ -170,9 +193,11 @@
         let buckets = u128::from(BUCKETS) / u128::from(count);
         parts.extend((0..count).map(|number| Part { cluster, number, weight, buckets }));
     }
+    let total: u128 = parts.iter().map(|part| part.weight).sum();
+    let quarter = total.div_ceil(PARTS_PER_MEAN * u128::from(settings.group_size.most.max(1)));
     parts.sort_by_cached_key(|part| {
         let score = Score::new(Purpose::PartOrder).number(part.cluster).number(part.number.into());
-        (part.weight, score.value(), part.cluster, part.number)
+        (part.weight <= quarter, part.weight, score.value(), part.cluster, part.number)
     });
     parts
 }
--- a/crates/placement/tests/assignment.rs
+++ b/crates/placement/tests/assignment.rs
@@ -10,7 +10,7 @@
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use support::{group, moved, proxy, roster, settings, zipf, zone_of};
+use support::{group, proxy, roster, settings, zipf, zone_of};
 
 /// The same cases on every run.
 fn fixed(cases: u32) -> ProptestConfig {
@@ -77,6 +77,35 @@
     assert_eq!(of_light.len(), 1);
 }
 
+/// Two sets of a little more than a proxy's load each, in four parts at most: heavier than a quarter, and within the bound.
+#[test]
+fn a_set_is_split_into_no_more_parts_than_permitted() {
+    let settings = Settings { most_parts: 4, ..settings(100, 130) };
+    let sets = zipf(1_914, 0.5);
+    assert_eq!((sets.parts(7_919, &settings), sets.parts(2 * 7_919, &settings)), (4, 4));
+    for seed in 0..10 {
+        let homes = Homes::new(&group(zone_of("a", 106, seed)), &sets, &settings);
+        let most = (0..106).map(|n| homes.relative_load(Member(n))).fold(0.0, f64::max);
+        assert!(most <= 1.25, "seed {seed}: {most}");
+    }
+}
+
+#[test]
+fn counts_what_moved() {
+    let all = zone_of("a", 20, 1);
+    let (sets, settings) = (zipf(400, 0.5), settings(10, 20));
+    let homes =
+        |proxies: &[gradeshunt_placement::Proxy]| Homes::new(&group(proxies.to_vec()), &sets, &settings);
+    let before = homes(&all);
+    assert_eq!(before.sets_moved(&before), 0.0);
+    // What one proxy served has moved at least, and all of it where nobody is left of those before.
+    let served: f64 = before.sets_at(Member(0));
+    assert!(homes(&all[1..]).sets_moved(&before) >= served - 1e-9);
+    assert!((homes(&zone_of("b", 20, 1)).sets_moved(&before) - 400.0).abs() < 1e-9);
+    let split_otherwise = Homes::new(&group(all.clone()), &zipf(400, 1.5), &settings);
+    assert!(split_otherwise.sets_moved(&before) >= 1.0);
+}
+
 #[test]
 fn a_set_that_is_not_listed_has_homes_all_the_same() {
     let homes = Homes::new(&group(zone_of("a", 10, 1)), &zipf(5, 0.5), &settings(8, 10));
@@ -97,8 +126,9 @@
 proptest! {
     #![proptest_config(fixed(12))]
 
-    /// Five proxies of each group, in turn, go; read backwards, they come. Where proxies have fewer than about 16 sets each, a
-    /// quarter of the mean is less than a few sets, many proxies are full, and more moves: docs/placement.md has the figures.
+    /// Five proxies of each group, in turn, go; read backwards, they come. These are samples: the bound is met nearly always, not
+    /// proved. Of the 3,400 proxies of the design size 1% move more, and where proxies have fewer than about 16
+    /// sets each many do, as many proxies are full then: docs/placement.md has the figures.
     #[test]
     fn one_proxy_moves_at_most_two_nths_of_its_groups_sets(
         seed in any::<u64>(), proxies in 20_usize..=130, sets_each in 16_u64..25, exponent in 0.0_f64..1.2,
@@ -110,7 +140,7 @@
             let mut left = all.clone();
             left.remove(gone);
             let after = Homes::new(&group(left), &sets, &settings);
-            let moved = moved(&before, &after);
+            let moved = after.sets_moved(&before);
             let bound = 2.0 * sets.len() as f64 / proxies as f64;
             prop_assert!(moved <= bound, "{moved} of {} sets moved, at most {bound}", sets.len());
             prop_assert!(moved > 0.0, "what it served is served by another one now");
