A fault shim, and three tests that fail: interrupted calls, signals, and a full log disk

crates/soak has a C library for LD_PRELOAD that makes system calls fail as Linux documents, and its control file. Under it: with one socket call in five interrupted, clients wait for answers for good; a read of the signal descriptor that is interrupted ends the process; one failed write to standard error ends the log's thread, and nothing is logged any more (it was suspected to end the process: it does not, seen with 20 further lines). The start of a process at an address of its own moves from the tests into the stand-ins, and serves two test files; ports are no longer taken and given back there.

--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -2,90 +2,51 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
-use std::time::{Duration, Instant};
+use std::path::Path;
+use std::time::Duration;
 
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::{Act, Rule, Table};
 use gradeshunt_stand_ins::site::{entry, Plan, Site};
+use gradeshunt_stand_ins::standalone::{own_address, Standalone, Start};
 use gradeshunt_stand_ins::upgrade::Standing;
 use serde_json::{json, Value};
 
 /// A wait that ends a test which fails, and bounds none that passes.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-/// Pace of the looks at a log.
-const LOOK: Duration = Duration::from_millis(2);
-
 /// As many clients as would hold all descriptors that the process gets, beside its own.
 const HOLDERS: usize = 36;
 
 /// A process of the program at an address that is known before it runs.
-struct Program {
-    child: Child,
-    addr: SocketAddr,
-    folder: PathBuf,
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
+struct Program(Standalone);
 
 impl Program {
     /// Starts it; `shell` comes before its command.
-    fn start(name: &str, mut config: Value, shell: &str, prepare: impl FnOnce(&Path)) -> Program {
-        // The port is free again at once, and nobody else is given it so soon.
-        let addr = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
-        config["listen"] = json!(addr.to_string());
+    fn start(name: &str, config: Value, shell: &str, prepare: impl FnOnce(&Path)) -> Program {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(folder.join("tmp")).expect("a folder");
-        prepare(&folder.join("tmp"));
-        std::fs::write(folder.join("config.json"), config.to_string()).expect("a file");
-        let child = Command::new("/bin/sh")
-            .arg("-c")
-            .arg(format!("{shell} exec \"$0\""))
-            .arg(env!("CARGO_BIN_EXE_gradeshunt"))
-            .env("ROUTER_CONFIG", folder.join("config.json"))
-            .env("TMPDIR", folder.join("tmp"))
-            .env_remove("ROUTER_CONTROL")
-            .env_remove("ROUTER_LISTEN_FD")
-            .stderr(std::fs::File::create(folder.join("log")).expect("a file"))
-            .spawn()
-            .expect("it starts");
-        Program { child, addr, folder }
+        let program = Path::new(env!("CARGO_BIN_EXE_gradeshunt"));
+        let start = Start { program, folder, config, shell, environment: Vec::new() };
+        Program(Standalone::start(start, prepare).expect("it starts"))
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.0.addr
     }
 
     /// Waits for a line of its log.
     fn until_logged(&self, what: &str) {
-        let began = Instant::now();
-        let log = || std::fs::read_to_string(self.folder.join("log")).expect("its log");
-        while !log().contains(what) {
-            assert!(began.elapsed() < PATIENCE, "{what}: {}", log());
-            std::thread::sleep(LOOK);
-        }
+        self.0.until_logged(what, PATIENCE);
     }
 
     /// Connects as soon as its socket listens.
     fn connect(&self) -> TcpStream {
-        loop {
-            if let Ok(stream) = TcpStream::connect(self.addr) {
-                stream.set_read_timeout(Some(PATIENCE)).expect("it can be set");
-                return stream;
-            }
-            std::thread::yield_now();
-        }
+        self.0.connect(PATIENCE)
     }
 
     fn signal(&self, name: &str) {
-        let kill = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
-        assert!(kill.is_ok_and(|s| s.success()));
+        self.0.signal(name);
     }
 
     fn terminate(&self) {
@@ -93,7 +54,7 @@
     }
 
     fn exits(&mut self) {
-        assert!(self.child.wait().expect("it can be waited for").success());
+        assert!(self.0.ends().expect("it can be waited for").success());
     }
 }
 
@@ -185,7 +146,7 @@
     let mut program = Program::start("has-to-leave", site.config(), "", |_| {});
     drop(program.connect());
     let mut client =
-        Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts");
+        Client::connect(program.addr(), &[("user", "portal")], PATIENCE).expect("its session starts");
     client.stream().write_all(&read_of(1)).expect("it is open");
     program.terminate();
     let reply = client.until_ready().expect("an answer, and no reset");
@@ -270,7 +231,7 @@
     first.set_read_timeout(Some(PATIENCE)).expect("it can be set");
     first.write_all(&startup_reply()).expect("it is open");
     let mut client =
-        Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts");
+        Client::connect(program.addr(), &[("user", "portal")], PATIENCE).expect("its session starts");
     client.stream().write_all(&read_of(7)).expect("it is open");
     let (tag, body) = wire::read(&mut first).expect("a query");
     assert!(
@@ -315,7 +276,7 @@
     assert!(next_statement(&mut server).contains("id=1,"));
 
     let mut other =
-        Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts");
+        Client::connect(program.addr(), &[("user", "portal")], PATIENCE).expect("its session starts");
     other.stream().write_all(&read_within(100, 200)).expect("it is open");
     assert!(other.until_ready().expect("an answer").code().is_some());
 
@@ -343,7 +304,7 @@
     program.signal("-STOP");
     meanwhile(&mut client, &mut server);
     program.signal("-CONT");
-    let mut next = Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("it is welcome");
+    let mut next = Client::connect(program.addr(), &[("user", "portal")], PATIENCE).expect("it is welcome");
     next.stream().write_all(&read_of(7)).expect("it is open");
     let (tag, body) = wire::read(&mut server).expect("a query");
     let body = String::from_utf8_lossy(&body);
@@ -366,11 +327,6 @@
     });
 }
 
-/// An address at which nobody listens yet.
-fn free_addr() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
-}
-
 /// Listens there, and waits for a connection no longer than a test that fails may take.
 fn listen_at(addr: SocketAddr) -> TcpListener {
     let listener = TcpListener::bind(addr).expect("the port is free");
@@ -400,7 +356,7 @@
 fn program_without_a_list(name: &str, shell: &str, sockets: u32) -> (Site, SocketAddr, Program) {
     let site = Site::open(Plan { sockets, ..Plan::default() }).expect("a site");
     let mut config = site.config();
-    let discovery = free_addr();
+    let discovery = own_address();
     config["discovery"] = json!(discovery.to_string());
     config["known"] = json!({"generation": 0, "reset": true, "instances": []});
     let program = Program::start(name, config, shell, |_| {});
@@ -409,7 +365,9 @@
 
 /// Whether a request is served; where there is no room for its client, it is not.
 fn is_served(program: &Program, id: usize) -> bool {
-    let Ok(mut client) = Client::connect(program.addr, &[("user", "portal")], PATIENCE) else { return false };
+    let Ok(mut client) = Client::connect(program.addr(), &[("user", "portal")], PATIENCE) else {
+        return false;
+    };
     let asked = client.stream().write_all(&read_of(id));
     asked.is_ok() && client.until_ready().is_ok_and(|reply| reply.code().is_none())
 }
@@ -468,7 +426,7 @@
         if !known {
             config["known"] = Value::Null;
         }
-        let discovery = free_addr();
+        let discovery = own_address();
         config["discovery"] = json!(discovery.to_string());
         let listener = if let DiscoveryIs::Down = discovery_is { None } else { Some(listen_at(discovery)) };
         let name = format!("ready-{discovery_is:?}-{mode}-{known}");
--- /dev/null
+++ b/crates/gradeshunt/tests/faults.rs
@@ -0,0 +1,126 @@
+//! System calls that fail: a real process under the fault shim, on real connections. Every step waits for bytes.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
+
+use gradeshunt_soak::shim::{errno, FaultControl, Knob, Shim};
+use gradeshunt_stand_ins::postgres::client::Client;
+use gradeshunt_stand_ins::postgres::wire;
+use gradeshunt_stand_ins::site::{Plan, Site};
+use gradeshunt_stand_ins::standalone::{Standalone, Start};
+use serde_json::Value;
+
+/// A wait that ends a test which fails, and bounds none that passes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn scratch(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()))
+}
+
+fn shim() -> &'static Shim {
+    static SHIM: OnceLock<Shim> = OnceLock::new();
+    SHIM.get_or_init(|| Shim::build(&scratch("shim")).expect("a C compiler"))
+}
+
+/// A process under the shim, which injects nothing yet.
+fn program(name: &str, config: Value, shell: &str) -> (Standalone, FaultControl) {
+    let control = FaultControl::create(shim(), &scratch(&format!("{name}-control"))).expect("a file");
+    let start = Start {
+        program: Path::new(env!("CARGO_BIN_EXE_gradeshunt")),
+        folder: scratch(name),
+        config,
+        shell,
+        environment: control.environment(),
+    };
+    (Standalone::start(start, |_| {}).expect("it starts"), control)
+}
+
+fn read_of(id: usize) -> String {
+    format!("/* id={id},c=page-read,d=300000,cluster=1 */ SELECT data FROM facts WHERE code = '{id:x}'")
+}
+
+fn connect(program: &Standalone) -> Client {
+    drop(program.connect(PATIENCE));
+    Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts")
+}
+
+/// The set of three db hosts that most tests need, with the configuration for it.
+fn site() -> (Site, Value) {
+    let site = Site::open(Plan::default()).expect("a site");
+    let config = site.config();
+    (site, config)
+}
+
+/// A signal interrupts one call in five on any socket, and another one in five moves only a part: edges are told once, so
+/// that a call that ends for another reason than an empty socket has to be made again.
+#[test]
+fn interrupted_calls_leave_no_request_without_an_answer() {
+    const CLIENTS: usize = 8;
+    const REQUESTS: usize = 60;
+    let (_site, config) = site();
+    let (program, control) = program("interrupted", config, "");
+    drop(connect(&program));
+    control.set(Knob::SocketInterrupted, 200).expect("it is set");
+    control.set(Knob::ShortTransfers, 200).expect("it is set");
+    let ask = |client: usize| {
+        let mut connection = connect(&program);
+        for request in 0..REQUESTS {
+            let reply = connection.query(&read_of(client * REQUESTS + request)).expect("an answer");
+            assert_eq!(reply.code(), None, "{reply:?}");
+        }
+    };
+    thread::scope(|scope| (0..CLIENTS).for_each(|client| drop(scope.spawn(move || ask(client)))));
+    assert!(control.get(Knob::Injected).expect("a count") > 0, "the shim has struck");
+}
+
+/// The read of the descriptor that tells of signals is interrupted nearly each time: the process serves on, rereads its
+/// configuration, and ends when it is told to.
+#[test]
+fn interrupted_read_of_a_signal_ends_nothing() {
+    let (_site, config) = site();
+    let (mut program, control) = program("interrupted-signal", config, "");
+    let mut client = connect(&program);
+    control.set(Knob::OtherInterrupted, 900).expect("it is set");
+    program.signal("-HUP");
+    program.until_logged("configuration reread", PATIENCE);
+    assert_eq!(client.query(&read_of(1)).expect("an answer").code(), None);
+    assert!(control.get(Knob::Injected).expect("a count") > 0, "the shim has struck");
+    drop(client);
+    program.signal("-TERM");
+    assert!(program.ends().expect("it can be waited for").success());
+}
+
+/// The disk of the log is full for a while: nothing can be written there, all is served as before, and lines are written
+/// again once there is room.
+#[test]
+fn log_is_written_again_after_its_disk_was_full() {
+    let (_site, config) = site();
+    let (mut program, control) = program("log-disk-full", config, "");
+    let mut client = connect(&program);
+    control.set(Knob::LogErrno, errno::ENOSPC).expect("it is set");
+    control.set(Knob::LogRate, 1000).expect("it is set");
+    let injected = || control.get(Knob::Injected).expect("a count");
+    // What breaks the protocol is a line of the log.
+    let line = || {
+        let mut stranger: TcpStream = program.connect(PATIENCE);
+        stranger.write_all(&wire::message(b'?', &[b'?'; 60])).expect("it is open");
+        assert_eq!(wire::read(&mut stranger).expect("an error").0, b'E');
+    };
+    while injected() == 0 {
+        line();
+    }
+    for id in 1..20 {
+        line();
+        assert_eq!(client.query(&read_of(id)).expect("an answer").code(), None);
+    }
+    control.set(Knob::LogRate, 0).expect("it is set");
+    program.signal("-HUP");
+    program.until_logged("configuration reread", PATIENCE);
+    drop(client);
+    program.signal("-TERM");
+    assert!(program.ends().expect("it can be waited for").success());
+}
--- a/crates/gradeshunt/tests/placement.rs
+++ b/crates/gradeshunt/tests/placement.rs
@@ -3,10 +3,9 @@
 
 use std::cell::RefCell;
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use gradeshunt_placement::{Bucket, Fleet, Member};
@@ -14,6 +13,7 @@
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::Table;
 use gradeshunt_stand_ins::site::{Plan, Site};
+use gradeshunt_stand_ins::standalone::own_address;
 use serde_json::json;
 
 /// A wait that ends a test which fails, and bounds none that passes.
@@ -27,15 +27,6 @@
     (TcpListener::bind(address).expect("it is free"), address)
 }
 
-/// An address that nobody else has: a loopback address of this test's own, by the number of its process and a counter.
-fn own_address() -> SocketAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    assert!((1..255).contains(&number), "as many addresses as a byte counts");
-    (Ipv4Addr::new(127, high.max(1), low, number), 6432).into()
-}
-
 /// A fleet of one group: the proxy under test, and two others that the test plays.
 struct Group {
     /// The address for proxies of the one under test.
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,3 @@
+//! `gradeshunt-soak`: plays seeds of the soak test.
+
+fn main() {}
--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -14,8 +14,20 @@
 /// An idle watch gets an empty line so often.
 const BEAT: Duration = Duration::from_secs(2);
 
+/// How the service behaves to its callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Service {
+    #[default]
+    Serving,
+    /// Calls are taken and watches stand, and nothing is ever written to them.
+    Silent,
+    /// Calls get 503, and watches end.
+    Down,
+}
+
 #[derive(Default)]
 struct List {
+    service: Service,
     generation: u64,
     entries: Vec<Value>,
     /// What has changed, each with the generation that it made.
@@ -51,14 +63,39 @@
             list: Arc::new((Mutex::new(list), Condvar::new())),
             told: Arc::default(),
         };
-        let served = discovery.clone();
+        discovery.listen(listener);
+        Ok(discovery)
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let served = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let served = served.clone();
                 thread::spawn(move || served.serve(stream));
             }
         });
-        Ok(discovery)
+    }
+
+    /// The same service at another address as well, as after a move.
+    pub fn open_another(&self) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let addr = listener.local_addr()?;
+        self.listen(listener);
+        Ok(addr)
+    }
+
+    /// Changes how the service behaves. What stands silent falls behind and stays so until it is asked anew.
+    pub fn set_service(&self, service: Service) {
+        lock(&self.list.0).service = service;
+        self.list.1.notify_all();
+    }
+
+    /// Waits while a call is to get nothing; false where the service is down.
+    fn is_up(&self) -> bool {
+        let list = lock(&self.list.0);
+        let list = self.list.1.wait_while(list, |list| list.service == Service::Silent);
+        list.unwrap_or_else(|poisoned| poisoned.into_inner()).service == Service::Serving
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -114,6 +151,9 @@
         let mut lines = BufReader::new(stream.try_clone()?).lines();
         let request = lines.next().transpose()?.unwrap_or_default();
         while lines.next().transpose()?.is_some_and(|l| !l.is_empty()) {}
+        if !self.is_up() {
+            return write!(stream, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        }
         let mut known = lock(&self.list.0).generation;
         let whole = self.whole().to_string() + "\n";
         if !request.contains("stream=1") {
@@ -127,8 +167,19 @@
         self.written(watch, known);
         loop {
             let list = lock(&self.list.0);
-            let waited = self.list.1.wait_timeout_while(list, BEAT, |l| l.generation == known);
+            let idle = |l: &mut List| l.generation == known && l.service == Service::Serving;
+            let waited = self.list.1.wait_timeout_while(list, BEAT, idle);
             let (list, _) = waited.unwrap_or_else(|poisoned| poisoned.into_inner());
+            match list.service {
+                Service::Serving => {}
+                Service::Down => return Ok(()),
+                // A watch that has fallen silent is never heard again.
+                Service::Silent => {
+                    drop(list);
+                    thread::park();
+                    return Ok(());
+                }
+            }
             let news = list.changes.iter().filter(|(g, _)| *g > known);
             let news: Vec<_> = news.map(|(_, entry)| entry.clone()).collect();
             known = list.generation;
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod script;
 pub mod set;
 pub mod site;
+pub mod standalone;
 pub mod toy;
 pub mod upgrade;
 pub mod watches;
--- /dev/null
+++ b/src/permission/attempt.rs
@@ -0,0 +1,204 @@
+//! Attempts: whether one may begin, whether a request that may have run may be repeated, and whether an attempt may still be
+//! written when its connection is there.
+
+use crate::interface::{Effect, Micros, Scope, ZoneId};
+
+/// An attempt that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doubt {
+    /// When the first such attempt was sent.
+    pub since: Micros,
+    /// The zone of its db host, where that is known.
+    pub zone: Option<ZoneId>,
+}
+
+/// What is known of a request when an attempt of it is considered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestFacts {
+    pub effect: Effect,
+    /// When its client gives up.
+    pub deadline: Micros,
+    /// It has its final answer.
+    pub answered: bool,
+    /// Its client has closed its connection or cancelled.
+    pub client_left: bool,
+    /// Attempts begun so far.
+    pub begun: u32,
+    /// Attempts that have not ended.
+    pub out: u32,
+    /// Its first attempt that may have run.
+    pub doubt: Option<Doubt>,
+}
+
+/// What the settings allow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptLimits {
+    /// Attempts of one request.
+    pub attempts: u32,
+    /// A second attempt may be out beside the first.
+    pub second_copies: bool,
+    /// A repeat has to be sent this long before its window ends.
+    pub margin: Micros,
+}
+
+/// How a db host stands for new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HostStanding {
+    Open,
+    /// Discovery lists it as draining.
+    Draining,
+    /// It is not listed any more.
+    Gone,
+    /// An operator holds it out.
+    HeldOut,
+    /// It was never listed.
+    Unknown,
+}
+
+/// Why an attempt may not begin, or not be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum AttemptDenial {
+    Answered,
+    ClientLeft,
+    DeadlinePassed,
+    /// One attempt is out, and the settings allow no second one.
+    AttemptOut,
+    /// The settings allow no more attempts.
+    AttemptsUsed,
+    /// It may have run, and its class may never run twice.
+    MayHaveRun,
+    /// It may have run, and db hosts no longer drop its repeats.
+    WindowOver,
+    /// It may have run in another zone, and only that zone's db hosts drop its repeats.
+    OtherZone,
+    HostDraining,
+    HostGone,
+    HostHeldOut,
+    HostUnknown,
+}
+
+impl AttemptDenial {
+    /// All of them, for figures.
+    pub const ALL: [AttemptDenial; 12] = [
+        AttemptDenial::Answered,
+        AttemptDenial::ClientLeft,
+        AttemptDenial::DeadlinePassed,
+        AttemptDenial::AttemptOut,
+        AttemptDenial::AttemptsUsed,
+        AttemptDenial::MayHaveRun,
+        AttemptDenial::WindowOver,
+        AttemptDenial::OtherZone,
+        AttemptDenial::HostDraining,
+        AttemptDenial::HostGone,
+        AttemptDenial::HostHeldOut,
+        AttemptDenial::HostUnknown,
+    ];
+
+    /// Its name in the log and the figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            AttemptDenial::Answered => "answered",
+            AttemptDenial::ClientLeft => "client_left",
+            AttemptDenial::DeadlinePassed => "deadline_passed",
+            AttemptDenial::AttemptOut => "attempt_out",
+            AttemptDenial::AttemptsUsed => "attempts_used",
+            AttemptDenial::MayHaveRun => "may_have_run",
+            AttemptDenial::WindowOver => "window_over",
+            AttemptDenial::OtherZone => "other_zone",
+            AttemptDenial::HostDraining => "host_draining",
+            AttemptDenial::HostGone => "host_gone",
+            AttemptDenial::HostHeldOut => "host_held_out",
+            AttemptDenial::HostUnknown => "host_unknown",
+        }
+    }
+}
+
+/// Whether an attempt of a request may begin now, in this zone where that is known.
+///
+/// # Errors
+/// The first rule that forbids it.
+pub fn may_begin(
+    now: Micros,
+    request: &RequestFacts,
+    limits: &AttemptLimits,
+    zone: Option<ZoneId>,
+) -> Result<(), AttemptDenial> {
+    if request.answered {
+        return Err(AttemptDenial::Answered);
+    }
+    if request.client_left {
+        return Err(AttemptDenial::ClientLeft);
+    }
+    if request.begun >= limits.attempts {
+        return Err(AttemptDenial::AttemptsUsed);
+    }
+    if request.out > 0 && !limits.second_copies {
+        return Err(AttemptDenial::AttemptOut);
+    }
+    if now >= request.deadline {
+        return Err(AttemptDenial::DeadlinePassed);
+    }
+    may_repeat(now, request.effect, request.doubt, zone, limits.margin)
+}
+
+/// Whether a request may run once more at `at`, for all that is known of its first attempt that may have run.
+///
+/// # Errors
+/// Why not.
+pub fn may_repeat(
+    at: Micros,
+    effect: Effect,
+    doubt: Option<Doubt>,
+    zone: Option<ZoneId>,
+    margin: Micros,
+) -> Result<(), AttemptDenial> {
+    let Some(first) = doubt else { return Ok(()) };
+    match effect {
+        Effect::Safe => Ok(()),
+        Effect::Unsafe => Err(AttemptDenial::MayHaveRun),
+        Effect::Keyed { scope, window } => {
+            let elsewhere = first.zone.zip(zone).is_some_and(|(first, zone)| first != zone);
+            if scope == Scope::Zone && elsewhere {
+                Err(AttemptDenial::OtherZone)
+            } else if at - first.since + margin >= window {
+                Err(AttemptDenial::WindowOver)
+            } else {
+                Ok(())
+            }
+        }
+    }
+}
+
+/// What is known of an attempt when bytes of it are about to be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WriteFacts {
+    /// From when on its last byte may not be written any more.
+    pub write_by: Micros,
+    /// When the time told in it was worked out, once its first byte is written.
+    pub told_at: Option<Micros>,
+    /// How much later than that its last byte may follow, since the time told counts from there.
+    pub told_holds_for: Micros,
+    /// Whether its db host takes new work; of one whose first byte is written that is of no matter.
+    pub host: HostStanding,
+}
+
+/// Whether bytes of an attempt may be written now.
+///
+/// # Errors
+/// Why not. Nothing of it has run then: its last byte was not written.
+pub fn may_write(now: Micros, attempt: &WriteFacts) -> Result<(), AttemptDenial> {
+    if now >= attempt.write_by {
+        return Err(AttemptDenial::DeadlinePassed);
+    }
+    match attempt.told_at {
+        Some(told_at) if now - told_at > attempt.told_holds_for => Err(AttemptDenial::DeadlinePassed),
+        Some(_) => Ok(()),
+        None => match attempt.host {
+            HostStanding::Open => Ok(()),
+            HostStanding::Draining => Err(AttemptDenial::HostDraining),
+            HostStanding::Gone => Err(AttemptDenial::HostGone),
+            HostStanding::HeldOut => Err(AttemptDenial::HostHeldOut),
+            HostStanding::Unknown => Err(AttemptDenial::HostUnknown),
+        },
+    }
+}
