Interrupted calls are made again; a signal's interrupted read and a full log disk end nothing

Cause: ring::blocked took Interrupted for an empty socket, whose edge comes no more; calloop hands an interrupted read of its signal and event descriptors on as an error of the loop (run.rs, proxy.rs insert_source); a failed write to standard error panicked through slog's fuse (logging.rs), after which no line was written for good.

--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -26,6 +26,7 @@
 mod planning;
 mod proc_stats;
 mod proxy;
+mod resumed;
 mod ring;
 mod routing;
 mod run;
--- a/crates/gradeshunt/src/logging.rs
+++ b/crates/gradeshunt/src/logging.rs
@@ -10,15 +10,16 @@
 
 /// The logger of the proxy named so. Lines are written out until the guard is dropped, which waits for the last.
 pub fn logger(format: LogFormat, level: LogLevel, proxy: &str) -> (Logger, AsyncGuard) {
-    // Lines that the log's reader is too slow for are dropped and counted: it must never hold up the loop.
+    // Lines that the log's reader is too slow for are dropped and counted: it must never hold up the loop. One that can't be
+    // written, as on a full disk, is lost: to take that for a fault of the drain would end its thread.
     let stderr = std::io::stderr();
     let (drain, guard) = match format {
         LogFormat::Text => {
             let plain = slog_term::PlainDecorator::new(stderr);
-            let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+            let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
             slog_async::Async::new(format).chan_size(LINES).build_with_guard()
         }
-        LogFormat::Json => slog_async::Async::new(slog_json::Json::default(stderr).fuse())
+        LogFormat::Json => slog_async::Async::new(slog_json::Json::default(stderr).ignore_res())
             .chan_size(LINES)
             .build_with_guard(),
     };
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -21,6 +21,7 @@
 use crate::deadlines::Due;
 use crate::exchange;
 use crate::frontend::Frontend;
+use crate::resumed::Resumed;
 use crate::shared::worker::Worker;
 use crate::shared::{self, Shared};
 use crate::turn::{self, Ready, Source};
@@ -96,7 +97,8 @@
         let control = control.map(listen).transpose()?;
         let handle = event_loop.handle();
         let (ping, pinged) = calloop::ping::make_ping().map_err(|e| format!("cannot poll: {e}"))?;
-        let told = handle.insert_source(pinged, |(), (), ready: &mut Ready| ready.push(Source::Files));
+        let told =
+            handle.insert_source(Resumed(pinged), |(), (), ready: &mut Ready| ready.push(Source::Files));
         told.map_err(|e| format!("cannot poll: {e}"))?;
         let worker = Worker::start(move || shared::files::open(&name), file, ping);
         let worker = worker.map_err(|e| format!("cannot start a thread: {e}"))?;
@@ -244,6 +246,9 @@
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
             Due::Look => {
                 turn.deadlines.set(turn.now + LOOK, Due::Look);
+                // The ping that tells of work done may have failed.
+                self.file_work_done();
+                let turn = &self.core.turn;
                 let stands = self.shared.look(turn.now);
                 stands.into_iter().for_each(|c| self.change(c));
             }
--- a/crates/gradeshunt/src/ring.rs
+++ b/crates/gradeshunt/src/ring.rs
@@ -92,7 +92,8 @@
             self.grow(self.len + 1);
         }
         let (first, second) = self.spare();
-        match socket.read_vectored(&mut [IoSliceMut::new(first), IoSliceMut::new(second)]) {
+        let mut parts = [IoSliceMut::new(first), IoSliceMut::new(second)];
+        match uninterrupted(|| socket.read_vectored(&mut parts)) {
             Ok(0) => Ok(Moved::End),
             Ok(n) => {
                 self.len += n;
@@ -110,7 +111,8 @@
         let end = self.head + self.len;
         let first = &self.buf[self.head..end.min(self.buf.len())];
         let second = &self.buf[..end.saturating_sub(self.buf.len())];
-        match socket.write_vectored(&[IoSlice::new(first), IoSlice::new(second)]) {
+        let parts = [IoSlice::new(first), IoSlice::new(second)];
+        match uninterrupted(|| socket.write_vectored(&parts)) {
             Ok(0) => Err(io::ErrorKind::WriteZero.into()),
             Ok(n) => {
                 self.consume(n);
@@ -143,9 +145,20 @@
     }
 }
 
+/// Makes a call again for as long as signals interrupt it. Sockets are polled edge-triggered: only one that would block is
+/// told of again, so that whoever stops at any other end of a call is never woken.
+pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
 fn blocked(e: io::Error) -> io::Result<Moved> {
     match e.kind() {
-        io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted => Ok(Moved::Nothing),
+        io::ErrorKind::WouldBlock => Ok(Moved::Nothing),
         _ => Err(e),
     }
 }
--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -13,6 +13,7 @@
 use crate::placement_command;
 use crate::planning;
 use crate::proxy::Proxy;
+use crate::resumed::Resumed;
 use crate::turn::{Ready, Source};
 
 /// The status of `gradeshunt plan` where a loss is not borne.
@@ -38,7 +39,7 @@
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("cannot take signals: {e}"))?;
     let handle = cycle.event_loop().handle();
-    let told = handle.insert_source(signals, move |event, (), ready: &mut Ready| {
+    let told = handle.insert_source(Resumed(signals), move |event, (), ready: &mut Ready| {
         let reload = event.signal() == Signal::SIGHUP;
         ready.push(if reload { Source::Reload } else { Source::Terminate });
     });
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -1,5 +1,6 @@
 //! What every part of the proxy shares during one turn of the loop: the time, the deadlines, the poll, the log.
 
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
 use std::rc::Rc;
@@ -12,6 +13,7 @@
 use crate::clock::Clock;
 use crate::deadlines::Deadlines;
 use crate::ids::{CallId, CallerId, ServerId, SessionId};
+use crate::ring::uninterrupted;
 
 /// What has become ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -148,16 +150,19 @@
 impl Polled {
     /// Whether nothing stands unread: no bytes, no end, no error.
     pub fn is_quiet(&self) -> bool {
-        matches!(self.socket.peek(&mut [0]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+        let peeked = uninterrupted(|| self.socket.peek(&mut [0]));
+        matches!(peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
     /// Whether the peer has ended its sending, or the connection is broken, whatever stands unread before that.
     pub fn has_hung_up(&self) -> bool {
         use rustix::event::{poll, PollFd, PollFlags};
+        use rustix::io::retry_on_intr;
         let mut fds = [PollFd::new(&*self.socket, PollFlags::RDHUP)];
         let now = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
         let ended = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-        poll(&mut fds, Some(&now)).is_ok_and(|n| n > 0) && fds[0].revents().intersects(ended)
+        let polled = retry_on_intr(|| poll(&mut fds, Some(&now)));
+        polled.is_ok_and(|n| n > 0) && fds[0].revents().intersects(ended)
     }
 
     /// Starts a connection that comes up later.
@@ -167,7 +172,10 @@
         socket.set_nonblocking(true)?;
         socket.set_tcp_nodelay(true)?;
         match socket.connect(&to.into()) {
-            Err(e) if e.raw_os_error() != Some(EINPROGRESS) => return Err(e),
+            // An interrupted call leaves the connection coming up, like one that does not wait for it.
+            Err(e) if e.raw_os_error() != Some(EINPROGRESS) && e.kind() != ErrorKind::Interrupted => {
+                return Err(e)
+            }
             _ => {}
         }
         Polled::new(turn, socket.into(), source)
