Tests with stepped wall clocks, three of which fail: reads leave the standby that is current

A primary, a standby that follows and one that stands still, 10 s behind, on stand-ins whose wall clock can be stepped. All clocks stepped by 10 s or an hour, either way: reads do not come back to the current standby within 20 s. The process's own clock stepped alone: sound, guarded.

--- /dev/null
+++ b/crates/gradeshunt/tests/stepped_clocks.rs
@@ -0,0 +1,138 @@
+//! Wall clocks that are stepped while a process runs: those of all machines together, and the process's own alone.
+//!
+//! Reads whose data may be 200 ms old, one after the other, at a set of a primary, a standby that follows it, and one whose position
+//! stands still.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gradeshunt_soak::ledger::Ledger;
+use gradeshunt_soak::shim::{FaultControl, Knob, Shim};
+use gradeshunt_soak::site::Site;
+use gradeshunt_stand_ins::postgres::client::Client;
+use gradeshunt_stand_ins::standalone::{own_address, Standalone, Start};
+
+/// A wait that ends a test which fails, and bounds none that passes.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Reads that are counted together, and the most of them that may go to the primary.
+const READS: usize = 100;
+const MOST_AT_PRIMARY: u64 = 20;
+/// How far the standby is behind that stands still, and how far the clocks are stepped: by as much, so that a step back makes
+/// its position look current once.
+const BEHIND: Duration = Duration::from_secs(10);
+const NANOSECONDS: i64 = 1_000_000;
+
+fn scratch(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("stepped-{name}-{}", std::process::id()))
+}
+
+/// Whose clocks are stepped.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stepped {
+    All,
+    ProcessAlone,
+}
+
+struct Play {
+    site: Site,
+    program: Standalone,
+    control: FaultControl,
+    client: Client,
+    asked: usize,
+}
+
+impl Play {
+    fn open(name: &str) -> Play {
+        let site = Site::open(&Arc::new(Ledger::default())).expect("a site");
+        site.hosts[2].freeze_behind(BEHIND);
+        let shim = Shim::build(&scratch(&format!("{name}-shim"))).expect("a C compiler");
+        let control = FaultControl::create(&shim, &scratch(&format!("{name}-control"))).expect("a file");
+        let start = Start {
+            program: Path::new(env!("CARGO_BIN_EXE_gradeshunt")),
+            folder: scratch(name),
+            config: site.config(0, 1, own_address(), 0),
+            shell: "",
+            environment: control.environment(),
+        };
+        let program = Standalone::start(start, |_| {}).expect("it starts");
+        drop(program.connect(PATIENCE));
+        let client =
+            Client::connect(program.addr, &[("user", "portal")], PATIENCE).expect("its session starts");
+        Play { site, program, control, client, asked: 0 }
+    }
+
+    fn step(&self, whose: Stepped, ms: i64) {
+        if whose == Stepped::All {
+            self.site.wall.step_to(ms);
+        }
+        self.control.set(Knob::WallOffset, ms * NANOSECONDS).expect("it is set");
+    }
+
+    /// Asks [`READS`] times: how many were served by the primary, and how many by the standby that stands still.
+    fn read(&mut self) -> (u64, u64) {
+        let counts = |site: &Site| (site.hosts[0].reads(), site.hosts[2].reads());
+        let before = counts(&self.site);
+        for _ in 0..READS {
+            self.asked += 1;
+            let id = self.asked;
+            let read = format!(
+                "/* id={id:x},c=page-read,d=1000,cluster=1 */ SELECT data FROM facts WHERE code = 'x'"
+            );
+            let reply = self.client.query(&read).expect("an answer");
+            assert_eq!(reply.code(), None, "{reply:?}");
+        }
+        let after = counts(&self.site);
+        (after.0 - before.0, after.1 - before.1)
+    }
+
+    /// Reads on until they go to the standby that follows, and to no other.
+    fn until_at_the_current_standby(&mut self, when: &str) {
+        let began = Instant::now();
+        loop {
+            let (primary, frozen) = self.read();
+            if primary <= MOST_AT_PRIMARY && frozen == 0 {
+                return;
+            }
+            assert!(
+                began.elapsed() < PATIENCE,
+                "{when}: {primary} of {READS} at the primary, {frozen} at the one that stands still: {}",
+                self.program.log()
+            );
+        }
+    }
+}
+
+/// Whoever is stepped and how far, reads come back to the standby that follows and stay there; none goes to the one that stands
+/// still, whose position may look current to the new clock.
+fn reads_stay_at_the_current_standby(name: &str, whose: Stepped, ms: i64) {
+    let mut play = Play::open(name);
+    play.until_at_the_current_standby("before the step");
+    play.step(whose, ms);
+    play.until_at_the_current_standby("after the step");
+    // Once there they stay.
+    let (primary, frozen) = play.read();
+    assert!(primary <= MOST_AT_PRIMARY && frozen == 0, "{primary} and {frozen} of {READS}");
+}
+
+#[test]
+fn all_clocks_are_stepped_back_as_far_as_a_standby_is_behind() {
+    reads_stay_at_the_current_standby("all-back", Stepped::All, -(BEHIND.as_millis() as i64));
+}
+
+#[test]
+fn all_clocks_are_stepped_forward() {
+    reads_stay_at_the_current_standby("all-forward", Stepped::All, BEHIND.as_millis() as i64);
+}
+
+#[test]
+fn all_clocks_are_stepped_by_an_hour() {
+    reads_stay_at_the_current_standby("hour-back", Stepped::All, -3_600_000);
+    reads_stay_at_the_current_standby("hour-forward", Stepped::All, 3_600_000);
+}
+
+#[test]
+fn clock_of_the_process_alone_is_stepped() {
+    reads_stay_at_the_current_standby("alone-back", Stepped::ProcessAlone, -(BEHIND.as_millis() as i64));
+    reads_stay_at_the_current_standby("alone-forward", Stepped::ProcessAlone, BEHIND.as_millis() as i64);
+}
--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,279 @@
+//! Clients of a play: each is a thread that asks one request after the other, and misbehaves now and then.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+use gradeshunt_stand_ins::postgres::wire;
+
+use crate::fleet::Proxy;
+use crate::ledger::{Ledger, Outcome, Rule};
+use crate::site::{LONGEST_WAIT, SETS};
+use crate::statement::{Class, Statement};
+
+/// A final answer is waited for so much longer than the request's time: what has not come by then never does.
+const BEYOND_WAIT: Duration = Duration::from_millis(1_500);
+/// A client that stops amid a request is owed an error or a close within this time, and a busy machine's slack.
+const HALF_REQUEST: Duration = Duration::from_millis(3_300);
+/// The shortest wait of a client.
+const SHORTEST_WAIT: Duration = Duration::from_millis(150);
+/// Requests that one connection carries at most, and that stand behind each other at most.
+const REQUESTS: usize = 20;
+const PIPELINE: u32 = 4;
+/// Pause of a client that can't connect.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// How often clients misbehave, in a thousand requests. Troubles set it.
+#[derive(Default)]
+pub struct Manners {
+    /// They close their connection with a request out.
+    pub leave: AtomicU64,
+    /// They stop amid a request and stay.
+    pub stop_midway: AtomicU64,
+    /// They send several requests at once.
+    pub pipeline: AtomicU64,
+    /// They rest for a while between requests.
+    pub rest: AtomicU64,
+}
+
+impl Manners {
+    /// What clients do by themselves.
+    pub fn usual() -> Manners {
+        let manners = Manners::default();
+        manners.reset();
+        manners
+    }
+
+    /// Back to the usual.
+    pub fn reset(&self) {
+        self.leave.store(10, Ordering::Relaxed);
+        self.stop_midway.store(1, Ordering::Relaxed);
+        self.pipeline.store(20, Ordering::Relaxed);
+        self.rest.store(20, Ordering::Relaxed);
+    }
+}
+
+/// One client.
+pub struct Client {
+    pub proxy: Arc<Proxy>,
+    pub ledger: Arc<Ledger>,
+    pub manners: Arc<Manners>,
+    pub ends: Arc<AtomicBool>,
+    pub rng: Rng,
+}
+
+/// A session.
+struct Session {
+    stream: TcpStream,
+    epoch: u64,
+    /// It has carried a request.
+    used: bool,
+}
+
+/// What came for one request.
+enum Reply {
+    Answered(Outcome),
+    /// The connection ended before a byte of an answer.
+    Ended,
+    /// Nothing came.
+    Silence,
+}
+
+impl Client {
+    /// Asks until it is told to end.
+    pub fn run(mut self) {
+        while !self.ends.load(Ordering::Relaxed) {
+            let Some(mut session) = self.connect() else {
+                thread::sleep(PAUSE);
+                continue;
+            };
+            for _ in 0..REQUESTS {
+                let goes_on = self.turn(&mut session);
+                session.used = true;
+                if !goes_on || self.ends.load(Ordering::Relaxed) {
+                    break;
+                }
+                thread::sleep(Duration::from_millis(self.rng.u64(5..60)));
+            }
+        }
+    }
+
+    fn does(&mut self, manner: impl Fn(&Manners) -> &AtomicU64) -> bool {
+        let rate = manner(&self.manners).load(Ordering::Relaxed);
+        self.rng.u64(0..1000) < rate
+    }
+
+    fn connect(&mut self) -> Option<Session> {
+        let door = self.proxy.door();
+        if !door.admits() {
+            return None;
+        }
+        let stream = TcpStream::connect(self.proxy.addr).ok()?;
+        stream.set_nodelay(true).ok()?;
+        Some(Session { stream, epoch: door.epoch, used: false })
+    }
+
+    /// One request, or several, or a misdeed; false where the connection is of no more use.
+    fn turn(&mut self, session: &mut Session) -> bool {
+        if self.does(|m| &m.rest) {
+            thread::sleep(Duration::from_millis(self.rng.u64(200..2_500)));
+        }
+        if self.does(|m| &m.stop_midway) {
+            self.stop_midway(session);
+            return false;
+        }
+        if self.does(|m| &m.leave) {
+            self.leave(session);
+            return false;
+        }
+        let requests = if self.does(|m| &m.pipeline) { self.rng.u32(2..=PIPELINE) } else { 1 };
+        self.ask(session, requests)
+    }
+
+    fn draw(&mut self, behind: u32) -> Statement {
+        let class = match self.rng.u32(0..10) {
+            0..=6 => Class::Read,
+            7..=8 => Class::KeyedWrite,
+            _ => Class::PlainWrite,
+        };
+        let wait = self.rng.u64(SHORTEST_WAIT.as_millis() as u64..=LONGEST_WAIT.as_millis() as u64);
+        let set = self.rng.usize(1..=SETS);
+        self.ledger.asked(class, Duration::from_millis(wait), set, behind)
+    }
+
+    /// What a session begins with, before its first request.
+    fn greeting(session: &Session) -> Vec<u8> {
+        if session.used {
+            Vec::new()
+        } else {
+            wire::startup(&[("user", "portal"), ("database", "crm")])
+        }
+    }
+
+    /// Sends requests at once and takes their answers.
+    fn ask(&mut self, session: &mut Session, requests: u32) -> bool {
+        let statements: Vec<_> = (0..requests).map(|behind| self.draw(behind)).collect();
+        let mut bytes = Client::greeting(session);
+        statements.iter().for_each(|statement| bytes.extend(wire::query(&statement.text())));
+        let sent = session.stream.write_all(&bytes).is_ok();
+        let mut greeted = session.used;
+        let mut answered = session.used;
+        for (n, statement) in statements.iter().enumerate() {
+            let patience = (statement.wait + BEYOND_WAIT) * (statement_number(n) + 1);
+            let reply = if sent {
+                read_reply(&mut session.stream, statement, patience, &mut greeted)
+            } else {
+                Reply::Ended
+            };
+            let outcome = match reply {
+                Reply::Answered(outcome) => outcome,
+                _ if self.was_killed(session) => Outcome::Killed,
+                Reply::Silence => Outcome::Unanswered,
+                // What crosses the end of a resting connection is sent again.
+                Reply::Ended if answered => Outcome::Crossed,
+                Reply::Ended => Outcome::Closed,
+            };
+            self.ledger.ended(statement.id, outcome);
+            if !matches!(outcome, Outcome::Served | Outcome::Refused | Outcome::Failed) {
+                // What stands behind it fares no better, and by no other fault.
+                let rest = if outcome == Outcome::Killed { Outcome::Killed } else { Outcome::Crossed };
+                statements[n + 1..].iter().for_each(|s| self.ledger.ended(s.id, rest));
+                return false;
+            }
+            answered = true;
+        }
+        true
+    }
+
+    fn was_killed(&self, session: &Session) -> bool {
+        // A process that is being killed may be found dead a moment later.
+        thread::sleep(PAUSE);
+        self.proxy.door().killed >= session.epoch
+    }
+
+    /// Sends a request and closes soon after.
+    fn leave(&mut self, session: &mut Session) {
+        let statement = self.draw(0);
+        let bytes = [Client::greeting(session), wire::query(&statement.text())].concat();
+        let _ = session.stream.write_all(&bytes);
+        thread::sleep(Duration::from_millis(self.rng.u64(0..60)));
+        let _ = session.stream.shutdown(std::net::Shutdown::Both);
+        self.ledger.left(statement.id);
+    }
+
+    /// Sends a part of a request, and waits to be told or closed.
+    fn stop_midway(&mut self, session: &mut Session) {
+        let bytes = [Client::greeting(session), wire::query("SELECT data FROM facts")].concat();
+        let part = bytes.len() - self.rng.usize(1..12);
+        if session.stream.write_all(&bytes[..part]).is_err() {
+            return;
+        }
+        let began = Instant::now();
+        let mut piece = [0; 512];
+        loop {
+            let left = HALF_REQUEST.saturating_sub(began.elapsed());
+            let _ = session.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))));
+            match session.stream.read(&mut piece) {
+                // Its startup reply comes as usual.
+                Ok(n) if n > 0 => {}
+                Err(e) if is_timeout(&e) => break,
+                _ => return,
+            }
+        }
+        if !self.was_killed(session) {
+            let text = format!("proxy {} kept half a request for {HALF_REQUEST:?}", self.proxy.number);
+            self.ledger.fault(Rule::HalfRequest, text);
+        }
+    }
+}
+
+fn statement_number(n: usize) -> u32 {
+    u32::try_from(n).unwrap_or(u32::MAX)
+}
+
+fn is_timeout(e: &io::Error) -> bool {
+    matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
+
+/// Reads up to the ReadyForQuery behind a request's answer; `greeted` once the session's first one is passed.
+fn read_reply(
+    stream: &mut TcpStream,
+    statement: &Statement,
+    patience: Duration,
+    greeted: &mut bool,
+) -> Reply {
+    let _ = stream.set_read_timeout(Some(patience));
+    let mut outcome = None;
+    let mut begun = false;
+    loop {
+        let (tag, body) = match wire::read(stream) {
+            Ok(message) => message,
+            // An error that ends the session is an answer.
+            Err(_) if outcome.is_some_and(|o| o != Outcome::Served) => break,
+            Err(e) if is_timeout(&e) => return Reply::Silence,
+            // A value that broke off: its client can see that.
+            Err(_) if begun => return Reply::Answered(Outcome::Failed),
+            Err(_) => return Reply::Ended,
+        };
+        match tag {
+            b'Z' if !*greeted => *greeted = true,
+            b'Z' => break,
+            b'D' => {
+                begun = true;
+                let value = wire::columns(&body).and_then(|mut columns| columns.pop().flatten());
+                let own = value.is_some_and(|value| value == statement.value().as_bytes());
+                outcome = Some(if own { Outcome::Served } else { Outcome::Foreign });
+            }
+            b'E' => {
+                let refused = matches!(wire::field(&body, b'C').as_deref(), Some("53300" | "57P03"));
+                outcome = Some(if refused { Outcome::Refused } else { Outcome::Failed });
+            }
+            _ => {}
+        }
+    }
+    outcome.map_or(Reply::Ended, Reply::Answered)
+}
--- /dev/null
+++ b/crates/soak/src/db_host.rs
@@ -0,0 +1,325 @@
+//! A db host of a soak play: a thread for each connection, PostgreSQL's protocol, and states that troubles set.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io::{self, ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gradeshunt_stand_ins::postgres::wire;
+use gradeshunt_stand_ins::script::Table;
+
+use crate::ledger::{Arrival, Ledger};
+use crate::lock;
+use crate::statement::{Class, Statement};
+
+/// How long a request is worked on.
+const WORK: Duration = Duration::from_millis(2);
+/// How far a standby is behind by itself.
+const USUAL_LAG: Duration = Duration::from_millis(40);
+/// How long the key of a write is known.
+pub const KEY_WINDOW: Duration = Duration::from_secs(2);
+/// How long what bytes say on arrival is not to be relied on after its db host has begun to read again.
+const CATCHING_UP: Duration = Duration::from_millis(500);
+
+/// The wall clock of all machines of a play, which can be stepped.
+#[derive(Clone, Default)]
+pub struct WallClock(Arc<AtomicI64>);
+
+impl WallClock {
+    /// Steps it: so many milliseconds beside the real one from now on.
+    pub fn step_to(&self, ms: i64) {
+        self.0.store(ms, Ordering::Relaxed);
+    }
+
+    /// Unix time in milliseconds.
+    pub fn now_ms(&self) -> f64 {
+        gradeshunt_stand_ins::now().as_secs_f64() * 1000.0 + self.0.load(Ordering::Relaxed) as f64
+    }
+}
+
+/// Keys of a set's writes that have run, and when.
+pub type Keys = Arc<Mutex<HashMap<u64, Instant>>>;
+
+/// What troubles set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ills {
+    /// It takes requests and works on none.
+    pub hangs: bool,
+    /// It reads nothing.
+    pub deaf: bool,
+    /// It turns requests away.
+    pub full: bool,
+    /// It errs.
+    pub errs: bool,
+    /// It works, and closes the connection in place of an answer.
+    pub resets: bool,
+}
+
+/// A position that stands still.
+#[derive(Clone, Copy)]
+struct Frozen {
+    since: Instant,
+    /// How old it was then.
+    lag: Duration,
+    /// Unix time in milliseconds.
+    position: f64,
+}
+
+struct State {
+    ills: Ills,
+    /// When it was deaf last.
+    deaf_until: Option<Instant>,
+    frozen: Option<Frozen>,
+    /// It was told to drain then.
+    drained: Option<Instant>,
+    open: BTreeMap<u64, TcpStream>,
+}
+
+struct Inner {
+    number: usize,
+    primary: bool,
+    addr: SocketAddr,
+    wall: WallClock,
+    keys: Keys,
+    ledger: Arc<Ledger>,
+    state: Mutex<State>,
+    changed: Condvar,
+    /// Connections of attempts that are out, by request and number.
+    attempts: Arc<Mutex<HashMap<(u64, usize), TcpStream>>>,
+    /// Reads that it has served.
+    reads: AtomicU64,
+}
+
+/// A db host. Clones are the same one.
+#[derive(Clone)]
+pub struct DbHost(Arc<Inner>);
+
+/// What the db hosts of a play share.
+#[derive(Clone)]
+pub struct Shared {
+    pub wall: WallClock,
+    pub ledger: Arc<Ledger>,
+    pub attempts: Arc<Mutex<HashMap<(u64, usize), TcpStream>>>,
+}
+
+impl DbHost {
+    /// Listens at a port that the system gives.
+    ///
+    /// # Errors
+    /// Those of the socket.
+    pub fn open(number: usize, primary: bool, keys: &Keys, shared: &Shared) -> io::Result<DbHost> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let state = State {
+            ills: Ills::default(),
+            deaf_until: None,
+            frozen: None,
+            drained: None,
+            open: BTreeMap::new(),
+        };
+        let host = DbHost(Arc::new(Inner {
+            number,
+            primary,
+            addr: listener.local_addr()?,
+            wall: shared.wall.clone(),
+            keys: Arc::clone(keys),
+            ledger: Arc::clone(&shared.ledger),
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            attempts: Arc::clone(&shared.attempts),
+            reads: AtomicU64::new(0),
+        }));
+        let served = host.clone();
+        thread::spawn(move || {
+            for (id, stream) in (0..).zip(listener.incoming().flatten()) {
+                let served = served.clone();
+                if let Ok(copy) = stream.try_clone() {
+                    lock(&served.0.state).open.insert(id, copy);
+                }
+                thread::spawn(move || {
+                    let _ = served.serve(stream);
+                    lock(&served.0.state).open.remove(&id);
+                });
+            }
+        });
+        Ok(host)
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.0.addr
+    }
+
+    pub fn is_primary(&self) -> bool {
+        self.0.primary
+    }
+
+    /// How many reads it has served.
+    pub fn reads(&self) -> u64 {
+        self.0.reads.load(Ordering::Relaxed)
+    }
+
+    /// Changes what ails it.
+    pub fn ail(&self, change: impl FnOnce(&mut Ills)) {
+        let mut state = lock(&self.0.state);
+        let was_deaf = state.ills.deaf;
+        change(&mut state.ills);
+        if was_deaf && !state.ills.deaf {
+            state.deaf_until = Some(Instant::now());
+        }
+        self.0.changed.notify_all();
+    }
+
+    /// Its position stands still from now on, or moves again.
+    pub fn freeze(&self, frozen: bool) {
+        let now = Instant::now();
+        let position = self.0.wall.now_ms() - USUAL_LAG.as_secs_f64() * 1000.0;
+        lock(&self.0.state).frozen = frozen.then_some(Frozen { since: now, lag: USUAL_LAG, position });
+    }
+
+    /// Its position stands still, and has done so for this long.
+    pub fn freeze_behind(&self, lag: Duration) {
+        let position = self.0.wall.now_ms() - lag.as_secs_f64() * 1000.0;
+        lock(&self.0.state).frozen = Some(Frozen { since: Instant::now(), lag, position });
+    }
+
+    /// Discovery has told all proxies that it drains, or that it does not any more.
+    pub fn drained(&self, drained: bool) {
+        lock(&self.0.state).drained = drained.then(Instant::now);
+    }
+
+    /// Cuts all connections.
+    pub fn cut(&self) {
+        for stream in lock(&self.0.state).open.values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Its position as Unix time in milliseconds, and how old its data really is.
+    fn position(&self) -> (f64, Duration) {
+        if self.0.primary {
+            return (self.0.wall.now_ms(), Duration::ZERO);
+        }
+        match lock(&self.0.state).frozen {
+            Some(Frozen { since, lag, position }) => (position, since.elapsed() + lag),
+            None => (self.0.wall.now_ms() - USUAL_LAG.as_secs_f64() * 1000.0, USUAL_LAG),
+        }
+    }
+
+    fn wait_while(&self, ails: impl Fn(&Ills) -> bool) {
+        let state = lock(&self.0.state);
+        let waited = self.0.changed.wait_while(state, |state| ails(&state.ills));
+        drop(waited.unwrap_or_else(|poisoned| poisoned.into_inner()));
+    }
+
+    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        self.wait_while(|ills| ills.deaf);
+        wire::read_startup(&mut stream)?;
+        stream.write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())?;
+        loop {
+            self.wait_while(|ills| ills.deaf);
+            let (tag, body) = wire::read(&mut stream)?;
+            if tag != b'Q' {
+                return Ok(());
+            }
+            let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
+            let goes_on = match Statement::read(&text) {
+                Some(statement) => self.request(&mut stream, &statement)?,
+                None => self.probe(&mut stream)?,
+            };
+            if !goes_on {
+                return Ok(());
+            }
+        }
+    }
+
+    /// A load report.
+    fn probe(&self, stream: &mut TcpStream) -> io::Result<bool> {
+        self.wait_while(|ills| ills.hangs);
+        let report = format!("x0={:.3},x1={}", self.position().0 / 1000.0, u8::from(self.0.primary));
+        let row = Table { tag: "SHOW".to_owned(), ..Table::of(&["pressure"], &[&[&report]]) };
+        stream.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat())?;
+        Ok(true)
+    }
+
+    fn request(&self, stream: &mut TcpStream, statement: &Statement) -> io::Result<bool> {
+        let (drained_for, prompt) = {
+            let state = lock(&self.0.state);
+            let prompt =
+                !state.ills.deaf && state.deaf_until.is_none_or(|until| until.elapsed() > CATCHING_UP);
+            (state.drained.map(|since| since.elapsed()), prompt)
+        };
+        let (statement, at) = (*statement, Instant::now());
+        let arrival = Arrival { statement, host: self.0.number, at, drained_for, prompt };
+        let number = self.0.ledger.arrived(&arrival, |number| self.is_out(statement.id, number));
+        if let Ok(copy) = stream.try_clone() {
+            lock(&self.0.attempts).insert((statement.id, number), copy);
+        }
+        self.wait_while(|ills| ills.hangs);
+        let done = self.work(stream, &statement, prompt);
+        lock(&self.0.attempts).remove(&(statement.id, number));
+        self.0.ledger.attempt_ended(statement.id, number);
+        done
+    }
+
+    /// Whether the connection of an attempt still stands on its proxy's side.
+    fn is_out(&self, id: u64, number: usize) -> bool {
+        let Some(stream) = lock(&self.0.attempts).get(&(id, number)).and_then(|s| s.try_clone().ok()) else {
+            return false;
+        };
+        let nonblocking = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
+        let mut byte = [0_u8; 1];
+        let peeked = rustix::net::recv(&stream, &mut byte[..], nonblocking);
+        matches!(peeked.map_err(io::Error::from), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Works on a request and answers; false where the connection ends.
+    fn work(&self, stream: &mut TcpStream, statement: &Statement, prompt: bool) -> io::Result<bool> {
+        thread::sleep(WORK);
+        let ills = lock(&self.0.state).ills;
+        let error = |code: &str, text: &str| wire::error(code, text);
+        let mut reply = if ills.full {
+            error("53300", "too many requests wait")
+        } else if statement.class.writes() && !self.0.primary {
+            error("25006", "cannot execute INSERT in a read-only transaction")
+        } else {
+            if statement.class.writes() {
+                self.execute(statement);
+            } else {
+                self.0.reads.fetch_add(1, Ordering::Relaxed);
+                self.0.ledger.served_from(statement, self.0.number, self.position().1, prompt);
+            }
+            if ills.resets {
+                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                return Ok(false);
+            }
+            if ills.errs {
+                error("XX000", "an error of its own")
+            } else {
+                let tag = if statement.class.writes() { "INSERT 0 1" } else { "SELECT 1" };
+                let value = statement.value();
+                wire::table(&Table { tag: tag.to_owned(), ..Table::of(&["data"], &[&[&value]]) })
+            }
+        };
+        let role = if self.0.primary { "primary" } else { "standby" };
+        reply.extend(wire::parameter("replication_role", role));
+        reply.extend(wire::parameter("log_position", &format!("{:.0}", self.position().0.floor())));
+        reply.extend(wire::message(b'Z', b"I"));
+        stream.write_all(&reply)?;
+        Ok(true)
+    }
+
+    /// Executes a write, unless its key is known.
+    fn execute(&self, statement: &Statement) {
+        if statement.class == Class::KeyedWrite {
+            let mut keys = lock(&self.0.keys);
+            if keys.get(&statement.id).is_some_and(|ran| ran.elapsed() < KEY_WINDOW) {
+                return;
+            }
+            keys.insert(statement.id, Instant::now());
+        }
+        self.0.ledger.executed(statement);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,210 @@
+//! The processes of a play: started, reloaded, terminated, killed and held up, with a fault control each.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use gradeshunt_stand_ins::program::{Platform, Process};
+use gradeshunt_stand_ins::standalone::own_address;
+
+use crate::ledger::{Ledger, Rule};
+use crate::lock;
+use crate::shim::{FaultControl, Knob, Shim};
+use crate::site::{Site, LONGEST_WAIT};
+
+/// New connections come for this long after SIGTERM.
+const CONNECTS_AFTER_TERM: Duration = Duration::from_millis(300);
+/// SIGKILL comes the longest deadline and so much more after SIGTERM; a busy machine is given this much beyond that.
+const KILL_AFTER: Duration = Duration::from_millis(700);
+const SCHEDULING: Duration = Duration::from_millis(500);
+/// A process has to be ready this long after its start.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// Pace of the looks at a process that starts.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Whether clients may connect to a process.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Door {
+    /// Counts its starts.
+    pub epoch: u64,
+    pub open: bool,
+    /// Told to end then.
+    terminated: Option<Instant>,
+    /// Starts up to this one were killed: what they had is nobody's fault.
+    pub killed: u64,
+}
+
+impl Door {
+    /// Whether a client may connect now.
+    pub fn admits(&self) -> bool {
+        self.open && self.terminated.is_none_or(|at| at.elapsed() < CONNECTS_AFTER_TERM)
+    }
+}
+
+/// One proxy of the fleet, whichever process plays it.
+pub struct Proxy {
+    pub number: usize,
+    pub addr: SocketAddr,
+    pub faults: FaultControl,
+    platform: Platform,
+    process: Mutex<Option<Process>>,
+    door: Mutex<Door>,
+    ledger: Arc<Ledger>,
+}
+
+impl Proxy {
+    /// A proxy that has yet to be started. `program` is its file, `folder` one of its own.
+    ///
+    /// # Errors
+    /// Those of files.
+    pub fn new(
+        number: usize,
+        program: &Path,
+        folder: &Path,
+        shim: &Shim,
+        environment: &[(String, String)],
+        ledger: &Arc<Ledger>,
+    ) -> io::Result<Proxy> {
+        let mut platform = Platform::new(program, folder, false)?;
+        let faults = FaultControl::create(shim, &folder.join("faults"))?;
+        platform.environment = faults.environment();
+        platform.environment.extend(environment.iter().cloned());
+        platform.control = Some(own_address().to_string());
+        Ok(Proxy {
+            number,
+            addr: own_address(),
+            faults,
+            platform,
+            process: Mutex::new(None),
+            door: Mutex::default(),
+            ledger: Arc::clone(ledger),
+        })
+    }
+
+    pub fn door(&self) -> Door {
+        *lock(&self.door)
+    }
+
+    /// Writes the configuration that the next start and the next reload read.
+    ///
+    /// # Errors
+    /// Those of the file.
+    pub fn configure(&self, site: &Site, fleet: usize, discovery: usize) -> io::Result<()> {
+        self.platform.configure(&site.config(self.number, fleet, self.addr, discovery))
+    }
+
+    /// Starts a process, and lets clients in once it is ready.
+    ///
+    /// # Errors
+    /// Where it can't be started at all.
+    pub fn start(&self) -> io::Result<()> {
+        let began = Instant::now();
+        let mut process = match self.platform.start() {
+            Ok(process) => process,
+            Err(e) => {
+                self.ledger.fault(Rule::Process, format!("proxy {} did not start: {e}", self.number));
+                return Ok(());
+            }
+        };
+        while process.call("GET", "/status").map_or(0, |answer| answer.0) != 200 {
+            if began.elapsed() > READY_WITHIN || process.exits(Duration::ZERO)?.is_some() {
+                self.ledger.fault(
+                    Rule::Process,
+                    format!("proxy {} was not ready: {}", self.number, process.logged().join("\n")),
+                );
+                return Ok(());
+            }
+            std::thread::sleep(LOOK);
+        }
+        *lock(&self.process) = Some(process);
+        let mut door = lock(&self.door);
+        (door.epoch, door.open, door.terminated) = (door.epoch + 1, true, None);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if one runs.
+    pub fn signal(&self, name: &str) {
+        if let Some(process) = &*lock(&self.process) {
+            let _ = process.signal(name);
+        }
+    }
+
+    /// Tells the process to end, waits for that, and judges how it ended.
+    ///
+    /// # Errors
+    /// Those of the wait.
+    pub fn terminate(&self) -> io::Result<()> {
+        self.judge_own_counts();
+        let Some(mut process) = lock(&self.process).take() else { return Ok(()) };
+        lock(&self.door).terminated = Some(Instant::now());
+        process.signal("TERM")?;
+        let ended = process.exits(LONGEST_WAIT + KILL_AFTER + SCHEDULING)?;
+        lock(&self.door).open = false;
+        match ended {
+            Some(status) if status.success() => {}
+            Some(status) => self.ledger.fault(
+                Rule::Process,
+                format!("proxy {} ended with {status}: {}", self.number, tail(&mut process)),
+            ),
+            None => {
+                lock(&self.door).killed = self.door().epoch;
+                self.ledger.fault(Rule::Process, format!("proxy {} did not end in time", self.number));
+            }
+        }
+        Ok(())
+    }
+
+    /// Kills the process.
+    pub fn kill(&self) {
+        let process = lock(&self.process).take();
+        let mut door = lock(&self.door);
+        (door.open, door.killed) = (false, door.epoch);
+        drop(door);
+        drop(process);
+    }
+
+    /// Whether the process has ended by itself, which is a fault.
+    ///
+    /// # Errors
+    /// Those of the wait.
+    pub fn judge_life(&self) -> io::Result<bool> {
+        let mut held = lock(&self.process);
+        let Some(process) = held.as_mut() else { return Ok(true) };
+        let Some(status) = process.exits(LOOK)? else { return Ok(true) };
+        let text = format!("proxy {} ended by itself with {status}: {}", self.number, tail(process));
+        self.ledger.fault(Rule::Process, text);
+        *held = None;
+        drop(held);
+        let mut door = lock(&self.door);
+        (door.open, door.killed) = (false, door.epoch);
+        Ok(false)
+    }
+
+    /// The violations that the process has counted itself.
+    pub fn judge_own_counts(&self) {
+        let held = lock(&self.process);
+        let Some(process) = &*held else { return };
+        let Ok((200, text)) = process.call("GET", "/status/metrics") else { return };
+        for line in text.lines().filter(|line| line.starts_with("app_violations{")) {
+            if !line.ends_with(" 0") {
+                self.ledger.fault(Rule::OwnCount, format!("proxy {}: {line}", self.number));
+            }
+        }
+    }
+
+    /// Ends all faults of its system calls.
+    ///
+    /// # Errors
+    /// Those of the control file.
+    pub fn heal(&self, knobs: &[Knob]) -> io::Result<()> {
+        knobs.iter().try_for_each(|knob| self.faults.set(*knob, 0))
+    }
+}
+
+/// The last lines of a process's log.
+fn tail(process: &mut Process) -> String {
+    let lines = process.logged();
+    lines[lines.len().saturating_sub(6)..].join("\n")
+}
--- /dev/null
+++ b/crates/soak/src/ledger.rs
@@ -0,0 +1,277 @@
+//! What clients asked and got and what db hosts were sent, and which of it breaks a rule.
+//!
+//! All times are monotonic: the wall clocks of a play are stepped.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use crate::lock;
+use crate::statement::{Class, Statement, READ_BOUND};
+
+/// A process may be held up for this long between reading its clock and writing, and threads of the stand-ins on a busy machine
+/// may come this much later.
+const HELD_UP: Duration = Duration::from_millis(150);
+const SCHEDULING: Duration = Duration::from_millis(150);
+const SLACK: Duration = Duration::from_millis(300);
+/// A client may have left this long before an attempt begins.
+const LEFT_GRACE: Duration = Duration::from_millis(100);
+/// The time told to a db host may exceed what is left by this much.
+const TOLD_SLACK: Duration = Duration::from_millis(150);
+/// A final answer may come this long after its request's time.
+const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Nothing new goes to a db host this long after it was told to drain.
+const DRAIN_GRACE: Duration = Duration::from_millis(250);
+/// What an answer tells counts as known this long after its writing.
+const KNOWN_AFTER: Duration = Duration::from_millis(100);
+/// Faults that are kept word for word.
+const KEPT: usize = 40;
+
+const _: () = assert!(SLACK.as_millis() == HELD_UP.as_millis() + SCHEDULING.as_millis());
+
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Outcome {
+    Served,
+    Refused,
+    Failed,
+    /// Served with a value that is not this request's.
+    Foreign,
+    /// Its connection was closed between requests before it was read, as far as its client can tell: it is sent again.
+    Crossed,
+    /// Its connection was closed, though it had just been opened for it.
+    Closed,
+    /// Nothing came in its time.
+    Unanswered,
+    /// Its client left.
+    Left,
+    /// Its process was killed.
+    Killed,
+}
+
+/// A rule that a play is judged by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    FinalAnswer,
+    AnswerInTime,
+    ForeignValue,
+    ReadAndClosed,
+    RanTwice,
+    TwoAttemptsOut,
+    ClientLeft,
+    DeadlineTold,
+    Drain,
+    StaleRead,
+    /// A client that stops amid a request gets an error or a close in time.
+    HalfRequest,
+    /// A process ends with an error, or is not ready or gone in time.
+    Process,
+    /// A process has counted violations itself.
+    OwnCount,
+}
+
+/// An attempt as it arrives at a db host.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub statement: Statement,
+    pub host: usize,
+    pub at: Instant,
+    /// For how long its db host has been told to drain.
+    pub drained_for: Option<Duration>,
+    /// Its db host reads as soon as bytes come: times of arrival are those of the network.
+    pub prompt: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptState {
+    Out,
+    Ended,
+}
+
+struct Attempt {
+    state: AttemptState,
+}
+
+struct Request {
+    statement: Statement,
+    asked: Instant,
+    /// Behind how many others on its connection it stands: it waits for them first.
+    behind: u32,
+    left: Option<Instant>,
+    outcome: Option<Outcome>,
+    attempts: Vec<Attempt>,
+    executions: u32,
+}
+
+#[derive(Default)]
+struct Book {
+    requests: HashMap<u64, Request>,
+    next: u64,
+    faults: Vec<String>,
+    counts: BTreeMap<Rule, u64>,
+    outcomes: BTreeMap<Outcome, u64>,
+    attempts: u64,
+}
+
+/// The ledger of a play.
+#[derive(Default)]
+pub struct Ledger(Mutex<Book>);
+
+/// What a play came to.
+#[derive(Clone, Debug, Default)]
+pub struct Summary {
+    pub outcomes: BTreeMap<Outcome, u64>,
+    pub attempts: u64,
+    pub counts: BTreeMap<Rule, u64>,
+    pub faults: Vec<String>,
+}
+
+impl Book {
+    fn fault(&mut self, rule: Rule, text: String) {
+        *self.counts.entry(rule).or_default() += 1;
+        if self.faults.len() < KEPT {
+            self.faults.push(format!("{rule:?}: {text}"));
+        }
+    }
+}
+
+impl Ledger {
+    /// A fault that the ledger itself can't see.
+    pub fn fault(&self, rule: Rule, text: String) {
+        lock(&self.0).fault(rule, text);
+    }
+
+    /// A request is about to be written; `behind` others stand before it on its connection.
+    pub fn asked(&self, class: Class, wait: Duration, set: usize, behind: u32) -> Statement {
+        let mut book = lock(&self.0);
+        book.next += 1;
+        let statement = Statement { id: book.next, class, wait, set };
+        let request = Request {
+            statement,
+            asked: Instant::now(),
+            behind,
+            left: None,
+            outcome: None,
+            attempts: Vec::new(),
+            executions: 0,
+        };
+        book.requests.insert(statement.id, request);
+        statement
+    }
+
+    /// A request's client has closed its connection.
+    pub fn left(&self, id: u64) {
+        let mut book = lock(&self.0);
+        if let Some(request) = book.requests.get_mut(&id) {
+            request.left = Some(Instant::now());
+        }
+        drop(book);
+        self.ended(id, Outcome::Left);
+    }
+
+    /// A request has ended for its client.
+    pub fn ended(&self, id: u64, outcome: Outcome) {
+        let mut book = lock(&self.0);
+        *book.outcomes.entry(outcome).or_default() += 1;
+        let Some(request) = book.requests.get_mut(&id) else { return };
+        request.outcome = Some(outcome);
+        let (took, statement) = (request.asked.elapsed(), request.statement);
+        let attempts = request.attempts.len();
+        let allowed = (statement.wait + ANSWER_SLACK) * (request.behind + 1) + SLACK;
+        match outcome {
+            Outcome::Foreign => book.fault(Rule::ForeignValue, format!("{statement:?}")),
+            Outcome::Unanswered => book.fault(Rule::FinalAnswer, format!("{statement:?} after {took:?}")),
+            Outcome::Closed => {
+                book.fault(Rule::ReadAndClosed, format!("{statement:?} after {took:?} on a new connection"));
+            }
+            Outcome::Crossed if attempts > 0 => {
+                book.fault(Rule::ReadAndClosed, format!("{statement:?} after {attempts} attempts"));
+            }
+            Outcome::Served | Outcome::Refused | Outcome::Failed if took > allowed => {
+                book.fault(Rule::AnswerInTime, format!("{statement:?} after {took:?}"));
+            }
+            _ => {}
+        }
+    }
+
+    /// An attempt has arrived; gives its number among those of its request. `is_open` tells whether the connection of an
+    /// earlier attempt still stands, by that number.
+    pub fn arrived(&self, arrival: &Arrival, is_open: impl Fn(usize) -> bool) -> usize {
+        let mut book = lock(&self.0);
+        book.attempts += 1;
+        let Arrival { statement, host, at, drained_for, prompt } = *arrival;
+        let Some(request) = book.requests.get_mut(&statement.id) else { return 0 };
+        let number = request.attempts.len();
+        let mut found = Vec::new();
+        let out =
+            request.attempts.iter().enumerate().any(|(n, a)| a.state == AttemptState::Out && is_open(n));
+        if out {
+            found.push((Rule::TwoAttemptsOut, String::new()));
+        }
+        if prompt {
+            if let Some(since) = request.left.and_then(|left| at.checked_duration_since(left)) {
+                if since > LEFT_GRACE + SLACK {
+                    found.push((Rule::ClientLeft, format!("{since:?} after its client")));
+                }
+            }
+            let ends = request.asked
+                + (statement_wait(request) + ANSWER_SLACK) * request.behind
+                + statement_wait(request);
+            let left = ends.saturating_duration_since(at);
+            if statement.wait > left + TOLD_SLACK + SCHEDULING {
+                found.push((Rule::DeadlineTold, format!("{:?} told, {left:?} left", statement.wait)));
+            }
+            if let Some(since) = drained_for.filter(|since| *since > DRAIN_GRACE + SLACK) {
+                found.push((Rule::Drain, format!("{since:?} after host {host} was told to drain")));
+            }
+        }
+        request.attempts.push(Attempt { state: AttemptState::Out });
+        for (rule, text) in found {
+            book.fault(rule, format!("attempt {number} of {statement:?} at host {host} {text}"));
+        }
+        number
+    }
+
+    /// A db host has ended an attempt, or given it up.
+    pub fn attempt_ended(&self, id: u64, number: usize) {
+        let mut book = lock(&self.0);
+        let attempt = book.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(number));
+        attempt.into_iter().for_each(|a| a.state = AttemptState::Ended);
+    }
+
+    /// A db host has executed a write; a repeat that it dropped is none.
+    pub fn executed(&self, statement: &Statement) {
+        let mut book = lock(&self.0);
+        let Some(request) = book.requests.get_mut(&statement.id) else { return };
+        request.executions += 1;
+        if request.executions > 1 {
+            let times = request.executions;
+            book.fault(Rule::RanTwice, format!("{statement:?} has run {times} times"));
+        }
+    }
+
+    /// A db host is about to serve a read from data of this age.
+    pub fn served_from(&self, statement: &Statement, host: usize, age: Duration, prompt: bool) {
+        if prompt && statement.class == Class::Read && age > READ_BOUND + KNOWN_AFTER + SLACK {
+            self.fault(
+                Rule::StaleRead,
+                format!("{statement:?} from data of host {host} that is {age:?} old"),
+            );
+        }
+    }
+
+    /// What the play came to.
+    pub fn summary(&self) -> Summary {
+        let book = lock(&self.0);
+        Summary {
+            outcomes: book.outcomes.clone(),
+            attempts: book.attempts,
+            counts: book.counts.clone(),
+            faults: book.faults.clone(),
+        }
+    }
+}
+
+fn statement_wait(request: &Request) -> Duration {
+    request.statement.wait
+}
--- /dev/null
+++ b/crates/soak/src/site.rs
@@ -0,0 +1,85 @@
+//! The site of a play: sets of db hosts, discovery at two addresses, and the configuration of its processes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gradeshunt_stand_ins::discovery::Discovery;
+use gradeshunt_stand_ins::site::{entry, Plan, Site as Names};
+use serde_json::{json, Value};
+
+use crate::db_host::{DbHost, Keys, Shared, WallClock, KEY_WINDOW};
+use crate::ledger::Ledger;
+
+/// Sets of a site, and db hosts of each; the first of a set is its primary.
+pub const SETS: usize = 4;
+const HOSTS: usize = 3;
+/// The longest that a client waits, and within which answers are wanted.
+pub const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+const AIM_MS: f64 = 100.0;
+/// Descriptors of a process.
+const SOCKETS: u32 = 256;
+/// How long a process hears nothing before it takes a watch for broken, in milliseconds.
+const WATCH_SILENCE_MS: u64 = 3_000;
+
+/// A running site.
+pub struct Site {
+    pub hosts: Vec<DbHost>,
+    pub discovery: Discovery,
+    /// Where discovery can be called: each is the same service.
+    pub addresses: [SocketAddr; 2],
+    pub wall: WallClock,
+    plan: Plan,
+}
+
+impl Site {
+    /// Opens a site whose db hosts write into this ledger.
+    ///
+    /// # Errors
+    /// Those of sockets.
+    pub fn open(ledger: &Arc<Ledger>) -> io::Result<Site> {
+        let shared =
+            Shared { wall: WallClock::default(), ledger: Arc::clone(ledger), attempts: Arc::default() };
+        let (mut hosts, mut entries) = (Vec::new(), Vec::new());
+        for set in 1..=SETS {
+            let keys = Keys::default();
+            for number in 0..HOSTS {
+                let host = DbHost::open(hosts.len(), number == 0, &keys, &shared)?;
+                let id = Names::id(set, number);
+                entries.push(entry(&id, &host.addr().to_string(), set, number == 0));
+                hosts.push(host);
+            }
+        }
+        let discovery = Discovery::open(entries)?;
+        let addresses = [discovery.addr(), discovery.open_another()?];
+        let plan = Plan {
+            deadline: LONGEST_WAIT.as_secs_f64() * 1000.0,
+            aim: AIM_MS,
+            window: KEY_WINDOW,
+            sockets: SOCKETS,
+            ..Plan::default()
+        };
+        Ok(Site { hosts, discovery, addresses, wall: shared.wall, plan })
+    }
+
+    /// How discovery names a db host.
+    pub fn id(host: usize) -> String {
+        Names::id(host / HOSTS + 1, host % HOSTS)
+    }
+
+    /// The configuration of a process that is one of `fleet`.
+    pub fn config(&self, me: usize, fleet: usize, listen: SocketAddr, discovery: usize) -> Value {
+        let mut config = self.plan.config(&self.discovery);
+        config["name"] = json!(format!("n{me}"));
+        config["listen"] = json!(listen.to_string());
+        config["seed"] = json!(format!("{:x}", me + 1));
+        config["discovery"] = json!(self.addresses[discovery % self.addresses.len()].to_string());
+        config["watch_silence_ms"] = json!(WATCH_SILENCE_MS);
+        config["settings"]["fleetSize"] = json!(fleet);
+        config["settings"]["me"] = json!(me);
+        // Db hosts serve what they have: the proxy alone keeps reads from being stale.
+        config["settings"]["familyInfo"]["whenBehind"] = json!("silent");
+        config
+    }
+}
