Unix times are read with the clocks' distance of their own time, and steps are followed

Cause: Clock kept the distance of wall and monotonic clock from the start (clock.rs at_unix_ms, position); after a step all positions were too old, or from the future and not believed (reply.rs, load_report.rs). A db host that restarted after a step back told a lower startedAtMs than the known one (discovery/list.rs, entry.since.max in the decisions), and so did not count as cold. Change: the distance is observed each turn; another one is a candidate until a db host tells a position that only it explains (position.rs, one reader a db host), so that a step of this machine alone changes nothing. Starts are remembered as they were told, and read as the latest moment that they can mean. Open: a process that starts while its own clock alone is wrong.

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -53,7 +53,7 @@
     pub(super) outbound: Ring,
     pub(super) stage: Stage,
     /// The latest error that was an answer here, with the position that it told.
-    pub(super) refused: Option<(String, Micros)>,
+    pub(super) refused: Option<(String, f64)>,
 }
 
 impl Server {
--- a/crates/gradeshunt/src/backend/hosts.rs
+++ b/crates/gradeshunt/src/backend/hosts.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
-use leadmast::{Ending, ListKind, MemberId, Phase};
+use leadmast::{Ending, ListKind, MemberId, Micros, Note, Phase};
 
 use super::jobs::Job;
 use super::reply::Reply;
@@ -11,6 +11,7 @@
 use crate::exchange::Exchange;
 use crate::ids::ServerId;
 use crate::placing::{is_peer, Peer};
+use crate::position::PositionReader;
 use crate::turn::Turn;
 
 /// Whether anything new may go to a db host.
@@ -34,9 +35,23 @@
     pub(super) servers: usize,
     /// Jobs that wait for a connection, oldest first.
     pub(super) waiting: VecDeque<Job>,
+    pub(super) positions: PositionReader,
 }
 
 impl Host {
+    /// A position that it has told now, as Unix time in milliseconds, on the proxy's clock; `None` for one that is not believed.
+    pub(super) fn position(&mut self, turn: &mut Turn, ms: f64, primary: Option<bool>) -> Option<Micros> {
+        let now = turn.clock.now();
+        self.positions.read(&mut turn.clock, now, ms, primary)
+    }
+
+    /// What a reply says of it.
+    pub(super) fn note(&mut self, turn: &mut Turn, reply: &Reply) -> Option<Note> {
+        let primary = reply.primary?;
+        let position = reply.position.and_then(|ms| self.position(turn, ms, reply.primary));
+        Some(Note { position, primary })
+    }
+
     pub(super) fn takes_jobs(&self) -> bool {
         self.standing == Standing::Open && !self.held_out
     }
@@ -113,6 +128,7 @@
             starting: 0,
             servers: 0,
             waiting: VecDeque::new(),
+            positions: PositionReader::default(),
         });
         let moved = host.addr != addr;
         (host.addr, host.standing) = (addr, standing);
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -202,7 +202,7 @@
                 }
                 debug!(turn.log, "attempt ended"; "request" => id.request.0, "number" => id.number,
                     "member" => member.0, "ending" => name(ending));
-                let note = reply.note();
+                let note = self.hosts.get_mut(&member).and_then(|host| host.note(turn, &reply));
                 let said = match ending {
                     Ending::Ok => Said::Answer(reply.bytes),
                     Ending::Error if reply.error.as_deref().is_some_and(sqlstate::is_verdict) => {
@@ -227,7 +227,10 @@
                     turn.deadlines.clear(until, Due::Probe(member));
                 }
                 let report = reply.row.filter(|_| ending == Ending::Ok);
-                let report = report.and_then(|row| report_of(&row, &self.fields, turn));
+                let host = self.hosts.get_mut(&member);
+                let report = report.zip(host).and_then(|(row, host)| {
+                    report_of(&row, &self.fields, |ms, primary| host.position(turn, ms, primary))
+                });
                 exchange.probed(turn, Probed { member, ending, elapsed: turn.now - since, report });
             }
         }
--- a/crates/gradeshunt/src/backend/load_report.rs
+++ b/crates/gradeshunt/src/backend/load_report.rs
@@ -1,13 +1,15 @@
 //! Load reports, with which db hosts answer a probe.
 
-use leadmast::Report;
-
-use crate::turn::Turn;
+use leadmast::{Micros, Report};
 
 /// Reads a load report, `x0=1767225600.123,x1=1`: a position in Unix seconds, and the role. One that can't be
-/// read throughout tells nothing.
-pub(super) fn report_of(row: &[u8], fields: &[String], turn: &Turn) -> Option<Report> {
-    let mut report = Report::default();
+/// read throughout tells nothing. `position` takes a position in milliseconds and the role, and may not believe it.
+pub(super) fn report_of(
+    row: &[u8],
+    fields: &[String],
+    position: impl FnOnce(f64, Option<bool>) -> Option<Micros>,
+) -> Option<Report> {
+    let (mut report, mut told) = (Report::default(), None);
     for pair in std::str::from_utf8(row).ok()?.split(',') {
         let (name, value) = pair.split_once('=')?;
         let name = name.trim();
@@ -16,12 +18,15 @@
         }
         let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
         match name {
-            "x0" => report.position = Some(turn.clock.position(value * 1000.0)?),
+            "x0" => told = Some(value * 1000.0),
             "x1" => report.primary = Some(value == 1.0),
             "concurrent" => report.inflight = Some(value),
             "depth" => report.queue = Some(value),
             _ => {}
         }
     }
+    if let Some(ms) = told {
+        report.position = Some(position(ms, report.primary)?);
+    }
     Some(report)
 }
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -120,7 +120,7 @@
                     b'S' | b'N' => false,
                     _ => return Err(Malformed("unexpected message between requests")),
                 },
-                Stage::Busy { reply, .. } => reply.take(&message, turn)?,
+                Stage::Busy { reply, .. } => reply.take(&message)?,
             };
             s.inbound.consume(size);
             if up {
@@ -132,6 +132,7 @@
     /// Passes on what has come of a long answer, as far as the client side can take it; true where some was.
     fn forward_part(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> bool {
         let Some(s) = self.servers.get_mut(&id) else { return false };
+        let host = self.hosts.get_mut(&s.member);
         let Stage::Busy { job: Job::Attempt { id: attempt, .. }, reply, .. } = &mut s.stage else {
             return false;
         };
@@ -148,7 +149,8 @@
             let part = std::mem::replace(&mut reply.bytes, rest);
             reply.held.set(reply.bytes.len());
             reply.passed = Some(turn.now);
-            exchange.part(turn, *attempt, part, reply.note());
+            let note = host.and_then(|host| host.note(turn, reply));
+            exchange.part(turn, *attempt, part, note);
             return true;
         }
         let Shape::Passing(left) = reply.shape else { return false };
@@ -166,7 +168,8 @@
         s.inbound.consume(n);
         reply.passed = Some(turn.now);
         reply.shape = if n == left { Shape::Row } else { Shape::Passing(left - n) };
-        exchange.part(turn, *attempt, bytes, reply.note());
+        let note = host.and_then(|host| host.note(turn, reply));
+        exchange.part(turn, *attempt, bytes, note);
         true
     }
 
--- a/crates/gradeshunt/src/backend/reply.rs
+++ b/crates/gradeshunt/src/backend/reply.rs
@@ -1,11 +1,10 @@
 //! One reply of a db host, as far as it has come: its messages are checked and kept until it is whole.
 
-use leadmast::{Ending, Micros, Note};
+use leadmast::{Ending, Micros};
 
 use crate::exchange::Form;
 use crate::memory::Held;
 use crate::pg::{self, sqlstate, Malformed, Writer};
-use crate::turn::Turn;
 
 /// A reply as far as it has come. Each job begins with a fresh one: nothing of an earlier reply stays.
 #[derive(Debug, Default)]
@@ -19,7 +18,8 @@
     pub(super) passed: Option<Micros>,
     pub(super) error: Option<String>,
     pub(super) row: Option<Vec<u8>>,
-    pub(super) position: Option<Micros>,
+    /// As it was told: Unix time in milliseconds.
+    pub(super) position: Option<f64>,
     pub(super) primary: Option<bool>,
 }
 
@@ -37,16 +37,16 @@
 
 impl Reply {
     /// Takes one message; true at ReadyForQuery, which ends the reply.
-    pub(super) fn take(&mut self, message: &pg::Message, turn: &Turn) -> Result<bool, Malformed> {
+    pub(super) fn take(&mut self, message: &pg::Message) -> Result<bool, Malformed> {
         if self.form == Form::Result {
-            return self.take_result(message, turn);
+            return self.take_result(message);
         }
         match message.tag {
             b'Z' if self.ending().is_none() || !matches!(message.body, b"I" | b"T" | b"E") => {
                 return Err(Malformed("ReadyForQuery without an answer"))
             }
             b'Z' => return Ok(true),
-            b'S' => drop(self.take_status(message, turn)),
+            b'S' => drop(self.take_status(message)),
             b'N' | b'A' => {}
             _ if self.ending().is_some() => return Err(Malformed("more than one answer")),
             b'E' => {
@@ -77,7 +77,7 @@
 
     /// Takes one message of a whole result, any rows of any columns, and keeps all that is the client's; true at
     /// ReadyForQuery, and only then is the result whole.
-    fn take_result(&mut self, message: &pg::Message, turn: &Turn) -> Result<bool, Malformed> {
+    fn take_result(&mut self, message: &pg::Message) -> Result<bool, Malformed> {
         match message.tag {
             b'Z' if self.shape != Shape::Row && self.error.is_none() => {
                 return Err(Malformed("ReadyForQuery without an answer"))
@@ -88,7 +88,7 @@
                 self.shape = Shape::Complete;
                 return Ok(true);
             }
-            b'S' if self.take_status(message, turn) => {}
+            b'S' if self.take_status(message) => {}
             b'S' | b'N' => self.append(message)?,
             b'A' => {}
             _ if self.error.is_some() || self.shape == Shape::Row => {
@@ -124,10 +124,10 @@
     }
 
     /// What a db host tells of itself; false where a ParameterStatus is none of that.
-    fn take_status(&mut self, message: &pg::Message, turn: &Turn) -> bool {
+    fn take_status(&mut self, message: &pg::Message) -> bool {
         match pg::parameter_status(message.body) {
             Some(("log_position", value)) => {
-                self.position = value.parse().ok().and_then(|ms| turn.clock.position(ms));
+                self.position = value.parse().ok();
             }
             Some(("replication_role", value)) => self.primary = role(value),
             Some(("pressure", _)) => {}
@@ -155,10 +155,6 @@
             Some(_) => Some(Ending::Error),
         }
     }
-
-    pub(super) fn note(&self) -> Option<Note> {
-        self.primary.map(|primary| Note { position: self.position, primary })
-    }
 }
 
 fn role(value: &str) -> Option<bool> {
--- /dev/null
+++ b/crates/gradeshunt/src/clock/tests.rs
@@ -0,0 +1,66 @@
+//! Tests of the part named by the folder: distances of the clocks that the test sets.
+
+use super::*;
+
+const HOUR: Micros = 3_600_000_000;
+const SECOND: Micros = 1_000_000;
+
+/// A clock whose wall clock showed `offset` at its start.
+fn clock(offset: Micros) -> Clock {
+    let segments = vec![Segment { from: Micros::MIN, offset }];
+    Clock { start: Instant::now() - Duration::from_secs(100), segments, candidate: None }
+}
+
+fn ms(unix: Micros) -> f64 {
+    unix as f64 / 1000.0
+}
+
+/// Guards against steps that are none, and against a candidate that counts before anybody has confirmed it.
+#[test]
+fn step_is_a_candidate_until_it_is_confirmed() {
+    let mut clock = clock(HOUR);
+    assert!(!clock.take_offset(HOUR + STEP_TOLERANCE, 1), "two readings differ a little");
+    assert!(clock.take_offset(0, 2));
+    assert!(!clock.take_offset(10, 3), "it is known");
+    assert_eq!((clock.offset(), clock.candidate().map(|c| c.seen)), (HOUR, Some(2)));
+    assert!(clock.is_in_doubt(2 + CANDIDATE_DOUBT) && !clock.is_in_doubt(3 + CANDIDATE_DOUBT));
+    clock.confirm();
+    assert_eq!((clock.offset(), clock.stepped_at(), clock.candidate()), (0, 2, None));
+    assert!(clock.take_offset(HOUR, 9));
+    assert!(!clock.take_offset(0, 10) && clock.candidate().is_none(), "the clock is back where it was");
+}
+
+/// Guards starts of db hosts and commits of sessions: each is read with the distance of its own time, and never as a moment to
+/// come.
+#[test]
+fn time_is_read_with_the_distance_of_then() {
+    let mut clock = clock(HOUR);
+    let now = clock.now();
+    // All clocks are stepped forward by 10 s, 50 s ago.
+    clock.take_offset(HOUR + 10 * SECOND, now - 50 * SECOND);
+    clock.confirm();
+    let close = |unix: Micros, at: Micros| (clock.latest_at_unix_ms(ms(unix)) - at).abs() < SECOND / 10;
+    let before = now - 60 * SECOND;
+    assert!(close(HOUR + before, before), "from before the step");
+    let after = now - 20 * SECOND;
+    assert!(close(HOUR + 10 * SECOND + after, after), "from after it");
+    assert!(close(HOUR + 10 * SECOND + now + HOUR, now), "no start is to come");
+    assert!(
+        close(HOUR + now - 45 * SECOND, now - 55 * SECOND),
+        "no clock has shown it: the latest distance counts"
+    );
+}
+
+/// Guards the warmth of a db host that restarts after a step back: the latest moment that its start can mean counts.
+#[test]
+fn ambiguous_time_is_the_latest_that_it_can_mean() {
+    let mut clock = clock(HOUR);
+    let now = clock.now();
+    clock.take_offset(HOUR - 40 * SECOND, now - 5 * SECOND);
+    let start = HOUR - 40 * SECOND + now - SECOND;
+    for _ in 0..2 {
+        let at = clock.latest_at_unix_ms(ms(start));
+        assert!((at - (now - SECOND)).abs() < SECOND / 10, "{at}");
+        clock.confirm();
+    }
+}
--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use calloop::EventLoop;
+use slog::info;
 
 use crate::control_core::Core;
 use crate::deadlines::Due;
@@ -79,6 +80,9 @@
 
     /// The turn begins; gives what is to be worked off.
     fn begin(&mut self, core: &mut Core, until: Option<leadmast::Micros>) -> Vec<Source> {
+        if core.turn.clock.observe() {
+            info!(core.turn.log, "the wall clock was stepped"; "ms" => core.turn.clock.candidate_step() / 1000);
+        }
         core.turn.now = core.turn.clock.now();
         core.loop_stats.begin(core.turn.now, until);
         core.turn.unread = core.loop_stats.unread();
--- a/crates/gradeshunt/src/discovery/list.rs
+++ b/crates/gradeshunt/src/discovery/list.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use leadmast::settings::{fnv, Names};
-use leadmast::{Entry, GroupId, ListKind, MemberId, Phase, ZoneId};
+use leadmast::{Entry, GroupId, ListKind, MemberId, Micros, Phase, ZoneId};
 use serde_json::value::RawValue;
 use serde_json::Value;
 
@@ -36,18 +36,28 @@
     }
 }
 
+/// When a db host has started.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Start {
+    unix_ms: f64,
+    at: Micros,
+}
+
 /// Reads lists in discovery's form, and numbers db hosts in the order met.
 pub struct Reader {
     names: Names,
     /// Those listed now; one that is gone gives its name back, and gets a new number should it return.
     numbers: HashMap<String, MemberId>,
+    /// Their last starts, as they were told and on the proxy's clock. The wall clock may have been stepped since: what is told
+    /// again unchanged is no other start.
+    starts: HashMap<MemberId, Start>,
     next: u32,
     generation: u64,
 }
 
 impl Reader {
     pub fn new(names: Names) -> Self {
-        Reader { names, numbers: HashMap::new(), next: 0, generation: 0 }
+        Reader { names, numbers: HashMap::new(), starts: HashMap::new(), next: 0, generation: 0 }
     }
 
     /// The latest list's version.
@@ -114,10 +124,20 @@
         }
         let listed: Option<HashSet<_>> = full.then(|| news.entries.iter().map(|e| e.member).collect());
         self.numbers.retain(|_, m| !gone.contains(m) && listed.as_ref().is_none_or(|all| all.contains(m)));
+        let numbers: HashSet<_> = self.numbers.values().copied().collect();
+        self.starts.retain(|member, _| numbers.contains(member));
         self.generation = generation;
         Ok(news)
     }
 
+    /// When a db host has started that tells this Unix time in milliseconds.
+    fn start(&mut self, clock: &Clock, member: MemberId, unix_ms: f64) -> Micros {
+        let known = self.starts.get(&member).filter(|start| start.unix_ms == unix_ms);
+        let at = known.map_or_else(|| clock.latest_at_unix_ms(unix_ms), |start| start.at);
+        self.starts.insert(member, Start { unix_ms, at });
+        at
+    }
+
     /// A zone that the settings don't name is still one of its own.
     fn zone(&mut self, name: &str) -> ZoneId {
         self.names.zone(name).unwrap_or_else(|_| {
@@ -154,7 +174,7 @@
             group,
             zone: self.zone(zone),
             weight: v.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
-            since: since.map(|ms| clock.at_unix_ms(ms)),
+            since: since.map(|ms| self.start(clock, member, ms)),
             phase,
             leader: v.get("replication").and_then(Value::as_str) == Some("primary"),
         };
--- a/crates/gradeshunt/src/discovery/list/tests.rs
+++ b/crates/gradeshunt/src/discovery/list/tests.rs
@@ -92,3 +92,30 @@
     let anew = reader.news(&clock, &list(7, "ready"), 41).expect("a list");
     assert_eq!((anew.entries.len(), anew.entries[0].phase, reader.generation()), (1, Phase::Up, 7));
 }
+
+/// Guards slow start over a step of the wall clocks: a start that is told again is no other one, and a db host that restarts after
+/// a step back, whose start is the earlier Unix time, has started just then.
+#[test]
+fn restart_after_a_step_back_is_seen_and_a_start_told_again_is_none() {
+    const HOUR_MS: i64 = 3_600_000;
+    let (mut reader, mut clock) = (reader(), Clock::start());
+    let unix_ms = |clock: &Clock| (clock.now() + clock.offset()) / 1000;
+    let mut since = |clock: &Clock, started_ms: i64| {
+        let list = format!(
+            r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"s","hostPort":"127.0.0.1:1","zone":"a","cell":1,
+                "lifecycle":"ready","startedAtMs":{started_ms}}}]}}"#
+        );
+        reader.news(clock, &list, 0).expect("a list").entries[0].since.expect("a start")
+    };
+    let started = unix_ms(&clock) - 30_000;
+    let first = since(&clock, started);
+    clock.take_offset(clock.offset() - HOUR_MS * 1000, clock.now());
+    assert_eq!(since(&clock, started), first, "before anybody has confirmed the step");
+    let restarted = unix_ms(&clock) - HOUR_MS;
+    assert!(
+        since(&clock, restarted) >= first + 29_000_000,
+        "the candidate counts where it tells a later start"
+    );
+    clock.confirm();
+    assert!(since(&clock, restarted + 1) >= clock.now() - 1_000_000);
+}
--- a/crates/gradeshunt/src/frontend/statements.rs
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -80,7 +80,7 @@
         let key = key.flatten().map(|k| u64::from_str_radix(k, 16).unwrap_or_else(|_| fnv(k)));
         let after = c.after.filter(|_| read == ReadLevel::Session);
         // Never below one: a commit of just now is still a commit.
-        let since_write = after.map(|ms| (turn.now - turn.clock.at_unix_ms(ms as f64)).max(1));
+        let since_write = after.map(|ms| (turn.now - turn.clock.latest_at_unix_ms(ms as f64)).max(1));
         // No client of a class waits longer than its class does, whatever it says.
         let wait = (Micros::from(c.wait_ms) * 1000).min(self.settings.classes[class.0].deadline);
         let deadline = self.deadline(arrived, wait);
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -24,6 +24,7 @@
 mod placement_command;
 mod placing;
 mod planning;
+mod position;
 mod proc_stats;
 mod proxy;
 mod resumed;
--- /dev/null
+++ b/crates/gradeshunt/src/position/tests.rs
@@ -0,0 +1,119 @@
+//! Tests of the part named by the folder: positions on clocks that the test steps.
+
+use super::*;
+
+const SECOND: Micros = 1_000_000;
+/// How far a standby is behind by itself.
+const LAG: Micros = 50_000;
+const STEP: Micros = 10 * SECOND;
+
+/// A clock, and the distance that it showed at its start.
+fn clock() -> (Clock, Micros) {
+    let clock = Clock::start();
+    let offset = clock.offset();
+    (clock, offset)
+}
+
+/// What a db host tells at `now` that is `age` behind, by clocks of this distance.
+fn told(now: Micros, age: Micros, offset: Micros) -> f64 {
+    (now - age + offset) as f64 / 1000.0
+}
+
+/// The age that is read, to the millisecond.
+fn age(reader: &mut PositionReader, clock: &mut Clock, now: Micros, ms: f64) -> Option<Micros> {
+    reader.read(clock, now, ms, None).map(|position| (now - position + 500) / 1000 * 1000)
+}
+
+/// Guards the age of data over steps of all clocks, either way: a standby that follows is as old as it is.
+#[test]
+fn standby_that_follows_is_current_after_a_step() {
+    for step in [STEP, -STEP, 360 * STEP, -360 * STEP, 300_000, -300_000] {
+        let (mut clock, offset) = clock();
+        let mut reader = PositionReader::default();
+        assert_eq!(age(&mut reader, &mut clock, SECOND, told(SECOND, LAG, offset)), Some(LAG));
+        clock.take_offset(offset + step, SECOND + 10_000);
+        let now = SECOND + 100_000;
+        assert_eq!(age(&mut reader, &mut clock, now, told(now, LAG, offset + step)), Some(LAG), "{step}");
+        assert_eq!(clock.offset(), offset + step, "it is confirmed");
+    }
+}
+
+/// Guards against a standby that stands still at a position to which the clocks come back.
+#[test]
+fn standby_that_stands_still_never_looks_current() {
+    let (mut clock, offset) = clock();
+    let (mut frozen, mut primary) = (PositionReader::default(), PositionReader::default());
+    let stands_at = told(0, 0, offset);
+    frozen.read(&mut clock, LAG, stands_at, None);
+    primary.read(&mut clock, LAG, told(LAG, 0, offset), Some(true));
+    clock.take_offset(offset - STEP, SECOND);
+    for tenth in 11..300 {
+        let now = tenth * SECOND / 10;
+        primary.read(&mut clock, now, told(now, 0, offset - STEP), Some(true));
+        assert_eq!(clock.offset(), offset - STEP);
+        let read = age(&mut frozen, &mut clock, now, stands_at);
+        assert!(read.is_none_or(|age| age >= now), "{now}: {read:?}");
+    }
+}
+
+/// Guards a standby that is far behind, and comes to the step later than others: it is as old as it is before, and after.
+#[test]
+fn standby_that_is_far_behind_crosses_the_step_late() {
+    let far = 4 * SECOND;
+    for step in [STEP, -STEP] {
+        let (mut clock, offset) = clock();
+        let (mut behind, mut primary) = (PositionReader::default(), PositionReader::default());
+        let stepped = 5 * SECOND;
+        for tenth in 40..200 {
+            let now = tenth * SECOND / 10;
+            let offset_of = |at: Micros| if at < stepped { offset } else { offset + step };
+            if now == stepped {
+                clock.take_offset(offset + step, now);
+            }
+            primary.read(&mut clock, now, told(now, 0, offset_of(now)), Some(true));
+            let read = age(&mut behind, &mut clock, now, told(now, far, offset_of(now - far)));
+            // Never younger than it is; at a step forward older until it has crossed it.
+            assert!(read.is_none_or(|age| age >= far), "{step}, {now}: {read:?}");
+            if now - far > stepped + 2 * SECOND {
+                assert_eq!(read, Some(far), "{step}, {now}");
+            }
+        }
+    }
+}
+
+/// Guards against a step of this machine alone: nobody else follows it, and once that is seen nothing has changed.
+#[test]
+fn step_of_this_machine_alone_passes() {
+    for step in [STEP, -STEP, 300_000, -300_000] {
+        let (mut clock, offset) = clock();
+        let (mut standby, mut primary) = (PositionReader::default(), PositionReader::default());
+        for tenth in 0..40 {
+            let now = tenth * SECOND / 10;
+            if tenth == 10 {
+                clock.take_offset(offset + step, now);
+            }
+            primary.read(&mut clock, now, told(now, 0, offset), Some(true));
+            let read = age(&mut standby, &mut clock, now, told(now, LAG, offset));
+            assert_eq!(clock.offset(), offset, "{step}");
+            assert!(read.is_none_or(|age| age >= LAG), "{step}, {now}: {read:?}");
+            if !clock.is_in_doubt(now) {
+                assert_eq!(read, Some(LAG), "{step}, {now}");
+            }
+        }
+    }
+}
+
+/// Guards a db host that is first heard after a step, and one whose clock alone is ahead.
+#[test]
+fn position_from_the_future_is_none() {
+    let (mut clock, offset) = clock();
+    let mut reader = PositionReader::default();
+    assert_eq!(reader.read(&mut clock, SECOND, told(SECOND, -2 * AHEAD, offset), None), None);
+    assert_eq!(reader.read(&mut clock, SECOND, f64::NAN, None), None);
+    clock.take_offset(offset - STEP, SECOND);
+    let mut primary = PositionReader::default();
+    primary.read(&mut clock, 2 * SECOND, told(2 * SECOND, 0, offset - STEP), Some(true));
+    let mut fresh = PositionReader::default();
+    let now = 3 * SECOND;
+    assert_eq!(age(&mut fresh, &mut clock, now, told(now, LAG, offset - STEP)), Some(LAG));
+}
