--- a/crates/gradeshunt/tests/faults.rs
+++ b/crates/gradeshunt/tests/faults.rs
@@ -124,3 +124,28 @@
     program.signal("-TERM");
     assert!(program.ends().expect("it can be waited for").success());
 }
+
+/// Every other accept fails for want of something that is no descriptor of this process: nobody who rests is closed for it, and
+/// whoever connects is served.
+#[test]
+fn accept_that_fails_for_a_moment_closes_nobody() {
+    const RESTING: usize = 10;
+    const NEW: usize = 40;
+    let (_site, config) = site();
+    let (program, control) = program("accept-fails", config, "");
+    let mut resting: Vec<_> = (0..RESTING).map(|_| connect(&program)).collect();
+    for (id, client) in resting.iter_mut().enumerate() {
+        assert_eq!(client.query(&read_of(id)).expect("an answer").code(), None);
+    }
+    control.set(Knob::AcceptErrno, errno::ENFILE).expect("it is set");
+    control.set(Knob::AcceptRate, 500).expect("it is set");
+    for id in 0..NEW {
+        let mut client = connect(&program);
+        assert_eq!(client.query(&read_of(100 + id)).expect("an answer").code(), None);
+    }
+    assert!(control.get(Knob::Injected).expect("a count") > 0, "the shim has struck");
+    for (id, client) in resting.iter_mut().enumerate() {
+        let reply = client.query(&read_of(1000 + id)).expect("it was not closed");
+        assert_eq!(reply.code(), None);
+    }
+}
