Only a lack of the process's own descriptors closes a client when accept fails

Cause: listener.rs accept_some took any error but ECONNABORTED and EINTR for a lack of descriptors and closed a client, though with ENFILE or ENOBUFS nothing is gained by that. Change: accept_failure.rs tells a broken connection that waited (the errors that accept(2) passes on from the network), EMFILE, and what the system lacks; the operators' listener reads the same.

--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -9,6 +9,7 @@
 use leadmast::Micros;
 use slog::warn;
 
+use crate::accept_failure::AcceptFailure;
 use crate::deadlines::Due;
 use crate::figures::{Count, Figures};
 use crate::ids::CallerId;
@@ -127,13 +128,15 @@
                         warn!(turn.log, "cannot serve an operator's connection"; "error" => e.to_string());
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
-                Err(e) => {
-                    warn!(turn.log, "cannot accept an operator's connection"; "error" => e.to_string());
-                    turn.deadlines.set(turn.now + ACCEPT_RETRY, Due::AcceptCallers);
-                    return;
-                }
+                Err(e) => match AcceptFailure::of(&e) {
+                    AcceptFailure::NoneWaits => return,
+                    AcceptFailure::ThatConnection => {}
+                    AcceptFailure::Descriptors | AcceptFailure::System => {
+                        warn!(turn.log, "cannot accept an operator's connection"; "error" => e.to_string());
+                        turn.deadlines.set(turn.now + ACCEPT_RETRY, Due::AcceptCallers);
+                        return;
+                    }
+                },
             }
         }
         turn.again.push(Source::Control);
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -9,6 +9,7 @@
 
 use super::session::{Session, Stage, MESSAGE_TIMEOUT};
 use super::{Frontend, Service};
+use crate::accept_failure::AcceptFailure;
 use crate::deadlines::Due;
 use crate::exchange::Exchange;
 use crate::ids::SessionId;
@@ -79,17 +80,19 @@
                         warn!(turn.log, "cannot serve a connection"; "error" => e.to_string());
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Backlog::Empty,
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
-                Err(e) => {
-                    // Out of descriptors, most likely: the listener stays readable, so it is tried again only
-                    // after a pause, with one more descriptor to spare.
-                    warn!(turn.log, "cannot accept connections"; "error" => e.to_string());
-                    self.evict_one(turn);
-                    turn.deadlines.set(turn.now + ACCEPT_RETRY, again);
-                    return Backlog::Stuck;
-                }
+                Err(e) => match AcceptFailure::of(&e) {
+                    AcceptFailure::NoneWaits => return Backlog::Empty,
+                    AcceptFailure::ThatConnection => {}
+                    failure => {
+                        // The listener stays readable, so it is tried again only after a pause.
+                        warn!(turn.log, "cannot accept connections"; "error" => e.to_string());
+                        if failure == AcceptFailure::Descriptors {
+                            self.evict_one(turn);
+                        }
+                        turn.deadlines.set(turn.now + ACCEPT_RETRY, again);
+                        return Backlog::Stuck;
+                    }
+                },
             }
         }
         Backlog::More
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -3,6 +3,7 @@
 //! A library so that measurements can run the parts that a proxy spends on control, without its sockets. What is public
 //! serves those measurements and the program's `main`; it is no interface for anybody else.
 
+mod accept_failure;
 mod backend;
 mod cli;
 mod clock;
