Three tests that fail: half-written statements finished late, and SIGHUP amid the start

A db host that stops reading amid a statement of 250 KB and reads on later gets the rest, 400 ms after the time told in it was worked out, and, of a keyed write that may have run, 200 ms after the window within which db hosts drop repeats: it runs twice. A SIGHUP that comes while the process reads its configuration for the first time ends it (the pipe that is its configuration breaks).

--- /dev/null
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -0,0 +1,177 @@
+//! Attempts whose writing or start takes long: the test plays the only db host of a real process, and forces each order by bytes.
+
+use std::io::{self, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::Path;
+use std::time::Duration;
+
+use gradeshunt_stand_ins::postgres::client::Client;
+use gradeshunt_stand_ins::postgres::wire;
+use gradeshunt_stand_ins::script::Table;
+use gradeshunt_stand_ins::site::{Plan, Site};
+use gradeshunt_stand_ins::standalone::{Standalone, Start};
+use serde_json::json;
+
+/// A wait that ends a test which fails, and bounds none that passes.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// A statement that fills the buffers of a connection whose reader reads nothing, and then some.
+const LONG: usize = 250_000;
+/// What the db host's connections hold unread, as far as the system goes along.
+const RECEIVE_BUFFER: usize = 4_096;
+
+/// A short aim: rounds, looks at suspects and waits follow from it.
+const AIM_MS: f64 = 200.0;
+
+/// A process, and its only db host, whose connections hold little that is unread.
+struct Play {
+    host: TcpListener,
+    _deaf_discovery: TcpListener,
+    program: Standalone,
+}
+
+impl Play {
+    fn open(name: &str, window_ms: u64) -> Play {
+        let host = TcpListener::bind("127.0.0.1:0").expect("a port");
+        socket2::SockRef::from(&host).set_recv_buffer_size(RECEIVE_BUFFER).expect("it can be set");
+        socket2::SockRef::from(&host).set_read_timeout(Some(PATIENCE)).expect("it can be set");
+        let window = Duration::from_millis(window_ms);
+        let site =
+            Site::open(Plan { sets: vec![1], window, aim: AIM_MS, ..Plan::default() }).expect("a site");
+        let mut config = site.config();
+        config["known"]["instances"][0]["hostPort"] =
+            json!(host.local_addr().expect("an address").to_string());
+        config["settings"]["allowed"]["connectTimeout"] = json!(600_000.0);
+        let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
+        config["discovery"] = json!(discovery.local_addr().expect("an address").to_string());
+        let start = Start {
+            program: Path::new(env!("CARGO_BIN_EXE_gradeshunt")),
+            folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id())),
+            config,
+            shell: "",
+            environment: Vec::new(),
+        };
+        let program = Standalone::start(start, |_| {}).expect("it starts");
+        Play { host, _deaf_discovery: discovery, program }
+    }
+
+    fn client(&self) -> Client {
+        drop(self.program.connect(PATIENCE));
+        Client::connect(self.program.addr, &[("user", "portal")], PATIENCE).expect("its session starts")
+    }
+
+    /// The db host takes the next connection that comes up.
+    fn accept(&self) -> TcpStream {
+        let (mut server, _) = self.host.accept().expect("it connects");
+        server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+        wire::read_startup(&mut server).expect("a startup message");
+        server
+            .write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())
+            .expect("it is open");
+        server
+    }
+}
+
+/// Waits until a client's request begins to come, and answers what the proxy asks for itself before.
+fn until_request_begins(server: &mut TcpStream) {
+    const HEAD: usize = 5;
+    let mut begin = [0; HEAD + 2];
+    loop {
+        loop {
+            let seen = server.peek(&mut begin).expect("it is open");
+            assert!(seen > 0, "it was closed");
+            if seen == begin.len() {
+                break;
+            }
+        }
+        if &begin[HEAD..] == b"/*" {
+            return;
+        }
+        wire::read(server).expect("a probe");
+        answer_probe(server).expect("it is open");
+    }
+}
+
+fn answer_probe(server: &mut TcpStream) -> io::Result<()> {
+    let report = Table { tag: "SHOW".to_owned(), ..Table::of(&["pressure"], &[&["x0=0,x1=1"]]) };
+    server.write_all(&[wire::table(&report), wire::message(b'Z', b"I")].concat())
+}
+
+/// A request of the class, padded to a length.
+fn request(id: usize, class: &str, wait_ms: u64, length: usize) -> Vec<u8> {
+    let text = format!(
+        "/* id={id},c={class},d={wait_ms},k={id:016x},cluster=1 */ SELECT data FROM facts WHERE code = '{id:x}'"
+    );
+    let padding = " ".repeat(length.saturating_sub(text.len()));
+    wire::query(&format!("{text}{padding}"))
+}
+
+/// Reads whole messages until one of a client's request comes, and answers what the proxy asks for itself.
+fn next_request(server: &mut TcpStream) -> io::Result<String> {
+    loop {
+        let (tag, body) = wire::read(server)?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        if tag == b'Q' && text.contains("id=") {
+            return Ok(text);
+        }
+        answer_probe(server)?;
+    }
+}
+
+/// The time that a request tells.
+fn told_ms(text: &str) -> u64 {
+    let told = text.split("d=").nth(1).and_then(|rest| rest.split(',').next());
+    told.and_then(|ms| ms.parse().ok()).expect("a time")
+}
+
+/// A request waits at the db host until its time is over: so long has passed when its client has an answer.
+fn let_pass(play: &Play, id: usize, ms: u64) {
+    let mut client = play.client();
+    client.stream().write_all(&request(id, "page-read", ms, 0)).expect("it is open");
+    let mut server = play.accept();
+    next_request(&mut server).expect("it is sent");
+    assert!(client.until_ready().expect("an answer").code().is_some());
+}
+
+/// A statement is half written to a db host that reads nothing for a while. What it tells of its client's time is no longer true
+/// when that reads on: the rest is not written, and another attempt tells the time that is left.
+#[test]
+fn statement_whose_time_told_has_passed_is_not_written_to_its_end() {
+    const WAIT_MS: u64 = 300_000;
+    const PASSED_MS: u64 = 400;
+    let play = Play::open("half-written", 600_000);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", WAIT_MS, LONG)).expect("it is open");
+    let mut server = play.accept();
+    until_request_begins(&mut server);
+    let_pass(&play, 2, PASSED_MS);
+    let mut rest = Vec::new();
+    let ended = server.read_to_end(&mut rest);
+    assert!(rest.len() < LONG, "it was written whole: {ended:?}");
+    let again = next_request(&mut play.accept()).expect("another attempt");
+    assert!(again.contains("id=1,") && told_ms(&again) <= WAIT_MS - PASSED_MS + 150, "{}", told_ms(&again));
+}
+
+/// A repeat is half written when the window within which db hosts drop it ends: it never becomes whole.
+#[test]
+fn repeat_whose_window_has_ended_is_not_written_to_its_end() {
+    const WINDOW_MS: u64 = 1_000;
+    let play = Play::open("half-repeat", WINDOW_MS);
+    let mut client = play.client();
+    // The db host is heard just before its connection breaks: one that is not would be a suspect.
+    client.stream().write_all(&request(100, "tally-write", 300_000, 0)).expect("it is open");
+    let mut first = play.accept();
+    next_request(&mut first).expect("it is sent");
+    let row = Table { tag: "INSERT 0 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    first.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    assert_eq!(client.until_ready().expect("an answer").code(), None);
+    client.stream().write_all(&request(1, "tally-write", 300_000, LONG)).expect("it is open");
+    assert!(next_request(&mut first).expect("it is sent").contains("id=1,"));
+    socket2::SockRef::from(&first).set_linger(Some(Duration::ZERO)).expect("it can be set");
+    drop(first);
+    let mut second = play.accept();
+    until_request_begins(&mut second);
+    let_pass(&play, 2, WINDOW_MS + 200);
+    let mut rest = Vec::new();
+    let ended = second.read_to_end(&mut rest);
+    assert!(rest.len() < LONG, "it was written whole: {ended:?}");
+}
--- a/crates/gradeshunt/tests/faults.rs
+++ b/crates/gradeshunt/tests/faults.rs
@@ -149,3 +149,30 @@
         assert_eq!(reply.code(), None);
     }
 }
+
+/// A process is told to reread its configuration while it reads it for the first time: it starts, and reads it once more. The
+/// configuration is a pipe, so that the signal comes amid the first reading.
+#[test]
+fn reload_amid_the_start_ends_nothing() {
+    let (_site, mut config) = site();
+    let shell = "mkfifo \"$TMPDIR/config\"; export ROUTER_CONFIG=\"$TMPDIR/config\";";
+    let (program, _control) = program("reload-amid-start", config.clone(), shell);
+    config["listen"] = serde_json::json!(program.addr.to_string());
+    let pipe = program.folder.join("tmp/config");
+    let write = |before: &dyn Fn()| {
+        // Opened once the process has opened it as well.
+        let mut file = loop {
+            match std::fs::File::options().write(true).open(&pipe) {
+                Ok(file) => break file,
+                Err(_) => thread::yield_now(),
+            }
+        };
+        before();
+        file.write_all(config.to_string().as_bytes()).expect("it is read");
+    };
+    write(&|| program.signal("-HUP"));
+    let mut client = connect(&program);
+    assert_eq!(client.query(&read_of(1)).expect("an answer").code(), None);
+    write(&|| {});
+    program.until_logged("configuration reread", PATIENCE);
+}
