Signals are taken before the configuration is read

Cause: run.rs serve read the configuration before it blocked SIGHUP and SIGTERM; an operator who reloads all proxies right after a restart ended those that were still reading. Change: the order. Result: reload_amid_the_start_ends_nothing passes.

--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -33,11 +33,12 @@
 }
 
 fn serve(file: Option<PathBuf>, format: LogFormat, level: LogLevel) -> Result<(), String> {
-    let config = Config::load(file.as_deref())?;
-    let cycle = Cycle::open()?;
-    // Before the log's thread starts, so that it inherits the mask: only the loop hears of signals.
+    // Before anything that takes time, for until then a signal's default ends the process; and before any thread starts, so that
+    // it inherits the mask: only the loop hears of signals.
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGHUP]);
     let signals = signals.map_err(|e| format!("cannot take signals: {e}"))?;
+    let config = Config::load(file.as_deref())?;
+    let cycle = Cycle::open()?;
     let handle = cycle.event_loop().handle();
     let told = handle.insert_source(Resumed(signals), move |event, (), ready: &mut Ready| {
         let reload = event.signal() == Signal::SIGHUP;
