--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -1,7 +1,9 @@
 //! One connection to a db host: its stages, how it is opened and comes up, and how bytes are written to it.
 
 use std::io;
+use std::net::SocketAddr;
 
+use leadmast::permission::AttemptDenial;
 use leadmast::{Ending, MemberId, Micros};
 
 use super::jobs::Job;
@@ -22,6 +24,10 @@
 /// it, or a request would be written to a connection that is just being closed.
 const IDLE_SHARE: f64 = 0.6;
 
+/// What the system is to hold at most of what is written to a db host. What it holds is out of the proxy's hands: a db host that
+/// reads nothing gets it whenever it reads on, however late that is.
+const SEND_BUFFER: usize = 32 * 1024;
+
 #[derive(Debug)]
 pub(super) enum Stage {
     /// Coming up: connecting, then exchanging startup messages.
@@ -38,7 +44,7 @@
         /// By when ReadyForQuery has to follow an answer that is whole.
         ready_by: Option<Micros>,
     },
-    /// Its job was taken from it; it closes at once.
+    /// Its job was taken from it; it closes at once, and nothing of the job is delivered any more.
     Spent,
     /// Its job has ended with a whole answer; ReadyForQuery is still to come.
     Trailing {
@@ -46,12 +52,32 @@
     },
 }
 
+/// How far the request of a busy connection is written.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Sending {
+    /// The time that it tells its db host, and until when that is true enough.
+    pub(super) told: Option<Micros>,
+    pub(super) told_until: Option<Micros>,
+    /// Its first byte is written.
+    pub(super) begun: bool,
+}
+
+/// Why a request could not be written to its end.
+pub(super) enum Unwritten {
+    /// A rule forbids it: nothing of it has run.
+    Denied(AttemptDenial),
+    Broken(io::Error),
+}
+
 pub(super) struct Server {
     pub(super) polled: Polled,
     pub(super) member: MemberId,
+    /// Where it leads to: its db host may be listed elsewhere since.
+    pub(super) addr: SocketAddr,
     pub(super) inbound: Ring,
     pub(super) outbound: Ring,
     pub(super) stage: Stage,
+    pub(super) sending: Sending,
     /// The latest error that was an answer here, with the position that it told.
     pub(super) refused: Option<(String, f64)>,
 }
@@ -72,13 +98,16 @@
         let id = ServerId(self.next);
         self.next += 1;
         let polled = Polled::connect(turn, host.addr, Source::Server(id))?;
+        polled.hold_little(SEND_BUFFER);
         let by = turn.now + self.connections.connect_timeout;
         let mut s = Server {
             polled,
             member,
+            addr: host.addr,
             inbound: Ring::default(),
             outbound: Ring::default(),
             stage: Stage::Starting { by },
+            sending: Sending::default(),
             refused: None,
         };
         let startup = if is_peer(member) {
@@ -129,16 +158,15 @@
         }
         // What comes behind an answer belongs to no request, least of all to the next: a second copy would pass
         // for its value. The answer before it stands; the connection is of no further use.
-        let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty() || !s.polled.is_quiet());
-        let Some(host) = self.hosts.get_mut(&member) else { return };
-        if !host.takes_jobs() || surplus || copied {
+        let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty());
+        if copied || surplus || self.reuse_denial(turn.now, id).is_some() {
             self.close(turn, id);
             return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
         }
         while let Some(job) = self.hosts.get_mut(&member).and_then(|h| h.waiting.pop_front()) {
             // Events are worked off before deadlines: its own may have passed while the connection came up.
-            if job.is_late(turn.now) {
-                self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
+            if let Some(denial) = self.job_denial(turn.now, member, &job) {
+                self.end_denied(turn, exchange, member, job, denial);
                 continue;
             }
             self.take_idle(turn, id);
@@ -146,24 +174,38 @@
         }
     }
 
-    pub(super) fn flush(&mut self, exchange: &mut Exchange, id: ServerId) -> io::Result<()> {
-        let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
+    /// Writes what is to be written, as far as the connection takes it and the rules permit it at that moment.
+    pub(super) fn flush(
+        &mut self,
+        turn: &Turn,
+        exchange: &mut Exchange,
+        id: ServerId,
+    ) -> Result<(), Unwritten> {
         loop {
+            if let Some(denial) = self.write_denial(turn.clock.now(), id) {
+                return Err(Unwritten::Denied(denial));
+            }
+            let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
             match s.outbound.drain(&s.polled.socket) {
-                Ok(Moved::Some(_)) => {
-                    let attempt = match &s.stage {
-                        Stage::Busy { job: Job::Attempt { id, .. }, .. } => Some(*id),
-                        _ => None,
-                    };
-                    if let (Some(id), true) = (attempt, s.outbound.is_empty()) {
-                        exchange.dispatched(id);
-                    }
-                }
+                Ok(Moved::Some(_)) => self.note_written(turn, exchange, id),
                 Ok(_) => return Ok(()),
                 // Still connecting.
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(()),
-                Err(e) => return Err(e),
+                Err(e) => return Err(Unwritten::Broken(e)),
             }
         }
     }
+
+    /// Bytes of an attempt were written: maybe its first, maybe its last.
+    fn note_written(&mut self, turn: &Turn, exchange: &mut Exchange, id: ServerId) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        let Stage::Busy { job: Job::Attempt { id: attempt, .. }, .. } = &s.stage else { return };
+        if !std::mem::replace(&mut s.sending.begun, true) {
+            let closed = self.hosts.get(&s.member).and_then(|host| host.closed_since);
+            exchange.begun_at_host(turn, *attempt, closed);
+        }
+        if s.outbound.is_empty() {
+            exchange.dispatched(turn, *attempt, s.sending.told);
+        }
+    }
 }
--- a/crates/gradeshunt/src/backend/hosts.rs
+++ b/crates/gradeshunt/src/backend/hosts.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
+use leadmast::permission::HostStanding;
 use leadmast::{Ending, ListKind, MemberId, Micros, Note, Phase};
 
 use super::jobs::Job;
@@ -25,7 +26,9 @@
 
 pub(super) struct Host {
     pub(super) addr: SocketAddr,
-    pub(super) standing: Standing,
+    standing: Standing,
+    /// Since when the list says that it takes nothing new.
+    pub(super) closed_since: Option<Micros>,
     /// Operators hold it out, whatever the list says.
     pub(super) held_out: bool,
     /// The most recently used last.
@@ -52,8 +55,23 @@
         Some(Note { position, primary })
     }
 
-    pub(super) fn takes_jobs(&self) -> bool {
-        self.standing == Standing::Open && !self.held_out
+    /// How it stands for new work.
+    pub(super) fn standing(&self) -> HostStanding {
+        match self.standing {
+            Standing::Gone => HostStanding::Gone,
+            Standing::Draining => HostStanding::Draining,
+            Standing::Open if self.held_out => HostStanding::HeldOut,
+            Standing::Open => HostStanding::Open,
+        }
+    }
+
+    /// The list says so from now on.
+    fn set_standing(&mut self, now: Micros, standing: Standing) {
+        self.standing = standing;
+        self.closed_since = match standing {
+            Standing::Open => None,
+            Standing::Draining | Standing::Gone => self.closed_since.or(Some(now)),
+        };
     }
 }
 
@@ -76,7 +94,7 @@
             // Other proxies are none of discovery's db hosts.
             let missing = |m: &MemberId| !all.contains(m) && !is_peer(*m);
             for (member, host) in self.hosts.iter_mut().filter(|(m, _)| missing(m)) {
-                host.standing = Standing::Gone;
+                host.set_standing(turn.now, Standing::Gone);
                 closed.push(*member);
             }
         }
@@ -86,11 +104,10 @@
                 Phase::Draining => Standing::Draining,
                 Phase::Removed => Standing::Gone,
             };
-            let moved = self.take_over(l.member, l.addr, standing);
-            if standing != Standing::Open {
+            let moved = self.take_over(turn.now, l.member, l.addr, standing);
+            // Where it has moved, what waits for a connection to the former address starts anew.
+            if standing != Standing::Open || moved {
                 closed.push(l.member);
-            } else if moved {
-                self.close_idle(turn, l.member);
             }
         }
         for member in closed {
@@ -106,23 +123,24 @@
         let gone = self.hosts.keys().copied().filter(|m| is_peer(*m) && !named.contains(m));
         for member in gone.collect::<Vec<_>>() {
             if let Some(host) = self.hosts.get_mut(&member) {
-                host.standing = Standing::Gone;
+                host.set_standing(turn.now, Standing::Gone);
             }
             self.stop(turn, exchange, member);
             self.forget_if_gone(member);
         }
         for peer in peers {
-            if self.take_over(peer.member, peer.address, Standing::Open) {
-                self.close_idle(turn, peer.member);
+            if self.take_over(turn.now, peer.member, peer.address, Standing::Open) {
+                self.stop(turn, exchange, peer.member);
             }
         }
     }
 
     /// Takes over where a host is and how it stands; true where it has moved.
-    fn take_over(&mut self, member: MemberId, addr: SocketAddr, standing: Standing) -> bool {
+    fn take_over(&mut self, now: Micros, member: MemberId, addr: SocketAddr, standing: Standing) -> bool {
         let host = self.hosts.entry(member).or_insert_with(|| Host {
             addr,
             standing,
+            closed_since: None,
             held_out: false,
             idle: Vec::new(),
             starting: 0,
@@ -131,7 +149,8 @@
             positions: PositionReader::default(),
         });
         let moved = host.addr != addr;
-        (host.addr, host.standing) = (addr, standing);
+        host.addr = addr;
+        host.set_standing(now, standing);
         moved
     }
 
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -3,10 +3,14 @@
 use std::io;
 use std::rc::Rc;
 
+use leadmast::invariant::Rule;
+use leadmast::permission::{
+    may_begin_at, may_write, time_to_tell, AttemptDenial, HostStanding, Telling, WriteFacts,
+};
 use leadmast::{Ending, MemberId, Micros, Probed};
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 
-use super::connection::Stage;
+use super::connection::{Sending, Stage, Unwritten};
 use super::hosts::Host;
 use super::load_report::report_of;
 use super::reply::Reply;
@@ -18,6 +22,9 @@
 use crate::placing::is_peer;
 use crate::turn::Turn;
 
+/// A process may be held up for this long between reading its clock and writing.
+const HELD_UP: Micros = 150_000;
+
 /// What a connection is used for.
 #[derive(Debug)]
 pub(super) enum Job {
@@ -34,13 +41,6 @@
     },
 }
 
-impl Job {
-    /// Whether it came too late to be written: its time is over, or that in which a repeat is none.
-    pub(super) fn is_late(&self, now: Micros) -> bool {
-        matches!(self, Job::Attempt { write_by, .. } if *write_by <= now)
-    }
-}
-
 /// Where a job stands.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Place {
@@ -50,9 +50,8 @@
 
 impl Backend {
     pub(super) fn begin(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId, job: Job) {
-        let open = self.hosts.get(&member).is_some_and(Host::takes_jobs);
-        if !open || job.is_late(turn.now) {
-            return self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
+        if let Some(denial) = self.job_denial(turn.now, member, &job) {
+            return self.end_denied(turn, exchange, member, job, denial);
         }
         match &job {
             Job::Attempt { id, write_by, .. } => {
@@ -90,8 +89,68 @@
         }
     }
 
+    /// Why a job may not begin, or its connection not be used for it.
+    pub(super) fn job_denial(&self, now: Micros, member: MemberId, job: &Job) -> Option<AttemptDenial> {
+        let host = self.hosts.get(&member).map_or(HostStanding::Unknown, Host::standing);
+        let allowed = match job {
+            Job::Attempt { until, write_by, .. } => {
+                let (until, write_by) = (*until, *write_by);
+                may_write(now, &WriteFacts { until, write_by, told_until: None, begun: false, host })
+            }
+            Job::Probe { .. } => may_begin_at(host),
+        };
+        allowed.err()
+    }
+
+    /// Why more of the request of a connection may not be written.
+    pub(super) fn write_denial(&self, now: Micros, id: ServerId) -> Option<AttemptDenial> {
+        let s = self.servers.get(&id).filter(|s| !s.outbound.is_empty())?;
+        let Stage::Busy { job: Job::Attempt { until, write_by, .. }, .. } = &s.stage else { return None };
+        let host = self.hosts.get(&s.member).map_or(HostStanding::Unknown, Host::standing);
+        let Sending { told_until, begun, .. } = s.sending;
+        may_write(now, &WriteFacts { until: *until, write_by: *write_by, told_until, begun, host }).err()
+    }
+
+    /// A job ends that was not written, or not to its end.
+    pub(super) fn end_denied(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        member: MemberId,
+        job: Job,
+        denial: AttemptDenial,
+    ) {
+        if let Job::Attempt { id, .. } = &job {
+            exchange.denied(turn, *id, denial);
+        }
+        self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
+    }
+
+    /// The request of a connection can't be written to its end.
+    pub(super) fn unwritten(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        id: ServerId,
+        why: Unwritten,
+    ) {
+        match why {
+            Unwritten::Broken(e) => self.connection_failed(turn, exchange, id, &e.to_string()),
+            Unwritten::Denied(denial) => {
+                let Some((member, _, job, _)) = self.take_job(id) else { return };
+                info!(turn.log, "attempt not written to its end"; "member" => member.0, "why" => denial.name());
+                self.close(turn, id);
+                self.end_denied(turn, exchange, member, job, denial);
+            }
+        }
+    }
+
     pub(super) fn write(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, job: Job) {
         let Some(s) = self.servers.get_mut(&id) else { return };
+        if matches!(s.stage, Stage::Idle { until, .. } if turn.clock.now() > until + HELD_UP) {
+            exchange.violated(turn, Rule::ExpiredConnection, None);
+        }
+        let mut sending = Sending::default();
         let pushed = match &job {
             Job::Attempt { id: attempt, body, until, .. } => {
                 if let Some(a) = self.attempts.get_mut(attempt) {
@@ -100,7 +159,15 @@
                     *a = (*until, Place::On(id));
                 }
                 let (before, after) = body.around_wait();
-                let wait = ((until - turn.now) / 1000).max(1).to_string();
+                let now = turn.clock.now();
+                let Telling { told, holds_for } = time_to_tell(until - now, body.len());
+                let told_ms = (told / 1000).max(1);
+                // Of a plain statement the db host is told nothing.
+                if body.tells_wait() {
+                    let told_until = Some(now + holds_for);
+                    sending = Sending { told: Some(told_ms * 1000), told_until, begun: false };
+                }
+                let wait = told_ms.to_string();
                 let query = match after {
                     Some(after) => Writer::default().query(&[before, wait.as_bytes(), after]),
                     None => Writer::default().query(&[before]),
@@ -119,10 +186,14 @@
             Job::Probe { .. } => Form::Value,
         };
         s.stage = Stage::Busy { job, reply: Reply { form, ..Reply::default() }, ready_by: None };
-        let flushed =
-            if pushed { self.flush(exchange, id) } else { Err(io::Error::other("the request is too long")) };
-        if let Err(e) = flushed {
-            self.connection_failed(turn, exchange, id, &e.to_string());
+        s.sending = sending;
+        let flushed = if pushed {
+            self.flush(turn, exchange, id)
+        } else {
+            Err(Unwritten::Broken(io::Error::other("the request is too long")))
+        };
+        if let Err(why) = flushed {
+            self.unwritten(turn, exchange, id, why);
         }
     }
 
--- a/crates/gradeshunt/src/backend/pool.rs
+++ b/crates/gradeshunt/src/backend/pool.rs
@@ -1,6 +1,8 @@
 //! The pool of idle connections to db hosts, and how connections are closed.
 
-use leadmast::MemberId;
+use leadmast::permission::{may_reuse, PooledConnection, ReuseDenial};
+use leadmast::{MemberId, Micros};
+use slog::debug;
 
 use super::connection::Stage;
 use super::Backend;
@@ -9,19 +11,33 @@
 use crate::turn::Turn;
 
 impl Backend {
-    /// The most recently used idle connection that still stands.
+    /// The most recently used idle connection that may be used again; those that may not are closed.
     pub(super) fn lease(&mut self, turn: &mut Turn, member: MemberId) -> Option<ServerId> {
         loop {
             let id = *self.hosts.get(&member)?.idle.last()?;
-            let polled = &self.servers.get(&id)?.polled;
-            if polled.is_quiet() {
+            let Some(denial) = self.reuse_denial(turn.now, id) else {
                 self.take_idle(turn, id);
                 return Some(id);
-            }
+            };
+            debug!(turn.log, "pooled connection closed"; "why" => denial.name(), "member" => member.0);
             self.close(turn, id);
         }
     }
 
+    /// Why an idle connection may not carry another request.
+    pub(super) fn reuse_denial(&self, now: Micros, id: ServerId) -> Option<ReuseDenial> {
+        let s = self.servers.get(&id)?;
+        let host = self.hosts.get(&s.member)?;
+        let Stage::Idle { until, .. } = s.stage else { return None };
+        let pooled = PooledConnection {
+            expires: until,
+            quiet: s.polled.is_quiet(),
+            current_address: s.addr == host.addr,
+            host: host.standing(),
+        };
+        may_reuse(now, &pooled).err()
+    }
+
     /// Closes a connection; its job has been taken from it.
     pub(super) fn close(&mut self, turn: &mut Turn, id: ServerId) {
         self.take_idle(turn, id);
@@ -37,7 +53,10 @@
                 Stage::Idle { .. } | Stage::Busy { .. } | Stage::Spent => {}
             }
         }
-        s.polled.close(turn);
+        match s.stage {
+            Stage::Spent => s.polled.abort(turn),
+            _ => s.polled.close(turn),
+        }
         self.forget_if_gone(s.member);
     }
 
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -26,8 +26,8 @@
 
 impl Backend {
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        if let Err(e) = self.flush(exchange, id) {
-            return self.connection_failed(turn, exchange, id, &e.to_string());
+        if let Err(why) = self.flush(turn, exchange, id) {
+            return self.unwritten(turn, exchange, id, why);
         }
         for _ in 0..READS_PER_TURN {
             let Some(s) = self.servers.get_mut(&id) else { return };
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -299,6 +299,27 @@
             }
         }
     }
+    text += "# TYPE app_violations counter\n";
+    for (rule, n) in figures.violations.by_rule() {
+        let _ = writeln!(text, "app_violations{{rule=\"{}\"}} {n}", rule.name());
+    }
+    let by_label = [
+        ("denials", "reason", &figures.denials),
+        ("retries", "after", &figures.retries),
+        ("client_closes", "reason", &figures.closes),
+    ];
+    for (name, label, counts) in by_label.into_iter().filter(|(.., counts)| !counts.is_empty()) {
+        let _ = writeln!(text, "# TYPE app_{name} counter");
+        for (value, n) in counts {
+            let _ = writeln!(text, "app_{name}{{{label}=\"{value}\"}} {n}");
+        }
+    }
+    if !figures.reasons.is_empty() {
+        text += "# TYPE app_not_served counter\n";
+    }
+    for ((outcome, reason), n) in &figures.reasons {
+        let _ = writeln!(text, "app_not_served{{outcome=\"{outcome}\",reason=\"{reason}\"}} {n}");
+    }
     let totals = [
         ("dispatches", "counter", figures.dispatches),
         ("gone_unsent", "counter", figures.gone_unsent),
--- a/crates/gradeshunt/src/discovery/list.rs
+++ b/crates/gradeshunt/src/discovery/list.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
+use leadmast::permission::{may_apply_list, ListVersions};
 use leadmast::settings::{fnv, Names};
 use leadmast::{Entry, GroupId, ListKind, MemberId, Micros, Phase, ZoneId};
 use serde_json::value::RawValue;
@@ -95,7 +96,8 @@
         let list = fields.get("instances").ok_or("a list without instances")?;
         let list: Vec<&RawValue> =
             serde_json::from_str(list.get()).map_err(|_| "a list whose instances are no array")?;
-        if (after..self.generation).contains(&generation) {
+        let versions = ListVersions { asked_after: after, known: self.generation, told: generation };
+        if may_apply_list(versions).is_err() {
             return Ok(News::new(ListKind::Incremental));
         }
         let full = field("reset").is_some_and(|v| v == true);
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -4,17 +4,21 @@
 //! The exchange owns the module. It hands it events one at a time and queues what the module asks for; the
 //! turn carries the queues to the two sides, so that the module is never re-entered.
 
+mod audit;
 mod forwarding;
 mod messages;
+mod reason;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use gradeshunt_sites::proxy::Sites;
+use leadmast::permission::{may_begin, may_take, repeat_by, AttemptLimits};
 use leadmast::*;
 use slog::{debug, error, info};
 
 pub use self::messages::{Answer, Ask, Body, Call, Ended, Final, Form, Order, Said, ROOM};
+use self::reason::FinalReason;
 use crate::deadlines::Due;
 use crate::figures::{Count, Figures, TenantCount};
 pub use crate::ids::AttemptId;
@@ -43,8 +47,10 @@
     written: bool,
     /// When the first attempt that may have run was sent.
     doubt_since: Option<Micros>,
-    /// Its client left before it had its answer.
-    left: bool,
+    /// When its client left before it had its answer.
+    left: Option<Micros>,
+    /// How its latest attempt has ended.
+    ended: Option<Ending>,
     /// The final answer is given, or the client has gone.
     over: bool,
     error: Option<Vec<u8>>,
@@ -78,7 +84,8 @@
 pub struct Exchange {
     balancer: Balancer,
     slack: Micros,
-    max_attempts: u32,
+    limits: AttemptLimits,
+    drain_grace: Micros,
     requests: BTreeMap<RequestId, Request>,
     next: u64,
     events: VecDeque<Event>,
@@ -99,8 +106,6 @@
     effects: Vec<Effect>,
     /// By class.
     retry_after: Vec<Option<Micros>>,
-    /// By class, of what is keyed: how long after its first send a repeat may still be sent.
-    windows: Vec<Option<Micros>>,
     /// What is asked of the server side, of discovery, and of the client side.
     pub orders: VecDeque<Order>,
     pub asks: VecDeque<Ask>,
@@ -109,20 +114,21 @@
 
 impl Exchange {
     pub fn new(settings: Settings, tenants: Vec<String>, seed: u64, now: Micros) -> Self {
-        let window = |c: &Class| match c.effect {
-            Effect::Keyed { window, .. } => Some(window - settings.tick),
-            Effect::Safe | Effect::Unsafe => None,
-        };
         Exchange {
             tenants,
-            windows: settings.classes.iter().map(window).collect(),
             figures: Figures {
                 classes: vec![Count::default(); settings.classes.len()],
                 tenants: vec![TenantCount::default(); settings.tenants.len() + 1],
                 ..Figures::default()
             },
             slack: settings.rules.answer_slack,
-            max_attempts: settings.allowed.attempts,
+            limits: AttemptLimits {
+                attempts: settings.allowed.attempts,
+                // One at a time here, whatever the settings allow.
+                second_copies: false,
+                margin: settings.tick,
+            },
+            drain_grace: settings.rules.drain_grace,
             sites: None,
             placing: None,
             hop: settings.tick,
@@ -162,7 +168,8 @@
             out: None,
             written: false,
             doubt_since: None,
-            left: false,
+            left: None,
+            ended: None,
             over: false,
             error: None,
             forward: None,
@@ -174,14 +181,14 @@
         self.requests.insert(id, request);
         let refused = Final::Refused { retry_after: self.retry_after.get(class.0).copied().flatten() };
         // Its wait was over before its turn came: nobody would have the answer of an attempt.
-        if deadline <= turn.now {
+        if may_take(turn.now, deadline).is_err() {
             self.tally.expired_unsent += 1;
             self.figures.expired_unsent += 1;
-            self.finish(turn, id, refused);
+            self.finish(turn, id, refused, Some(FinalReason::Expired));
             return id;
         }
         if self.sites.as_mut().is_some_and(|s| !s.admits(group, class, tenant)) {
-            self.finish(turn, id, refused);
+            self.finish(turn, id, refused, Some(FinalReason::SitePlan));
             return id;
         }
         let arrival =
@@ -193,7 +200,7 @@
     /// The client has left.
     pub fn gone(&mut self, turn: &mut Turn, id: RequestId) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        r.left = true;
+        r.left = Some(turn.now);
         let (written, begun, forwarded) = (r.written, r.begun, r.forward.is_some());
         let attempt = r.out.as_ref().map(|out| AttemptId { request: id, number: out.number });
         if self.end(turn, id) {
@@ -212,7 +219,7 @@
     pub fn overdue(&mut self, turn: &mut Turn, id: RequestId) {
         if self.requests.get(&id).is_some_and(|r| !r.over) {
             error!(turn.log, "overdue: the module gave no final answer, failing the request"; "request" => id.0);
-            self.finish(turn, id, Final::Failed(None));
+            self.finish(turn, id, Final::Failed(None), Some(FinalReason::Overdue));
             self.tell(turn, Event::Gone { request: id });
         }
     }
@@ -229,7 +236,7 @@
                 (false, true) => Final::Failed(None),
                 (false, false) => Final::Refused { retry_after },
             };
-            self.finish(turn, id, answer);
+            self.finish(turn, id, answer, Some(FinalReason::Leaving));
             self.tell(turn, Event::Gone { request: id });
         }
     }
@@ -286,14 +293,15 @@
             return self.forward_ended(turn, id, out, ending, said);
         }
         r.error = None;
+        r.ended = Some(ending);
         if !ending.never_ran() {
             r.doubt_since.get_or_insert(out.since);
         }
         let (over, begun) = (r.over, r.begun);
         let answer = match said {
-            Said::Answer(bytes) => Some(Final::Served(bytes)),
-            _ if begun => Some(Final::Broken),
-            Said::Verdict(bytes) => Some(Final::Failed(Some(bytes))),
+            Said::Answer(bytes) => Some((Final::Served(bytes), None)),
+            _ if begun => Some((Final::Broken, Some(FinalReason::ValueCut))),
+            Said::Verdict(bytes) => Some((Final::Failed(Some(bytes)), Some(FinalReason::Statement))),
             Said::Error(bytes) => {
                 r.error = Some(bytes);
                 None
@@ -301,9 +309,9 @@
             Said::Nothing | Said::Refused { .. } | Said::Leaving => None,
         };
         let last = over || answer.is_some();
-        let broken = answer == Some(Final::Broken);
-        if let Some(answer) = answer {
-            self.finish(turn, id, answer);
+        let broken = matches!(answer, Some((Final::Broken, _)));
+        if let Some((answer, reason)) = answer {
+            self.finish(turn, id, answer, reason);
         }
         self.forget_if_done(id);
         // The module has had its outcome when the answer began.
@@ -323,20 +331,6 @@
         self.tell(turn, Event::Probed(probed));
     }
 
-    /// An attempt is written whole.
-    pub fn dispatched(&mut self, attempt: AttemptId) {
-        if !attempt.is_forward() {
-            self.figures.dispatches += 1;
-        }
-        let Some(r) = self.requests.get_mut(&attempt.request) else { return };
-        // Nobody waits for it: this must not be.
-        if r.left && !r.written {
-            self.tally.sent_after_gone += 1;
-            self.figures.sent_after_gone += 1;
-        }
-        r.written = true;
-    }
-
     // ---- From discovery, operators and the clock ----
 
     /// A db host is held out by hand, or readmitted.
@@ -414,11 +408,13 @@
                 }
             }
             Action::Refuse { request, retry_after } => {
-                self.finish(turn, request, Final::Refused { retry_after })
+                let reason = self.requests.get(&request).map(Request::given_up_because);
+                self.finish(turn, request, Final::Refused { retry_after }, reason)
             }
             Action::Fail { request } => {
+                let reason = self.requests.get(&request).map(Request::given_up_because);
                 let error = self.requests.get_mut(&request).and_then(|r| r.error.take());
-                self.finish(turn, request, Final::Failed(error));
+                self.finish(turn, request, Final::Failed(error), reason);
             }
             Action::Probe { member } => self.orders.push_back(Order::Probe(member)),
             Action::Close { member } => self.orders.push_back(Order::CloseIdle(member)),
@@ -432,23 +428,24 @@
         let Some(r) = self.requests.get_mut(&id) else {
             return self.outcome(turn, id, 0, member, Ending::Moot, true, 0, None);
         };
-        let number = r.sends;
+        let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
+        let (number, facts) = (r.sends, r.facts(effect));
         r.sends += 1;
         if let (0, Some(sites)) = (number, &mut self.sites) {
             sites.sent(r.group, r.class, r.of);
         }
-        // Never two out at a time, never more than the settings allow, nothing for what is over.
-        if r.over || r.out.is_some() || number >= self.max_attempts || timeout <= 0 {
-            let last = r.over;
+        let (last, after, attempt) = (r.over, r.ended, AttemptId { request: id, number });
+        let until = r.deadline.min(turn.now + timeout);
+        if let Err(denial) = may_begin(turn.now, &facts, &self.limits, None) {
+            self.denied(turn, attempt, denial);
             return self.outcome(turn, id, number, member, Ending::Moot, last, 0, None);
         }
-        let until = r.deadline.min(turn.now + timeout);
         // A repeat is none only within its window, counted from the first send: a connection that comes up late must not
         // carry it past that.
-        let window = self.windows.get(r.class.0).copied().flatten();
-        let write_by = window.zip(r.doubt_since).map_or(until, |(window, since)| since + window);
+        let write_by = repeat_by(effect, facts.doubt, self.limits.margin).unwrap_or(until);
+        self.note_retry(after);
+        let Some(r) = self.requests.get_mut(&id) else { return };
         r.out = Some(Out { number, member, since: turn.now });
-        let attempt = AttemptId { request: id, number };
         self.orders.push_back(Order::Start { attempt, member, body: Rc::clone(&r.body), until, write_by });
     }
 
@@ -470,8 +467,14 @@
         self.tell(turn, Event::Outcome(outcome));
     }
 
-    fn finish(&mut self, turn: &mut Turn, id: RequestId, answer: Final) {
-        let of = self.requests.get(&id).map(|r| (r.class.0, r.tenant, r.beyond));
+    /// Gives a request its final answer, and why where it is not served.
+    fn finish(&mut self, turn: &mut Turn, id: RequestId, answer: Final, reason: Option<FinalReason>) {
+        let of = self.requests.get(&id).filter(|r| !r.over).map(|r| (r.class.0, r.tenant, r.beyond));
+        if of.is_some() {
+            self.audit_answer(turn, id, reason);
+            let refused = matches!(answer, Final::Refused { .. });
+            reason.into_iter().for_each(|reason| self.note_reason(turn, id, refused, reason));
+        }
         if !self.end(turn, id) {
             return;
         }
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -2,9 +2,11 @@
 //! from here after all.
 
 use gradeshunt_placement::{Bucket, Source};
+use leadmast::permission::{may_repeat, repeat_by, Doubt};
 use leadmast::{Arrival, Effect, Ending, Event, MemberId, Micros, RequestId};
 use slog::{debug, warn};
 
+use super::reason::FinalReason;
 use super::{AttemptId, Exchange, Final, Form, Order, Out, Said};
 use crate::placing::{self, Decision};
 use crate::turn::Turn;
@@ -36,7 +38,7 @@
         let id = arrival.request;
         // Only a value that tells its db host how long to wait can be had from another proxy as from a db host.
         let body = self.requests.get(&id).map(|r| &r.body);
-        let plain = body.is_none_or(|b| b.wait_at.is_none() || b.form != Form::Value);
+        let plain = body.is_none_or(|b| !b.tells_wait() || b.form != Form::Value);
         let Some(placing) = &mut self.placing else { return self.serve_here(turn, arrival) };
         if source == Source::Proxy {
             placing.counts.taken += 1;
@@ -69,7 +71,7 @@
     fn refuse(&mut self, turn: &mut Turn, id: RequestId) {
         let class = self.requests.get(&id).map(|r| r.class.0);
         let retry_after = class.and_then(|class| self.retry_after.get(class).copied().flatten());
-        self.finish(turn, id, Final::Refused { retry_after });
+        self.finish(turn, id, Final::Refused { retry_after }, Some(FinalReason::NoHome));
     }
 
     fn send_on(&mut self, turn: &mut Turn, id: RequestId, peer: MemberId, mut forward: Forward) {
@@ -87,9 +89,9 @@
         let number = FIRST_FORWARD + forward.tried.len() as u32;
         debug!(turn.log, "sent on"; "request" => id.0, "member" => peer.0);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let write_by = until.min(
-            self.windows.get(r.class.0).copied().flatten().zip(r.doubt_since).map_or(until, |(w, at)| at + w),
-        );
+        let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
+        let doubt = r.doubt_since.map(|since| Doubt { since, zone: None });
+        let write_by = repeat_by(effect, doubt, self.limits.margin).map_or(until, |by| by.min(until));
         r.out = Some(Out { number, member: peer, since: turn.now });
         r.forward = Some(Box::new(forward));
         let body = std::rc::Rc::clone(&r.body);
@@ -100,14 +102,9 @@
     /// Whether a request that may have run may be sent once more at `at`.
     fn may_repeat(&self, now: Micros, id: RequestId, at: Micros) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
-        match self.effects.get(r.class.0) {
-            Some(Effect::Safe) => true,
-            Some(Effect::Keyed { .. }) => {
-                let window = self.windows.get(r.class.0).copied().flatten();
-                window.is_some_and(|window| at < r.doubt_since.unwrap_or(now) + window)
-            }
-            Some(Effect::Unsafe) | None => false,
-        }
+        let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
+        let doubt = Doubt { since: r.doubt_since.unwrap_or(now), zone: None };
+        may_repeat(at, effect, Some(doubt), None, self.limits.margin).is_ok()
     }
 
     /// A try at another proxy has ended.
@@ -132,14 +129,20 @@
             return self.forget_if_done(id);
         }
         match said {
-            Said::Answer(bytes) => self.finish(turn, id, Final::Served(bytes)),
-            _ if begun => self.finish(turn, id, Final::Broken),
-            Said::Verdict(bytes) | Said::Error(bytes) => self.finish(turn, id, Final::Failed(Some(bytes))),
-            Said::Refused { retry_after } => self.finish(turn, id, Final::Refused { retry_after }),
+            Said::Answer(bytes) => self.finish(turn, id, Final::Served(bytes), None),
+            _ if begun => self.finish(turn, id, Final::Broken, Some(FinalReason::ValueCut)),
+            Said::Verdict(bytes) | Said::Error(bytes) => {
+                self.finish(turn, id, Final::Failed(Some(bytes)), Some(FinalReason::MayHaveRun))
+            }
+            Said::Refused { retry_after } => {
+                self.finish(turn, id, Final::Refused { retry_after }, Some(FinalReason::HomeRefused))
+            }
             Said::Nothing | Said::Leaving if !ran || self.may_repeat(turn.now, id, turn.now) => {
                 self.decide(turn, id, *forward);
             }
-            Said::Nothing | Said::Leaving => self.finish(turn, id, Final::Failed(None)),
+            Said::Nothing | Said::Leaving => {
+                self.finish(turn, id, Final::Failed(None), Some(FinalReason::MayHaveRun))
+            }
         }
         self.forget_if_done(id);
     }
--- a/crates/gradeshunt/src/exchange/messages.rs
+++ b/crates/gradeshunt/src/exchange/messages.rs
@@ -39,6 +39,16 @@
         Body { bytes, wait_at, form, held }
     }
 
+    /// How many bytes it has.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether it tells its db host how long its client waits.
+    pub fn tells_wait(&self) -> bool {
+        self.wait_at.is_some()
+    }
+
     /// The body around the wait, where one stands in it: else all of it.
     pub fn around_wait(&self) -> (&[u8], Option<&[u8]>) {
         match &self.wait_at {
--- a/crates/gradeshunt/src/figures.rs
+++ b/crates/gradeshunt/src/figures.rs
@@ -1,5 +1,9 @@
 //! What operators are shown of requests: counts since the start, and what is now.
 
+use std::collections::BTreeMap;
+
+use leadmast::invariant::Violations;
+
 /// How a class's requests have ended, since the start.
 #[derive(Clone, Copy, Default)]
 pub struct Count {
@@ -29,6 +33,16 @@
     pub sent_after_gone: u64,
     /// Requests refused because their wait was over when their turn came, behind others on their connection.
     pub expired_unsent: u64,
+    /// What broke a rule, by rule: a sound program counts none.
+    pub violations: Violations,
+    /// Attempts that were not begun, or not written, by reason.
+    pub denials: BTreeMap<&'static str, u64>,
+    /// Further attempts, by how the one before ended.
+    pub retries: BTreeMap<&'static str, u64>,
+    /// Requests that were not served, by outcome and reason.
+    pub reasons: BTreeMap<(&'static str, &'static str), u64>,
+    /// Clients' connections that were closed from here, by reason.
+    pub closes: BTreeMap<&'static str, u64>,
     /// Requests taken and not ended.
     pub concurrent: u64,
     /// Db hosts on the list, and those of them that get nothing new.
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -1,6 +1,7 @@
 //! The client side: the listener and the clients' sessions.
 
 mod answers;
+mod closing;
 mod eviction;
 mod listener;
 mod messages;
@@ -68,6 +69,8 @@
     drain_deadline: Option<Micros>,
     /// Clients closed to make room since the last summary, by how readily.
     evicted: [u32; 6],
+    /// Clients closed from here since the start, by reason.
+    pub closes: BTreeMap<&'static str, u64>,
     /// Whether the proxy knows of db hosts at all.
     pub has_hosts: bool,
     /// Routes of plain statements, where the operators' file gives some.
@@ -94,6 +97,7 @@
             service: Service::Running,
             drain_deadline: None,
             evicted: [0; 6],
+            closes: BTreeMap::new(),
             has_hosts: false,
             router: None,
             plain: 0,
@@ -124,9 +128,13 @@
         self.drain_deadline = Some(at);
     }
 
-    /// Whether the listener is closed and every client has had its answers.
-    pub fn is_done(&self) -> bool {
-        let listens = self.listener.is_some() || self.peer_listener.is_some();
-        self.service == Service::Closing && !listens && self.sessions.is_empty()
+    /// Whether clients are accepted, or may be again.
+    pub fn serves(&self) -> bool {
+        self.service != Service::Closing || self.listener.is_some() || self.peer_listener.is_some()
+    }
+
+    /// Whether clients are connected.
+    pub fn has_clients(&self) -> bool {
+        !self.sessions.is_empty()
     }
 }
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -2,6 +2,7 @@
 
 use leadmast::RequestId;
 
+use super::closing::CloseReason;
 use super::session::{Session, Stage};
 use super::Frontend;
 use crate::exchange::{Exchange, Final};
@@ -50,7 +51,7 @@
                 )
             }
             // An error would pass for bytes of the value that was cut.
-            Final::Broken => return self.close_with(turn, id, w),
+            Final::Broken => return self.close_with(turn, id, w, CloseReason::ValueCut),
             Final::Failed(Some(error)) => Writer(error),
             Final::Failed(None) => {
                 w.error("ERROR", sqlstate::SYSTEM_ERROR, "no db host has answered in time", None)
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -1,8 +1,10 @@
 //! Which clients are closed between requests: to make room, when idle among many, or because the proxy stops.
 
+use leadmast::permission::{may_close, ClientFacts};
 use leadmast::Micros;
 use slog::info;
 
+use super::closing::CloseReason;
 use super::peers::leaving;
 use super::session::{Session, Stage};
 use super::{Frontend, Service};
@@ -47,19 +49,16 @@
     /// While the proxy drains, closes a client once it is quiet: nothing unread, nothing unanswered. One that has yet
     /// to ask gets its time; its request is on its way, as a rule.
     pub(super) fn close_if_draining(&mut self, turn: &mut Turn, id: SessionId) {
-        let Some(s) = self.sessions.get(&id).filter(|_| self.service != Service::Running) else { return };
+        let Some(s) = self.sessions.get(&id) else { return };
+        if self.service == Service::Running || s.is_ending() {
+            return;
+        }
         let fresh =
             turn.now - s.since <= FIRST_REQUEST_GRACE && self.drain_deadline.is_none_or(|at| turn.now < at);
-        let between = match s.stage {
-            // Another proxy sends what crosses the close elsewhere.
-            Stage::Startup | Stage::Ready if s.is_peer() => true,
-            Stage::Startup => !fresh,
-            Stage::Ready => s.asked || !fresh,
-            Stage::Waiting(_) | Stage::Closing | Stage::Lingering => false,
-        };
-        if between && s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet() {
+        // Another proxy sends what crosses the close elsewhere.
+        if may_close(&s.close_facts(fresh && !s.is_peer())).is_ok() {
             let last = if s.is_peer() { leaving() } else { Writer::default() };
-            self.close_with(turn, id, last);
+            self.close_with(turn, id, last, CloseReason::Draining);
         }
     }
 
@@ -98,8 +97,8 @@
                 Stage::Ready if s.asked && !s.is_peer() => idle_limit,
                 Stage::Ready | Stage::Waiting(_) | Stage::Closing | Stage::Lingering => return None,
             };
-            let silent = s.inbound.is_empty() && s.outbound.is_empty() && s.polled.is_quiet();
-            (silent && turn.now - s.since > limit).then_some((s.since, *id))
+            let old = turn.now - s.since > limit;
+            (old && may_close(&s.close_facts(false)).is_ok()).then_some((s.since, *id))
         });
         let mut idle: Vec<_> = idle.collect();
         idle.sort();
@@ -108,7 +107,7 @@
         for (_, (_, id)) in idle.collect::<Vec<_>>() {
             self.evicted[2] += 1;
             // A request may be on its way: closed at once, the connection would be reset, and the last answer with it.
-            self.close_with(turn, id, Writer::default());
+            self.close_with(turn, id, Writer::default(), CloseReason::Idle);
         }
     }
 
@@ -125,11 +124,19 @@
         let idle = self.sessions.iter().filter_map(|(id, s)| Some((rank(s)?, s.since, *id)));
         let mut idle: Vec<_> = idle.collect();
         idle.sort();
-        // A request may stand unread in the socket: it counts as taken.
-        let quiet = |id: &SessionId| self.sessions.get(id).is_some_and(|s| s.polled.is_quiet());
-        let oldest = idle.into_iter().find(|(_, _, id)| quiet(id));
+        // A request may stand unread in the socket: it counts as taken. A first message that is not whole is none yet.
+        let may_go = |id: &SessionId| {
+            let facts = self.sessions.get(id).map(|s| ClientFacts {
+                message_begun: s.asked && !s.inbound.is_empty(),
+                answer_unwritten: s.asked && !s.outbound.is_empty(),
+                ..s.close_facts(false)
+            });
+            facts.is_some_and(|facts| may_close(&facts).is_ok())
+        };
+        let oldest = idle.into_iter().find(|(_, _, id)| may_go(id));
         if let Some((rank, _, id)) = oldest {
             self.evicted[rank] += 1;
+            self.note_close(turn, id, CloseReason::Room);
             self.close(turn, id);
         }
         oldest.is_some()
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -7,6 +7,7 @@
 use leadmast::Micros;
 use slog::warn;
 
+use super::closing::CloseReason;
 use super::session::{Session, Stage, MESSAGE_TIMEOUT};
 use super::{Frontend, Service};
 use crate::accept_failure::AcceptFailure;
@@ -131,7 +132,7 @@
             warn!(turn.log, "too many clients, turning one away"; "clients" => self.sessions.len());
             let error =
                 Writer::default().error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "too many clients", None);
-            self.close_with(turn, id, error);
+            self.close_with(turn, id, error, CloseReason::Full);
         }
         Ok(())
     }
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -4,6 +4,7 @@
 
 use slog::info;
 
+use super::closing::CloseReason;
 use super::session::{Stage, MESSAGE_TIMEOUT};
 use super::statements::Step;
 use super::{Frontend, Owner, UNREAD_LIMIT};
@@ -43,7 +44,7 @@
                 Err(Malformed(what)) => {
                     info!(turn.log, "client broke the protocol"; "session" => id.0, "what" => what);
                     let error = Writer::default().error("FATAL", sqlstate::PROTOCOL_VIOLATION, what, None);
-                    self.close_with(turn, id, error);
+                    self.close_with(turn, id, error, CloseReason::Protocol);
                 }
             }
         }
@@ -78,13 +79,13 @@
             Startup::Encryption => Ok(s.outbound.push(b"N")),
             // Cancels are not served, and get no answer in this protocol.
             Startup::Cancel => {
-                self.close_with(turn, id, w);
+                self.close_with(turn, id, w, CloseReason::CancelRequest);
                 Ok(false)
             }
             Startup::Unsupported => {
                 let error =
                     w.error("FATAL", sqlstate::FEATURE_NOT_SUPPORTED, "unsupported frontend protocol", None);
-                self.close_with(turn, id, error);
+                self.close_with(turn, id, error, CloseReason::Unsupported);
                 Ok(false)
             }
             Startup::Session { minor, options, parameters } => {
@@ -126,7 +127,7 @@
         let reply = match tag {
             // Its last answer may not be written whole yet.
             b'X' if !s.outbound.is_empty() => {
-                self.close_with(turn, id, w);
+                self.close_with(turn, id, w, CloseReason::Goodbye);
                 return Ok(false);
             }
             b'X' => {
--- a/crates/gradeshunt/src/frontend/peers.rs
+++ b/crates/gradeshunt/src/frontend/peers.rs
@@ -4,6 +4,7 @@
 
 use slog::warn;
 
+use super::closing::CloseReason;
 use super::{Frontend, Service};
 use crate::ids::SessionId;
 use crate::pg::{sqlstate, Writer};
@@ -34,7 +35,7 @@
         } else {
             return true;
         };
-        self.close_with(turn, id, Writer::default().error("FATAL", code, what, None));
+        self.close_with(turn, id, Writer::default().error("FATAL", code, what, None), CloseReason::Stranger);
         false
     }
 }
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -5,6 +5,7 @@
 use leadmast::{Micros, RequestId};
 use slog::warn;
 
+use super::closing::CloseReason;
 use super::Frontend;
 use crate::deadlines::Due;
 use crate::exchange::Exchange;
@@ -85,7 +86,7 @@
             return self.close(turn, id);
         }
         let (code, what) = (sqlstate::PROTOCOL_VIOLATION, "no whole message in time");
-        self.close_with(turn, id, Writer::default().error("FATAL", code, what, None));
+        self.close_with(turn, id, Writer::default().error("FATAL", code, what, None), CloseReason::Slow);
     }
 
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
@@ -108,7 +109,7 @@
                         warn!(turn.log, "too much in buffers, turning a client away"; "bytes" => memory::held());
                         let w = Writer::default();
                         let error = w.error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "out of memory", None);
-                        return self.close_with(turn, id, error);
+                        return self.close_with(turn, id, error, CloseReason::Memory);
                     }
                 }
                 // What has come fills the ring, and hides whether the client is still there.
@@ -162,11 +163,12 @@
     }
 
     /// Writes the last message of a connection and closes it once the client has had it.
-    pub(super) fn close_with(&mut self, turn: &mut Turn, id: SessionId, last: Writer) {
+    pub(super) fn close_with(&mut self, turn: &mut Turn, id: SessionId, last: Writer, reason: CloseReason) {
         let Some(s) = self.sessions.get_mut(&id).filter(|s| !s.is_ending()) else { return };
         s.stage = Stage::Closing;
         s.inbound.clear();
         let _ = s.outbound.push(&last.0);
+        self.note_close(turn, id, reason);
         self.set_due(turn, id, Some(turn.now + CLOSE_STALL_TIMEOUT));
         self.flush(turn, id);
     }
@@ -177,6 +179,7 @@
             Stage::Waiting(request) => Some(request),
             Stage::Startup | Stage::Ready | Stage::Closing | Stage::Lingering => None,
         });
+        self.audit_abandoned(turn, exchange, id);
         if let Some(request) = waiting {
             self.release_request(request);
             exchange.gone(turn, request);
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -5,6 +5,7 @@
 
 use leadmast::{GroupId, Micros, RequestId};
 
+use super::closing::CloseReason;
 use super::eviction::{eviction_rank, RECENT, SLOW_CLIENT};
 use super::session::{Stage, CLOSE_STALL_TIMEOUT, LINGER};
 use super::Frontend;
@@ -72,7 +73,7 @@
         sent += LONGEST_ANSWER;
         frontend.flush(&mut turn, id);
     }
-    frontend.close_with(&mut turn, id, Writer::default());
+    frontend.close_with(&mut turn, id, Writer::default(), CloseReason::Idle);
     let mut read = 0;
     let mut piece = vec![0; 64 * 1024];
     let mut rounds = 0;
@@ -101,7 +102,7 @@
         assert!(s.outbound.push(&[b'x'; LONGEST_ANSWER]));
         frontend.flush(&mut turn, id);
     }
-    frontend.close_with(&mut turn, id, Writer::default());
+    frontend.close_with(&mut turn, id, Writer::default(), CloseReason::Idle);
     turn.now = frontend.sessions[&id].due.expect("it has a deadline");
     frontend.session_due(&mut turn, id);
     assert!(frontend.sessions.is_empty(), "no byte has moved");
@@ -113,7 +114,7 @@
 fn closed_client_that_rests_wakes_nobody() {
     let (mut frontend, mut turn, mut client, id, mut poll) = one_client();
     let mut exchange = Exchange::new(frontend.settings.clone(), Vec::new(), 7, 0);
-    frontend.close_with(&mut turn, id, Writer::default());
+    frontend.close_with(&mut turn, id, Writer::default(), CloseReason::Idle);
     assert_eq!(client.read(&mut [0]).expect("a close"), 0);
     let mut woken = 0;
     loop {
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -10,6 +10,7 @@
 use std::path::PathBuf;
 
 use calloop::EventLoop;
+use leadmast::permission::{may_end, ProcessFacts};
 use leadmast::Micros;
 use slog::{info, warn, Logger};
 
@@ -204,7 +205,13 @@
 
     /// Whether the program may end: all is answered, or it is time to leave.
     pub fn is_done(&self) -> bool {
-        self.leave || (self.frontend.is_done() && self.core.exchange.is_idle())
+        let process = ProcessFacts {
+            must_leave: self.leave,
+            serving: self.frontend.serves(),
+            clients_open: self.frontend.has_clients(),
+            requests_open: !self.core.exchange.is_idle(),
+        };
+        may_end(&process).is_ok()
     }
 }
 
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -1,5 +1,6 @@
 //! From the first client served to the last answer: limits shared with another process, the clients' socket, SIGTERM.
 
+use leadmast::permission::may_hand_over;
 use leadmast::Micros;
 use slog::{info, warn};
 
@@ -53,7 +54,7 @@
 
     /// After SIGTERM, where a successor serves: what waits on the clients' socket is the successor's.
     pub(super) fn hand_over(&mut self) {
-        if self.terminating && self.shared.is_succeeded() {
+        if may_hand_over(self.terminating, self.shared.is_succeeded()).is_ok() {
             self.frontend.close_listener(&mut self.core.turn, &mut self.core.exchange, true);
         }
     }
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -34,7 +34,9 @@
             }
             control::Command::Status => Answer::new(503, "starting\n"),
             control::Command::Figures => {
-                let figures = control::exposition(&exchange.figures(), &self.classes, &self.tenants);
+                let mut figures = exchange.figures();
+                figures.closes = self.frontend.closes.clone();
+                let figures = control::exposition(&figures, &self.classes, &self.tenants);
                 let placement = exchange.placing.as_ref().map(Placing::metrics).unwrap_or_default();
                 Answer::new(200, figures + &placement)
             }
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
 use std::rc::Rc;
+use std::time::Duration;
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
@@ -165,6 +166,18 @@
         polled.is_ok_and(|n| n > 0) && fds[0].revents().intersects(ended)
     }
 
+    /// Closes the connection with a reset: what the system holds of it is not delivered any more, as it would be after a close.
+    pub fn abort(self, turn: &Turn) {
+        // Where the system can't, it is a close like any other.
+        let _ = socket2::SockRef::from(&*self.socket).set_linger(Some(Duration::ZERO));
+        self.close(turn);
+    }
+
+    /// Bounds what the system holds of what is written, where it can.
+    pub fn hold_little(&self, bytes: usize) {
+        let _ = socket2::SockRef::from(&*self.socket).set_send_buffer_size(bytes);
+    }
+
     /// Starts a connection that comes up later.
     pub fn connect(turn: &Turn, to: SocketAddr, source: Source) -> std::io::Result<Self> {
         use socket2::{Domain, Protocol, Socket, Type};
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
@@ -123,13 +123,19 @@
     told.and_then(|ms| ms.parse().ok()).expect("a time")
 }
 
-/// A request waits at the db host until its time is over: so long has passed when its client has an answer.
-fn let_pass(play: &Play, id: usize, ms: u64) {
-    let mut client = play.client();
-    client.stream().write_all(&request(id, "page-read", ms, 0)).expect("it is open");
-    let mut server = play.accept();
-    next_request(&mut server).expect("it is sent");
-    assert!(client.until_ready().expect("an answer").code().is_some());
+/// Requests wait at the db host until their clients have an answer, one after the other, until so long has passed.
+fn let_pass(play: &Play, ms: u64) {
+    let (began, passed) = (Instant::now(), Duration::from_millis(ms));
+    for id in 100.. {
+        let left = passed.saturating_sub(began.elapsed());
+        if left.is_zero() {
+            return;
+        }
+        let mut client = play.client();
+        let wait_ms = left.as_millis() as u64 + 1;
+        client.stream().write_all(&request(id, "page-read", wait_ms, 0)).expect("it is open");
+        assert!(client.until_ready().expect("an answer").code().is_some());
+    }
 }
 
 /// A statement is half written to a db host that reads nothing for a while. What it tells of its client's time is no longer true
@@ -140,10 +146,10 @@
     const PASSED_MS: u64 = 1_500;
     let play = Play::open("half-written", 600_000);
     let mut client = play.client();
-    client.stream().write_all(&request(1, "page-read", WAIT_MS, LONG)).expect("it is open");
+    client.stream().write_all(&request(1, "plain-write", WAIT_MS, LONG)).expect("it is open");
     let mut server = play.accept();
     until_request_begins(&mut server);
-    let_pass(&play, 2, PASSED_MS);
+    let_pass(&play, PASSED_MS);
     let mut rest = Vec::new();
     let ended = server.read_to_end(&mut rest);
     assert!(rest.len() < LONG, "it was written whole: {ended:?}");
@@ -188,7 +194,7 @@
     drop(first);
     let mut second = play.accept();
     until_request_begins(&mut second);
-    let_pass(&play, 2, WINDOW_MS + 200);
+    let_pass(&play, WINDOW_MS + 200);
     let mut rest = Vec::new();
     let ended = second.read_to_end(&mut rest);
     assert!(rest.len() < LONG, "it was written whole: {ended:?}");
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
+use crate::permission::{may_begin, AttemptLimits, Doubt, RequestFacts};
 
 /// Buckets of session keys, as many as the source's switch holds.
 const BUCKETS: u64 = 4096;
@@ -678,16 +679,26 @@
     /// Whether the class's effect, the attempt limit and the settings permit another attempt in this zone.
     fn may_send(&self, now: Micros, r: &Request, zone: ZoneId) -> bool {
         let allowed = &self.settings.allowed;
-        let count = r.attempts.len() < allowed.attempts as usize && (r.out() == 0 || allowed.second_copies);
-        let effect = match (self.settings.classes[r.class.0].effect, r.doubt()) {
-            (Effect::Safe, _) | (_, None) => true,
-            (Effect::Unsafe, Some(_)) => false,
-            (Effect::Keyed { scope, window }, Some(first)) => {
-                let from = r.copied_from.map_or(first.sent, |at| at.min(first.sent));
-                (scope != Scope::Zone || first.zone == zone) && now - from + self.settings.tick < window
-            }
+        let doubt = r.doubt().map(|first| Doubt {
+            since: r.copied_from.map_or(first.sent, |at| at.min(first.sent)),
+            zone: Some(first.zone),
+        });
+        let request = RequestFacts {
+            effect: self.settings.classes[r.class.0].effect,
+            deadline: r.deadline,
+            answered: r.answered,
+            // Of one whose client has left the driver tells, and it is closed.
+            client_left: false,
+            begun: r.attempts.len() as u32,
+            out: r.out() as u32,
+            doubt,
+        };
+        let limits = AttemptLimits {
+            attempts: allowed.attempts,
+            second_copies: allowed.second_copies,
+            margin: self.settings.tick,
         };
-        count && effect && now < r.deadline
+        may_begin(now, &request, &limits, Some(zone)).is_ok()
     }
 
     fn send(&mut self, now: Micros, id: RequestId, to: MemberId, actions: &mut Vec<Action>) {
--- a/src/invariant.rs
+++ b/src/invariant.rs
@@ -98,6 +98,7 @@
 /// An attempt whose last byte was handed to the system at `at`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Written {
+    /// When that was.
     pub at: Micros,
     /// The time that it tells its db host, where it tells one.
     pub told: Option<Micros>,
@@ -109,9 +110,11 @@
     pub repeat_until: Option<Option<Micros>>,
     /// Attempts of its request that were out beside it.
     pub others_out: u32,
-    /// Its number, from 0 on, and how many the settings allow.
+    /// Its number, from 0 on.
     pub number: u32,
+    /// How many attempts the settings allow.
     pub attempts: u32,
+    /// Whether they allow a second one beside the first.
     pub second_copies: bool,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,8 @@
 
 pub mod balance;
 pub mod interface;
+pub mod invariant;
+pub mod permission;
 pub mod settings;
 
 pub use balance::Balancer;
--- a/src/permission/attempt.rs
+++ b/src/permission/attempt.rs
@@ -3,6 +3,15 @@
 
 use crate::interface::{Effect, Micros, Scope, ZoneId};
 
+/// The last byte of an attempt follows the time told by this much at most. The rule's slack is 0.15 s, of which a process may be held
+/// up for most.
+const TOLD_HOLDS_FOR: Micros = 50_000;
+/// Statements up to this size are taken at once by the buffers of any connection.
+const AT_ONCE: usize = 32 * 1024;
+/// A longer one may take this part of its client's time to write, and this long at most.
+const WRITING_SHARE: Micros = 4;
+const LONGEST_WRITING: Micros = 1_000_000;
+
 /// An attempt that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Doubt {
@@ -15,6 +24,7 @@
 /// What is known of a request when an attempt of it is considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RequestFacts {
+    /// What may be repeated of its class.
     pub effect: Effect,
     /// When its client gives up.
     pub deadline: Micros,
@@ -44,6 +54,7 @@
 /// How a db host stands for new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HostStanding {
+    /// It takes new work.
     Open,
     /// Discovery lists it as draining.
     Draining,
@@ -58,9 +69,14 @@
 /// Why an attempt may not begin, or not be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum AttemptDenial {
+    /// Its request has its final answer.
     Answered,
+    /// Nobody waits for it any more.
     ClientLeft,
+    /// Its client has given up by now.
     DeadlinePassed,
+    /// The time told to its db host is no longer true.
+    TimeToldPassed,
     /// One attempt is out, and the settings allow no second one.
     AttemptOut,
     /// The settings allow no more attempts.
@@ -71,18 +87,23 @@
     WindowOver,
     /// It may have run in another zone, and only that zone's db hosts drop its repeats.
     OtherZone,
+    /// Its db host is listed as draining.
     HostDraining,
+    /// Its db host is not listed any more.
     HostGone,
+    /// An operator holds its db host out.
     HostHeldOut,
+    /// Its db host was never listed.
     HostUnknown,
 }
 
 impl AttemptDenial {
     /// All of them, for figures.
-    pub const ALL: [AttemptDenial; 12] = [
+    pub const ALL: [AttemptDenial; 13] = [
         AttemptDenial::Answered,
         AttemptDenial::ClientLeft,
         AttemptDenial::DeadlinePassed,
+        AttemptDenial::TimeToldPassed,
         AttemptDenial::AttemptOut,
         AttemptDenial::AttemptsUsed,
         AttemptDenial::MayHaveRun,
@@ -100,6 +121,7 @@
             AttemptDenial::Answered => "answered",
             AttemptDenial::ClientLeft => "client_left",
             AttemptDenial::DeadlinePassed => "deadline_passed",
+            AttemptDenial::TimeToldPassed => "time_told_passed",
             AttemptDenial::AttemptOut => "attempt_out",
             AttemptDenial::AttemptsUsed => "attempts_used",
             AttemptDenial::MayHaveRun => "may_have_run",
@@ -169,16 +191,45 @@
     }
 }
 
+/// From when on a request that may have run may not be written any more; `None` where nothing bounds that. Where it may never
+/// run twice that is at once.
+pub fn repeat_by(effect: Effect, doubt: Option<Doubt>, margin: Micros) -> Option<Micros> {
+    let first = doubt?;
+    match effect {
+        Effect::Safe => None,
+        Effect::Unsafe => Some(first.since),
+        Effect::Keyed { window, .. } => Some(first.since + window - margin),
+    }
+}
+
+/// What an attempt tells its db host of its client's time, and for how long that stays true enough.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Telling {
+    /// The time told.
+    pub told: Micros,
+    /// The last byte may follow so much later than this was worked out.
+    pub holds_for: Micros,
+}
+
+/// What an attempt of so many bytes may tell its db host where `left` is left to its client. The db host counts the time told from
+/// the last byte: a statement that no socket's buffer holds takes a while to write, and tells less by that.
+pub fn time_to_tell(left: Micros, bytes: usize) -> Telling {
+    let writing = if bytes > AT_ONCE { (left / WRITING_SHARE).clamp(0, LONGEST_WRITING) } else { 0 };
+    Telling { told: left - writing, holds_for: writing + TOLD_HOLDS_FOR }
+}
+
 /// What is known of an attempt when bytes of it are about to be written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WriteFacts {
-    /// From when on its last byte may not be written any more.
+    /// Until when its answer is waited for.
+    pub until: Micros,
+    /// From when on its last byte may not be written any more: then, or earlier where it is a repeat.
     pub write_by: Micros,
-    /// When the time told in it was worked out, once its first byte is written.
-    pub told_at: Option<Micros>,
-    /// How much later than that its last byte may follow, since the time told counts from there.
-    pub told_holds_for: Micros,
-    /// Whether its db host takes new work; of one whose first byte is written that is of no matter.
+    /// Until when the time told in it is true enough, once it is worked out.
+    pub told_until: Option<Micros>,
+    /// Its first byte is written.
+    pub begun: bool,
+    /// Whether its db host takes new work; of one that has begun that is of no matter.
     pub host: HostStanding,
 }
 
@@ -187,18 +238,31 @@
 /// # Errors
 /// Why not. Nothing of it has run then: its last byte was not written.
 pub fn may_write(now: Micros, attempt: &WriteFacts) -> Result<(), AttemptDenial> {
-    if now >= attempt.write_by {
+    if now >= attempt.until {
         return Err(AttemptDenial::DeadlinePassed);
     }
-    match attempt.told_at {
-        Some(told_at) if now - told_at > attempt.told_holds_for => Err(AttemptDenial::DeadlinePassed),
-        Some(_) => Ok(()),
-        None => match attempt.host {
-            HostStanding::Open => Ok(()),
-            HostStanding::Draining => Err(AttemptDenial::HostDraining),
-            HostStanding::Gone => Err(AttemptDenial::HostGone),
-            HostStanding::HeldOut => Err(AttemptDenial::HostHeldOut),
-            HostStanding::Unknown => Err(AttemptDenial::HostUnknown),
-        },
+    if now >= attempt.write_by {
+        return Err(AttemptDenial::WindowOver);
+    }
+    if attempt.told_until.is_some_and(|until| now > until) {
+        return Err(AttemptDenial::TimeToldPassed);
+    }
+    if attempt.begun {
+        return Ok(());
+    }
+    may_begin_at(attempt.host)
+}
+
+/// Whether a db host takes anything new.
+///
+/// # Errors
+/// Why not.
+pub fn may_begin_at(host: HostStanding) -> Result<(), AttemptDenial> {
+    match host {
+        HostStanding::Open => Ok(()),
+        HostStanding::Draining => Err(AttemptDenial::HostDraining),
+        HostStanding::Gone => Err(AttemptDenial::HostGone),
+        HostStanding::HeldOut => Err(AttemptDenial::HostHeldOut),
+        HostStanding::Unknown => Err(AttemptDenial::HostUnknown),
     }
 }
--- a/src/permission/connection.rs
+++ b/src/permission/connection.rs
@@ -12,12 +12,14 @@
     pub quiet: bool,
     /// It leads to the address at which the db host is listed now.
     pub current_address: bool,
+    /// How its db host stands for new work.
     pub host: HostStanding,
 }
 
 /// Why a pooled connection may not be used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ReuseDenial {
+    /// Its db host may have dropped it.
     Expired,
     /// Bytes or an end have come that belong to no request.
     NotQuiet,
@@ -75,8 +77,10 @@
 /// What is known of a client's connection when it is to be closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientFacts {
+    /// Where it stands.
     pub stage: ClientStage,
-    /// Bytes of it were read and are not worked off.
+    /// Bytes of a message that it is owed an answer to were read and are not worked off. A first message that takes too long is
+    /// none where room is needed.
     pub message_begun: bool,
     /// Bytes of it, or its end, stand unread in the system.
     pub bytes_unread: bool,
@@ -89,11 +93,17 @@
 /// Why a client's connection may not be closed by the proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CloseDenial {
+    /// A request is out.
     RequestOut,
+    /// A message was read in part.
     MessageBegun,
+    /// A request may stand unread.
     BytesUnread,
+    /// An answer is not written whole.
     AnswerUnwritten,
+    /// Its first request may be on its way.
     MayAskYet,
+    /// Its last message is being written.
     AlreadyClosing,
 }
 
@@ -105,7 +115,8 @@
     match client.stage {
         ClientStage::Waiting => return Err(CloseDenial::RequestOut),
         ClientStage::Closing => return Err(CloseDenial::AlreadyClosing),
-        // It has had everything; what it still sends is not read as a request.
+        // It has had everything; but bytes that stand unread would make the close a reset, which takes its last answer along.
+        ClientStage::Lingering if client.bytes_unread => return Err(CloseDenial::BytesUnread),
         ClientStage::Lingering => return Ok(()),
         ClientStage::New if client.may_ask_yet => return Err(CloseDenial::MayAskYet),
         ClientStage::New | ClientStage::Between => {}
--- a/src/permission/process.rs
+++ b/src/permission/process.rs
@@ -58,8 +58,11 @@
 /// Why a process may not end yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndDenial {
+    /// It accepts clients, or was not told to leave.
     Serving,
+    /// Clients are connected.
     ClientsOpen,
+    /// Requests have no final answer yet.
     RequestsOpen,
 }
 
