--- a/crates/soak/shim/faults.c
+++ b/crates/soak/shim/faults.c
@@ -29,7 +29,7 @@
     SOCKET_RATE, SOCKET_ERRNO,
     CONNECT_RATE, CONNECT_ERRNO,
     BROKEN_RATE, BROKEN_ERRNO, /* reads of connections that this process opened */
-    DISK_RATE, DISK_ERRNO,     /* opens for writing, writes and reads of regular files */
+    DISK_RATE, DISK_ERRNO,     /* opens for writing and writes of regular files */
     LOG_RATE, LOG_ERRNO,       /* writes to standard error */
     OTHER_EINTR,        /* reads of descriptors that are neither sockets nor files: signals, events */
     INJECTED,           /* how many faults were injected so far; written by this library */
@@ -186,7 +186,6 @@
     REAL(read);
     switch (kind(fd)) {
     case S_IFSOCK: if (socket_read_fails(fd)) return -1; break;
-    case S_IFREG: if (fails(DISK_RATE, DISK_ERRNO)) return -1; break;
     case 0: if (interrupted(OTHER_EINTR)) return -1; break;
     default: break;
     }
@@ -209,12 +208,6 @@
     return real(fd, buffer, size, at);
 }
 
-ssize_t pread64(int fd, void *buffer, size_t size, off64_t at) {
-    REAL(pread64);
-    if (fails(DISK_RATE, DISK_ERRNO)) return -1;
-    return real(fd, buffer, size, at);
-}
-
 int open64(const char *path, int flags, ...) {
     REAL(open64);
     mode_t mode = 0;
--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -253,15 +253,24 @@
         };
         let (statement, at) = (*statement, Instant::now());
         let arrival = Arrival { statement, host: self.0.number, at, drained_for, prompt };
-        let number = self.0.ledger.arrived(&arrival, |number| self.is_out(statement.id, number));
+        // One that its proxy has given up by the time at which it is read came before whatever is out now.
+        let given_up = !is_open(stream);
+        let number = self.0.ledger.arrived(&arrival, |number| !given_up && self.is_out(statement.id, number));
         if let Ok(copy) = stream.try_clone() {
             lock(&self.0.attempts).insert((statement.id, number), copy);
         }
         self.wait_while(|ills| ills.hangs);
-        let done = self.work(stream, &statement, prompt);
+        let reply = self.work(&statement, prompt);
+        // Before its proxy can hear of the end, and begin another attempt.
         lock(&self.0.attempts).remove(&(statement.id, number));
         self.0.ledger.attempt_ended(statement.id, number);
-        done
+        match reply {
+            Some(reply) => stream.write_all(&reply).map(|()| true),
+            None => {
+                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                Ok(false)
+            }
+        }
     }
 
     /// Whether the connection of an attempt still stands on its proxy's side.
@@ -269,14 +278,11 @@
         let Some(stream) = lock(&self.0.attempts).get(&(id, number)).and_then(|s| s.try_clone().ok()) else {
             return false;
         };
-        let nonblocking = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
-        let mut byte = [0_u8; 1];
-        let peeked = rustix::net::recv(&stream, &mut byte[..], nonblocking);
-        matches!(peeked.map_err(io::Error::from), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        is_open(&stream)
     }
 
-    /// Works on a request and answers; false where the connection ends.
-    fn work(&self, stream: &mut TcpStream, statement: &Statement, prompt: bool) -> io::Result<bool> {
+    /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
+    fn work(&self, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
         thread::sleep(WORK);
         let ills = lock(&self.0.state).ills;
         let error = |code: &str, text: &str| wire::error(code, text);
@@ -292,8 +298,7 @@
                 self.0.ledger.served_from(statement, self.0.number, self.position().1, prompt);
             }
             if ills.resets {
-                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
-                return Ok(false);
+                return None;
             }
             if ills.errs {
                 error("XX000", "an error of its own")
@@ -307,8 +312,7 @@
         reply.extend(wire::parameter("replication_role", role));
         reply.extend(wire::parameter("log_position", &format!("{:.0}", self.position().0.floor())));
         reply.extend(wire::message(b'Z', b"I"));
-        stream.write_all(&reply)?;
-        Ok(true)
+        Some(reply)
     }
 
     /// Executes a write, unless its key is known.
@@ -323,3 +327,11 @@
         self.0.ledger.executed(statement);
     }
 }
+
+/// Whether a connection stands on its proxy's side, and nothing stands unread on it.
+fn is_open(stream: &TcpStream) -> bool {
+    let nonblocking = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
+    let mut byte = [0_u8; 1];
+    let peeked = rustix::net::recv(stream, &mut byte[..], nonblocking);
+    matches!(peeked.map_err(io::Error::from), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -50,6 +50,8 @@
     pub faults: FaultControl,
     platform: Platform,
     process: Mutex<Option<Process>>,
+    /// Held while the process is ended and another one started.
+    lifecycle: Mutex<()>,
     door: Mutex<Door>,
     ledger: Arc<Ledger>,
 }
@@ -78,6 +80,7 @@
             faults,
             platform,
             process: Mutex::new(None),
+            lifecycle: Mutex::new(()),
             door: Mutex::default(),
             ledger: Arc::clone(ledger),
         })
@@ -95,28 +98,44 @@
         self.platform.configure(&site.config(self.number, fleet, self.addr, discovery))
     }
 
+    /// Ends the process, and starts another one.
+    ///
+    /// # Errors
+    /// Those of `end`, and where no process can be started at all.
+    pub fn restart(&self, end: impl FnOnce(&Proxy) -> io::Result<()>) -> io::Result<()> {
+        let _lifecycle = lock(&self.lifecycle);
+        end(self)?;
+        self.start()
+    }
+
+    /// Sees whether the process has ended by itself, which is a fault, and starts another one then.
+    ///
+    /// # Errors
+    /// As [`Proxy::restart`].
+    pub fn keep_alive(&self) -> io::Result<()> {
+        let _lifecycle = lock(&self.lifecycle);
+        if self.judge_life()? {
+            Ok(())
+        } else {
+            self.start()
+        }
+    }
+
     /// Starts a process, and lets clients in once it is ready.
     ///
     /// # Errors
     /// Where it can't be started at all.
     pub fn start(&self) -> io::Result<()> {
         let began = Instant::now();
-        let mut process = match self.platform.start() {
-            Ok(process) => process,
-            Err(e) => {
-                self.ledger.fault(Rule::Process, format!("proxy {} did not start: {e}", self.number));
-                return Ok(());
-            }
-        };
+        let mut process = self.platform.spawn()?;
         while process.call("GET", "/status").map_or(0, |answer| answer.0) != 200 {
-            if began.elapsed() > READY_WITHIN || process.exits(Duration::ZERO)?.is_some() {
+            if began.elapsed() > READY_WITHIN || process.exits(LOOK)?.is_some() {
                 self.ledger.fault(
                     Rule::Process,
                     format!("proxy {} was not ready: {}", self.number, process.logged().join("\n")),
                 );
                 return Ok(());
             }
-            std::thread::sleep(LOOK);
         }
         *lock(&self.process) = Some(process);
         let mut door = lock(&self.door);
@@ -165,11 +184,8 @@
         drop(process);
     }
 
-    /// Whether the process has ended by itself, which is a fault.
-    ///
-    /// # Errors
-    /// Those of the wait.
-    pub fn judge_life(&self) -> io::Result<bool> {
+    /// Whether the process lives, or has none to.
+    fn judge_life(&self) -> io::Result<bool> {
         let mut held = lock(&self.process);
         let Some(process) = held.as_mut() else { return Ok(true) };
         let Some(status) = process.exits(LOOK)? else { return Ok(true) };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,3 +1,56 @@
-//! `gradeshunt-soak`: plays seeds of the soak test.
+//! `gradeshunt-soak`: plays seeds of the soak test, and prints what each came to. It fails where a rule was broken.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use gradeshunt_soak::play::{play, Options};
+
+/// Plays a few dozen real processes under seeded faults that overlap in time.
+#[derive(Parser)]
+struct Arguments {
+    /// The program to play.
+    #[arg(long, default_value = "target/release/gradeshunt")]
+    program: PathBuf,
+    /// The first seed, and how many.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Processes of a play, and clients of each.
+    #[arg(long, default_value_t = 24)]
+    proxies: usize,
+    #[arg(long, default_value_t = 2)]
+    clients: usize,
+    /// How long troubles go on, in seconds.
+    #[arg(long, default_value_t = 15)]
+    seconds: u64,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let mut sound = true;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let folder = std::env::temp_dir().join(format!("gradeshunt-soak-{}-{seed}", std::process::id()));
+        let mut options = Options::of(&arguments.program, &folder, seed);
+        options.proxies = arguments.proxies;
+        options.clients_each = arguments.clients;
+        options.lasts = Duration::from_secs(arguments.seconds);
+        match play(&options) {
+            Ok(report) => {
+                sound &= report.is_sound();
+                print!("{report}");
+            }
+            Err(e) => {
+                eprintln!("seed {seed} could not be played: {e}");
+                sound = false;
+            }
+        }
+    }
+    if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/soak/src/play.rs
@@ -0,0 +1,247 @@
+//! One play: the site, the processes, the clients, and troubles in lanes.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::{self, Display};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use fastrand::Rng;
+
+use crate::client::{Client, Manners};
+use crate::fleet::Proxy;
+use crate::ledger::{Ledger, Summary};
+use crate::lock;
+use crate::shim::{Knob, Shim};
+use crate::site::{Site, LONGEST_WAIT};
+use crate::trouble::{Kind, Scene, Trouble};
+
+/// Troubles that are under way at a time.
+const LANES: usize = 3;
+/// A lane rests so long between two troubles, in milliseconds.
+const REST_MS: std::ops::Range<u64> = 50..400;
+/// Clients have this long to end, beside their longest wait.
+const LAST_ANSWERS: Duration = Duration::from_secs(3);
+/// Pace of the looks at whether processes live.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// What a play is to be.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The program's file.
+    pub program: PathBuf,
+    /// A folder of its own, which is removed at the end.
+    pub folder: PathBuf,
+    pub seed: u64,
+    pub proxies: usize,
+    pub clients_each: usize,
+    /// How long troubles go on.
+    pub lasts: Duration,
+    /// Kinds of trouble that are played; all where it is empty.
+    pub kinds: Vec<Kind>,
+    /// More for the processes' environment.
+    pub environment: Vec<(String, String)>,
+}
+
+impl Options {
+    /// A play of a few dozen processes.
+    pub fn of(program: &Path, folder: &Path, seed: u64) -> Options {
+        Options {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            seed,
+            proxies: 24,
+            clients_each: 2,
+            lasts: Duration::from_secs(15),
+            kinds: Vec::new(),
+            environment: Vec::new(),
+        }
+    }
+}
+
+/// What a play came to.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub seed: u64,
+    pub summary: Summary,
+    /// How often each trouble was played, and each pair of kinds was under way at once.
+    pub troubles: BTreeMap<Kind, u32>,
+    pub pairs: BTreeMap<(Kind, Kind), u32>,
+    /// Faults that the shim injected.
+    pub injected: i64,
+}
+
+impl Report {
+    /// Whether no rule was broken.
+    pub fn is_sound(&self) -> bool {
+        self.summary.counts.is_empty()
+    }
+}
+
+impl Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let Summary { outcomes, attempts, counts, faults } = &self.summary;
+        writeln!(
+            f,
+            "seed {}: {outcomes:?}, {attempts} attempts, {} faults injected",
+            self.seed, self.injected
+        )?;
+        let troubles: u32 = self.troubles.values().sum();
+        writeln!(
+            f,
+            "  {troubles} troubles of {} kinds, {} pairs of kinds overlapped",
+            self.troubles.len(),
+            self.pairs.len()
+        )?;
+        writeln!(f, "  rules broken: {counts:?}")?;
+        faults.iter().try_for_each(|fault| writeln!(f, "  {fault}"))
+    }
+}
+
+/// Which troubles are under way, and which were at once.
+#[derive(Default)]
+struct Overlaps {
+    under_way: Vec<Kind>,
+    troubles: BTreeMap<Kind, u32>,
+    pairs: BTreeMap<(Kind, Kind), u32>,
+}
+
+impl Overlaps {
+    fn begin(&mut self, kind: Kind) {
+        let others: BTreeSet<Kind> = self.under_way.iter().copied().collect();
+        for other in others {
+            *self.pairs.entry((kind.min(other), kind.max(other))).or_default() += 1;
+        }
+        self.under_way.push(kind);
+        *self.troubles.entry(kind).or_default() += 1;
+    }
+
+    fn end(&mut self, kind: Kind) {
+        if let Some(at) = self.under_way.iter().position(|k| *k == kind) {
+            self.under_way.remove(at);
+        }
+    }
+}
+
+/// Plays a seed.
+///
+/// # Errors
+/// Where the test itself can't go on: files, the C compiler, processes that can't be started at all.
+pub fn play(options: &Options) -> io::Result<Report> {
+    let _ = std::fs::remove_dir_all(&options.folder);
+    let shim = Shim::build(&options.folder.join("shim"))?;
+    let ledger = Arc::new(Ledger::default());
+    let site = Site::open(&ledger)?;
+    let proxies = open_fleet(options, &shim, &site, &ledger)?;
+    let manners = Arc::new(Manners::usual());
+    let ends = Arc::new(AtomicBool::new(false));
+    let mut rng = Rng::with_seed(options.seed);
+    let clients: Vec<_> = proxies
+        .iter()
+        .flat_map(|proxy| std::iter::repeat_n(proxy, options.clients_each))
+        .map(|proxy| {
+            let client = Client {
+                proxy: Arc::clone(proxy),
+                ledger: Arc::clone(&ledger),
+                manners: Arc::clone(&manners),
+                ends: Arc::clone(&ends),
+                rng: rng.fork(),
+            };
+            thread::spawn(move || client.run())
+        })
+        .collect();
+    let scene = Scene { site: &site, proxies: &proxies, manners: &manners };
+    let overlaps = Mutex::new(Overlaps::default());
+    let told = thread::scope(|scope| {
+        let over = Arc::new(AtomicBool::new(false));
+        let watch = {
+            let (over, proxies) = (Arc::clone(&over), &proxies);
+            scope.spawn(move || watch_lives(proxies, &over))
+        };
+        let until = Instant::now() + options.lasts;
+        let lanes: Vec<_> = (0..LANES)
+            .map(|_| {
+                let (rng, scene, overlaps) = (rng.fork(), &scene, &overlaps);
+                scope.spawn(move || lane(options, rng, scene, overlaps, until))
+            })
+            .collect();
+        let lanes: Vec<io::Result<()>> = lanes.into_iter().map(joined).collect();
+        over.store(true, Ordering::Relaxed);
+        lanes.into_iter().chain([joined(watch)]).collect::<io::Result<()>>()
+    });
+    told?;
+    thread::sleep(LONGEST_WAIT);
+    ends.store(true, Ordering::Relaxed);
+    let last = Instant::now() + LONGEST_WAIT + LAST_ANSWERS;
+    for client in clients {
+        while !client.is_finished() && Instant::now() < last {
+            thread::sleep(LOOK / 10);
+        }
+    }
+    let injected = proxies.iter().map(|p| p.faults.get(Knob::Injected)).sum::<io::Result<i64>>()?;
+    proxies.iter().try_for_each(|proxy| proxy.terminate())?;
+    let _ = std::fs::remove_dir_all(&options.folder);
+    let Overlaps { troubles, pairs, .. } = std::mem::take(&mut *lock(&overlaps));
+    Ok(Report { seed: options.seed, summary: ledger.summary(), troubles, pairs, injected })
+}
+
+fn joined(thread: thread::ScopedJoinHandle<'_, io::Result<()>>) -> io::Result<()> {
+    thread.join().unwrap_or_else(|_| Err(io::Error::other("a thread of the test panicked")))
+}
+
+fn open_fleet(
+    options: &Options,
+    shim: &Shim,
+    site: &Site,
+    ledger: &Arc<Ledger>,
+) -> io::Result<Vec<Arc<Proxy>>> {
+    let mut proxies = Vec::new();
+    for number in 0..options.proxies {
+        let folder = options.folder.join(format!("n{number}"));
+        let proxy = Proxy::new(number, &options.program, &folder, shim, &options.environment, ledger)?;
+        proxy.configure(site, options.proxies, 0)?;
+        proxies.push(Arc::new(proxy));
+    }
+    thread::scope(|scope| {
+        let started: Vec<_> = proxies.iter().map(|proxy| scope.spawn(|| proxy.start())).collect();
+        started.into_iter().try_for_each(joined)
+    })?;
+    Ok(proxies)
+}
+
+/// Plays one trouble after the other.
+fn lane(
+    options: &Options,
+    mut rng: Rng,
+    scene: &Scene,
+    overlaps: &Mutex<Overlaps>,
+    until: Instant,
+) -> io::Result<()> {
+    while Instant::now() < until {
+        let (proxies, hosts) = (options.proxies, scene.site.hosts.len());
+        let trouble = match rng.choice(&options.kinds).copied() {
+            Some(kind) => Trouble::of(kind, &mut rng, proxies, hosts),
+            None => Trouble::draw(&mut rng, proxies, hosts),
+        };
+        lock(overlaps).begin(trouble.kind);
+        let played = scene.play(&trouble);
+        lock(overlaps).end(trouble.kind);
+        played?;
+        thread::sleep(Duration::from_millis(rng.u64(REST_MS)));
+    }
+    Ok(())
+}
+
+/// Sees that processes live, and starts those that have ended by themselves.
+fn watch_lives(proxies: &[Arc<Proxy>], over: &AtomicBool) -> io::Result<()> {
+    while !over.load(Ordering::Relaxed) {
+        for proxy in proxies {
+            proxy.keep_alive()?;
+        }
+        thread::sleep(LOOK);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/soak/src/trouble.rs
@@ -0,0 +1,336 @@
+//! Troubles of a play: what can go wrong, for whom, and for how long. A seed draws them; lanes make them overlap.
+
+use std::io;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use fastrand::Rng;
+use gradeshunt_stand_ins::discovery::Service;
+use serde_json::json;
+
+use crate::client::Manners;
+use crate::fleet::Proxy;
+use crate::shim::{errno, Knob};
+use crate::site::Site;
+
+/// How long a trouble lasts, in milliseconds.
+const LASTS_MS: std::ops::Range<u64> = 500..2_500;
+/// How long a process is held up: no longer than the rules grant between a look at the clock and a write.
+const HELD_UP: Duration = Duration::from_millis(120);
+/// Times that a process is held up, or reloaded, in one trouble.
+const TIMES: usize = 4;
+/// Steps of wall clocks, in milliseconds.
+const STEPS_MS: [i64; 8] = [-3_600_000, -10_000, -1_500, -300, 300, 1_500, 10_000, 3_600_000];
+const NANOSECONDS: i64 = 1_000_000;
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Calls on sockets are interrupted, and move a part only.
+    InterruptedCalls,
+    /// Reads that tell of signals are interrupted, while signals come.
+    InterruptedSignals,
+    /// accept, socket and connect fail for a moment.
+    FailingCalls,
+    /// Connections to db hosts break as if their network had.
+    BrokenConnections,
+    /// The folder that a process shares takes no writes.
+    FullDisk,
+    /// The log takes no writes.
+    FullLog,
+    /// The wall clocks of all machines are stepped.
+    SteppedClocks,
+    /// That of one process is, and back.
+    SteppedAlone,
+    /// Processes stand still for a moment, several times.
+    HeldUp,
+    /// Configurations that move discovery, several in a row.
+    Reloads,
+    /// Processes are restarted in order.
+    Restarts,
+    /// Processes are killed and started.
+    Kills,
+    /// A db host takes requests and works on none.
+    HangingHost,
+    /// A db host reads nothing.
+    DeafHost,
+    /// A db host resets connections in place of answers.
+    ResettingHost,
+    /// A db host turns requests away, or errs.
+    RefusingHost,
+    /// All connections of a db host are cut.
+    CutHost,
+    /// A standby's position stands still.
+    FrozenHost,
+    /// A db host drains.
+    DrainingHost,
+    /// Discovery says nothing.
+    SilentDiscovery,
+    /// Discovery is down.
+    DownDiscovery,
+    /// Many clients leave with a request out.
+    LeavingClients,
+    /// Many clients stop amid a request, rest, or send several at once.
+    BadClients,
+}
+
+impl Kind {
+    /// All of them.
+    pub const ALL: [Kind; 23] = [
+        Kind::InterruptedCalls,
+        Kind::InterruptedSignals,
+        Kind::FailingCalls,
+        Kind::BrokenConnections,
+        Kind::FullDisk,
+        Kind::FullLog,
+        Kind::SteppedClocks,
+        Kind::SteppedAlone,
+        Kind::HeldUp,
+        Kind::Reloads,
+        Kind::Restarts,
+        Kind::Kills,
+        Kind::HangingHost,
+        Kind::DeafHost,
+        Kind::ResettingHost,
+        Kind::RefusingHost,
+        Kind::CutHost,
+        Kind::FrozenHost,
+        Kind::DrainingHost,
+        Kind::SilentDiscovery,
+        Kind::DownDiscovery,
+        Kind::LeavingClients,
+        Kind::BadClients,
+    ];
+}
+
+/// One trouble.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Trouble {
+    pub kind: Kind,
+    /// Proxies that it befalls, where it befalls some.
+    pub proxies: Vec<usize>,
+    /// The db host.
+    pub host: usize,
+    /// Which of several forms it takes.
+    pub form: usize,
+    pub lasts: Duration,
+}
+
+impl Trouble {
+    /// Draws one for a third of the proxies and one db host.
+    pub fn draw(rng: &mut Rng, proxies: usize, hosts: usize) -> Trouble {
+        let kind = Kind::ALL[rng.usize(0..Kind::ALL.len())];
+        Trouble::of(kind, rng, proxies, hosts)
+    }
+
+    /// Draws one of a kind.
+    pub fn of(kind: Kind, rng: &mut Rng, proxies: usize, hosts: usize) -> Trouble {
+        let mut befallen: Vec<usize> = (0..proxies).collect();
+        rng.shuffle(&mut befallen);
+        befallen.truncate(proxies.div_ceil(3));
+        Trouble {
+            kind,
+            proxies: befallen,
+            host: rng.usize(0..hosts),
+            form: rng.usize(0..840),
+            lasts: Duration::from_millis(rng.u64(LASTS_MS)),
+        }
+    }
+}
+
+/// What troubles act upon.
+pub struct Scene<'a> {
+    pub site: &'a Site,
+    pub proxies: &'a [std::sync::Arc<Proxy>],
+    pub manners: &'a Manners,
+}
+
+impl Scene<'_> {
+    /// Lets a trouble happen, from its beginning to its end; returns once it is over.
+    ///
+    /// # Errors
+    /// Those of files and processes that the test itself needs.
+    pub fn play(&self, trouble: &Trouble) -> io::Result<()> {
+        let befallen = || trouble.proxies.iter().filter_map(|n| self.proxies.get(*n));
+        match trouble.kind {
+            Kind::InterruptedCalls
+            | Kind::FailingCalls
+            | Kind::BrokenConnections
+            | Kind::FullDisk
+            | Kind::FullLog
+            | Kind::InterruptedSignals => {
+                let knobs = knobs(trouble);
+                for (proxy, (knob, value)) in befallen().flat_map(|p| knobs.iter().map(move |k| (p, *k))) {
+                    proxy.faults.set(knob, value)?;
+                }
+                if trouble.kind == Kind::InterruptedSignals {
+                    befallen().for_each(|proxy| proxy.signal("HUP"));
+                }
+                std::thread::sleep(trouble.lasts);
+                let set: Vec<Knob> = knobs.iter().map(|k| k.0).collect();
+                befallen().try_for_each(|proxy| proxy.heal(&set))
+            }
+            Kind::SteppedClocks => {
+                let ms = STEPS_MS[trouble.form % STEPS_MS.len()];
+                self.site.wall.step_to(ms);
+                self.proxies.iter().try_for_each(|p| p.faults.set(Knob::WallOffset, ms * NANOSECONDS))?;
+                std::thread::sleep(trouble.lasts);
+                Ok(())
+            }
+            Kind::SteppedAlone => {
+                let ms = STEPS_MS[trouble.form % STEPS_MS.len()];
+                let before = self.proxies.iter().map(|p| p.faults.get(Knob::WallOffset));
+                let before: Vec<i64> = before.collect::<io::Result<_>>()?;
+                for n in &trouble.proxies {
+                    self.proxies[*n].faults.set(Knob::WallOffset, before[*n] + ms * NANOSECONDS)?;
+                }
+                std::thread::sleep(trouble.lasts);
+                trouble
+                    .proxies
+                    .iter()
+                    .try_for_each(|n| self.proxies[*n].faults.set(Knob::WallOffset, before[*n]))
+            }
+            Kind::HeldUp => {
+                for _ in 0..TIMES {
+                    befallen().for_each(|proxy| proxy.signal("STOP"));
+                    std::thread::sleep(HELD_UP);
+                    befallen().for_each(|proxy| proxy.signal("CONT"));
+                    std::thread::sleep(trouble.lasts / TIMES as u32);
+                }
+                Ok(())
+            }
+            Kind::Reloads => {
+                for n in 0..TIMES {
+                    for proxy in befallen() {
+                        proxy.configure(self.site, self.proxies.len(), trouble.form + n)?;
+                        proxy.signal("HUP");
+                    }
+                    std::thread::sleep(trouble.lasts / (TIMES * 4) as u32);
+                }
+                Ok(())
+            }
+            Kind::Restarts => self.restart(trouble, |proxy| proxy.terminate()),
+            Kind::Kills => self.restart(trouble, |proxy| {
+                proxy.kill();
+                Ok(())
+            }),
+            _ => {
+                self.ail(trouble);
+                Ok(())
+            }
+        }
+    }
+
+    /// Ends processes, all at once, and starts them again.
+    fn restart(&self, trouble: &Trouble, end: impl Fn(&Proxy) -> io::Result<()> + Sync) -> io::Result<()> {
+        std::thread::scope(|scope| {
+            let ended: Vec<_> = trouble
+                .proxies
+                .iter()
+                .map(|n| {
+                    let (proxy, end) = (&self.proxies[*n], &end);
+                    scope.spawn(move || proxy.restart(end))
+                })
+                .collect();
+            ended.into_iter().try_for_each(|thread| {
+                thread.join().unwrap_or_else(|_| Err(io::Error::other("a thread of the test panicked")))
+            })
+        })
+    }
+
+    /// Lets db hosts, discovery or clients misbehave for a while.
+    fn ail(&self, trouble: &Trouble) {
+        let host = &self.site.hosts[trouble.host];
+        let wait = || std::thread::sleep(trouble.lasts);
+        match trouble.kind {
+            Kind::HangingHost => {
+                host.ail(|ills| ills.hangs = true);
+                wait();
+                host.ail(|ills| ills.hangs = false);
+            }
+            Kind::DeafHost => {
+                host.ail(|ills| ills.deaf = true);
+                wait();
+                host.ail(|ills| ills.deaf = false);
+            }
+            Kind::ResettingHost => {
+                host.ail(|ills| ills.resets = true);
+                wait();
+                host.ail(|ills| ills.resets = false);
+            }
+            Kind::RefusingHost => {
+                let errs = trouble.form.is_multiple_of(2);
+                host.ail(|ills| (ills.errs, ills.full) = (errs, !errs));
+                wait();
+                host.ail(|ills| (ills.errs, ills.full) = (false, false));
+            }
+            Kind::CutHost => {
+                host.cut();
+                wait();
+            }
+            Kind::FrozenHost if !host.is_primary() => {
+                host.freeze(true);
+                wait();
+                host.freeze(false);
+            }
+            Kind::DrainingHost if !host.is_primary() => {
+                let id = Site::id(trouble.host);
+                self.site.discovery.change(&id, "lifecycle", json!("draining"));
+                self.site.discovery.until_told();
+                host.drained(true);
+                wait();
+                host.drained(false);
+                self.site.discovery.change(&id, "lifecycle", json!("ready"));
+            }
+            Kind::SilentDiscovery => self.with_discovery(Service::Silent, trouble.lasts),
+            Kind::DownDiscovery => self.with_discovery(Service::Down, trouble.lasts),
+            Kind::LeavingClients => {
+                self.manners.leave.store(300, Ordering::Relaxed);
+                wait();
+                self.manners.reset();
+            }
+            Kind::BadClients => {
+                self.manners.stop_midway.store(30, Ordering::Relaxed);
+                self.manners.pipeline.store(300, Ordering::Relaxed);
+                self.manners.rest.store(100, Ordering::Relaxed);
+                wait();
+                self.manners.reset();
+            }
+            _ => wait(),
+        }
+    }
+
+    fn with_discovery(&self, service: Service, lasts: Duration) {
+        self.site.discovery.set_service(service);
+        std::thread::sleep(lasts);
+        self.site.discovery.set_service(Service::Serving);
+    }
+}
+
+/// What a trouble of system calls sets.
+fn knobs(trouble: &Trouble) -> Vec<(Knob, i64)> {
+    let pick = |errors: &[i64]| errors[trouble.form % errors.len()];
+    match trouble.kind {
+        Kind::InterruptedCalls => vec![(Knob::SocketInterrupted, 100), (Knob::ShortTransfers, 200)],
+        Kind::InterruptedSignals => vec![(Knob::OtherInterrupted, 800)],
+        Kind::FailingCalls => vec![
+            (Knob::AcceptErrno, pick(&[errno::ENFILE, errno::ENOBUFS, errno::ECONNABORTED])),
+            (Knob::AcceptRate, 200),
+            (Knob::SocketErrno, pick(&[errno::ENFILE, errno::ENOBUFS])),
+            (Knob::SocketRate, 100),
+            (
+                Knob::ConnectErrno,
+                pick(&[errno::EADDRNOTAVAIL, errno::ENETUNREACH, errno::ENOBUFS, errno::EAGAIN]),
+            ),
+            (Knob::ConnectRate, 100),
+        ],
+        Kind::BrokenConnections => {
+            vec![(Knob::BrokenErrno, pick(&[errno::ETIMEDOUT, errno::EHOSTUNREACH])), (Knob::BrokenRate, 10)]
+        }
+        Kind::FullDisk => {
+            vec![(Knob::DiskErrno, pick(&[errno::ENOSPC, errno::EIO])), (Knob::DiskRate, 700)]
+        }
+        Kind::FullLog => vec![(Knob::LogErrno, pick(&[errno::ENOSPC, errno::EIO])), (Knob::LogRate, 900)],
+        _ => Vec::new(),
+    }
+}
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -68,6 +68,16 @@
 
     /// Starts a process, and waits until it has told its operators' address.
     pub fn start(&self) -> io::Result<Process> {
+        let mut process = self.spawn()?;
+        let line = process.until("control: ")?;
+        process.control = named(&line, "control").ok_or_else(|| io::Error::other(line.clone()))?;
+        process.listen = named(&line, "listen");
+        Ok(process)
+    }
+
+    /// Starts a process, and does not wait for its log, which may take no lines: its operators' address is the one that the
+    /// platform names.
+    pub fn spawn(&self) -> io::Result<Process> {
         let mut command = Command::new("/bin/sh");
         command.env_remove("ROUTER_LISTEN_FD").env_remove("ROUTER_RULES");
         let held = "exec \"$0\" 7<&0 </dev/null";
@@ -86,12 +96,9 @@
         let (tell, log) = channel();
         let lines = BufReader::new(child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?).lines();
         std::thread::spawn(move || lines.map_while(Result::ok).for_each(|l| drop(tell.send(l))));
-        let mut process =
-            Process { child, log, lines: Vec::new(), control: ([0; 4], 0).into(), listen: None };
-        let line = process.until("control: ")?;
-        process.control = named(&line, "control").ok_or_else(|| io::Error::other(line.clone()))?;
-        process.listen = named(&line, "listen");
-        Ok(process)
+        let control = self.control.as_ref().and_then(|control| control.parse().ok());
+        let control = control.unwrap_or_else(|| ([0; 4], 0).into());
+        Ok(Process { child, log, lines: Vec::new(), control, listen: None })
     }
 }
 
