--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration: a JSON file named by `ROUTER_CONFIG`.
 
+use std::fmt::{self, Display};
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -10,6 +11,7 @@
 use gradeshunt_placement::Placement;
 use gradeshunt_sites::proxy::Sites;
 
+use crate::passing::passes;
 use crate::routing::{rules, Rules};
 
 /// An idle watch brings a line every 2 s: one silent for longer has broken, though its connection stands.
@@ -47,16 +49,50 @@
     pub placement: Option<Placement>,
 }
 
+/// Why a configuration can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    why: String,
+    /// A file can't be read now, and may be later.
+    pub passes: bool,
+}
+
+impl Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.why)
+    }
+}
+
+impl From<String> for ConfigError {
+    fn from(why: String) -> Self {
+        ConfigError { why, passes: false }
+    }
+}
+
+impl From<ConfigError> for String {
+    fn from(e: ConfigError) -> Self {
+        e.why
+    }
+}
+
+/// Reads a file of the operators'.
+fn read_file(path: &Path) -> Result<String, ConfigError> {
+    std::fs::read_to_string(path)
+        .map_err(|e| ConfigError { why: format!("cannot read {}: {e}", path.display()), passes: passes(&e) })
+}
+
 impl Config {
     /// Reads a file, or the one that the environment names.
-    pub fn load(named: Option<&Path>) -> Result<Config, String> {
+    ///
+    /// # Errors
+    /// Where a file can't be read, or what it says can't be used.
+    pub fn load(named: Option<&Path>) -> Result<Config, ConfigError> {
         let path = match named {
             Some(path) => path.to_owned(),
-            None => std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?.into(),
+            None => std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set".to_owned())?.into(),
         };
-        let text =
-            std::fs::read_to_string(&path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+        let text = read_file(&path)?;
+        Config::parse(&text).map_err(|e| ConfigError { why: format!("{}: {e}", path.display()), ..e })
     }
 
     /// Names of the tenants for the figures: those of the settings, and behind them, where there are any, one for requests
@@ -78,7 +114,7 @@
         format!("{name}: listens at {listen}, discovery at {discovery}, classes {classes}, {routes} routes{sites}{placement}")
     }
 
-    fn parse(text: &str) -> Result<Config, String> {
+    fn parse(text: &str) -> Result<Config, ConfigError> {
         let value: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
         let text =
             |key: &str| value.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is missing"));
@@ -102,7 +138,7 @@
         };
         let (rules, sites) = (file("ROUTER_RULES", "rules"), file("ROUTER_SITES", "sites"));
         let placement = file("ROUTER_PLACEMENT", "placement");
-        let facts = settings::read(value.get("settings").ok_or("settings is missing")?);
+        let facts = settings::read(value.get("settings").ok_or("settings is missing".to_owned())?);
         let facts = facts.map_err(|e| format!("settings: {e}"));
         let seed = text("seed")?;
         let limit = |key: &str, usual| {
@@ -112,7 +148,7 @@
         };
         let sockets = limit("sockets", 1024)?;
         if sockets < 64 {
-            return Err(format!("limits.sockets is too small: {sockets}"));
+            return Err(format!("limits.sockets is too small: {sockets}").into());
         }
         let memory_mb = limit("memory_mb", 192)?;
         let silence = value.get("watch_silence_ms").filter(|v| !v.is_null()).map(|v| {
@@ -121,7 +157,7 @@
         });
         let (name, listen, discovery) = (text("name")?.to_owned(), addr("listen")?, addr("discovery")?);
         let facts = facts?;
-        let rules = rules.map(|file| rules::load(Path::new(&file), &facts)).transpose()?;
+        let rules = rules.map(|file| read_rules(&file, &facts)).transpose()?;
         let sites = sites.map(|file| read_sites(&file, &facts)).transpose()?;
         let placement = placement.map(|file| read_placement(&file, &name)).transpose()?;
         Ok(Config {
@@ -143,19 +179,26 @@
     }
 }
 
+/// The operators' file on plain statements.
+fn read_rules(file: &str, facts: &Facts) -> Result<Rules, ConfigError> {
+    Ok(rules::parse(&read_file(Path::new(file))?, facts).map_err(|e| format!("{file}:{e}"))?)
+}
+
 /// The operators' file on placement.
-fn read_placement(file: &str, own_name: &str) -> Result<Placement, String> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {file}: {e}"))?;
+fn read_placement(file: &str, own_name: &str) -> Result<Placement, ConfigError> {
+    let text = read_file(Path::new(file))?;
     let placement = Placement::parse(file, &text, own_name).map_err(|e| e.to_string())?;
     let own = placement.proxy(placement.own());
     if own.is_none_or(|proxy| proxy.address.is_none()) {
-        return Err(format!("{file}: proxy {own_name:?} is this one, and has no address for other proxies"));
+        return Err(
+            format!("{file}: proxy {own_name:?} is this one, and has no address for other proxies").into()
+        );
     }
     Ok(placement)
 }
 
 /// The operators' file on sites. Plans are made here, away from the loop.
-fn read_sites(file: &str, facts: &Facts) -> Result<Sites, String> {
-    let text = std::fs::read_to_string(file).map_err(|e| format!("cannot read {file}: {e}"))?;
-    Sites::new(&text, facts, 0).map_err(|e| format!("{file}:{e}"))
+fn read_sites(file: &str, facts: &Facts) -> Result<Sites, ConfigError> {
+    let text = read_file(Path::new(file))?;
+    Ok(Sites::new(&text, facts, 0).map_err(|e| format!("{file}:{e}"))?)
 }
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -21,6 +21,7 @@
 mod logging;
 mod loop_stats;
 mod memory;
+mod passing;
 mod pg;
 mod placement_command;
 mod placing;
@@ -37,7 +38,7 @@
 mod turn;
 
 pub use cli::Arguments;
-pub use config::Config;
+pub use config::{Config, ConfigError};
 pub use control_core::{Core, List, Step};
 pub use cycle::{Cycle, Parts};
 pub use deadlines::Due;
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -22,6 +22,7 @@
 use crate::deadlines::Due;
 use crate::exchange;
 use crate::frontend::Frontend;
+use crate::passing::patiently;
 use crate::resumed::Resumed;
 use crate::shared::worker::Worker;
 use crate::shared::{self, Shared};
@@ -87,17 +88,21 @@
         let connect_timeout = facts.connections.connect_timeout;
         let backend = Backend::new(facts.connections, &facts.names);
         let listener = match listen_fd {
-            Some(fd) => turn::inherited(fd).map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
-            None => turn::listener(listen).map_err(|e| format!("cannot listen at {listen}: {e}"))?,
+            Some(fd) => patiently(|| turn::inherited(fd))
+                .map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
+            None => {
+                patiently(|| turn::listener(listen)).map_err(|e| format!("cannot listen at {listen}: {e}"))?
+            }
         };
         let mut frontend = Frontend::new(facts.settings, facts.names);
         frontend.route_by(rules);
         let listen = |addr| {
-            Control::listen(&core.turn, addr, OPERATORS).map_err(|e| format!("cannot listen at {addr}: {e}"))
+            patiently(|| Control::listen(&core.turn, addr, OPERATORS))
+                .map_err(|e| format!("cannot listen at {addr}: {e}"))
         };
         let control = control.map(listen).transpose()?;
         let handle = event_loop.handle();
-        let (ping, pinged) = calloop::ping::make_ping().map_err(|e| format!("cannot poll: {e}"))?;
+        let (ping, pinged) = patiently(calloop::ping::make_ping).map_err(|e| format!("cannot poll: {e}"))?;
         let told =
             handle.insert_source(Resumed(pinged), |(), (), ready: &mut Ready| ready.push(Source::Files));
         told.map_err(|e| format!("cannot poll: {e}"))?;
--- a/crates/gradeshunt/src/proxy/changes.rs
+++ b/crates/gradeshunt/src/proxy/changes.rs
@@ -3,7 +3,7 @@
 use slog::{info, warn};
 
 use super::Proxy;
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::control::Answer;
 use crate::shared::{Change, Duty};
 
@@ -53,7 +53,7 @@
 
     /// Rereads the configuration after SIGHUP. What is under way is left alone, and so is everything where the
     /// new file can't be used: an operator's slip must not cost more than a line in the log.
-    fn reload(&mut self, config: Result<Box<Config>, String>) {
+    fn reload(&mut self, config: Result<Box<Config>, ConfigError>) {
         match config {
             Ok(config) => {
                 info!(self.core.turn.log, "configuration reread"; "discovery" => config.discovery.to_string());
@@ -63,7 +63,8 @@
                 self.core.move_discovery(config.discovery, config.silence);
             }
             Err(why) => {
-                warn!(self.core.turn.log, "configuration kept, the new one can't be used"; "why" => why)
+                warn!(self.core.turn.log, "configuration kept, the new one can't be used";
+                    "again" => why.passes, "why" => why.to_string())
             }
         }
     }
--- a/crates/gradeshunt/src/routing/rules.rs
+++ b/crates/gradeshunt/src/routing/rules.rs
@@ -12,19 +12,10 @@
 const SCHEMA: &str = include_str!("../../proto/rules.proto");
 const SHAPES_KB: u64 = 4096;
 
-/// Reads a file.
-///
-/// # Errors
-/// What is wrong with it, in one line, with its place.
-pub fn load(path: &Path, facts: &Facts) -> Result<Rules, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-    parse(&text, facts).map_err(|e| format!("{}:{e}", path.display()))
-}
-
 /// What a file says of statements and the names of their classes, without the settings that the classes stand in.
 ///
 /// # Errors
-/// As of [`load`], but of nothing that only the settings tell.
+/// As of [`parse`], but of nothing that only the settings tell.
 pub fn outline(path: &Path) -> Result<(Declared, Vec<(Match, String)>), String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
     let message = read(&text).map_err(|e| format!("{}:{e}", path.display()))?;
@@ -49,6 +40,9 @@
 }
 
 /// Reads the text of a file.
+///
+/// # Errors
+/// What is wrong with it, in one line, with its place.
 pub fn parse(text: &str, facts: &Facts) -> Result<Rules, String> {
     let message = read(text)?;
     let routes = message.list("route").iter().map(|r| route(r, facts)).collect::<Result<Vec<_>, _>>()?;
--- a/crates/gradeshunt/src/shared/files.rs
+++ b/crates/gradeshunt/src/shared/files.rs
@@ -50,12 +50,14 @@
 }
 
 /// Opens what this process shares with others: the folder of the proxy `name` in `$TMPDIR`, where that is set.
-pub fn open(name: &str) -> Result<Box<dyn Files>, String> {
+///
+/// # Errors
+/// Those of the folder, which may pass.
+pub fn open(name: &str) -> io::Result<Box<dyn Files>> {
     let tmp = std::env::var_os("TMPDIR").filter(|d| !d.is_empty());
-    match tmp.map(|tmp| Folder::open(Path::new(&tmp), name)) {
+    match tmp {
         None => Ok(Box::new(Alone::default())),
-        Some(Ok(folder)) => Ok(Box::new(folder)),
-        Some(Err(e)) => Err(format!("cannot use $TMPDIR: {e}")),
+        Some(tmp) => Ok(Box::new(Folder::open(Path::new(&tmp), name)?)),
     }
 }
 
--- a/crates/gradeshunt/src/shared/mod.rs
+++ b/crates/gradeshunt/src/shared/mod.rs
@@ -11,13 +11,15 @@
 
 use leadmast::Micros;
 
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::ids::CallerId;
 
 /// Bans under way at a time; there are no more callers than this, but one that has given up makes room for the next.
 const BANS: usize = 16;
 /// A look that takes longer is told of.
 const STANDS: Micros = 1_000_000;
+/// A configuration that can't be read now is tried again after this long.
+const REREAD_PAUSE: Micros = 250_000;
 /// How often the same trouble is told of.
 const COMPLAIN: Micros = 10_000_000;
 
@@ -65,11 +67,19 @@
 
 /// File work done. What failed says why.
 pub enum Done {
-    Opened(Result<(), String>),
+    Opened(Result<(), OpenFailure>),
     Looked(Result<View, String>),
     Told(Result<(), String>),
     HeldOut { caller: CallerId, id: String, out: bool, kept: Result<(), String> },
-    Reread(Result<Box<Config>, String>),
+    Reread(Result<Box<Config>, ConfigError>),
+}
+
+/// Why the folder can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenFailure {
+    pub why: String,
+    /// It may pass, and is tried again.
+    pub passes: bool,
 }
 
 /// What the rest of the program has to do about it.
@@ -93,7 +103,7 @@
         out: bool,
         kept: Result<(), String>,
     },
-    Reread(Result<Box<Config>, String>),
+    Reread(Result<Box<Config>, ConfigError>),
     /// A line for the log, at most every 10 s.
     Complain {
         what: &'static str,
@@ -142,8 +152,12 @@
     seen_by: u64,
     fresh_from: Option<u64>,
     tell: Work,
+    /// The last try to tell the duty has failed.
+    tell_again: bool,
     duty: Duty,
     reread: Work,
+    /// When the configuration is tried again that could not be read.
+    reread_at: Option<Micros>,
     bans: Vec<Task>,
     bans_out: usize,
     complain_at: Micros,
@@ -160,8 +174,10 @@
             seen_by: 0,
             fresh_from: None,
             tell: Work::Idle,
+            tell_again: false,
             duty: Duty::Starting,
             reread: Work::Idle,
+            reread_at: None,
             bans: Vec::new(),
             bans_out: 0,
             complain_at: 0,
@@ -191,8 +207,14 @@
 
     // ---- What is wanted ----
 
-    /// A look is due. One that has been out for long is told of.
+    /// A look is due. One that has been out for long is told of. What has failed and may pass is tried again.
     pub fn look(&mut self, now: Micros) -> Option<Change> {
+        if std::mem::take(&mut self.tell_again) {
+            self.tell.want();
+        }
+        if self.reread_at.take_if(|at| *at <= now).is_some() {
+            self.reread.want();
+        }
         // One that is out shows what comes next soon enough.
         if !matches!(self.look, Work::Out { .. }) {
             self.look.want();
@@ -253,7 +275,12 @@
     pub fn done(&mut self, now: Micros, done: Done) -> Vec<Change> {
         match done {
             Done::Opened(Ok(())) => Vec::new(),
-            Done::Opened(Err(why)) => vec![Change::Unusable(why)],
+            Done::Opened(Err(failure)) if failure.passes => {
+                self.complain(now, "cannot use $TMPDIR yet", failure.why).into_iter().collect()
+            }
+            Done::Opened(Err(failure)) => {
+                vec![Change::Unusable(format!("cannot use $TMPDIR: {}", failure.why))]
+            }
             Done::Looked(view) => {
                 self.look.done();
                 match view {
@@ -263,8 +290,9 @@
             }
             Done::Told(told) => {
                 self.tell.done();
-                let failed = told.err().map(|why| self.complain(now, "cannot tell the other process", why));
-                failed.flatten().into_iter().collect()
+                let Err(why) = told else { return Vec::new() };
+                self.tell_again = true;
+                self.complain(now, "cannot tell the other process", why).into_iter().collect()
             }
             Done::HeldOut { caller, id, out, kept } => {
                 self.bans_out = self.bans_out.saturating_sub(1);
@@ -278,6 +306,10 @@
             }
             Done::Reread(config) => {
                 self.reread.done();
+                // What an operator has announced is owed until it was read.
+                if config.as_ref().is_err_and(|e| e.passes) {
+                    self.reread_at = Some(now + REREAD_PAUSE);
+                }
                 vec![Change::Reread(config)]
             }
         }
--- a/crates/gradeshunt/src/shared/worker.rs
+++ b/crates/gradeshunt/src/shared/worker.rs
@@ -1,17 +1,22 @@
 //! The thread that file work is done on, and the queues to and from it.
 
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::thread;
+use std::time::Duration;
 
 use calloop::ping::Ping;
 
 use super::files::Files;
-use super::{Done, Task};
+use super::{Done, OpenFailure, Task};
 use crate::config::Config;
+use crate::passing::passes;
 
 /// Tasks that may wait: more than [`super::Shared`] ever asks for at a time.
 const TASKS: usize = 32;
+/// Pause between two tries to open the files.
+const OPEN_PAUSE: Duration = Duration::from_millis(100);
 
 /// The loop's end of the queues.
 pub struct Worker {
@@ -20,9 +25,9 @@
 }
 
 impl Worker {
-    /// Starts the thread. It opens the files there, rereads the configuration from `config`, and pings the loop for all that is done.
+    /// Starts the thread. It opens the files there, and tries again for as long as what keeps it from that may pass; it rereads the configuration from `config`, and pings the loop for all that is done.
     pub fn start(
-        open: impl FnOnce() -> Result<Box<dyn Files>, String> + Send + 'static,
+        mut open: impl FnMut() -> io::Result<Box<dyn Files>> + Send + 'static,
         config: Option<PathBuf>,
         ping: Ping,
     ) -> std::io::Result<Worker> {
@@ -34,14 +39,22 @@
                 ping.ping();
                 told
             };
-            match open() {
-                Err(why) => drop(tell(Done::Opened(Err(why)))),
-                Ok(mut files) => {
-                    let mut told = tell(Done::Opened(Ok(())));
-                    while let (true, Ok(task)) = (told, to_do.recv()) {
-                        told = tell(carry_out(&mut *files, config.as_deref(), task));
+            let mut files = loop {
+                match open() {
+                    Ok(files) => break files,
+                    Err(e) => {
+                        let failure = OpenFailure { passes: passes(&e), why: e.to_string() };
+                        let goes_on = failure.passes;
+                        if !tell(Done::Opened(Err(failure))) || !goes_on {
+                            return;
+                        }
+                        thread::sleep(OPEN_PAUSE);
                     }
                 }
+            };
+            let mut told = tell(Done::Opened(Ok(())));
+            while let (true, Ok(task)) = (told, to_do.recv()) {
+                told = tell(carry_out(&mut *files, config.as_deref(), task));
             }
         };
         thread::Builder::new().name("files".to_owned()).spawn(work)?;
@@ -74,7 +87,6 @@
 
 #[cfg(test)]
 mod tests {
-    use std::io;
     use std::sync::mpsc::Receiver;
 
     use super::super::{Duty, View};
@@ -104,7 +116,11 @@
     fn a_disk_that_stands_keeps_nobody_waiting() {
         let (go_on, standing) = sync_channel(TASKS);
         let (ping, _source) = calloop::ping::make_ping().expect("a ping");
-        let open = move || Ok(Box::new(Standing(standing)) as Box<dyn Files>);
+        let mut standing = Some(standing);
+        let open = move || {
+            let standing = standing.take().ok_or(io::ErrorKind::NotFound)?;
+            Ok(Box::new(Standing(standing)) as Box<dyn Files>)
+        };
         let worker = Worker::start(open, None, ping).expect("a thread");
         let ban = |n| Task::HoldOut { caller: CallerId(n), id: format!("s-{n}"), out: true };
         assert!(worker.ask(Task::Look) && (0..16).all(|n| worker.ask(ban(n))));
