Three tests that fail: waits in the backlog, cancel requests, half a request behind another

A request that stood in the backlog while accept failed tells its db host 899 ms of 900, with some 400 left. A cancel request is read and closed; attempts begin all the same. Half a request behind one that is out is waited for 2.5 s from that one's answer. Corrects attempts.rs, whose reading of the time told took the id for it, so that the assertion on it could not fail; read rightly it holds.

--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -288,3 +288,15 @@
         body: Body::new(Vec::new(), None, Form::Value),
     }
 }
+
+/// Guards a client that stops amid a request and stays, behind one of its own that is out: what it is owed counts from when it
+/// stopped, not from the answer before.
+#[test]
+fn half_a_request_behind_another_is_bounded_from_its_first_byte() {
+    const STOPPED: Micros = 10_000;
+    let mut pipeline = Pipeline::begin();
+    pipeline.send(STOPPED, &read_of(1, 1_000)[..30]);
+    pipeline.expired(1_100_000);
+    let due = pipeline.frontend.sessions[&pipeline.id].due.expect("it has a deadline");
+    assert_eq!(due, STOPPED + super::session::MESSAGE_TIMEOUT);
+}
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -119,7 +119,7 @@
 
 /// The time that a request tells.
 fn told_ms(text: &str) -> u64 {
-    let told = text.split("d=").nth(1).and_then(|rest| rest.split(',').next());
+    let told = text.split(",d=").nth(1).and_then(|rest| rest.split(',').next());
     told.and_then(|ms| ms.parse().ok()).expect("a time")
 }
 
@@ -199,3 +199,34 @@
     let ended = second.read_to_end(&mut rest);
     assert!(rest.len() < LONG, "it was written whole: {ended:?}");
 }
+
+/// A client cancels its request, as PostgreSQL's protocol has it: it is told so, and no further attempt begins when the one that
+/// is out breaks.
+#[test]
+fn cancelled_request_is_answered_and_begins_no_further_attempt() {
+    const CANCEL_REQUEST: u32 = 80_877_102;
+    let play = Play::open("cancelled", 600_000);
+    let mut client = play.program.connect(PATIENCE);
+    client.write_all(&wire::startup(&[("user", "portal")])).expect("it is open");
+    let mut key = Vec::new();
+    loop {
+        match wire::read(&mut client).expect("its session starts") {
+            (b'K', body) => key = body,
+            (b'Z', _) => break,
+            _ => {}
+        }
+    }
+    client.write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+    let mut server = play.accept();
+    next_request(&mut server).expect("it is sent");
+    let mut cancel = play.program.connect(PATIENCE);
+    let message = [&16_u32.to_be_bytes()[..], &CANCEL_REQUEST.to_be_bytes(), &key].concat();
+    cancel.write_all(&message).expect("it is open");
+    assert_eq!(cancel.read(&mut [0]).expect("it is closed"), 0);
+    let (tag, body) = wire::read(&mut client).expect("an answer");
+    assert_eq!((tag, wire::field(&body, b'C').as_deref()), (b'E', Some("57014")));
+    drop(server);
+    // The next attempt is another request's.
+    client.write_all(&request(2, "page-read", 300_000, 0)).expect("it is open");
+    assert!(next_request(&mut play.accept()).expect("it is sent").contains("id=2,"));
+}
--- a/crates/gradeshunt/tests/faults.rs
+++ b/crates/gradeshunt/tests/faults.rs
@@ -10,6 +10,7 @@
 use gradeshunt_soak::shim::{errno, FaultControl, Knob, Shim};
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
+use gradeshunt_stand_ins::script::{Act, Rule};
 use gradeshunt_stand_ins::site::{Plan, Site};
 use gradeshunt_stand_ins::standalone::{Standalone, Start};
 use serde_json::Value;
@@ -253,3 +254,30 @@
     drop(crowd);
     program.until_logged("configuration reread", PATIENCE);
 }
+
+/// A client connects and asks while connections can't be accepted. Its wait counts from then: what its db host is told is no more
+/// than what is left of it. How long that took shows by another request, which waits at a db host that hangs.
+#[test]
+fn time_that_a_client_stood_in_the_backlog_counts() {
+    const WAIT_MS: u64 = 900;
+    const PASSED_MS: u64 = 500;
+    let (site, config) = site();
+    (0..3).for_each(|host| site.sets[0].script(host, Rule::always("id=7,", Act::Hang)));
+    let (program, control) = program("backlog", config, "");
+    let mut other = connect(&program);
+    assert_eq!(other.query(&read_of(1)).expect("an answer").code(), None);
+    control.set(Knob::AcceptErrno, errno::ENFILE).expect("it is set");
+    control.set(Knob::AcceptRate, 1000).expect("it is set");
+    let within = |id: usize, ms: u64| read_of(id).replace("d=300000", &format!("d={ms}"));
+    let mut client = Client::open(program.addr, &[("user", "portal")], PATIENCE).expect("it connects");
+    client.ask(&within(8, WAIT_MS)).expect("it is open");
+    assert!(other.query(&within(7, PASSED_MS)).expect("an answer").code().is_some());
+    control.set(Knob::AcceptRate, 0).expect("it is set");
+    client.until_ready().expect("its session starts");
+    assert_eq!(client.until_ready().expect("an answer").code(), None);
+    let ran = site.sets[0].ran();
+    let request =
+        ran.iter().map(|ran| &ran.request).find(|request| request.contains("id=8,")).expect("it ran");
+    let told = request.split(",d=").nth(1).and_then(|rest| rest.split(',').next()?.parse::<u64>().ok());
+    assert!(told.is_some_and(|told| told <= WAIT_MS - PASSED_MS + 150), "{request}");
+}
