Waits count from the backlog, cancel requests cancel, half a request is bounded from its first byte

Cause: listener.rs accept_session and session.rs ready took the time of the read for that of the arrival, also where accept had failed for a while; messages.rs closed a cancel request without a look at it (the secret told to clients was 0); await_rest set the time of half a message anew at each answer. Change: the listener notes since when its backlog may stand, and what is read first counts from then; a cancel request with the session's secret, which is random now, ends its request with 57014, and no attempt begins after it; half a message counts from the arrival of its first byte.

--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -216,6 +216,17 @@
         }
     }
 
+    /// The client has cancelled a request and waits to be told so. Of a value that has begun it gets the rest.
+    pub fn cancel(&mut self, turn: &mut Turn, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over && !r.begun) else { return };
+        r.left = Some(turn.now);
+        let forwarded = r.forward.is_some();
+        let attempt = r.out.as_ref().map(|out| AttemptId { request: id, number: out.number });
+        self.finish(turn, id, Final::Cancelled, Some(FinalReason::Cancelled));
+        self.orders.extend(attempt.map(if forwarded { Order::Abandon } else { Order::Withdraw }));
+        self.tell(turn, Event::Gone { request: id });
+    }
+
     pub fn overdue(&mut self, turn: &mut Turn, id: RequestId) {
         if self.requests.get(&id).is_some_and(|r| !r.over) {
             error!(turn.log, "overdue: the module gave no final answer, failing the request"; "request" => id.0);
@@ -485,13 +496,13 @@
             match &answer {
                 Final::Served(_) => count.served += 1,
                 Final::Refused { .. } => count.refused += 1,
-                Final::Failed(_) | Final::Broken => count.failed += 1,
+                Final::Failed(_) | Final::Cancelled | Final::Broken => count.failed += 1,
             }
         }
         match &answer {
             Final::Served(_) => self.tally.served += 1,
             Final::Refused { .. } => self.tally.refused += 1,
-            Final::Failed(_) | Final::Broken => self.tally.failed += 1,
+            Final::Failed(_) | Final::Cancelled | Final::Broken => self.tally.failed += 1,
         }
         self.answers.push_back((id, Answer::Final(answer)));
     }
--- a/crates/gradeshunt/src/exchange/messages.rs
+++ b/crates/gradeshunt/src/exchange/messages.rs
@@ -93,6 +93,8 @@
     Refused { retry_after: Option<Micros> },
     /// Failed, with the db host's own error where it gave one.
     Failed(Option<Vec<u8>>),
+    /// Its client has asked for that.
+    Cancelled,
     /// It broke off amid its parts: the client has to see that it is not whole.
     Broken,
 }
--- a/crates/gradeshunt/src/exchange/reason.rs
+++ b/crates/gradeshunt/src/exchange/reason.rs
@@ -21,6 +21,8 @@
     Statement,
     /// A value broke off amid its parts.
     ValueCut,
+    /// Its client has cancelled it.
+    Cancelled,
     /// The process ends.
     Leaving,
     /// The decisions gave no answer in time.
@@ -40,6 +42,7 @@
             FinalReason::MayHaveRun => "may_have_run",
             FinalReason::Statement => "statement",
             FinalReason::ValueCut => "value_cut",
+            FinalReason::Cancelled => "cancelled",
             FinalReason::Leaving => "leaving",
             FinalReason::Overdue => "overdue",
         }
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod tests;
 
+use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -52,6 +53,8 @@
 /// The client side.
 pub struct Frontend {
     listener: Option<Polled<TcpListener>>,
+    /// Since when connections may stand in the backlog that could not be accepted, of clients and of other proxies.
+    backlog_since: [Option<Micros>; 2],
     /// Where other proxies connect, and the names of those that may.
     peer_listener: Option<Polled<TcpListener>>,
     peer_names: BTreeSet<String>,
@@ -61,6 +64,8 @@
     most_memory: usize,
     sessions: BTreeMap<SessionId, Session>,
     owners: HashMap<RequestId, Owner>,
+    /// What the secrets of cancel requests are made from.
+    secrets: RandomState,
     /// The ids of open requests, as clients gave them.
     ids: HashSet<Rc<str>>,
     next: u64,
@@ -84,6 +89,7 @@
     pub fn new(settings: Settings, names: Names) -> Self {
         Frontend {
             listener: None,
+            backlog_since: [None; 2],
             peer_listener: None,
             peer_names: BTreeSet::new(),
             settings,
@@ -92,6 +98,7 @@
             most_memory: 0,
             sessions: BTreeMap::new(),
             owners: HashMap::new(),
+            secrets: RandomState::new(),
             ids: HashSet::new(),
             next: 0,
             service: Service::Running,
@@ -106,7 +113,7 @@
 
     /// Plain statements are routed by these rules from now on, or refused where there are none.
     pub fn route_by(&mut self, rules: Option<Rules>) {
-        use std::hash::{BuildHasher, RandomState};
+        use std::hash::BuildHasher;
         let secret = || RandomState::new().hash_one(0_u8);
         self.router = rules.map(|rules| Router::new(rules, Key(secret(), secret())));
     }
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -52,6 +52,9 @@
             }
             // An error would pass for bytes of the value that was cut.
             Final::Broken => return self.close_with(turn, id, w, CloseReason::ValueCut),
+            Final::Cancelled => {
+                w.error("ERROR", sqlstate::QUERY_CANCELED, "canceling statement due to user request", None)
+            }
             Final::Failed(Some(error)) => Writer(error),
             Final::Failed(None) => {
                 w.error("ERROR", sqlstate::SYSTEM_ERROR, "no db host has answered in time", None)
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -75,6 +75,7 @@
                 Source::Proxy => (&self.peer_listener, Due::AcceptPeers),
             };
             let Some(listener) = listener else { return Backlog::Empty };
+            let backlog = usize::from(from == Source::Proxy);
             match listener.socket.accept() {
                 Ok((socket, _)) => {
                     if let Err(e) = self.accept_session(turn, socket, from) {
@@ -82,7 +83,10 @@
                     }
                 }
                 Err(e) => match AcceptFailure::of(&e) {
-                    AcceptFailure::NoneWaits => return Backlog::Empty,
+                    AcceptFailure::NoneWaits => {
+                        self.backlog_since[backlog] = None;
+                        return Backlog::Empty;
+                    }
                     AcceptFailure::ThatConnection => {}
                     failure => {
                         // The listener stays readable, so it is tried again only after a pause.
@@ -90,6 +94,8 @@
                         if failure == AcceptFailure::Descriptors {
                             self.evict_one(turn);
                         }
+                        // What waits has waited since now, for all that is known.
+                        self.backlog_since[backlog].get_or_insert(turn.now - turn.unread);
                         turn.deadlines.set(turn.now + ACCEPT_RETRY, again);
                         return Backlog::Stuck;
                     }
@@ -121,6 +127,7 @@
             ended: false,
             asked: false,
             since: turn.now,
+            waited_since: self.backlog_since[usize::from(source == Source::Proxy)],
             due: None,
             origin: Origin::default(),
             writing: false,
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -1,5 +1,6 @@
 //! What clients send, worked off message by message.
 
+use std::hash::BuildHasher;
 use std::rc::Rc;
 
 use slog::info;
@@ -14,13 +15,17 @@
 use crate::routing::Origin;
 use crate::turn::{Source, Turn};
 
+/// The process number by which a session's client names it in a cancel request.
+fn process_of(id: SessionId) -> u32 {
+    id.0 as u32
+}
+
 /// Messages of one connection worked off in one turn.
 const MESSAGES_PER_TURN: usize = 32;
 
 impl Frontend {
     /// Works off what has come, as far as the answers before it are out, and writes.
     pub(super) fn work(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
-        let mut worked = false;
         for n in 0..=MESSAGES_PER_TURN {
             let Some(s) = self.sessions.get_mut(&id) else { return };
             if s.ended {
@@ -34,12 +39,12 @@
                 break;
             }
             let step = match s.stage {
-                Stage::Startup => self.startup(turn, id),
+                Stage::Startup => self.startup(turn, exchange, id),
                 Stage::Ready => self.message(turn, exchange, id),
                 Stage::Waiting(_) | Stage::Closing | Stage::Lingering => break,
             };
             match step {
-                Ok(true) => worked = true,
+                Ok(true) => {}
                 Ok(false) => break,
                 Err(Malformed(what)) => {
                     info!(turn.log, "client broke the protocol"; "session" => id.0, "what" => what);
@@ -50,26 +55,28 @@
         }
         self.flush(turn, id);
         self.report_unread(exchange, id, 0);
-        self.await_rest(turn, id, worked);
+        self.await_rest(turn, id);
         self.close_if_draining(turn, id);
     }
 
     /// Sets the deadline for the rest of a message that has begun; each has its own, however slowly it drips.
-    fn await_rest(&mut self, turn: &mut Turn, id: SessionId, worked: bool) {
+    fn await_rest(&mut self, turn: &mut Turn, id: SessionId) {
         let Some(s) = self.sessions.get(&id) else { return };
         let part = match s.stage {
             Stage::Startup | Stage::Closing | Stage::Lingering => return,
-            Stage::Ready => !s.inbound.is_empty() && s.outbound.len() <= UNREAD_LIMIT,
-            Stage::Waiting(_) => false,
+            Stage::Ready => s.inbound.first_arrived().filter(|_| s.outbound.len() <= UNREAD_LIMIT),
+            Stage::Waiting(_) => None,
         };
-        if !part {
-            self.set_due(turn, id, None);
-        } else if worked || s.due.is_none() {
-            self.set_due(turn, id, Some(turn.now + MESSAGE_TIMEOUT));
-        }
+        // From its first byte, however long it then stood behind a request that was out.
+        self.set_due(turn, id, part.map(|arrived| arrived + MESSAGE_TIMEOUT));
     }
 
-    fn startup(&mut self, turn: &mut Turn, id: SessionId) -> Result<bool, Malformed> {
+    fn startup(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        id: SessionId,
+    ) -> Result<bool, Malformed> {
         let Some(s) = self.sessions.get_mut(&id) else { return Ok(false) };
         let Some((startup, size)) = pg::startup(s.inbound.bytes())? else { return Ok(false) };
         s.inbound.consume(size);
@@ -77,8 +84,9 @@
         match startup {
             // Neither TLS nor GSSAPI is served: the client may go on in plain text.
             Startup::Encryption => Ok(s.outbound.push(b"N")),
-            // Cancels are not served, and get no answer in this protocol.
-            Startup::Cancel => {
+            // It gets no answer in this protocol, whatever comes of it.
+            Startup::Cancel { process, secret } => {
+                self.cancel(turn, exchange, process, secret);
                 self.close_with(turn, id, w, CloseReason::CancelRequest);
                 Ok(false)
             }
@@ -102,13 +110,24 @@
                 let Some(s) = self.sessions.get_mut(&id) else { return Ok(false) };
                 let w = if minor > 0 || !options.is_empty() { w.negotiate(&options) } else { w };
                 s.stage = Stage::Ready;
-                let fits = s.outbound.push(&w.startup_reply(id.0 as u32).0);
+                let fits =
+                    s.outbound.push(&w.startup_reply(process_of(id), self.secrets.hash_one(id) as u32).0);
                 self.set_due(turn, id, None);
                 Ok(fits)
             }
         }
     }
 
+    /// Cancels the request of the session that was told this process number and this secret, if one is out.
+    fn cancel(&mut self, turn: &mut Turn, exchange: &mut Exchange, process: u32, secret: u32) {
+        let is_it =
+            |id: &SessionId| process_of(*id) == process && self.secrets.hash_one(*id) as u32 == secret;
+        let session = self.sessions.iter().find(|(id, _)| is_it(id)).map(|(_, s)| &s.stage);
+        if let Some(Stage::Waiting(request)) = session {
+            exchange.cancel(turn, *request);
+        }
+    }
+
     fn message(
         &mut self,
         turn: &mut Turn,
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -56,6 +56,8 @@
     pub(super) asked: bool,
     /// When it was last of use.
     pub(super) since: Micros,
+    /// Since when it may have stood in the backlog with what it sent, until that is read.
+    pub(super) waited_since: Option<Micros>,
     pub(super) due: Option<Micros>,
     /// Who it is.
     pub(super) origin: Origin,
@@ -91,7 +93,8 @@
 
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
         let mut full = false;
-        let arrived = turn.now - turn.unread;
+        let waited = self.sessions.get_mut(&id).and_then(|s| s.waited_since.take());
+        let arrived = waited.unwrap_or(turn.now - turn.unread);
         for n in 0..=READS_PER_TURN {
             let Some(s) = self.sessions.get_mut(&id) else { return };
             if n == READS_PER_TURN {
--- a/crates/gradeshunt/src/inbound.rs
+++ b/crates/gradeshunt/src/inbound.rs
@@ -134,6 +134,11 @@
         self.arrivals.record(end, at);
     }
 
+    /// When the first byte arrived that is not worked off; `None` where all is.
+    pub fn first_arrived(&self) -> Option<Micros> {
+        self.arrivals.of(1).filter(|_| !self.is_empty())
+    }
+
     /// Works off the first `n` bytes, and tells when the last of them arrived; `None` where none was worked off.
     pub fn consume(&mut self, n: usize) -> Option<Micros> {
         let arrived = self.arrivals.of(n).filter(|_| n > 0);
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -29,6 +29,7 @@
     pub const PROTOCOL_VIOLATION: &str = "08P01";
     pub const FEATURE_NOT_SUPPORTED: &str = "0A000";
     pub const INVALID_PARAMETER: &str = "22023";
+    pub const QUERY_CANCELED: &str = "57014";
     pub const READ_ONLY: &str = "25006";
     pub const TOO_MANY_CONNECTIONS: &str = "53300";
     pub const CANNOT_CONNECT_NOW: &str = "57P03";
@@ -61,7 +62,7 @@
     /// Encryption is asked for.
     Encryption,
     /// Another connection's query is to be cancelled.
-    Cancel,
+    Cancel { process: u32, secret: u32 },
     /// A protocol version that is not served.
     Unsupported,
 }
@@ -82,7 +83,12 @@
     }
     let (Some(code), Some(packet)) = (be32(bytes, 4), bytes.get(8..size)) else { return Ok(None) };
     let startup = match code {
-        CANCEL_REQUEST => Startup::Cancel,
+        CANCEL_REQUEST => {
+            let (Some(process), Some(secret)) = (be32(packet, 0), be32(packet, 4)) else {
+                return Err(Malformed("invalid length of a cancel request"));
+            };
+            Startup::Cancel { process, secret }
+        }
         SSL_REQUEST | GSSENC_REQUEST => Startup::Encryption,
         v if v >> 16 == PROTOCOL_3 >> 16 => {
             let Some((0, list)) = packet.split_last() else {
@@ -224,7 +230,7 @@
     }
 
     /// The reply to a startup message, up to and with the first ReadyForQuery.
-    pub fn startup_reply(self, process: u32) -> Self {
+    pub fn startup_reply(self, process: u32, secret: u32) -> Self {
         let mut w = self.message(b'R', &[&0u32.to_be_bytes()]);
         let parameters = [
             ("server_version", "15.0 (gradeshunt)"),
@@ -238,8 +244,7 @@
         for (name, value) in parameters {
             w = w.message(b'S', &[name.as_bytes(), b"\0", value.as_bytes(), b"\0"]);
         }
-        // Cancels are not served, so the secret is none.
-        w.message(b'K', &[&process.to_be_bytes(), &[0; 4]]).ready()
+        w.message(b'K', &[&process.to_be_bytes(), &secret.to_be_bytes()]).ready()
     }
 
     pub fn negotiate(self, options: &[String]) -> Self {
