--- a/crates/gradeshunt/src/backend/tests.rs
+++ b/crates/gradeshunt/src/backend/tests.rs
@@ -1,8 +1,17 @@
 //! Tests of the part named by the folder.
 
-use leadmast::Ending;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
 
+use leadmast::{Ending, ListKind, MemberId, Phase};
+
+use super::connection::Stage;
+use super::hosts::Listed;
 use super::jobs::unsent_ending;
+use super::Backend;
+use crate::exchange::{Exchange, Order};
+use crate::pg::Writer;
+use crate::turn::{Ready, Turn};
 
 /// Guards what the decisions learn of a host that has vanished: attempts there seldom live to see the connect
 /// time-out, and each that tells nothing is followed by another.
@@ -12,3 +21,95 @@
     assert_eq!(unsent_ending(Ending::Timeout, 124_999, 250_000), Ending::Moot);
     assert_eq!(unsent_ending(Ending::Cancelled, 250_000, 250_000), Ending::Moot);
 }
+
+/// A server side with one db host that the test plays, and a clock that the test sets.
+struct Play {
+    backend: Backend,
+    exchange: Exchange,
+    turn: Turn,
+    host: TcpListener,
+    _poll: calloop::EventLoop<'static, Ready>,
+}
+
+const MEMBER: MemberId = MemberId(0);
+
+/// A load report, as a db host answers a probe.
+fn report() -> Vec<u8> {
+    let writer = Writer::default().message(b'T', &[&[0, 1], b"pressure\0", &[0; 18]]);
+    let writer = writer.message(b'D', &[&[0, 1, 0, 0, 0, 4], b"x1=1"]);
+    writer.message(b'C', &[b"SHOW\0"]).ready().0
+}
+
+impl Play {
+    fn open() -> Play {
+        let poll = calloop::EventLoop::<Ready>::try_new().expect("a poll");
+        let mut turn = Turn::new(poll.handle(), slog::Logger::root(slog::Discard, slog::o!()));
+        turn.now = 0;
+        let config = std::fs::read_to_string("../../examples/config.json").expect("the example");
+        let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+        let facts = leadmast::settings::read(&config["settings"]).expect("settings");
+        let mut exchange = Exchange::new(facts.settings.clone(), Vec::new(), 7, 0);
+        let mut backend = Backend::new(facts.connections, &facts.names);
+        backend.limit(&mut turn, 10);
+        let host = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = host.local_addr().expect("an address");
+        let listed = Listed { id: "s".to_owned(), member: MEMBER, addr, phase: Phase::Up };
+        backend.list(&mut turn, &mut exchange, ListKind::Full, &[listed]);
+        Play { backend, exchange, turn, host, _poll: poll }
+    }
+
+    /// Has what came worked off until nothing of it is under way.
+    fn until(&mut self, done: impl Fn(&Backend) -> bool) {
+        while !done(&self.backend) {
+            let servers: Vec<_> = self.backend.servers.keys().copied().collect();
+            for id in servers {
+                self.backend.ready(&mut self.turn, &mut self.exchange, id);
+            }
+        }
+    }
+
+    /// Asks for a load report on a connection that comes up for it, which is pooled then.
+    fn pool_connection(&mut self) -> TcpStream {
+        self.backend.carry_out(&mut self.turn, &mut self.exchange, Order::Probe(MEMBER));
+        let (mut server, _) = self.host.accept().expect("it connects");
+        server.set_nodelay(true).expect("it can be set");
+        server.write_all(&Writer::default().message(b'R', &[&[0; 4]]).ready().0).expect("it is open");
+        self.until(|backend| backend.hosts[&MEMBER].starting == 0);
+        server.write_all(&report()).expect("it is open");
+        self.until(|backend| backend.hosts[&MEMBER].idle.len() == 1);
+        server
+    }
+}
+
+/// Guards requests of a process that stood still: a connection that has rested for longer than its db host may keep it is not used
+/// for what is worked off before its deadline.
+#[test]
+fn pooled_connection_that_has_expired_is_not_leased() {
+    let mut play = Play::open();
+    let _server = play.pool_connection();
+    let id = play.backend.hosts[&MEMBER].idle[0];
+    let Stage::Idle { until, .. } = play.backend.servers[&id].stage else { panic!("it is idle") };
+    play.turn.now = until - 1;
+    assert_eq!(play.backend.reuse_denial(play.turn.now, id), None);
+    play.turn.now = until;
+    assert_eq!(play.backend.lease(&mut play.turn, MEMBER), None);
+    assert!(play.backend.servers.is_empty(), "it is closed");
+}
+
+/// Guards requests against a former address: a connection that leads there is not used once its db host is listed elsewhere.
+#[test]
+fn pooled_connection_to_a_former_address_is_not_leased() {
+    let mut play = Play::open();
+    let mut server = play.pool_connection();
+    let moved = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = moved.local_addr().expect("an address");
+    // A job is out there, so that the move does not close the connection.
+    play.backend.carry_out(&mut play.turn, &mut play.exchange, Order::Probe(MEMBER));
+    let listed = Listed { id: "s".to_owned(), member: MEMBER, addr, phase: Phase::Up };
+    play.backend.list(&mut play.turn, &mut play.exchange, ListKind::Full, &[listed]);
+    assert_eq!(play.backend.servers.len(), 1);
+    server.write_all(&report()).expect("it is open");
+    play.until(|backend| backend.probes.is_empty());
+    assert_eq!(play.backend.lease(&mut play.turn, MEMBER), None);
+    assert!(play.backend.servers.is_empty(), "it is closed");
+}
--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -121,3 +121,6 @@
 fn worked(core: &mut Core, name: &'static str) {
     core.loop_stats.worked(name, core.turn.clock.now());
 }
+
+#[cfg(test)]
+mod tests;
