A db host listed in another cell leaves its former one; time goes on within a turn

Cause: balance.rs list added a member to its new group and left it in the former one, with position and role of that; cycle.rs begin set the time once a turn. Change: the member leaves, and what it told of its data is forgotten; each source and deadline has its own time, and what is read counts as there since the turn began.

--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -117,9 +117,12 @@
     }
 }
 
-/// A source or a deadline of this name is worked off.
+/// A source or a deadline of this name is worked off. What comes next in the turn has its own time, but was there as long before.
 fn worked(core: &mut Core, name: &'static str) {
-    core.loop_stats.worked(name, core.turn.clock.now());
+    let now = core.turn.clock.now();
+    core.loop_stats.worked(name, now);
+    core.turn.unread += now - core.turn.now;
+    core.turn.now = now;
 }
 
 #[cfg(test)]
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -324,14 +324,23 @@
         for (id, group) in left.collect::<Vec<_>>() {
             self.members.remove(&id);
             self.watched.remove(&id);
-            let g = self.groups.entry(group).or_default();
-            g.members.remove(&id);
-            g.primary = g.primary.filter(|p| *p != id);
+            self.leave(id, group);
         }
     }
 
+    fn leave(&mut self, id: MemberId, group: GroupId) {
+        let g = self.groups.entry(group).or_default();
+        g.members.remove(&id);
+        g.primary = g.primary.filter(|p| *p != id);
+    }
+
     fn list(&mut self, now: Micros, entry: Entry) {
         let (id, group) = (entry.member, entry.group);
+        // Rebuilt under its name for another group, it has none of its former group's data.
+        if let Some(former) = self.members.get(&id).map(|m| m.entry.group).filter(|former| *former != group) {
+            self.leave(id, former);
+            self.members.entry(id).and_modify(Member::forget_data);
+        }
         let g = self.groups.entry(group).or_default();
         g.members.insert(id);
         let fresh = Entry { since: None, ..entry.clone() };
@@ -956,6 +965,11 @@
         }
     }
 
+    /// What it told of its data and its role was of another group.
+    fn forget_data(&mut self) {
+        (self.position, self.heard_position, self.role) = (NEVER, NEVER, None);
+    }
+
     /// Where its position should be by now if its lag fades within `past`; one never heard of counts as recent.
     fn outlook(&self, now: Micros, past: Micros) -> Micros {
         let (age, lag) = ((now - self.heard_position) as f64, self.heard_position - self.position);
