--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -78,7 +78,7 @@
 enum Reply {
     Answered(Outcome),
     /// The connection ended before a byte of an answer.
-    Ended,
+    Ended(String),
     /// Nothing came.
     Silence,
 }
@@ -119,7 +119,8 @@
 
     /// One request, or several, or a misdeed; false where the connection is of no more use.
     fn turn(&mut self, session: &mut Session) -> bool {
-        if self.does(|m| &m.rest) {
+        // Whoever connects and says nothing for long may be closed, and has not been read.
+        if session.used && self.does(|m| &m.rest) {
             thread::sleep(Duration::from_millis(self.rng.u64(200..2_500)));
         }
         if self.does(|m| &m.stop_midway) {
@@ -167,15 +168,21 @@
             let reply = if sent {
                 read_reply(&mut session.stream, statement, patience, &mut greeted)
             } else {
-                Reply::Ended
+                Reply::Ended("it could not be sent".to_owned())
             };
             let outcome = match reply {
                 Reply::Answered(outcome) => outcome,
                 _ if self.was_killed(session) => Outcome::Killed,
                 Reply::Silence => Outcome::Unanswered,
                 // What crosses the end of a resting connection is sent again.
-                Reply::Ended if answered => Outcome::Crossed,
-                Reply::Ended => Outcome::Closed,
+                Reply::Ended(_) if answered => Outcome::Crossed,
+                Reply::Ended(why) => {
+                    self.ledger.note(
+                        statement.id,
+                        format!("{why}; {:?}; {}", self.proxy.door(), self.proxy.log_tail()),
+                    );
+                    Outcome::Closed
+                }
             };
             self.ledger.ended(statement.id, outcome);
             if !matches!(outcome, Outcome::Served | Outcome::Refused | Outcome::Failed) {
@@ -257,7 +264,7 @@
             Err(e) if is_timeout(&e) => return Reply::Silence,
             // A value that broke off: its client can see that.
             Err(_) if begun => return Reply::Answered(Outcome::Failed),
-            Err(_) => return Reply::Ended,
+            Err(e) => return Reply::Ended(format!("{e}, greeted {greeted}")),
         };
         match tag {
             b'Z' if !*greeted => *greeted = true,
@@ -275,5 +282,5 @@
             _ => {}
         }
     }
-    outcome.map_or(Reply::Ended, Reply::Answered)
+    outcome.map_or_else(|| Reply::Ended("no answer before ReadyForQuery".to_owned()), Reply::Answered)
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -3,11 +3,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use gradeshunt_stand_ins::program::{Platform, Process};
 use gradeshunt_stand_ins::standalone::own_address;
+use rustix::process::{kill_process, Pid, Signal};
 
 use crate::ledger::{Ledger, Rule};
 use crate::lock;
@@ -50,6 +52,8 @@
     pub faults: FaultControl,
     platform: Platform,
     process: Mutex<Option<Process>>,
+    /// Its number; 0 where none runs.
+    pid: AtomicU32,
     /// Held while the process is ended and another one started.
     lifecycle: Mutex<()>,
     door: Mutex<Door>,
@@ -80,6 +84,7 @@
             faults,
             platform,
             process: Mutex::new(None),
+            pid: AtomicU32::new(0),
             lifecycle: Mutex::new(()),
             door: Mutex::default(),
             ledger: Arc::clone(ledger),
@@ -137,16 +142,18 @@
                 return Ok(());
             }
         }
+        self.pid.store(process.id(), Ordering::Relaxed);
         *lock(&self.process) = Some(process);
         let mut door = lock(&self.door);
         (door.epoch, door.open, door.terminated) = (door.epoch + 1, true, None);
         Ok(())
     }
 
-    /// Sends a signal to the process, if one runs.
-    pub fn signal(&self, name: &str) {
-        if let Some(process) = &*lock(&self.process) {
-            let _ = process.signal(name);
+    /// Sends a signal to the process, if one runs, also while it is waited for.
+    pub fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.pid.load(Ordering::Relaxed)).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            let _ = kill_process(pid, signal);
         }
     }
 
@@ -160,6 +167,7 @@
         lock(&self.door).terminated = Some(Instant::now());
         process.signal("TERM")?;
         let ended = process.exits(LONGEST_WAIT + KILL_AFTER + SCHEDULING)?;
+        self.pid.store(0, Ordering::Relaxed);
         lock(&self.door).open = false;
         match ended {
             Some(status) if status.success() => {}
@@ -181,6 +189,7 @@
         let mut door = lock(&self.door);
         (door.open, door.killed) = (false, door.epoch);
         drop(door);
+        self.pid.store(0, Ordering::Relaxed);
         drop(process);
     }
 
@@ -192,12 +201,18 @@
         let text = format!("proxy {} ended by itself with {status}: {}", self.number, tail(process));
         self.ledger.fault(Rule::Process, text);
         *held = None;
+        self.pid.store(0, Ordering::Relaxed);
         drop(held);
         let mut door = lock(&self.door);
         (door.open, door.killed) = (false, door.epoch);
         Ok(false)
     }
 
+    /// The last lines that the process has logged.
+    pub fn log_tail(&self) -> String {
+        lock(&self.process).as_mut().map(tail).unwrap_or_default()
+    }
+
     /// The violations that the process has counted itself.
     pub fn judge_own_counts(&self) {
         let held = lock(&self.process);
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -101,6 +101,8 @@
     outcome: Option<Outcome>,
     attempts: Vec<Attempt>,
     executions: u32,
+    /// What its client noted of its end.
+    note: String,
 }
 
 #[derive(Default)]
@@ -154,6 +156,7 @@
             outcome: None,
             attempts: Vec::new(),
             executions: 0,
+            note: String::new(),
         };
         book.requests.insert(statement.id, request);
         statement
@@ -169,6 +172,11 @@
         self.ended(id, Outcome::Left);
     }
 
+    /// Notes how a request's connection ended, for the text of a fault.
+    pub fn note(&self, id: u64, note: String) {
+        lock(&self.0).requests.get_mut(&id).into_iter().for_each(|request| request.note = note.clone());
+    }
+
     /// A request has ended for its client.
     pub fn ended(&self, id: u64, outcome: Outcome) {
         let mut book = lock(&self.0);
@@ -176,13 +184,16 @@
         let Some(request) = book.requests.get_mut(&id) else { return };
         request.outcome = Some(outcome);
         let (took, statement) = (request.asked.elapsed(), request.statement);
-        let attempts = request.attempts.len();
+        let (attempts, note) = (request.attempts.len(), std::mem::take(&mut request.note));
         let allowed = (statement.wait + ANSWER_SLACK) * (request.behind + 1) + SLACK;
         match outcome {
             Outcome::Foreign => book.fault(Rule::ForeignValue, format!("{statement:?}")),
             Outcome::Unanswered => book.fault(Rule::FinalAnswer, format!("{statement:?} after {took:?}")),
             Outcome::Closed => {
-                book.fault(Rule::ReadAndClosed, format!("{statement:?} after {took:?} on a new connection"));
+                book.fault(
+                    Rule::ReadAndClosed,
+                    format!("{statement:?} after {took:?} on a new connection, {attempts} attempts: {note}"),
+                );
             }
             Outcome::Crossed if attempts > 0 => {
                 book.fault(Rule::ReadAndClosed, format!("{statement:?} after {attempts} attempts"));
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -6,6 +6,7 @@
 
 use fastrand::Rng;
 use gradeshunt_stand_ins::discovery::Service;
+use rustix::process::Signal;
 use serde_json::json;
 
 use crate::client::Manners;
@@ -164,7 +165,7 @@
                     proxy.faults.set(knob, value)?;
                 }
                 if trouble.kind == Kind::InterruptedSignals {
-                    befallen().for_each(|proxy| proxy.signal("HUP"));
+                    befallen().for_each(|proxy| proxy.signal(Signal::HUP));
                 }
                 std::thread::sleep(trouble.lasts);
                 let set: Vec<Knob> = knobs.iter().map(|k| k.0).collect();
@@ -192,9 +193,9 @@
             }
             Kind::HeldUp => {
                 for _ in 0..TIMES {
-                    befallen().for_each(|proxy| proxy.signal("STOP"));
+                    befallen().for_each(|proxy| proxy.signal(Signal::STOP));
                     std::thread::sleep(HELD_UP);
-                    befallen().for_each(|proxy| proxy.signal("CONT"));
+                    befallen().for_each(|proxy| proxy.signal(Signal::CONT));
                     std::thread::sleep(trouble.lasts / TIMES as u32);
                 }
                 Ok(())
@@ -203,7 +204,7 @@
                 for n in 0..TIMES {
                     for proxy in befallen() {
                         proxy.configure(self.site, self.proxies.len(), trouble.form + n)?;
-                        proxy.signal("HUP");
+                        proxy.signal(Signal::HUP);
                     }
                     std::thread::sleep(trouble.lasts / (TIMES * 4) as u32);
                 }
