--- a/crates/fleet-rig/src/bin/gradeshunt-broken.rs
+++ b/crates/fleet-rig/src/bin/gradeshunt-broken.rs
@@ -33,9 +33,15 @@
         let addr: Option<SocketAddr> = entry["hostPort"].as_str().and_then(|a| a.parse().ok());
         hosts.entry(entry["cell"].as_u64().unwrap_or(0)).or_default().extend(addr);
     }
-    let own = pidfd_open(getpid(), PidfdFlags::empty())?;
-    let listener = TcpListener::from(pidfd_getfd(own, HELD, PidfdGetfdFlags::empty())?);
-    let control = TcpListener::bind("127.0.0.1:0")?;
+    let listener = match std::env::var_os("ROUTER_LISTEN_FD") {
+        Some(_) => {
+            let own = pidfd_open(getpid(), PidfdFlags::empty())?;
+            TcpListener::from(pidfd_getfd(own, HELD, PidfdGetfdFlags::empty())?)
+        }
+        None => TcpListener::bind(config["listen"].as_str().unwrap_or_default())?,
+    };
+    let control = std::env::var("ROUTER_CONTROL").ok().filter(|addr| !addr.is_empty());
+    let control = TcpListener::bind(control.as_deref().unwrap_or("127.0.0.1:0"))?;
     eprintln!("control: {}, listen: {}", control.local_addr()?, listener.local_addr()?);
     thread::spawn(move || control.incoming().flatten().for_each(|stream| drop(operators(stream))));
     let fault = std::env::var("GRADESHUNT_BROKEN").unwrap_or_default();
--- a/crates/gradeshunt/src/backend/hosts.rs
+++ b/crates/gradeshunt/src/backend/hosts.rs
@@ -5,6 +5,7 @@
 
 use leadmast::permission::HostStanding;
 use leadmast::{Ending, ListKind, MemberId, Micros, Note, Phase};
+use slog::debug;
 
 use super::jobs::Job;
 use super::reply::Reply;
@@ -104,7 +105,7 @@
                 Phase::Draining => Standing::Draining,
                 Phase::Removed => Standing::Gone,
             };
-            let moved = self.take_over(turn.now, l.member, l.addr, standing);
+            let moved = self.take_over(turn, l.member, l.addr, standing);
             // Where it has moved, what waits for a connection to the former address starts anew.
             if standing != Standing::Open || moved {
                 closed.push(l.member);
@@ -129,14 +130,14 @@
             self.forget_if_gone(member);
         }
         for peer in peers {
-            if self.take_over(turn.now, peer.member, peer.address, Standing::Open) {
+            if self.take_over(turn, peer.member, peer.address, Standing::Open) {
                 self.stop(turn, exchange, peer.member);
             }
         }
     }
 
     /// Takes over where a host is and how it stands; true where it has moved.
-    fn take_over(&mut self, now: Micros, member: MemberId, addr: SocketAddr, standing: Standing) -> bool {
+    fn take_over(&mut self, turn: &Turn, member: MemberId, addr: SocketAddr, standing: Standing) -> bool {
         let host = self.hosts.entry(member).or_insert_with(|| Host {
             addr,
             standing,
@@ -149,8 +150,12 @@
             positions: PositionReader::default(),
         });
         let moved = host.addr != addr;
+        if moved || host.standing != standing {
+            debug!(turn.log, "db host stands otherwise"; "addr" => addr.to_string(), "now" => ?standing,
+                "before" => ?host.standing, "member" => member.0);
+        }
         host.addr = addr;
-        host.set_standing(now, standing);
+        host.set_standing(turn.now, standing);
         moved
     }
 
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -3,7 +3,7 @@
 use std::hash::BuildHasher;
 use std::rc::Rc;
 
-use slog::info;
+use slog::{debug, info};
 
 use super::closing::CloseReason;
 use super::session::{Stage, MESSAGE_TIMEOUT};
@@ -162,6 +162,7 @@
                 Ok(Step::Reply(w)) => w,
                 Ok(Step::Call(call, name)) => {
                     let request = exchange.submit(turn, *call);
+                    debug!(turn.log, "request taken"; "session" => id.0, "id" => &*name, "request" => request.0);
                     self.ids.insert(Rc::clone(&name));
                     self.owners.insert(request, Owner { session: id, id: name });
                     if let Some(s) = self.sessions.get_mut(&id) {
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -174,8 +174,9 @@
                 Reply::Answered(outcome) => outcome,
                 _ if self.was_killed(session) => Outcome::Killed,
                 Reply::Silence => Outcome::Unanswered,
-                // What crosses the end of a resting connection is sent again.
-                Reply::Ended(_) if answered => Outcome::Crossed,
+                // What crosses the end of a resting connection is sent again. Few clients are open, so that only a process that
+                // leaves has a reason to close one.
+                Reply::Ended(_) if answered && self.proxy.door().has_left(session.epoch) => Outcome::Crossed,
                 Reply::Ended(why) => {
                     self.ledger.note(
                         statement.id,
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -39,6 +39,11 @@
 }
 
 impl Door {
+    /// Whether the process of a start was told to end, or has ended.
+    pub fn has_left(&self, epoch: u64) -> bool {
+        self.epoch != epoch || !self.open || self.terminated.is_some()
+    }
+
     /// Whether a client may connect now.
     pub fn admits(&self) -> bool {
         self.open && self.terminated.is_none_or(|at| at.elapsed() < CONNECTS_AFTER_TERM)
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -39,7 +39,7 @@
     Foreign,
     /// Its connection was closed between requests before it was read, as far as its client can tell: it is sent again.
     Crossed,
-    /// Its connection was closed, though it had just been opened for it.
+    /// Its connection was closed, though it had just been opened for it or its process had no reason to.
     Closed,
     /// Nothing came in its time.
     Unanswered,
@@ -192,7 +192,7 @@
             Outcome::Closed => {
                 book.fault(
                     Rule::ReadAndClosed,
-                    format!("{statement:?} after {took:?} on a new connection, {attempts} attempts: {note}"),
+                    format!("{statement:?} after {took:?} {attempts} attempts: {note}"),
                 );
             }
             Outcome::Crossed if attempts > 0 => {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,8 +4,16 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::Parser;
-use gradeshunt_soak::play::{play, Options};
+use clap::{Parser, ValueEnum};
+use gradeshunt_soak::play::{play, Options, Schedule};
+
+/// As [`Schedule`] has them.
+#[derive(Clone, Copy, ValueEnum)]
+enum Order {
+    Lanes,
+    Pairs,
+    Triples,
+}
 
 /// Plays a few dozen real processes under seeded faults that overlap in time.
 #[derive(Parser)]
@@ -23,7 +31,10 @@
     proxies: usize,
     #[arg(long, default_value_t = 2)]
     clients: usize,
-    /// How long troubles go on, in seconds.
+    /// In which order troubles come: in lanes, or each pair of kinds once, with or without a third beside it.
+    #[arg(long, value_enum, default_value_t = Order::Lanes)]
+    order: Order,
+    /// How long troubles go on in lanes, in seconds.
     #[arg(long, default_value_t = 15)]
     seconds: u64,
 }
@@ -36,6 +47,11 @@
         let mut options = Options::of(&arguments.program, &folder, seed);
         options.proxies = arguments.proxies;
         options.clients_each = arguments.clients;
+        options.schedule = match arguments.order {
+            Order::Lanes => Schedule::Lanes,
+            Order::Pairs => Schedule::Pairs,
+            Order::Triples => Schedule::Triples,
+        };
         options.lasts = Duration::from_secs(arguments.seconds);
         match play(&options) {
             Ok(report) => {
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -23,11 +23,25 @@
 const LANES: usize = 3;
 /// A lane rests so long between two troubles, in milliseconds.
 const REST_MS: std::ops::Range<u64> = 50..400;
+/// How long each trouble of a crossing lasts.
+const CROSSING: Duration = Duration::from_millis(900);
 /// Clients have this long to end, beside their longest wait.
 const LAST_ANSWERS: Duration = Duration::from_secs(3);
 /// Pace of the looks at whether processes live.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// In which order troubles come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Schedule {
+    /// In lanes, drawn by the seed, for a while.
+    #[default]
+    Lanes,
+    /// Each pair of kinds once, in an order drawn by the seed.
+    Pairs,
+    /// Each pair once, and a third kind beside it.
+    Triples,
+}
+
 /// What a play is to be.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -38,7 +52,8 @@
     pub seed: u64,
     pub proxies: usize,
     pub clients_each: usize,
-    /// How long troubles go on.
+    pub schedule: Schedule,
+    /// How long troubles go on in lanes.
     pub lasts: Duration,
     /// Kinds of trouble that are played; all where it is empty.
     pub kinds: Vec<Kind>,
@@ -55,6 +70,7 @@
             seed,
             proxies: 24,
             clients_each: 2,
+            schedule: Schedule::Lanes,
             lasts: Duration::from_secs(15),
             kinds: Vec::new(),
             environment: Vec::new(),
@@ -162,10 +178,15 @@
             scope.spawn(move || watch_lives(proxies, &over))
         };
         let until = Instant::now() + options.lasts;
-        let lanes: Vec<_> = (0..LANES)
+        let lanes = if options.schedule == Schedule::Lanes { LANES } else { 1 };
+        let lanes: Vec<_> = (0..lanes)
             .map(|_| {
                 let (rng, scene, overlaps) = (rng.fork(), &scene, &overlaps);
-                scope.spawn(move || lane(options, rng, scene, overlaps, until))
+                scope.spawn(move || match options.schedule {
+                    Schedule::Lanes => lane(options, rng, scene, overlaps, until),
+                    Schedule::Pairs => cross(options, rng, scene, overlaps, 2),
+                    Schedule::Triples => cross(options, rng, scene, overlaps, 3),
+                })
             })
             .collect();
         let lanes: Vec<io::Result<()>> = lanes.into_iter().map(joined).collect();
@@ -182,7 +203,10 @@
         }
     }
     let injected = proxies.iter().map(|p| p.faults.get(Knob::Injected)).sum::<io::Result<i64>>()?;
-    proxies.iter().try_for_each(|proxy| proxy.terminate())?;
+    thread::scope(|scope| {
+        let ended: Vec<_> = proxies.iter().map(|proxy| scope.spawn(|| proxy.terminate())).collect();
+        ended.into_iter().try_for_each(joined)
+    })?;
     let _ = std::fs::remove_dir_all(&options.folder);
     let Overlaps { troubles, pairs, .. } = std::mem::take(&mut *lock(&overlaps));
     Ok(Report { seed: options.seed, summary: ledger.summary(), troubles, pairs, injected })
@@ -235,6 +259,39 @@
     Ok(())
 }
 
+/// Plays each pair of kinds, or each with a third kind beside it, all of them at once.
+fn cross(
+    options: &Options,
+    mut rng: Rng,
+    scene: &Scene,
+    overlaps: &Mutex<Overlaps>,
+    at_once: usize,
+) -> io::Result<()> {
+    let kinds = if options.kinds.is_empty() { Kind::ALL.to_vec() } else { options.kinds.clone() };
+    let mut pairs: Vec<(Kind, Kind)> =
+        kinds.iter().enumerate().flat_map(|(n, a)| kinds[n..].iter().map(|b| (*a, *b))).collect();
+    rng.shuffle(&mut pairs);
+    for (first, second) in pairs {
+        let third = rng.choice(&kinds).copied().filter(|_| at_once > 2);
+        let together: Vec<Trouble> = [Some(first), Some(second), third]
+            .into_iter()
+            .flatten()
+            .map(|kind| {
+                let trouble = Trouble::of(kind, &mut rng, options.proxies, scene.site.hosts.len());
+                Trouble { lasts: CROSSING, ..trouble }
+            })
+            .collect();
+        together.iter().for_each(|trouble| lock(overlaps).begin(trouble.kind));
+        let played = thread::scope(|scope| {
+            let played: Vec<_> = together.iter().map(|trouble| scope.spawn(|| scene.play(trouble))).collect();
+            played.into_iter().try_for_each(joined)
+        });
+        together.iter().for_each(|trouble| lock(overlaps).end(trouble.kind));
+        played?;
+    }
+    Ok(())
+}
+
 /// Sees that processes live, and starts those that have ended by themselves.
 fn watch_lives(proxies: &[Arc<Proxy>], over: &AtomicBool) -> io::Result<()> {
     while !over.load(Ordering::Relaxed) {
