The decisions in files of one job each; tests of touched files in files of their own

Inline tests of ring, pg, shared, loop_stats and proc_stats move to tests.rs. gradeshunt-measure growth: what one proxy spends as db hosts get more; not run yet.

--- /dev/null
+++ b/crates/gradeshunt/src/loop_stats/tests.rs
@@ -0,0 +1,42 @@
+//! Tests of the part named by the folder.
+
+use super::*;
+
+/// Guards what a long turn is blamed on: the source that took most, and no lateness that was its own.
+#[test]
+fn a_turn_is_told_by_its_parts() {
+    let mut loop_stats = LoopStats::new(0);
+    loop_stats.begin(1_000, Some(900));
+    loop_stats.worked("client", 3_000);
+    loop_stats.worked("db host", 63_000);
+    loop_stats.worked("client", 64_000);
+    let turn = loop_stats.record_turn();
+    assert_eq!((turn.took, turn.late), (63_000, 100));
+    assert_eq!(turn.parts, [("db host", 60_000, 1), ("client", 3_000, 2)]);
+    loop_stats.begin(64_500, Some(2_000));
+    assert_eq!(
+        loop_stats.record_turn().late,
+        500,
+        "the turn before it was long; the poll was late by this much only"
+    );
+    assert_eq!(loop_stats.unread(), 63_000, "what is read now may have come when that turn began");
+    loop_stats.begin(70_000, Some(69_000));
+    assert_eq!(loop_stats.unread(), 0);
+    loop_stats.begin(90_000, Some(80_000));
+    assert_eq!(loop_stats.unread(), 10_000);
+    assert_eq!((loop_stats.turns, loop_stats.slow, loop_stats.longest.ever), (2, 1, 63_000));
+    let text = loop_stats.exposition();
+    assert!(text.contains("app_loop_longest_source_us{source=\"db host\",span=\"late\"} 60000\n"), "{text}");
+}
+
+/// Guards a scrape that comes just behind a summary: the span before it is still shown, the one before that is not.
+#[test]
+fn figures_are_of_late() {
+    let mut longest = Longest::default();
+    longest.add(7);
+    longest.pass();
+    longest.add(3);
+    assert_eq!((longest.of_late(), longest.ever), (7, 7));
+    longest.pass();
+    assert_eq!((longest.of_late(), longest.ever), (3, 7));
+}
--- /dev/null
+++ b/crates/gradeshunt/src/shared/tests.rs
@@ -0,0 +1,78 @@
+//! Tests of the part named by the folder.
+
+use super::*;
+
+fn looked(other: Option<Duty>, held_out: &[&str]) -> Done {
+    let held_out = held_out.iter().map(|s| s.to_string()).collect();
+    Done::Looked(Ok(View { held_out, other }))
+}
+
+fn others(changes: &[Change]) -> usize {
+    changes.iter().filter(|c| matches!(c, Change::Other { .. })).count()
+}
+
+/// Guards the loop's memory and the worker's queue: however long the disk stands, a kind is asked for once, and the
+/// latest duty wins.
+#[test]
+fn while_the_disk_stands_little_is_asked() {
+    let mut shared = Shared::new();
+    assert_eq!(shared.next(0), Some(Task::Look));
+    let mut complaints = 0;
+    for n in 1..=100 {
+        complaints += usize::from(shared.look(n * 50_000).is_some());
+        assert_eq!(shared.next(n * 50_000), None, "one look is enough");
+    }
+    assert_eq!(complaints, 1, "it is told that it stands, once in 10 s");
+    shared.turn_to(Duty::Serving);
+    assert_eq!(shared.next(0), Some(Task::Tell(Duty::Serving)));
+    shared.turn_to(Duty::Starting);
+    shared.turn_to(Duty::Leaving);
+    assert_eq!(shared.next(0), None, "the first has yet to be written");
+    shared.done(0, Done::Told(Ok(())));
+    assert_eq!(shared.next(0), Some(Task::Tell(Duty::Leaving)));
+    assert_eq!((0..100).filter(|n| shared.hold_out(CallerId(*n), "s-1", true)).count(), BANS);
+    assert_eq!((0..100).filter(|_| shared.next(0).is_some()).count(), BANS);
+}
+
+/// Guards connections at the door: a process leaves the socket only to a successor that is seen to serve after it
+/// was told to leave. What an earlier look has seen may have died since.
+#[test]
+fn only_a_fresh_look_shows_a_successor() {
+    let mut shared = Shared::new();
+    assert_eq!(shared.next(0), Some(Task::Look));
+    shared.done(0, looked(Some(Duty::Serving), &[]));
+    shared.look(0);
+    assert_eq!(shared.next(0), Some(Task::Look));
+    shared.turn_to(Duty::Leaving);
+    assert!(!shared.is_succeeded());
+    assert_eq!(others(&shared.done(0, looked(Some(Duty::Serving), &[]))), 1);
+    assert!(!shared.is_succeeded(), "that look was begun before");
+    assert_eq!(shared.next(0), Some(Task::Tell(Duty::Leaving)));
+    assert_eq!(shared.next(0), Some(Task::Look));
+    assert!(!shared.is_succeeded());
+    assert_eq!(others(&shared.done(0, looked(Some(Duty::Serving), &[]))), 1);
+    assert!(shared.is_succeeded());
+    shared.look(0);
+    shared.next(0);
+    shared.done(0, looked(Some(Duty::Starting), &[]));
+    assert!(!shared.is_succeeded());
+}
+
+/// Guards an operator's yes: a ban holds and is confirmed when it is kept, and not where it isn't.
+#[test]
+fn a_ban_is_confirmed_when_it_is_kept() {
+    let mut shared = Shared::new();
+    assert!(!shared.is_alone(), "nobody knows yet");
+    let changes = shared.done(0, looked(None, &["s-1"]));
+    assert!(matches!(&changes[0], Change::Ban { id, out: true } if id == "s-1"));
+    assert!(matches!(&changes[1], Change::Seen) && shared.is_alone());
+    assert!(shared.hold_out(CallerId(1), "s-2", true));
+    assert!(!shared.is_held_out("s-2"), "it is not kept yet");
+    let kept = |kept| Done::HeldOut { caller: CallerId(1), id: "s-2".to_owned(), out: true, kept };
+    let changes = shared.done(0, kept(Err("full".to_owned())));
+    assert!(matches!(&changes[..], [Change::Kept { kept: Err(_), .. }]) && !shared.is_held_out("s-2"));
+    let changes = shared.done(0, kept(Ok(())));
+    assert!(matches!(&changes[..], [Change::Ban { out: true, .. }, Change::Kept { kept: Ok(()), .. }]));
+    assert!(shared.is_held_out("s-2"));
+    assert!(shared.done(0, looked(None, &["s-1", "s-2"])).is_empty(), "a look tells it once more: no news");
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,10 +1,11 @@
 //! Named measurements: `gradeshunt-measure NAME` prints a table, then one line `RESULT name=value ...`, and ends with
 //! status 1 where a bound is missed. Each ends within 45 s unless `--long` is given, but `capacity`, which takes up to 15
-//! minutes, or 2 with `--quick`. `capacity --quick` is a part of CI, and no other.
+//! minutes, or 2 with `--quick`, and `growth` (70 s). `capacity --quick` is a part of CI, and no other.
 
 mod capacity;
 mod classing;
 mod fleet;
+mod growth;
 mod placement;
 mod relay;
 mod upgrade;
@@ -45,6 +46,8 @@
     Placement(placement::Options),
     /// CPU of the program for each request, commented and plain, beside another program (`--baseline`).
     Relay(relay::Options),
+    /// What one proxy of a large fleet spends as db hosts get more: CPU, connections. Takes 70 s.
+    Growth(growth::Options),
     /// What proxies, discovery and db hosts spend, as slopes over sizes; counts alone with `--quick`.
     Capacity(capacity::Options),
 }
@@ -80,6 +83,7 @@
         Name::Classing => Ok(classing::measure(&setting)),
         Name::Placement(options) => placement::measure(&setting, &options),
         Name::Relay(options) => relay::measure(&setting, &options),
+        Name::Growth(options) => growth::measure(&setting, &options),
         Name::Capacity(options) => capacity::measure(&setting, &options),
     };
     let _ = std::fs::remove_dir_all(&setting.folder);
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -178,12 +178,13 @@
             scope.spawn(move || watch_lives(proxies, &over))
         };
         let until = Instant::now() + options.lasts;
+        let bag = Arc::new(Mutex::new(Vec::new()));
         let lanes = if options.schedule == Schedule::Lanes { LANES } else { 1 };
         let lanes: Vec<_> = (0..lanes)
             .map(|_| {
-                let (rng, scene, overlaps) = (rng.fork(), &scene, &overlaps);
+                let (rng, scene, overlaps, bag) = (rng.fork(), &scene, &overlaps, Arc::clone(&bag));
                 scope.spawn(move || match options.schedule {
-                    Schedule::Lanes => lane(options, rng, scene, overlaps, until),
+                    Schedule::Lanes => lane(options, rng, scene, overlaps, &bag, until),
                     Schedule::Pairs => cross(options, rng, scene, overlaps, 2),
                     Schedule::Triples => cross(options, rng, scene, overlaps, 3),
                 })
@@ -236,20 +237,27 @@
     Ok(proxies)
 }
 
+/// Draws the next kind: all of them come before one comes again.
+fn draw(bag: &mut Vec<Kind>, options: &Options, rng: &mut Rng) -> Kind {
+    if bag.is_empty() {
+        *bag = if options.kinds.is_empty() { Kind::ALL.to_vec() } else { options.kinds.clone() };
+        rng.shuffle(bag);
+    }
+    bag.pop().unwrap_or(Kind::BadClients)
+}
+
 /// Plays one trouble after the other.
 fn lane(
     options: &Options,
     mut rng: Rng,
     scene: &Scene,
     overlaps: &Mutex<Overlaps>,
+    bag: &Mutex<Vec<Kind>>,
     until: Instant,
 ) -> io::Result<()> {
     while Instant::now() < until {
         let (proxies, hosts) = (options.proxies, scene.site.hosts.len());
-        let trouble = match rng.choice(&options.kinds).copied() {
-            Some(kind) => Trouble::of(kind, &mut rng, proxies, hosts),
-            None => Trouble::draw(&mut rng, proxies, hosts),
-        };
+        let trouble = Trouble::of(draw(&mut lock(bag), options, &mut rng), &mut rng, proxies, hosts);
         lock(overlaps).begin(trouble.kind);
         let played = scene.play(&trouble);
         lock(overlaps).end(trouble.kind);
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -118,13 +118,7 @@
 }
 
 impl Trouble {
-    /// Draws one for a third of the proxies and one db host.
-    pub fn draw(rng: &mut Rng, proxies: usize, hosts: usize) -> Trouble {
-        let kind = Kind::ALL[rng.usize(0..Kind::ALL.len())];
-        Trouble::of(kind, rng, proxies, hosts)
-    }
-
-    /// Draws one of a kind.
+    /// Draws one of a kind, for a third of the proxies and one db host.
     pub fn of(kind: Kind, rng: &mut Rng, proxies: usize, hosts: usize) -> Trouble {
         let mut befallen: Vec<usize> = (0..proxies).collect();
         rng.shuffle(&mut befallen);
--- /dev/null
+++ b/src/balance/candidates.rs
@@ -0,0 +1,95 @@
+//! What is known of positions and roles, which members may serve a request, and the draw among them.
+
+use super::*;
+
+impl Balancer {
+    /// A report may be older than the probe that brought it: its role counts as of its own position.
+    pub(super) fn learn(&mut self, now: Micros, as_of: Micros, id: MemberId, told: Report) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if let Some(p) = told.position {
+            m.position = m.position.max(p);
+            m.heard_position = now;
+        }
+        let group = m.entry.group;
+        let Some(primary) = told.primary else { return };
+        if m.role.is_some_and(|(_, at)| at > as_of) {
+            return;
+        }
+        m.role = Some((primary, as_of));
+        let known = self.groups.get(&group).and_then(|g| g.primary);
+        if primary && known != Some(id) {
+            let rival = known.and_then(|k| self.members.get(&k)).and_then(|k| k.role);
+            if rival.is_none_or(|(claims, at)| !claims || at < as_of) {
+                self.groups.entry(group).or_default().primary = Some(id);
+            }
+        } else if !primary && known == Some(id) {
+            self.groups.entry(group).or_default().primary = None;
+        }
+    }
+
+    /// The position that a replica must have reached to serve this; `None` where only the primary will do.
+    pub(super) fn need(&self, now: Micros, r: &Request) -> Option<Micros> {
+        let unsettled = r.bucket.is_some_and(|b| self.buckets[b].open.is_some());
+        match self.settings.classes[r.class.0].read {
+            ReadLevel::Write | ReadLevel::Fresh => None,
+            _ if r.primary_only => None,
+            ReadLevel::Session if unsettled => None,
+            ReadLevel::Session => Some(r.need.unwrap_or(NEVER)),
+            ReadLevel::Bounded(bound) => Some(now - bound),
+            ReadLevel::Any => Some(NEVER),
+        }
+    }
+
+    /// The members that may serve this request now: replicas that qualify, or else the primary.
+    pub(super) fn eligible(&self, now: Micros, r: &Request) -> Vec<MemberId> {
+        let primary = self.groups.get(&r.group).and_then(|g| g.primary);
+        let primary = primary.filter(|p| self.members.get(p).is_some_and(Member::usable));
+        let c = &self.settings.classes[r.class.0];
+        let mut found = match self.need(now, r) {
+            Some(need) => self.replicas(r.group, |m| m.position >= need),
+            // A write looks for a lost primary itself, all its patience long: a miss tells the role and costs no work.
+            None if primary.is_none() && c.read == ReadLevel::Write => {
+                let gap = c.deadline / i64::from(self.settings.allowed.attempts.max(1));
+                self.replicas(r.group, |m| m.role.is_none_or(|(_, at)| now - at > gap))
+            }
+            None => Vec::new(),
+        };
+        // Where members check reads, one slightly behind is tried, else one that may have caught up: a miss is cheap.
+        let slack = self.settings.behind.slack().filter(|_| r.checked);
+        for past in [FOREVER, 2 * AWAY] {
+            if let (true, Some(need), Some(slack)) = (found.is_empty(), self.need(now, r), slack) {
+                found = self.replicas(r.group, |m| m.outlook(now, past) + slack >= need);
+            }
+        }
+        found.extend(primary.filter(|_| found.is_empty()));
+        found
+    }
+
+    pub(super) fn replicas(&self, group: GroupId, fit: impl Fn(&Member) -> bool) -> Vec<MemberId> {
+        let Some(g) = self.groups.get(&group) else { return Vec::new() };
+        let fits = |id: &&MemberId| self.members.get(id).is_some_and(|m| m.usable() && fit(m));
+        g.members.iter().filter(|id| Some(**id) != g.primary).filter(fits).copied().collect()
+    }
+
+    /// The draw: two by size and health, then less of our work: idle drivers must not all turn to the best one.
+    pub(super) fn draw(
+        &mut self,
+        now: Micros,
+        class: ClassId,
+        merit: f64,
+        among: &[MemberId],
+    ) -> Option<MemberId> {
+        let weigh = |m: &Member| {
+            let errors = m.errors * (-((now - m.heard) as f64) / MEMORY).exp();
+            let errors = if errors > BAD { 0.02 } else { 1.0 - errors };
+            m.entry.weight.max(0.01) * self.share(now, m) * errors / m.slow.max(0.2)
+        };
+        let open = among.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m)));
+        let open = open.filter(|(_, m)| now >= m.pause && self.has_room(now, m, class, merit));
+        let open: Vec<_> = open.map(|(id, m)| (weigh(m), m.out.len(), id)).collect();
+        let mut lots: Vec<_> = open.iter().map(|o| (-self.rng.f64().max(1e-12).ln() / o.0, o)).collect();
+        lots.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let load = |o: &(f64, usize, MemberId)| o.1 as f64 / o.0;
+        lots.iter().take(2).map(|l| l.1).min_by(|a, b| load(a).total_cmp(&load(b))).map(|o| o.2)
+    }
+}
--- /dev/null
+++ b/src/balance/dispatch.rs
@@ -0,0 +1,128 @@
+//! Requests that are held find their members, the worthiest first.
+
+use super::*;
+
+impl Balancer {
+    /// Sends what the group holds, the worthiest for its work first, as far as members have room.
+    pub(super) fn dispatch(&mut self, now: Micros, group: GroupId, actions: &mut Vec<Action>) {
+        let Some(g) = self.groups.get(&group) else { return };
+        let primary = g.primary;
+        let requests = g.held.iter().filter_map(|id| self.requests.get(id).map(|r| (*id, r)));
+        let mut held: Vec<_> = requests.map(|(id, r)| (self.merit(now, r), (r.arrived, id))).collect();
+        // Of equals the newest: under overload it has the most time left.
+        held.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
+        let mut full = BTreeSet::new();
+        for (worth, (_, id)) in held {
+            // What is worth no more than one of its kind that found no room finds none: many may wait for a primary.
+            let kind = self.requests.get(&id).map(|r| (r.class, r.primary_only));
+            if full.contains(&kind) {
+                continue;
+            }
+            let Some(mut r) = self.requests.remove(&id) else { continue };
+            let among = self.eligible(now, &r);
+            let lone = among.iter().all(|to| primary == Some(*to));
+            // Reads that fall back on the primary leave its turns to what only it can do.
+            let read = self.settings.classes[r.class.0].read;
+            let off = matches!(read, ReadLevel::Bounded(_) | ReadLevel::Any) && self.crowded(now);
+            if lone && (self.enquire(now, &mut r, actions) || off) {
+                self.requests.insert(id, r);
+                continue;
+            }
+            let only = matches!(read, ReadLevel::Write | ReadLevel::Fresh);
+            let worth = if lone && !only { worth / 2.0 } else { worth };
+            let mut target = self.draw(now, r.class, worth, &among);
+            // Where those have no room, a primary with room to spare takes reads too: a few recent ones would drown.
+            if let (None, false, Some(p)) = (target, lone, primary.filter(|p| self.spares(now, *p))) {
+                target = self.draw(now, r.class, worth / 2.0, &[p]);
+            }
+            // Session reads differ in what they need.
+            if target.is_none() && read != ReadLevel::Session {
+                full.insert(kind);
+            }
+            let target = target.filter(|to| self.may_send(now, &r, self.members[to].entry.zone));
+            self.requests.insert(id, r);
+            if let Some(to) = target {
+                self.groups.entry(group).or_default().held.remove(&id);
+                self.send(now, id, to, actions);
+            }
+        }
+        if self.groups.get(&group).is_none_or(|g| g.held.is_empty()) {
+            self.holding.remove(&group);
+        }
+    }
+
+    /// A read that only ignorance keeps from replicas waits for one probe's answer: with many drivers primaries drown.
+    pub(super) fn enquire(&mut self, now: Micros, r: &mut Request, actions: &mut Vec<Action>) -> bool {
+        let Some(need) = self.need(now, r).filter(|n| *n > NEVER && r.out() == 0) else { return false };
+        if let Some(asked) = r.asked {
+            let m = self.members.get(&asked);
+            return m.and_then(|m| m.probing).is_some_and(|sent| now - sent < self.pace * ENQUIRY / 2);
+        }
+        // Drawn among those that should be recent enough: all drivers must not ask the same one.
+        let old = |m: &Member| m.outlook(now, 2 * AWAY) >= need && now - m.heard_position > self.pace * 2;
+        let likely = self.replicas(r.group, old);
+        let Some(to) = self.rng.choice(&likely).copied() else { return false };
+        if self.members[&to].probing.is_none() && !self.probe(now, to, actions) {
+            return false;
+        }
+        r.asked = Some(to);
+        true
+    }
+
+    /// Worth for work; what is late already counts with what it still earns.
+    pub(super) fn merit(&self, now: Micros, r: &Request) -> f64 {
+        // Judged by work: a queue at the primary must not make its writes look late.
+        let c = &self.settings.classes[r.class.0];
+        let late = now + self.work[r.class.0] as Micros > r.began + c.aim;
+        let share = r.share.map_or(self.settings.over_share_worth, |_| 1.0);
+        c.worth * share * if late { c.late_worth } else { 1.0 } / self.work[r.class.0]
+    }
+
+    /// Whether the class's effect, the attempt limit and the settings permit another attempt in this zone.
+    pub(super) fn may_send(&self, now: Micros, r: &Request, zone: ZoneId) -> bool {
+        let allowed = &self.settings.allowed;
+        let doubt = r.doubt().map(|first| Doubt {
+            since: r.copied_from.map_or(first.sent, |at| at.min(first.sent)),
+            zone: Some(first.zone),
+        });
+        let request = RequestFacts {
+            effect: self.settings.classes[r.class.0].effect,
+            deadline: r.deadline,
+            answered: r.answered,
+            // Of one whose client has left the driver tells, and it is closed.
+            client_left: false,
+            begun: r.attempts.len() as u32,
+            out: r.out() as u32,
+            doubt,
+        };
+        let limits = AttemptLimits {
+            attempts: allowed.attempts,
+            second_copies: allowed.second_copies,
+            margin: self.settings.tick,
+        };
+        may_begin(now, &request, &limits, Some(zone)).is_ok()
+    }
+
+    pub(super) fn send(&mut self, now: Micros, id: RequestId, to: MemberId, actions: &mut Vec<Action>) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let (attempt, work) = (r.attempts.len() as u32, self.work[r.class.0]);
+        let Some(m) = self.members.get(&to) else { return };
+        let gap = if self.room(now, m) < 1.0 { self.gap(now, r.class, m) as Micros } else { 0 };
+        let (Some(m), Some(r)) = (self.members.get_mut(&to), self.requests.get_mut(&id)) else { return };
+        m.turn = if gap > 0 { now.max(m.turn + gap) } else { m.turn };
+        m.busy = (fade(m.busy, now) + work, now);
+        self.watched.insert(to);
+        r.copied_from = r.copied_from.or(r.doubt().map(|a| a.sent));
+        r.attempts.push(Attempt { zone: m.entry.zone, sent: now, ending: None });
+        m.out.insert((now, id, attempt), r.class);
+        if let (Some(b), true) = (r.bucket, r.sequence > 0) {
+            self.buckets[b].open = self.buckets[b].open.max(Some(r.sequence));
+        }
+        // A connection may fall silent while its member serves on: a first attempt waits no longer than nearly all take.
+        let tail = if m.strain > CROWDED { PATIENT.1 } else { self.tail };
+        let patience = (work * m.slow.max(1.0) * tail) as Micros;
+        let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
+        let timeout = if first { patience.max(self.pace).min(r.deadline - now) } else { r.deadline - now };
+        actions.push(Action::Send { request: id, member: to, timeout });
+    }
+}
--- /dev/null
+++ b/src/balance/membership.rs
@@ -0,0 +1,76 @@
+//! Lists of members and operators' words: who is in which group, who is barred, who has started.
+
+use super::*;
+
+impl Balancer {
+    pub(super) fn on_members(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
+        if kind == ListKind::Failed {
+            // Paced and spread, so that drivers that failed together don't ask together.
+            self.ask_at = Some(now + AWAY + self.rng.i64(0..AWAY));
+            return;
+        }
+        if matches!(kind, ListKind::Full | ListKind::Saved) {
+            let listed: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
+            let stay = self.settings.rules.dropped_stay_open;
+            for (_, m) in self.members.iter_mut().filter(|(id, _)| !stay && !listed.contains(id)) {
+                (m.barred, m.entry.phase) = (true, Phase::Removed);
+            }
+        }
+        entries.into_iter().for_each(|entry| self.list(now, entry));
+        self.forget();
+    }
+
+    /// Nothing new goes there until the call back. Restarted meanwhile, it is no suspect, cold, and has its turn.
+    pub(super) fn on_maintenance(&mut self, now: Micros, id: MemberId, out: bool) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if std::mem::replace(&mut m.held_out, out) && !out {
+            (m.suspect, m.entry.since, m.turn) = (false, m.entry.since.max(Some(now)), NEVER);
+        }
+    }
+
+    /// Members come and go as long as the driver lives: what is gone and owes nothing takes no more room.
+    pub(super) fn forget(&mut self) {
+        let gone = |m: &Member| m.barred && m.entry.phase == Phase::Removed && m.out.is_empty();
+        let left = self.members.iter().filter(|(_, m)| gone(m)).map(|(id, m)| (*id, m.entry.group));
+        for (id, group) in left.collect::<Vec<_>>() {
+            self.members.remove(&id);
+            self.watched.remove(&id);
+            self.leave(id, group);
+        }
+    }
+
+    pub(super) fn leave(&mut self, id: MemberId, group: GroupId) {
+        let g = self.groups.entry(group).or_default();
+        g.members.remove(&id);
+        g.primary = g.primary.filter(|p| *p != id);
+    }
+
+    pub(super) fn list(&mut self, now: Micros, entry: Entry) {
+        let (id, group) = (entry.member, entry.group);
+        // Rebuilt under its name for another group, it has none of its former group's data.
+        if let Some(former) = self.members.get(&id).map(|m| m.entry.group).filter(|former| *former != group) {
+            self.leave(id, former);
+            self.members.entry(id).and_modify(Member::forget_data);
+        }
+        let g = self.groups.entry(group).or_default();
+        g.members.insert(id);
+        let fresh = Entry { since: None, ..entry.clone() };
+        let m = self.members.entry(id).or_insert_with(|| Member::new(fresh, self.settings.fleet));
+        let binds = m.barred || !self.settings.rules.dropped_stay_open;
+        m.barred = entry.phase == Phase::Draining || entry.phase == Phase::Removed && binds;
+        let started = entry.since > m.entry.since;
+        m.entry = Entry { since: entry.since.max(m.entry.since), ..entry };
+        // The list is hearsay: it names a primary only where no member's own word says otherwise.
+        let said_no = m.role.is_some_and(|(primary, _)| !primary);
+        let known = g.primary.and_then(|p| self.members.get(&p));
+        if self.members[&id].entry.leader && !said_no && known.is_none_or(|p| p.suspect) {
+            self.groups.entry(group).or_default().primary = Some(id);
+        }
+        // Drivers that learn together of a start must not turn to it together: the first turn is drawn.
+        if let (true, Some(m)) = (started, self.members.get(&id)) {
+            let gap = self.fastest() as f64 / self.room(now, m);
+            let drawn = (self.rng.f64() * gap.min(MEMORY)) as Micros;
+            self.members.entry(id).and_modify(|m| m.turn = now - drawn);
+        }
+    }
+}
--- /dev/null
+++ b/src/balance/outcome.rs
@@ -0,0 +1,148 @@
+//! What endings say of members, and what becomes of requests whose attempts have ended.
+
+use super::*;
+
+impl Balancer {
+    /// What an outcome says of the member's health, speed and room.
+    pub(super) fn judge(&mut self, now: Micros, outcome: &Outcome, class: ClassId) {
+        let Outcome { member: id, ending, elapsed, .. } = *outcome;
+        let (borne, fleet) = (self.borne(now), f64::from(self.settings.fleet.max(1)));
+        let share = elapsed as f64 / (self.settings.classes[class.0].aim as f64).max(1.0);
+        let Some(m) = self.members.get_mut(&id) else { return };
+        // A client that waits for little says little of the member.
+        let late = matches!(ending, Ending::Timeout | Ending::Cancelled) && share > 2.0 * CROWDED;
+        let primary = self.groups.get(&m.entry.group).is_some_and(|g| g.primary == Some(id));
+        if primary && (late || matches!(ending, Ending::Ok | Ending::Full)) {
+            let told = if ending == Ending::Full { 1.0 } else { share.min(2.0) };
+            let fresh = (1.0 - ((self.crowd.1 - now) as f64 / AWAY as f64).exp()).max(0.1);
+            self.crowd = (self.crowd.0 + fresh * (told - self.crowd.0), now);
+        }
+        // How long this tells of: as answers get rare each counts for more, up to a few seconds' worth.
+        let age = ((now - m.heard) as f64 / AWAY as f64).min(3.0);
+        let fresh = 1.0 - (-age).exp();
+        if matches!(ending, Ending::Ok | Ending::Error | Ending::Miss | Ending::Full) {
+            m.heard = now;
+        }
+        let least = (m.entry.weight.max(0.01) * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
+        let (ratio, lately) = (elapsed as f64 / self.work[class.0], now - self.pace * LOOK);
+        if ending == Ending::ConnectFailed && elapsed < self.pace * LOOK {
+            m.refused = (fade(m.refused, now) + 1.0, now);
+        }
+        match ending {
+            Ending::Ok => {
+                self.served = (fade(self.served, now) + self.work[class.0], now);
+                m.recover(now);
+                let long = ratio / m.slow.max(1.0) > self.tail;
+                self.tail = (self.tail + if long { 2.0 } else { -2.0 * TAIL }).clamp(PATIENT.0, PATIENT.1);
+                m.errors *= 0.9 - 0.2 * fresh;
+                m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow);
+                m.strain(now, elapsed, share, age, least);
+                let rise = if m.strain > CROWDED { 0.0 } else { 0.03 };
+                self.work[class.0] *= 1.0 + if ratio < 1.0 { -0.03 } else { rise };
+            }
+            Ending::Error => m.errors += (0.5 * fresh).max(0.1) * (1.0 - m.errors),
+            Ending::Miss => m.recover(now),
+            Ending::Full => {
+                m.cut(now, 0.7, least);
+                (m.turn, m.pause) = (now, now + self.pace * LOOK / 2);
+            }
+            Ending::ConnectFailed if now < self.polite => m.pause = now + self.pace * LOOK,
+            // Connections break one by one, too, while the process serves on. It is gone if others break as well.
+            Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(lately) => m.strike = now,
+            // One that is gone refuses at once; one that never answers is out of reach, and need not start anew.
+            Ending::ConnectFailed => self.convict(now, id, elapsed < self.pace * LOOK),
+            Ending::Reset => self.convict(now, id, true),
+            // Called off at its deadline, it took as long at least.
+            Ending::Timeout | Ending::Cancelled => {
+                m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow).max(0.0);
+                if late {
+                    m.strain(now, elapsed, share, age, least);
+                }
+            }
+            Ending::Moot => {}
+        }
+    }
+
+    /// A suspect gets nothing new, and requests that wait on it get a copy where that is permitted.
+    pub(super) fn convict(&mut self, now: Micros, id: MemberId, down: bool) {
+        let Some(m) = self.members.get_mut(&id) else { return };
+        if !m.suspect {
+            (m.suspect, m.down, m.ill_since, m.look_at) = (true, false, now, now + self.pace * LOOK);
+        }
+        m.down |= down;
+        for id in m.out.keys().map(|k| k.1).collect::<Vec<_>>() {
+            let Some(r) = self.requests.get(&id).filter(|r| !r.answered && r.out() == 1) else { continue };
+            let (group, zone) = (r.group, r.doubt().map_or(self.settings.zone, |a| a.zone));
+            if self.may_send(now, r, zone) && self.spend() {
+                self.hold(group, id);
+            }
+        }
+    }
+
+    pub(super) fn hold(&mut self, group: GroupId, id: RequestId) {
+        self.groups.entry(group).or_default().held.insert(id);
+        self.holding.insert(group);
+    }
+
+    pub(super) fn spend(&mut self) -> bool {
+        let enough = self.retries >= 1.0;
+        self.retries -= if enough { 1.0 } else { 0.0 };
+        enough
+    }
+
+    /// All attempts have ended without an answer: hold it for another, or give it up at once.
+    pub(super) fn again(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        ending: Ending,
+        free: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.primary_only |= ending == Ending::Miss;
+        let (group, r) = (r.group, &self.requests[&id]);
+        let permitted = self.may_send(now, r, r.doubt().map_or(self.settings.zone, |a| a.zone));
+        if permitted && (free || self.spend()) {
+            self.hold(group, id);
+        } else {
+            self.give_up(now, id, actions);
+        }
+    }
+
+    /// The final answer: a refusal where a repeat is harmless, else a failure.
+    pub(super) fn give_up(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
+        r.answered = true;
+        r.share.iter().for_each(|(t, gap)| self.shares[*t] -= gap);
+        let effect = self.settings.classes[r.class.0].effect;
+        if r.doubt().is_none() || matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. }) {
+            let a = &self.settings.allowed;
+            let hold = (self.settings.classes[r.class.0].aim as f64 * HOLD) as Micros;
+            let retry_after = a.retry_after.then_some(hold.min(a.max_retry_after));
+            actions.push(Action::Refuse { request: id, retry_after });
+        } else {
+            actions.push(Action::Fail { request: id });
+        }
+        self.close(now, id, actions);
+    }
+
+    /// The request is over: attempts still out are called off, and a bucket that waits on it settles.
+    pub(super) fn close(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let first = self.due.remove(&(r.deadline, id));
+        r.answered = true;
+        self.groups.entry(r.group).or_default().held.remove(&id);
+        let cancel = first && self.settings.allowed.cancel;
+        let out = r.attempts.iter().zip(0..).filter(|(a, _)| cancel && a.ending.is_none());
+        actions.extend(out.map(|(_, attempt)| Action::Cancel { request: id, attempt }));
+        if r.out() > 0 {
+            return;
+        }
+        // A lost write answer must not park its bucket's reads: replicas past this moment have it.
+        if let Some(b) = r.bucket.map(|b| &mut self.buckets[b]).filter(|b| b.open == Some(r.sequence)) {
+            (b.open, b.position) = (None, b.position.max(now));
+        }
+        self.requests.remove(&id);
+    }
+}
--- /dev/null
+++ b/src/balance/upkeep.rs
@@ -0,0 +1,83 @@
+//! The steady round: silence, holds that can not be met, looks at suspects, probes.
+
+use super::*;
+
+impl Balancer {
+    /// The steady round: silence, holds that can't be met, lost primaries, probes, the member list.
+    pub(super) fn sweep(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        self.look_at = FOREVER;
+        self.find_silent(now);
+        self.shed(now, actions);
+        self.look(now, actions);
+        actions.extend(self.ask_at.take_if(|at| now >= *at).map(|_| Action::Watch));
+        self.holding.clone().into_iter().for_each(|group| self.dispatch(now, group, actions));
+        let active = |m: &Member| !m.out.is_empty() || m.suspect || now - m.heard <= AWAY;
+        self.watched.retain(|id| self.members.get(id).is_some_and(active));
+    }
+
+    /// A member that holds work of ours in silence for several usual answer times is a suspect, unless most do.
+    pub(super) fn find_silent(&mut self, now: Micros) {
+        let mut silent = Vec::new();
+        for (id, m) in self.watched.iter().filter_map(|id| self.members.get(id).map(|m| (id, m))) {
+            let Some((sent, _)) = m.held().next() else { continue };
+            let usual = m.held().map(|(_, c)| self.work[c.0]).fold(0.0, f64::max);
+            let patience = usual * m.slow.max(1.0) * (2.0 + 4.0 / m.held().count() as f64);
+            if !m.suspect && (now - sent.max(m.heard).max(self.awake)) as f64 > patience {
+                silent.push(*id);
+            }
+        }
+        if silent.len() * 2 <= self.watched.len().max(2) {
+            silent.into_iter().for_each(|id| self.convict(now, id, false));
+        }
+    }
+
+    /// Held requests that can't be served in time any more are given up, and so is all at its deadline.
+    pub(super) fn shed(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let mut lost = Vec::new();
+        for g in self.holding.iter().filter_map(|g| self.groups.get(g)) {
+            for (id, r) in g.held.iter().filter_map(|id| self.requests.get(id).map(|r| (id, r))) {
+                let c = &self.settings.classes[r.class.0];
+                let best = ((self.work[r.class.0] / 2.0) as Micros).min(c.aim / 2);
+                // Where lateness leaves little, refuse while a repeat still has time.
+                let hold = r.arrived + (c.aim as f64 * HOLD) as Micros;
+                // Nor is one held for most of its time in vain.
+                let vain = r.arrived + ((r.deadline - r.arrived) as f64 * VAIN) as Micros;
+                let patient = if r.attempts.is_empty() { vain } else { r.deadline };
+                let useful = r.deadline.min(hold + best).min(r.began + c.aim);
+                let end = if c.late_worth > LITTLE { patient } else { useful };
+                if r.out() == 0 && now + best + self.pace > end {
+                    lost.push(*id);
+                }
+            }
+        }
+        lost.extend(self.due.iter().take_while(|d| d.0 <= now).map(|d| d.1));
+        lost.into_iter().for_each(|id| self.give_up(now, id, actions));
+    }
+
+    /// Looks at suspects. Probes may fail while members serve: after a while requests test a suspect, too.
+    pub(super) fn look(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        for id in self.watched.clone() {
+            let ill = |m: &&mut Member| m.suspect && !m.barred && !m.held_out;
+            let Some(m) = self.members.get_mut(&id).filter(ill) else { continue };
+            let due = now >= m.look_at;
+            if due {
+                m.look_at = now + (now - m.ill_since).clamp(self.pace * LOOK, LOOK_LONGEST);
+                if now - m.ill_since > 2 * AWAY {
+                    m.recover(now);
+                }
+            }
+            self.look_at = self.look_at.min(m.look_at);
+            let _ = due && self.probe(now, id, actions);
+        }
+    }
+
+    pub(super) fn probe(&mut self, now: Micros, id: MemberId, actions: &mut Vec<Action>) -> bool {
+        let Some(m) = self.members.get_mut(&id).filter(|m| m.probing.is_none()) else { return false };
+        let granted = self.settings.allowed.probes && self.probes >= 1.0;
+        if granted {
+            (self.probes, m.probing) = (self.probes - 1.0, Some(now));
+            actions.push(Action::Probe { member: id });
+        }
+        granted
+    }
+}
