--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -52,7 +52,8 @@
 /// Why a configuration can't be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigError {
-    why: String,
+    /// In one line.
+    pub why: String,
     /// A file can't be read now, and may be later.
     pub passes: bool,
 }
--- a/crates/gradeshunt/src/shared/tests.rs
+++ b/crates/gradeshunt/src/shared/tests.rs
@@ -76,3 +76,27 @@
     assert!(shared.is_held_out("s-2"));
     assert!(shared.done(0, looked(None, &["s-1", "s-2"])).is_empty(), "a look tells it once more: no news");
 }
+
+/// Guards what was taken on while the disk errs: a duty that could not be told is told again, and a configuration that could not
+/// be read is read again; one that can't be used is not.
+#[test]
+fn what_has_failed_and_may_pass_is_tried_again() {
+    let mut shared = Shared::new();
+    assert_eq!(shared.next(0), Some(Task::Look));
+    shared.turn_to(Duty::Serving);
+    assert_eq!(shared.next(0), Some(Task::Tell(Duty::Serving)));
+    shared.done(0, Done::Told(Err("no space".to_owned())));
+    assert_eq!(shared.next(0), None, "not at once");
+    shared.look(50_000);
+    assert_eq!(shared.next(50_000), Some(Task::Tell(Duty::Serving)));
+    shared.done(50_000, Done::Told(Ok(())));
+    for (passes, again) in [(true, Some(Task::Reread)), (false, None)] {
+        shared.reread();
+        assert_eq!(shared.next(50_000), Some(Task::Reread));
+        let error = ConfigError { passes, ..ConfigError::from("why".to_owned()) };
+        shared.done(50_000, Done::Reread(Err(error)));
+        shared.look(50_000 + REREAD_PAUSE);
+        assert_eq!(shared.next(50_000 + REREAD_PAUSE), again);
+        shared.done(50_000, Done::Reread(Err(ConfigError::from("why".to_owned()))));
+    }
+}
--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -113,6 +113,24 @@
     program.exits();
 }
 
+/// SIGTERM comes twice: the first one counts, and what is out is answered as after one.
+#[test]
+fn second_sigterm_changes_nothing() {
+    let site = Site::open(Plan::default()).expect("a site");
+    (0..3).for_each(|host| site.sets[0].script(host, Rule::always("page-read", Act::Hang)));
+    let mut program = Program::start("terminated-twice", site.config(), "", |_| {});
+    drop(program.connect());
+    let mut client =
+        Client::connect(program.addr(), &[("user", "portal")], PATIENCE).expect("its session starts");
+    client.stream().write_all(&read_of(1)).expect("it is open");
+    program.terminate();
+    program.until_logged("terminating");
+    program.terminate();
+    assert!(client.until_ready().expect("an answer, and no reset").code().is_some());
+    drop(client);
+    program.exits();
+}
+
 /// SIGTERM comes while connections wait for which there is no descriptor: they are accepted as room is made, and not reset
 /// with the socket. Those that hold the descriptors have begun another message, so that none of them makes room before its
 /// time for that is over, long after the socket would be closed.
