A call on a socket for which memory is wanting is made again

Cause: ring.rs blocked handed ENOMEM and ENOBUFS on as errors of the connection. Change: made_again tries up to 64 times.

--- a/crates/gradeshunt/src/ring.rs
+++ b/crates/gradeshunt/src/ring.rs
@@ -3,6 +3,8 @@
 use std::io::{self, IoSlice, IoSliceMut, Read, Write};
 use std::net::TcpStream;
 
+use rustix::io::Errno;
+
 use crate::memory::Held;
 
 /// A ring starts at this size,
@@ -10,6 +12,9 @@
 /// and grows up to this one: the longest message, and what stands before it.
 pub const LARGEST: usize = 256 * 1024;
 
+/// How often a call is made for which the system lacks memory, before its connection counts as broken.
+const MOST_WANTS: usize = 64;
+
 /// What one read or write of the socket came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Moved {
@@ -93,7 +98,7 @@
         }
         let (first, second) = self.spare();
         let mut parts = [IoSliceMut::new(first), IoSliceMut::new(second)];
-        match uninterrupted(|| socket.read_vectored(&mut parts)) {
+        match made_again(|| socket.read_vectored(&mut parts)) {
             Ok(0) => Ok(Moved::End),
             Ok(n) => {
                 self.len += n;
@@ -112,7 +117,7 @@
         let first = &self.buf[self.head..end.min(self.buf.len())];
         let second = &self.buf[..end.saturating_sub(self.buf.len())];
         let parts = [IoSlice::new(first), IoSlice::new(second)];
-        match uninterrupted(|| socket.write_vectored(&parts)) {
+        match made_again(|| socket.write_vectored(&parts)) {
             Ok(0) => Err(io::ErrorKind::WriteZero.into()),
             Ok(n) => {
                 self.consume(n);
@@ -145,17 +150,24 @@
     }
 }
 
-/// Makes a call again for as long as signals interrupt it. Sockets are polled edge-triggered: only one that would block is
-/// told of again, so that whoever stops at any other end of a call is never woken.
-pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+/// Makes a call again for as long as signals interrupt it, and some times where the system lacks memory for it. Sockets are
+/// polled edge-triggered: only one that would block is told of again, so that whoever stops at any other end of a call is never
+/// woken.
+pub fn made_again<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let mut wants = 0;
     loop {
         match call() {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if is_want_of_memory(&e) && wants < MOST_WANTS => wants += 1,
             done => return done,
         }
     }
 }
 
+fn is_want_of_memory(e: &io::Error) -> bool {
+    matches!(Errno::from_io_error(e), Some(Errno::NOMEM | Errno::NOBUFS))
+}
+
 fn blocked(e: io::Error) -> io::Result<Moved> {
     match e.kind() {
         io::ErrorKind::WouldBlock => Ok(Moved::Nothing),
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -14,7 +14,7 @@
 use crate::clock::Clock;
 use crate::deadlines::Deadlines;
 use crate::ids::{CallId, CallerId, ServerId, SessionId};
-use crate::ring::uninterrupted;
+use crate::ring::made_again;
 
 /// What has become ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -151,7 +151,7 @@
 impl Polled {
     /// Whether nothing stands unread: no bytes, no end, no error.
     pub fn is_quiet(&self) -> bool {
-        let peeked = uninterrupted(|| self.socket.peek(&mut [0]));
+        let peeked = made_again(|| self.socket.peek(&mut [0]));
         matches!(peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
