--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,6 +6,7 @@
 
 use clap::{Parser, ValueEnum};
 use gradeshunt_soak::play::{play, Options, Schedule};
+use gradeshunt_soak::trouble::Kind;
 
 /// As [`Schedule`] has them.
 #[derive(Clone, Copy, ValueEnum)]
@@ -34,11 +35,19 @@
     /// In which order troubles come: in lanes, or each pair of kinds once, with or without a third beside it.
     #[arg(long, value_enum, default_value_t = Order::Lanes)]
     order: Order,
+    /// Kinds of trouble that are played, as `docs/soak.md` names them; all where none is named.
+    #[arg(long = "kind", value_parser = kind)]
+    kinds: Vec<Kind>,
     /// How long troubles go on in lanes, in seconds.
     #[arg(long, default_value_t = 15)]
     seconds: u64,
 }
 
+fn kind(name: &str) -> Result<Kind, String> {
+    let known = Kind::ALL.into_iter().find(|kind| format!("{kind:?}") == name);
+    known.ok_or_else(|| format!("no kind of trouble: {name:?}, but {:?}", Kind::ALL))
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let mut sound = true;
@@ -52,6 +61,7 @@
             Order::Pairs => Schedule::Pairs,
             Order::Triples => Schedule::Triples,
         };
+        options.kinds.clone_from(&arguments.kinds);
         options.lasts = Duration::from_secs(arguments.seconds);
         match play(&options) {
             Ok(report) => {
