The soak judges a drain by what discovery has written to the proxy's own watch

Each proxy calls discovery at addresses of its own now, and counts as told when one of the watches of its running process was written to, so that a drain is judged for each by itself, and sooner. The broken relay watches, too.

--- a/crates/fleet-rig/src/bin/gradeshunt-broken.rs
+++ b/crates/fleet-rig/src/bin/gradeshunt-broken.rs
@@ -44,6 +44,9 @@
     let control = TcpListener::bind(control.as_deref().unwrap_or("127.0.0.1:0"))?;
     eprintln!("control: {}, listen: {}", control.local_addr()?, listener.local_addr()?);
     thread::spawn(move || control.incoming().flatten().for_each(|stream| drop(operators(stream))));
+    if let Some(discovery) = config["discovery"].as_str().map(str::to_owned) {
+        thread::spawn(move || watch(&discovery));
+    }
     let fault = std::env::var("GRADESHUNT_BROKEN").unwrap_or_default();
     let relay = Arc::new(Relay { fault, hosts, turn: AtomicUsize::new(0) });
     for stream in listener.incoming().flatten() {
@@ -53,6 +56,13 @@
     Ok(())
 }
 
+/// Is told of every change of the list, and follows none.
+fn watch(discovery: &str) -> io::Result<()> {
+    let mut stream = TcpStream::connect(discovery)?;
+    write!(stream, "GET /api/targets?stream=1&index=0 HTTP/1.1\r\nHost: x\r\n\r\n")?;
+    io::copy(&mut stream, &mut io::sink()).map(drop)
+}
+
 /// Whatever operators ask, all is well.
 fn operators(mut stream: TcpStream) -> io::Result<()> {
     let mut call = Vec::new();
--- a/crates/fleet-rig/src/placement/mod.rs
+++ b/crates/fleet-rig/src/placement/mod.rs
@@ -288,7 +288,9 @@
     /// Discovery tells all proxies of a set's second db host.
     fn tell_draining(&self, set: usize, lifecycle: &str) {
         let id = self.draining_host(set).id();
-        self.fleet.proxies.iter().for_each(|p| p.discovery.change(&id, "lifecycle", json!(lifecycle)));
+        for proxy in &self.fleet.proxies {
+            proxy.discovery.change(&id, "lifecycle", json!(lifecycle));
+        }
     }
 
     /// Counts the faults because of which some proxy finds a home unavailable.
--- a/crates/fleet-rig/src/region.rs
+++ b/crates/fleet-rig/src/region.rs
@@ -378,7 +378,9 @@
                     let h = &self.hosts[n];
                     let word = if what == What::Drain { "draining" } else { "gone" };
                     let id = Site::id(h.set + 1, h.number);
-                    self.fleet.iter().for_each(|p| p.discovery.change(&id, "lifecycle", json!(word)));
+                    for proxy in &self.fleet {
+                        proxy.discovery.change(&id, "lifecycle", json!(word));
+                    }
                     // Told is who has the bytes: the rig itself may be late to write them.
                     self.fleet.iter().for_each(|p| p.discovery.until_told());
                     h.engine.drain(true);
--- a/crates/gradeshunt/tests/stepped_clocks.rs
+++ b/crates/gradeshunt/tests/stepped_clocks.rs
@@ -44,7 +44,7 @@
 
 impl Play {
     fn open(name: &str) -> Play {
-        let site = Site::open(&Arc::new(Ledger::default())).expect("a site");
+        let site = Site::open(&Arc::new(Ledger::default()), 1).expect("a site");
         site.hosts[2].freeze_behind(BEHIND);
         let shim = Shim::build(&scratch(&format!("{name}-shim"))).expect("a C compiler");
         let control = FaultControl::create(&shim, &scratch(&format!("{name}-control"))).expect("a file");
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -143,7 +143,7 @@
         };
         let wait = self.rng.u64(SHORTEST_WAIT.as_millis() as u64..=LONGEST_WAIT.as_millis() as u64);
         let set = self.rng.usize(1..=SETS);
-        self.ledger.asked(class, Duration::from_millis(wait), set, behind)
+        self.ledger.asked(self.proxy.number, class, Duration::from_millis(wait), set, behind)
     }
 
     /// What a session begins with, before its first request.
--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -73,8 +73,8 @@
     /// When it was deaf last.
     deaf_until: Option<Instant>,
     frozen: Option<Frozen>,
-    /// It was told to drain then.
-    drained: Option<Instant>,
+    /// The generation of the list that says that it drains.
+    drains_since: Option<u64>,
     open: BTreeMap<u64, TcpStream>,
 }
 
@@ -116,7 +116,7 @@
             ills: Ills::default(),
             deaf_until: None,
             frozen: None,
-            drained: None,
+            drains_since: None,
             open: BTreeMap::new(),
         };
         let host = DbHost(Arc::new(Inner {
@@ -184,9 +184,9 @@
         lock(&self.0.state).frozen = Some(Frozen { since: Instant::now(), lag, position });
     }
 
-    /// Discovery has told all proxies that it drains, or that it does not any more.
-    pub fn drained(&self, drained: bool) {
-        lock(&self.0.state).drained = drained.then(Instant::now);
+    /// The list says since this generation that it drains, or does not say so any more.
+    pub fn drains_since(&self, generation: Option<u64>) {
+        lock(&self.0.state).drains_since = generation;
     }
 
     /// Cuts all connections.
@@ -245,14 +245,14 @@
     }
 
     fn request(&self, stream: &mut TcpStream, statement: &Statement) -> io::Result<bool> {
-        let (drained_for, prompt) = {
+        let (drains_since, prompt) = {
             let state = lock(&self.0.state);
             let prompt =
                 !state.ills.deaf && state.deaf_until.is_none_or(|until| until.elapsed() > CATCHING_UP);
-            (state.drained.map(|since| since.elapsed()), prompt)
+            (state.drains_since, prompt)
         };
         let (statement, at) = (*statement, Instant::now());
-        let arrival = Arrival { statement, host: self.0.number, at, drained_for, prompt };
+        let arrival = Arrival { statement, host: self.0.number, at, drains_since, prompt };
         // One that its proxy has given up by the time at which it is read came before whatever is out now.
         let given_up = !is_open(stream);
         let number = self.0.ledger.arrived(&arrival, |number| !given_up && self.is_out(statement.id, number));
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -137,6 +137,7 @@
     /// Where it can't be started at all.
     pub fn start(&self) -> io::Result<()> {
         let began = Instant::now();
+        self.ledger.starts(self.number);
         let mut process = self.platform.spawn()?;
         while process.call("GET", "/status").map_or(0, |answer| answer.0) != 200 {
             if began.elapsed() > READY_WITHIN || process.exits(LOOK)?.is_some() {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -3,9 +3,11 @@
 //! All times are monotonic: the wall clocks of a play are stepped.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
+use gradeshunt_stand_ins::discovery::Discovery;
+
 use crate::lock;
 use crate::statement::{Class, Statement, READ_BOUND};
 
@@ -75,8 +77,8 @@
     pub statement: Statement,
     pub host: usize,
     pub at: Instant,
-    /// For how long its db host has been told to drain.
-    pub drained_for: Option<Duration>,
+    /// The generation of the list that says that its db host drains.
+    pub drains_since: Option<u64>,
     /// Its db host reads as soon as bytes come: times of arrival are those of the network.
     pub prompt: bool,
 }
@@ -92,6 +94,8 @@
 }
 
 struct Request {
+    /// The proxy that it was asked of.
+    proxy: usize,
     statement: Statement,
     asked: Instant,
     /// Behind how many others on its connection it stands: it waits for them first.
@@ -118,7 +122,12 @@
 
 /// The ledger of a play.
 #[derive(Default)]
-pub struct Ledger(Mutex<Book>);
+pub struct Ledger {
+    book: Mutex<Book>,
+    discovery: OnceLock<Discovery>,
+    /// When each proxy's process has started: what a former one was told, this one was not.
+    started: Mutex<HashMap<usize, Instant>>,
+}
 
 /// What a play came to.
 #[derive(Clone, Debug, Default)]
@@ -149,20 +158,37 @@
 impl Ledger {
     /// A fault that the ledger itself can't see.
     pub fn fault(&self, rule: Rule, text: String) {
-        lock(&self.0).fault(rule, text);
+        lock(&self.book).fault(rule, text);
     }
 
     /// Processes are held up now.
     pub fn held_up(&self) {
-        lock(&self.0).held_up = Some(Instant::now());
+        lock(&self.book).held_up = Some(Instant::now());
+    }
+
+    /// Drains are judged by what this service has told each proxy.
+    pub fn judge_drains_by(&self, discovery: &Discovery) {
+        let _ = self.discovery.set(discovery.clone());
+    }
+
+    /// A proxy's process starts now.
+    pub fn starts(&self, proxy: usize) {
+        lock(&self.started).insert(proxy, Instant::now());
+    }
+
+    /// When the process of a proxy was told of a generation of the list.
+    fn told(&self, proxy: usize, generation: u64) -> Option<Instant> {
+        let started = lock(&self.started).get(&proxy).copied()?;
+        self.discovery.get()?.told(proxy, generation, started)
     }
 
-    /// A request is about to be written; `behind` others stand before it on its connection.
-    pub fn asked(&self, class: Class, wait: Duration, set: usize, behind: u32) -> Statement {
-        let mut book = lock(&self.0);
+    /// A request is about to be written to a proxy; `behind` others stand before it on its connection.
+    pub fn asked(&self, proxy: usize, class: Class, wait: Duration, set: usize, behind: u32) -> Statement {
+        let mut book = lock(&self.book);
         book.next += 1;
         let statement = Statement { id: book.next, class, wait, set };
         let request = Request {
+            proxy,
             statement,
             asked: Instant::now(),
             behind,
@@ -178,7 +204,7 @@
 
     /// A request's client has closed its connection.
     pub fn left(&self, id: u64) {
-        let mut book = lock(&self.0);
+        let mut book = lock(&self.book);
         if let Some(request) = book.requests.get_mut(&id) {
             request.left = Some(Instant::now());
         }
@@ -188,12 +214,12 @@
 
     /// Notes how a request's connection ended, for the text of a fault.
     pub fn note(&self, id: u64, note: String) {
-        lock(&self.0).requests.get_mut(&id).into_iter().for_each(|request| request.note = note.clone());
+        lock(&self.book).requests.get_mut(&id).into_iter().for_each(|request| request.note = note.clone());
     }
 
     /// A request has ended for its client.
     pub fn ended(&self, id: u64, outcome: Outcome) {
-        let mut book = lock(&self.0);
+        let mut book = lock(&self.book);
         *book.outcomes.entry(outcome).or_default() += 1;
         let slack = book.slack();
         let Some(request) = book.requests.get_mut(&id) else { return };
@@ -223,10 +249,11 @@
     /// An attempt has arrived; gives its number among those of its request. `is_open` tells whether the connection of an
     /// earlier attempt still stands, by that number.
     pub fn arrived(&self, arrival: &Arrival, is_open: impl Fn(usize) -> bool) -> usize {
-        let mut book = lock(&self.0);
+        let told = |proxy: usize, generation: u64| self.told(proxy, generation);
+        let mut book = lock(&self.book);
         book.attempts += 1;
         let slack = book.slack();
-        let Arrival { statement, host, at, drained_for, prompt } = *arrival;
+        let Arrival { statement, host, at, drains_since, prompt } = *arrival;
         let Some(request) = book.requests.get_mut(&statement.id) else { return 0 };
         let number = request.attempts.len();
         let mut found = Vec::new();
@@ -248,8 +275,15 @@
             if statement.wait > left + TOLD_SLACK + SCHEDULING {
                 found.push((Rule::DeadlineTold, format!("{:?} told, {left:?} left", statement.wait)));
             }
-            if let Some(since) = drained_for.filter(|since| *since > DRAIN_GRACE + slack) {
-                found.push((Rule::Drain, format!("{since:?} after host {host} was told to drain")));
+            // Its proxy counts as told once discovery has written that to one of its watches.
+            let proxy = request.proxy;
+            let told = drains_since.and_then(|generation| told(proxy, generation));
+            let since = told.and_then(|told| at.checked_duration_since(told));
+            if let Some(since) = since.filter(|since| *since > DRAIN_GRACE + slack) {
+                found.push((
+                    Rule::Drain,
+                    format!("{since:?} after proxy {proxy} was told that host {host} drains"),
+                ));
             }
         }
         request.attempts.push(Attempt { state: AttemptState::Out });
@@ -261,14 +295,14 @@
 
     /// A db host has ended an attempt, or given it up.
     pub fn attempt_ended(&self, id: u64, number: usize) {
-        let mut book = lock(&self.0);
+        let mut book = lock(&self.book);
         let attempt = book.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(number));
         attempt.into_iter().for_each(|a| a.state = AttemptState::Ended);
     }
 
     /// A db host has executed a write; a repeat that it dropped is none.
     pub fn executed(&self, statement: &Statement) {
-        let mut book = lock(&self.0);
+        let mut book = lock(&self.book);
         let Some(request) = book.requests.get_mut(&statement.id) else { return };
         request.executions += 1;
         if request.executions > 1 {
@@ -279,7 +313,7 @@
 
     /// A db host is about to serve a read from data of this age.
     pub fn served_from(&self, statement: &Statement, host: usize, age: Duration, prompt: bool) {
-        let slack = lock(&self.0).slack();
+        let slack = lock(&self.book).slack();
         if prompt && statement.class == Class::Read && age > READ_BOUND + KNOWN_AFTER + slack {
             self.fault(
                 Rule::StaleRead,
@@ -290,7 +324,7 @@
 
     /// What the play came to.
     pub fn summary(&self) -> Summary {
-        let book = lock(&self.0);
+        let book = lock(&self.book);
         Summary {
             outcomes: book.outcomes.clone(),
             attempts: book.attempts,
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -150,7 +150,7 @@
     let _ = std::fs::remove_dir_all(&options.folder);
     let shim = Shim::build(&options.folder.join("shim"))?;
     let ledger = Arc::new(Ledger::default());
-    let site = Site::open(&ledger)?;
+    let site = Site::open(&ledger, options.proxies)?;
     let proxies = open_fleet(options, &shim, &site, &ledger)?;
     let manners = Arc::new(Manners::usual());
     let ends = Arc::new(AtomicBool::new(false));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -27,18 +27,18 @@
 pub struct Site {
     pub hosts: Vec<DbHost>,
     pub discovery: Discovery,
-    /// Where discovery can be called: each is the same service.
-    pub addresses: [SocketAddr; 2],
+    /// Where each proxy can call discovery: all of it is the same service.
+    addresses: Vec<[SocketAddr; 2]>,
     pub wall: WallClock,
     plan: Plan,
 }
 
 impl Site {
-    /// Opens a site whose db hosts write into this ledger.
+    /// Opens a site for so many proxies, whose db hosts write into this ledger.
     ///
     /// # Errors
     /// Those of sockets.
-    pub fn open(ledger: &Arc<Ledger>) -> io::Result<Site> {
+    pub fn open(ledger: &Arc<Ledger>, proxies: usize) -> io::Result<Site> {
         let shared =
             Shared { wall: WallClock::default(), ledger: Arc::clone(ledger), attempts: Arc::default() };
         let (mut hosts, mut entries) = (Vec::new(), Vec::new());
@@ -52,7 +52,9 @@
             }
         }
         let discovery = Discovery::open(entries)?;
-        let addresses = [discovery.addr(), discovery.open_another()?];
+        ledger.judge_drains_by(&discovery);
+        let both = |proxy| Ok([discovery.open_for(proxy)?, discovery.open_for(proxy)?]);
+        let addresses = (0..proxies).map(both).collect::<io::Result<_>>()?;
         let plan = Plan {
             deadline: LONGEST_WAIT.as_secs_f64() * 1000.0,
             aim: AIM_MS,
@@ -74,7 +76,7 @@
         config["name"] = json!(format!("n{me}"));
         config["listen"] = json!(listen.to_string());
         config["seed"] = json!(format!("{:x}", me + 1));
-        config["discovery"] = json!(self.addresses[discovery % self.addresses.len()].to_string());
+        config["discovery"] = json!(self.addresses[me][discovery % 2].to_string());
         config["watch_silence_ms"] = json!(WATCH_SILENCE_MS);
         config["settings"]["fleetSize"] = json!(fleet);
         config["settings"]["me"] = json!(me);
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -274,11 +274,10 @@
             }
             Kind::DrainingHost if !host.is_primary() => {
                 let id = Site::id(trouble.host);
-                self.site.discovery.change(&id, "lifecycle", json!("draining"));
-                self.site.discovery.until_told();
-                host.drained(true);
+                let generation = self.site.discovery.change(&id, "lifecycle", json!("draining"));
+                host.drains_since(Some(generation));
                 wait();
-                host.drained(false);
+                host.drains_since(None);
                 self.site.discovery.change(&id, "lifecycle", json!("ready"));
             }
             Kind::SilentDiscovery => self.with_discovery(Service::Silent, trouble.lasts),
--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
 
@@ -34,6 +34,8 @@
     changes: VecDeque<(u64, Value)>,
     /// Open watches, each with the generation that was last written to it.
     watches: BTreeMap<u64, u64>,
+    /// What was written to each caller that has an address of its own, and when.
+    told: BTreeMap<usize, Vec<(u64, Instant)>>,
     next_watch: u64,
 }
 
@@ -63,28 +65,35 @@
             list: Arc::new((Mutex::new(list), Condvar::new())),
             told: Arc::default(),
         };
-        discovery.listen(listener);
+        discovery.listen(listener, None);
         Ok(discovery)
     }
 
-    fn listen(&self, listener: TcpListener) {
+    fn listen(&self, listener: TcpListener, caller: Option<usize>) {
         let served = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let served = served.clone();
-                thread::spawn(move || served.serve(stream));
+                thread::spawn(move || served.serve(stream, caller));
             }
         });
     }
 
-    /// The same service at another address as well, as after a move.
-    pub fn open_another(&self) -> io::Result<SocketAddr> {
+    /// The same service at another address as well, which only this caller knows: what it was told is kept apart.
+    pub fn open_for(&self, caller: usize) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
-        self.listen(listener);
+        self.listen(listener, Some(caller));
         Ok(addr)
     }
 
+    /// When a caller was first told of a generation, or a later one, after `since`.
+    pub fn told(&self, caller: usize, generation: u64, since: Instant) -> Option<Instant> {
+        let list = lock(&self.list.0);
+        let mut told = list.told.get(&caller)?.iter();
+        told.find(|(told, at)| *told >= generation && *at >= since).map(|(_, at)| *at)
+    }
+
     /// Changes how the service behaves. What stands silent falls behind and stays so until it is asked anew.
     pub fn set_service(&self, service: Service) {
         lock(&self.list.0).service = service;
@@ -108,16 +117,17 @@
         json!({"generation": list.generation, "reset": true, "instances": list.entries})
     }
 
-    /// Changes a field of an entry, and tells all that watch.
-    pub fn change(&self, id: &str, field: &str, to: Value) {
+    /// Changes a field of an entry, and tells all that watch. Gives the generation that this made.
+    pub fn change(&self, id: &str, field: &str, to: Value) -> u64 {
         let mut list = lock(&self.list.0);
         list.generation += 1;
         let generation = list.generation;
-        let Some(entry) = list.entries.iter_mut().find(|e| e["instanceId"] == id) else { return };
+        let Some(entry) = list.entries.iter_mut().find(|e| e["instanceId"] == id) else { return generation };
         entry[field] = to;
         let entry = entry.clone();
         list.changes.push_back((generation, entry));
         self.list.1.notify_all();
+        generation
     }
 
     /// Waits until the list as it is now is written to all open watches: from then on whoever watches has been told, however
@@ -129,25 +139,30 @@
         drop(self.told.wait_timeout_while(list, TELLS, behind));
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream, caller: Option<usize>) -> io::Result<()> {
         let watch = {
             let mut list = lock(&self.list.0);
             list.next_watch += 1;
             list.next_watch
         };
-        let served = self.serve_call(stream, watch);
+        let served = self.serve_call(stream, watch, caller);
         lock(&self.list.0).watches.remove(&watch);
         self.told.notify_all();
         served
     }
 
     /// What this watch has been written is as new as this generation.
-    fn written(&self, watch: u64, generation: u64) {
-        lock(&self.list.0).watches.insert(watch, generation);
+    fn written(&self, watch: u64, generation: u64, caller: Option<usize>) {
+        let mut list = lock(&self.list.0);
+        list.watches.insert(watch, generation);
+        if let Some(caller) = caller {
+            list.told.entry(caller).or_default().push((generation, Instant::now()));
+        }
+        drop(list);
         self.told.notify_all();
     }
 
-    fn serve_call(&self, mut stream: TcpStream, watch: u64) -> io::Result<()> {
+    fn serve_call(&self, mut stream: TcpStream, watch: u64, caller: Option<usize>) -> io::Result<()> {
         let mut lines = BufReader::new(stream.try_clone()?).lines();
         let request = lines.next().transpose()?.unwrap_or_default();
         while lines.next().transpose()?.is_some_and(|l| !l.is_empty()) {}
@@ -164,7 +179,7 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{whole}\r\n",
             whole.len()
         )?;
-        self.written(watch, known);
+        self.written(watch, known, caller);
         loop {
             let list = lock(&self.list.0);
             let idle = |l: &mut List| l.generation == known && l.service == Service::Serving;
@@ -189,7 +204,7 @@
                 false => json!({"generation": known, "reset": false, "instances": news}).to_string() + "\n",
             };
             write!(stream, "{:x}\r\n{line}\r\n", line.len())?;
-            self.written(watch, known);
+            self.written(watch, known, caller);
         }
     }
 }
