--- a/crates/gradeshunt/src/backend/pool.rs
+++ b/crates/gradeshunt/src/backend/pool.rs
@@ -54,7 +54,7 @@
             }
         }
         match s.stage {
-            Stage::Spent => s.polled.abort(turn),
+            Stage::Spent if !s.outbound.is_empty() => s.polled.abort(turn),
             _ => s.polled.close(turn),
         }
         self.forget_if_gone(s.member);
