The log tells of each earlier attempt when a request is sent again

Each attempt now carries its connection, when it was leased, when its last byte was handed to the system and what became of the connection; a further attempt that is written logs all of it at debug level. No behaviour changes.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -70,7 +70,14 @@
         match order {
             Order::Start { attempt, member, body, until, write_by } => {
                 let write_by = write_by.min(until);
-                let job = Job::Attempt { id: attempt, body, since: turn.now, until, write_by };
+                let job = Job::Attempt {
+                    id: attempt,
+                    body,
+                    since: turn.now,
+                    until,
+                    write_by,
+                    trace: Box::default(),
+                };
                 self.begin(turn, exchange, member, job);
             }
             // One at a time: the one that is out answers for both.
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -10,7 +10,7 @@
 use super::reply::{Reply, Shape};
 use super::Backend;
 use crate::deadlines::Due;
-use crate::exchange::Exchange;
+use crate::exchange::{ConnectionEnd, Exchange};
 use crate::ids::ServerId;
 use crate::pg::Writer;
 use crate::placing::{is_peer, PEER_USER};
@@ -149,7 +149,8 @@
             }
             Stage::Trailing { by } => turn.deadlines.clear(by, Due::Server(id)),
             Stage::Idle { .. } | Stage::Spent => {}
-            Stage::Busy { job, reply, .. } => {
+            Stage::Busy { mut job, reply, .. } => {
+                job.leave_connection(ConnectionEnd::Kept);
                 let ending = reply.ending().unwrap_or(Ending::Reset);
                 let (ending, reply) =
                     if copied { (Ending::Error, Reply::default()) } else { (ending, reply) };
@@ -199,7 +200,10 @@
     /// Bytes of an attempt were written: maybe its first, maybe its last.
     fn note_written(&mut self, turn: &Turn, exchange: &mut Exchange, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
-        let Stage::Busy { job: Job::Attempt { id: attempt, .. }, .. } = &s.stage else { return };
+        let Stage::Busy { job: Job::Attempt { id: attempt, trace, .. }, .. } = &mut s.stage else { return };
+        if s.outbound.is_empty() {
+            trace.written = Some(turn.clock.now());
+        }
         if !std::mem::replace(&mut s.sending.begun, true) {
             let closed = self.hosts.get(&s.member).and_then(|host| host.closed_since);
             exchange.begun_at_host(turn, *attempt, closed);
--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -7,7 +7,7 @@
 use super::jobs::Job;
 use super::reply::Reply;
 use super::Backend;
-use crate::exchange::Exchange;
+use crate::exchange::{ConnectionEnd, Exchange};
 use crate::ids::ServerId;
 use crate::pg::sqlstate;
 use crate::turn::Turn;
@@ -63,7 +63,11 @@
     pub(super) fn take_job(&mut self, id: ServerId) -> Option<(MemberId, bool, Job, Reply)> {
         let s = self.servers.get_mut(&id)?;
         match std::mem::replace(&mut s.stage, Stage::Spent) {
-            Stage::Busy { job, reply, .. } => Some((s.member, !s.outbound.is_empty(), job, reply)),
+            Stage::Busy { mut job, reply, .. } => {
+                let unsent = !s.outbound.is_empty();
+                job.leave_connection(if unsent { ConnectionEnd::Reset } else { ConnectionEnd::Closed });
+                Some((s.member, unsent, job, reply))
+            }
             other => {
                 s.stage = other;
                 None
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -16,7 +16,7 @@
 use super::reply::Reply;
 use super::Backend;
 use crate::deadlines::Due;
-use crate::exchange::{name, AttemptId, Body, Ended, Exchange, Form, Said};
+use crate::exchange::{name, AttemptId, AttemptTrace, Body, ConnectionEnd, Ended, Exchange, Form, Said};
 use crate::ids::ServerId;
 use crate::pg::{self, sqlstate, Writer};
 use crate::placing::is_peer;
@@ -35,12 +35,22 @@
         until: Micros,
         /// Until when it may be written at all; afterwards it may only end.
         write_by: Micros,
+        trace: Box<AttemptTrace>,
     },
     Probe {
         since: Micros,
     },
 }
 
+impl Job {
+    /// It ends, and this becomes of its connection.
+    pub(super) fn leave_connection(&mut self, end: ConnectionEnd) {
+        if let Job::Attempt { trace, .. } = self {
+            trace.connection_end = end;
+        }
+    }
+}
+
 /// Where a job stands.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Place {
@@ -145,14 +155,15 @@
         }
     }
 
-    pub(super) fn write(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, job: Job) {
+    pub(super) fn write(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId, mut job: Job) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         if matches!(s.stage, Stage::Idle { until, .. } if turn.clock.now() > until + HELD_UP) {
             exchange.violated(turn, Rule::ExpiredConnection, None);
         }
         let mut sending = Sending::default();
-        let pushed = match &job {
-            Job::Attempt { id: attempt, body, until, .. } => {
+        let pushed = match &mut job {
+            Job::Attempt { id: attempt, body, until, trace, .. } => {
+                (trace.connection, trace.leased) = (Some(id), Some(turn.now));
                 if let Some(a) = self.attempts.get_mut(attempt) {
                     turn.deadlines.clear(a.0, Due::Attempt(*attempt));
                     turn.deadlines.set(*until, Due::Attempt(*attempt));
@@ -160,7 +171,7 @@
                 }
                 let (before, after) = body.around_wait();
                 let now = turn.clock.now();
-                let Telling { told, holds_for } = time_to_tell(until - now, body.len());
+                let Telling { told, holds_for } = time_to_tell(*until - now, body.len());
                 let told_ms = (told / 1000).max(1);
                 // Of a plain statement the db host is told nothing.
                 if body.tells_wait() {
@@ -267,7 +278,7 @@
         reply: Reply,
     ) {
         match job {
-            Job::Attempt { id, .. } => {
+            Job::Attempt { id, trace, .. } => {
                 if let Some((until, _)) = self.attempts.remove(&id) {
                     turn.deadlines.clear(until, Due::Attempt(id));
                 }
@@ -291,7 +302,7 @@
                     Ending::Error if reply.error.is_some() => Said::Error(reply.bytes),
                     _ => Said::Nothing,
                 };
-                exchange.ended(turn, Ended { attempt: id, ending, note, said });
+                exchange.ended(turn, Ended { attempt: id, ending, note, said, trace: *trace });
             }
             Job::Probe { since } => {
                 if let Some((until, _)) = self.probes.remove(&member) {
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -9,7 +9,7 @@
 use super::reply::Shape;
 use super::Backend;
 use crate::deadlines::Due;
-use crate::exchange::{Exchange, Form};
+use crate::exchange::{ConnectionEnd, Exchange, Form};
 use crate::ids::ServerId;
 use crate::pg::{self, Malformed};
 use crate::ring::Moved;
@@ -175,7 +175,8 @@
 
     /// An answer is whole, and its ReadyForQuery late: the client does not wait for that, the connection does.
     pub(super) fn end_before_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        let Some((member, _, job, reply)) = self.take_job(id) else { return };
+        let Some((member, _, mut job, reply)) = self.take_job(id) else { return };
+        job.leave_connection(ConnectionEnd::AwaitsReady);
         let by = turn.now + READY_TIMEOUT;
         if let (Some(ending), Some(s)) = (reply.ending(), self.servers.get_mut(&id)) {
             s.stage = Stage::Trailing { by };
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -8,6 +8,7 @@
 mod forwarding;
 mod messages;
 mod reason;
+mod trace;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
@@ -19,6 +20,8 @@
 
 pub use self::messages::{Answer, Ask, Body, Call, Ended, Final, Form, Order, Said, ROOM};
 use self::reason::FinalReason;
+use self::trace::EndedAttempt;
+pub use self::trace::{AttemptTrace, ConnectionEnd};
 use crate::deadlines::Due;
 use crate::figures::{Count, Figures, TenantCount};
 pub use crate::ids::AttemptId;
@@ -51,6 +54,8 @@
     left: Option<Micros>,
     /// How its latest attempt has ended.
     ended: Option<Ending>,
+    /// All that have ended, for the log.
+    ended_attempts: Vec<EndedAttempt>,
     /// The final answer is given, or the client has gone.
     over: bool,
     error: Option<Vec<u8>>,
@@ -170,6 +175,7 @@
             doubt_since: None,
             left: None,
             ended: None,
+            ended_attempts: Vec::new(),
             over: false,
             error: None,
             forward: None,
@@ -297,7 +303,7 @@
     }
 
     pub fn ended(&mut self, turn: &mut Turn, ended: Ended) {
-        let Ended { attempt: AttemptId { request: id, number }, ending, note, said } = ended;
+        let Ended { attempt: AttemptId { request: id, number }, ending, note, said, trace } = ended;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(out) = r.out.take_if(|o| o.number == number) else { return };
         if r.forward.is_some() {
@@ -305,6 +311,7 @@
         }
         r.error = None;
         r.ended = Some(ending);
+        r.ended_attempts.push(EndedAttempt { number, since: out.since, ended: turn.now, ending, trace });
         if !ending.never_ran() {
             r.doubt_since.get_or_insert(out.since);
         }
--- a/crates/gradeshunt/src/exchange/audit.rs
+++ b/crates/gradeshunt/src/exchange/audit.rs
@@ -72,6 +72,7 @@
         for rule in written.violations() {
             self.violated(turn, rule, Some(attempt));
         }
+        self.trace_repeat(turn, attempt, at);
     }
 
     /// The first byte of an attempt is written, to a db host that was told at `told` to take nothing new, if it was.
--- a/crates/gradeshunt/src/exchange/messages.rs
+++ b/crates/gradeshunt/src/exchange/messages.rs
@@ -6,6 +6,7 @@
 use gradeshunt_placement::Source;
 use leadmast::*;
 
+use super::trace::AttemptTrace;
 use crate::ids::AttemptId;
 use crate::memory::Held;
 
@@ -133,6 +134,7 @@
     pub ending: Ending,
     pub note: Option<Note>,
     pub said: Said,
+    pub trace: AttemptTrace,
 }
 
 /// What a db host has said that a client may get to see.
