Attempts given up are reset, and those the system still holds end with client and window

Callers saw a write run after its client had its answer, after it left, or twice after its window, where a db host stopped reading: a statement that the system has taken whole passed for sent, and closing its connection delivered it.

Cause: backend/pool.rs closed what was written whole; is_unsent looked at the proxy's own buffer alone; nothing fell due at a repeat's window once it was handed over. Now what is given up is reset; the system is asked whether it has sent all (writable with TCP_NOTSENT_LOWAT of 1) when a client leaves and when a window ends. It holds because a reset drops what is unsent, and what is sent has arrived.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -118,6 +118,10 @@
                 return turn.deadlines.set(at, Due::Attempt(id));
             }
         }
+        if let (Some(until), Some(attempt)) = (self.goes_on_until(turn.now, id), self.attempts.get_mut(&id)) {
+            attempt.0 = until;
+            return turn.deadlines.set(until, Due::Attempt(id));
+        }
         self.give_up(turn, exchange, id, Ending::Timeout);
     }
 
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -44,7 +44,7 @@
         /// By when ReadyForQuery has to follow an answer that is whole.
         ready_by: Option<Micros>,
     },
-    /// Its job was taken from it; it closes at once. A request that is not written to its end is not delivered any more.
+    /// Its job was taken from it; it is reset at once. What the system holds of the request is not delivered any more.
     Spent,
     /// Its job has ended with a whole answer; ReadyForQuery is still to come.
     Trailing {
--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -64,9 +64,8 @@
         let s = self.servers.get_mut(&id)?;
         match std::mem::replace(&mut s.stage, Stage::Spent) {
             Stage::Busy { mut job, reply, .. } => {
-                let unsent = !s.outbound.is_empty();
-                job.leave_connection(if unsent { ConnectionEnd::Reset } else { ConnectionEnd::Closed });
-                Some((s.member, unsent, job, reply))
+                job.leave_connection(ConnectionEnd::Reset);
+                Some((s.member, !s.outbound.is_empty(), job, reply))
             }
             other => {
                 s.stage = other;
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -10,7 +10,7 @@
 use leadmast::{Ending, MemberId, Micros, Probed};
 use slog::{debug, info, warn};
 
-use super::connection::{Sending, Stage, Unwritten};
+use super::connection::{Sending, Server, Stage, Unwritten};
 use super::hosts::Host;
 use super::load_report::report_of;
 use super::reply::Reply;
@@ -162,12 +162,13 @@
         }
         let mut sending = Sending::default();
         let pushed = match &mut job {
-            Job::Attempt { id: attempt, body, until, trace, .. } => {
+            Job::Attempt { id: attempt, body, until, write_by, trace, .. } => {
                 (trace.connection, trace.leased) = (Some(id), Some(turn.now));
                 if let Some(a) = self.attempts.get_mut(attempt) {
                     turn.deadlines.clear(a.0, Due::Attempt(*attempt));
-                    turn.deadlines.set(*until, Due::Attempt(*attempt));
-                    *a = (*until, Place::On(id));
+                    let due = (*until).min(*write_by);
+                    turn.deadlines.set(due, Due::Attempt(*attempt));
+                    *a = (due, Place::On(id));
                 }
                 let (before, after) = body.around_wait();
                 let now = turn.clock.now();
@@ -208,15 +209,28 @@
         }
     }
 
-    /// Whether nothing of an attempt can have reached its db host as a whole statement yet.
+    /// Whether nothing of an attempt can have reached its db host as a whole statement yet: what the system has taken of it arrives
+    /// only once the db host reads.
     pub(super) fn is_unsent(&self, id: AttemptId) -> bool {
         match self.attempts.get(&id) {
             Some((_, Place::Waiting(_))) => true,
-            Some((_, Place::On(server))) => self.servers.get(server).is_some_and(|s| !s.outbound.is_empty()),
+            Some((_, Place::On(server))) => {
+                let holds = |s: &Server| !s.outbound.is_empty() || s.polled.holds_unsent();
+                self.servers.get(server).is_some_and(holds)
+            }
             None => false,
         }
     }
 
+    /// A repeat whose window ends may go on if it has arrived by then; until when it is waited for.
+    pub(super) fn goes_on_until(&self, now: Micros, id: AttemptId) -> Option<Micros> {
+        let (_, Place::On(server)) = self.attempts.get(&id)? else { return None };
+        let Stage::Busy { job: Job::Attempt { until, .. }, .. } = &self.servers.get(server)?.stage else {
+            return None;
+        };
+        (now < *until && !self.is_unsent(id)).then_some(*until)
+    }
+
     /// Stops waiting for an attempt, whose connection can't be used again.
     pub(super) fn give_up(
         &mut self,
--- a/crates/gradeshunt/src/backend/pool.rs
+++ b/crates/gradeshunt/src/backend/pool.rs
@@ -54,7 +54,8 @@
             }
         }
         match s.stage {
-            Stage::Spent if !s.outbound.is_empty() => s.polled.abort(turn),
+            // A close would deliver what the system holds of a request that was given up, whenever its db host reads on.
+            Stage::Spent => s.polled.abort(turn),
             _ => s.polled.close(turn),
         }
         self.forget_if_gone(s.member);
--- a/crates/gradeshunt/src/exchange/trace.rs
+++ b/crates/gradeshunt/src/exchange/trace.rs
@@ -18,8 +18,6 @@
     Kept,
     /// It stays open until ReadyForQuery has come.
     AwaitsReady,
-    /// It was closed: the system still delivers what it holds.
-    Closed,
     /// It was reset: the system drops what it holds.
     Reset,
 }
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -155,6 +155,22 @@
         matches!(peeked, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
     }
 
+    /// Whether the system holds bytes that it has not sent yet, as far as it can tell: it then takes no more once it is asked to hold
+    /// nothing unsent. Where it can't be asked, it passes for holding none.
+    pub fn holds_unsent(&self) -> bool {
+        use rustix::event::{poll, PollFd, PollFlags};
+        use rustix::io::retry_on_intr;
+        let socket = socket2::SockRef::from(&*self.socket);
+        if socket.set_tcp_notsent_lowat(NOTHING_UNSENT).is_err() {
+            return false;
+        }
+        let mut fds = [PollFd::new(&*self.socket, PollFlags::OUT)];
+        let now = rustix::event::Timespec { tv_sec: 0, tv_nsec: 0 };
+        let writable = retry_on_intr(|| poll(&mut fds, Some(&now)));
+        let _ = socket.set_tcp_notsent_lowat(SYSTEM_DEFAULT);
+        writable == Ok(0)
+    }
+
     /// Whether the peer has ended its sending, or the connection is broken, whatever stands unread before that.
     pub fn has_hung_up(&self) -> bool {
         use rustix::event::{poll, PollFd, PollFlags};
@@ -195,5 +211,9 @@
     }
 }
 
+/// Values of TCP_NOTSENT_LOWAT: writable only once nothing is unsent, and as the system has it.
+const NOTHING_UNSENT: u32 = 1;
+const SYSTEM_DEFAULT: u32 = 0;
+
 /// Linux's number for a connection under way, which the standard library gives no stable name.
 const EINPROGRESS: i32 = 115;
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -10,7 +10,7 @@
 use gradeshunt_stand_ins::script::Table;
 use gradeshunt_stand_ins::site::{Plan, Site};
 use gradeshunt_stand_ins::standalone::{Standalone, Start};
-use serde_json::json;
+use serde_json::{json, Value};
 
 /// A wait that ends a test which fails, and bounds none that passes.
 const PATIENCE: Duration = Duration::from_secs(8);
@@ -33,6 +33,11 @@
 
 impl Play {
     fn open(name: &str, window_ms: u64) -> Play {
+        Play::open_with(name, window_ms, |_| {})
+    }
+
+    /// Opens one whose configuration is edited.
+    fn open_with(name: &str, window_ms: u64, edit: impl Fn(&mut Value)) -> Play {
         let host = TcpListener::bind("127.0.0.1:0").expect("a port");
         socket2::SockRef::from(&host).set_recv_buffer_size(RECEIVE_BUFFER).expect("it can be set");
         socket2::SockRef::from(&host).set_read_timeout(Some(PATIENCE)).expect("it can be set");
@@ -45,6 +50,7 @@
         config["settings"]["allowed"]["connectTimeout"] = json!(600_000.0);
         let discovery = TcpListener::bind("127.0.0.1:0").expect("a port");
         config["discovery"] = json!(discovery.local_addr().expect("an address").to_string());
+        edit(&mut config);
         let start = Start {
             program: Path::new(env!("CARGO_BIN_EXE_gradeshunt")),
             folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id())),
@@ -141,8 +147,7 @@
 }
 
 /// The client of a request of this length leaves while the db host reads nothing; what the system holds of it must not arrive.
-fn client_leaves_before_arrival(name: &str, length: usize) {
-    let play = Play::open(name, 600_000);
+fn client_leaves_before_arrival(play: Play, length: usize) {
     let mut client = play.client();
     client.stream().write_all(&request(1, "page-read", 300_000, length)).expect("it is open");
     let mut server = play.accept();
@@ -203,12 +208,12 @@
 /// A client leaves while the db host reads nothing: what the system still holds of its request does not arrive afterwards.
 #[test]
 fn attempt_whose_client_has_left_does_not_arrive_later() {
-    client_leaves_before_arrival("left-in-the-queue", LONG);
+    client_leaves_before_arrival(Play::open("left-in-the-queue", 600_000), LONG);
 }
 
-/// Story: a db host reads nothing; a request of 20 KB is handed to the system whole, and is given up at its end. Closing the
-/// connection delivers what the system holds, so that the statement arrives whole once the db host reads on, after its client was
-/// answered. Shown by the length of what is read after the answer: all of the statement where the connection is closed.
+/// Story: a db host reads nothing; a request of 20 KB is handed to the system whole, and is given up at the end of its time. Its
+/// connection was closed, and a close delivers what the system holds: the statement arrived whole once the db host read on, after
+/// its client was answered. Evidence: 20006 bytes read of 20000 after the answer. It is reset now, as is all that is given up.
 #[test]
 fn short_attempt_that_was_given_up_does_not_arrive_later() {
     let play = Play::open("given-up-in-the-queue", 600_000);
@@ -222,15 +227,25 @@
     assert!(rest.len() < HELD, "it has arrived whole: {ended:?}");
 }
 
-/// Story: as before, and its client leaves. All of the request is handed to the system, so that it passes for sent and is left
-/// alone; its last byte, with which it begins, arrives whenever the db host reads on.
+/// Story: as before, and its client leaves: the attempt is called off by a close, which delivered it whole. Evidence: 20003 bytes
+/// read of 20000. It is reset now.
 #[test]
 fn short_attempt_whose_client_has_left_does_not_arrive_later() {
-    client_leaves_before_arrival("left-in-the-system", HELD);
+    client_leaves_before_arrival(Play::open("left-in-the-system", 600_000), HELD);
+}
+
+/// Story: as before, where the settings call off nothing that is sent. The proxy's own buffer was empty, so that the request passed
+/// for sent and was left alone; its last byte, with which it begins, arrived whenever the db host read on. Evidence: without asking
+/// the system whether it has sent all, the test reads the whole statement.
+#[test]
+fn short_attempt_that_is_not_called_off_does_not_arrive_after_its_client_has_left() {
+    let keep_sent = |config: &mut Value| config["settings"]["allowed"]["mayCancel"] = json!(false);
+    client_leaves_before_arrival(Play::open_with("left-and-kept", 600_000, keep_sent), HELD);
 }
 
-/// Story: as before, with the repeat of a keyed write whose window ends meanwhile. Nothing looks at it once it is handed over, and
-/// it runs a second time after db hosts have stopped to drop repeats.
+/// Story: as before, with the repeat of a keyed write whose window ends meanwhile. Nothing looked at it once it was handed over, so
+/// that it ran a second time after db hosts had stopped to drop repeats. Evidence: without a deadline at the window's end the test
+/// reads the whole statement. That is looked at now when the window ends.
 #[test]
 fn short_repeat_whose_window_has_ended_does_not_arrive_later() {
     window_ends_before_arrival("held-repeat", HELD);
--- a/crates/gradeshunt/tests/placement.rs
+++ b/crates/gradeshunt/tests/placement.rs
@@ -361,7 +361,7 @@
     assert!(client.query("").expect("it is served").error.is_none());
 }
 
-/// A client leaves: the home sees it at once by the end of its connection.
+/// A client leaves: the home sees it at once by the reset of its connection. A close would deliver what the system holds of it.
 #[test]
 fn client_that_leaves_ends_the_attempt_at_the_home() {
     let group = Group::new("");
@@ -371,7 +371,8 @@
     let (mut home, _) = accept(&group.homes[0]);
     next_statement(&mut home);
     drop(client);
-    assert_eq!(home.read(&mut [0]).expect("an end"), 0);
+    let end = home.read(&mut [0]).expect_err("a reset");
+    assert_eq!(end.kind(), std::io::ErrorKind::ConnectionReset);
 }
 
 /// A home that drains tells other proxies before it closes their connections, so that what crosses the close has not run; it
