--- a/crates/gradeshunt/tests/stepped_clocks.rs
+++ b/crates/gradeshunt/tests/stepped_clocks.rs
@@ -44,10 +44,16 @@
 
 impl Play {
     fn open(name: &str) -> Play {
+        Play::open_off_by(name, 0)
+    }
+
+    /// Starts a process whose own wall clock is off by so much.
+    fn open_off_by(name: &str, ms: i64) -> Play {
         let site = Site::open(&Arc::new(Ledger::default()), 1).expect("a site");
         site.hosts[2].freeze_behind(BEHIND);
         let shim = Shim::build(&scratch(&format!("{name}-shim"))).expect("a C compiler");
         let control = FaultControl::create(&shim, &scratch(&format!("{name}-control"))).expect("a file");
+        control.set(Knob::WallOffset, ms * NANOSECONDS).expect("it is set");
         let start = Start {
             program: Path::new(env!("CARGO_BIN_EXE_gradeshunt")),
             folder: scratch(name),
@@ -136,3 +142,24 @@
     reads_stay_at_the_current_standby("alone-back", Stepped::ProcessAlone, -(BEHIND.as_millis() as i64));
     reads_stay_at_the_current_standby("alone-forward", Stepped::ProcessAlone, BEHIND.as_millis() as i64);
 }
+
+/// Story: a process starts while its own wall clock is wrong. It reads all positions with the distance that its clock shows: where
+/// that is ahead, each standby looks too old and all reads go to the primary; where it is behind by as much as a standby lags, that
+/// one looks current and serves stale reads. Shown by where the reads go.
+fn process_whose_clock_is_off_reads_at_the_current_standby(name: &str, ms: i64) {
+    let mut play = Play::open_off_by(name, ms);
+    play.until_at_the_current_standby("from the start");
+    assert_eq!(play.site.hosts[2].reads(), 0, "stale reads from the start on");
+}
+
+#[test]
+fn process_starts_with_its_clock_ahead() {
+    process_whose_clock_is_off_reads_at_the_current_standby("starts-ahead", BEHIND.as_millis() as i64);
+    process_whose_clock_is_off_reads_at_the_current_standby("starts-hour-ahead", 3_600_000);
+}
+
+#[test]
+fn process_starts_with_its_clock_behind() {
+    process_whose_clock_is_off_reads_at_the_current_standby("starts-behind", -(BEHIND.as_millis() as i64));
+    process_whose_clock_is_off_reads_at_the_current_standby("starts-hour-behind", -3_600_000);
+}
