Primaries show the distance of the clocks at the start; a wrong own clock is read past

Callers' reads all went to the primary for as long as a process's own wall clock was wrong since its start; a standby that lags as far as the clock was behind could pass for current.

Cause: Clock::start took the distance between Unix time and its own clock for that of all machines. Now a primary, which stands at the present, confirms it within a second, raises it at once or, four that agree over 20 ms, lowers it; replicas' positions are not believed before that, for 2 s at most where no primary tells a time. The error of the own clock is kept, so that it is no step of all, and a later step is still seen.

It holds because a distance that is too small is the only one that makes replicas look recent, and primaries' times are never ahead of the present: it is lowered only to the most of what several show, and raised again by later ones.

--- a/crates/gradeshunt/src/backend/hosts.rs
+++ b/crates/gradeshunt/src/backend/hosts.rs
@@ -5,7 +5,7 @@
 
 use leadmast::permission::HostStanding;
 use leadmast::{Ending, ListKind, MemberId, Micros, Note, Phase};
-use slog::debug;
+use slog::{debug, info};
 
 use super::jobs::Job;
 use super::reply::Reply;
@@ -45,8 +45,12 @@
 impl Host {
     /// A position that it has told now, as Unix time in milliseconds, on the proxy's clock; `None` for one that is not believed.
     pub(super) fn position(&mut self, turn: &mut Turn, ms: f64, primary: Option<bool>) -> Option<Micros> {
-        let now = turn.clock.now();
-        self.positions.read(&mut turn.clock, now, ms, primary)
+        let (now, own_error) = (turn.clock.now(), turn.clock.own_error());
+        let position = self.positions.read(&mut turn.clock, now, ms, primary);
+        if turn.clock.own_error() != own_error {
+            info!(turn.log, "this machine's wall clock is off"; "ms" => turn.clock.own_error() / 1000);
+        }
+        position
     }
 
     /// What a reply says of it.
--- a/crates/gradeshunt/src/clock.rs
+++ b/crates/gradeshunt/src/clock.rs
@@ -6,12 +6,15 @@
 //! step is read with the distance of then.
 //!
 //! The proxy's own wall clock alone proves nothing about the others': a distance that differs from the one in use is a candidate
-//! until a db host tells a position that only the candidate explains ([`crate::position`]).
+//! until a db host tells a position that only the candidate explains ([`crate::position`]). The same holds for the distance at
+//! the start, until primaries have shown it ([`crate::start_offset`]).
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use leadmast::Micros;
 
+use crate::start_offset::StartOffset;
+
 /// Further from 1970 than any time that is meant, in milliseconds.
 const FAR: f64 = 1e14;
 /// So far a db host's clock may be ahead.
@@ -46,6 +49,9 @@
     /// The distances that db hosts' times have shown, the latest last; never empty.
     segments: Vec<Segment>,
     candidate: Option<Candidate>,
+    start_offset: StartOffset,
+    /// By how much this machine's wall clock was ahead of the others' at the start.
+    own_error: Micros,
 }
 
 impl Clock {
@@ -53,7 +59,13 @@
     pub fn start() -> Self {
         let start = Instant::now();
         let offset = unix_now() - micros(start.elapsed());
-        Clock { start, segments: vec![Segment { from: Micros::MIN, offset }], candidate: None }
+        Clock {
+            start,
+            segments: vec![Segment { from: Micros::MIN, offset }],
+            candidate: None,
+            start_offset: StartOffset::default(),
+            own_error: 0,
+        }
     }
 
     /// Monotonic time since the start.
@@ -61,6 +73,26 @@
         micros(self.start.elapsed())
     }
 
+    /// By how much this machine's wall clock is ahead of the others', for all that is known.
+    pub fn own_error(&self) -> Micros {
+        self.own_error
+    }
+
+    /// A primary has told at `at` that it stands at this Unix time.
+    pub fn hear_primary(&mut self, at: Micros, unix: Micros) {
+        let shown = self.start_offset.hear_primary(self.offset(), at, unix);
+        if let Some(offset) = shown {
+            self.own_error += self.offset() - offset;
+            self.segments = vec![Segment { from: Micros::MIN, offset }];
+            self.candidate = None;
+        }
+    }
+
+    /// Whether the distance of the start is the others' as well, for all that is known.
+    pub fn is_shown(&self, now: Micros) -> bool {
+        self.start_offset.is_shown(now)
+    }
+
     /// Compares the wall clock with the monotonic one; true where that shows a step that was not known.
     pub fn observe(&mut self) -> bool {
         let before = self.now();
@@ -74,6 +106,11 @@
 
     /// Takes over the distance that the clocks of this machine show at `now`.
     pub(crate) fn take_offset(&mut self, offset: Micros, now: Micros) -> bool {
+        if near(offset, self.offset()) {
+            (self.candidate, self.own_error) = (None, 0);
+            return false;
+        }
+        let offset = offset - self.own_error;
         if near(offset, self.offset()) {
             self.candidate = None;
             return false;
--- a/crates/gradeshunt/src/clock/tests.rs
+++ b/crates/gradeshunt/src/clock/tests.rs
@@ -8,7 +8,13 @@
 /// A clock whose wall clock showed `offset` at its start.
 fn clock(offset: Micros) -> Clock {
     let segments = vec![Segment { from: Micros::MIN, offset }];
-    Clock { start: Instant::now() - Duration::from_secs(100), segments, candidate: None }
+    Clock {
+        start: Instant::now() - Duration::from_secs(100),
+        segments,
+        candidate: None,
+        start_offset: StartOffset::default(),
+        own_error: 0,
+    }
 }
 
 fn ms(unix: Micros) -> f64 {
@@ -64,3 +70,21 @@
         clock.confirm();
     }
 }
+
+/// Guards a process that has started with its clock wrong: that clock goes on, and is corrected, without passing for a step of all.
+#[test]
+fn clock_that_was_wrong_at_the_start_shows_no_step() {
+    const OFF: Micros = 10_000_000;
+    let mut clock = Clock::start();
+    let wrong = clock.offset();
+    let right = wrong + OFF;
+    clock.hear_primary(1_000, right + 1_000);
+    assert_eq!(clock.offset(), right);
+    assert!(!clock.take_offset(wrong, 2_000) && clock.candidate().is_none());
+    // A step of all clocks is seen beside its error.
+    assert!(clock.take_offset(wrong + 3 * OFF, 3_000));
+    assert_eq!(clock.candidate().map(|c| c.offset), Some(right + 3 * OFF));
+    // It is set right.
+    assert!(!clock.take_offset(right, 4_000) && clock.candidate().is_none());
+    assert!(clock.take_offset(wrong, 5_000));
+}
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -35,6 +35,7 @@
 mod run;
 mod shared;
 mod site_loss;
+mod start_offset;
 mod turn;
 
 pub use cli::Arguments;
--- a/crates/gradeshunt/src/position.rs
+++ b/crates/gradeshunt/src/position.rs
@@ -54,8 +54,15 @@
             return None;
         }
         let told = Told { unix: unix_micros(ms), at: now };
+        if primary == Some(true) {
+            clock.hear_primary(now, told.unix);
+        }
+        // A replica that lags would look current to a process that has started with its clock behind.
+        if primary != Some(true) && !clock.is_shown(now) {
+            return None;
+        }
         let offset = self.follow(clock, told, primary);
-        self.offset = Some(offset);
+        self.offset = clock.is_shown(now).then_some(offset);
         self.before_step = self.before(clock.stepped_at());
         self.latest = Some(told);
         let position = told.unix - offset;
--- a/crates/gradeshunt/src/position/tests.rs
+++ b/crates/gradeshunt/src/position/tests.rs
@@ -7,10 +7,11 @@
 const LAG: Micros = 50_000;
 const STEP: Micros = 10 * SECOND;
 
-/// A clock, and the distance that it showed at its start.
+/// A clock, and the distance that it showed at its start, which a primary has confirmed.
 fn clock() -> (Clock, Micros) {
-    let clock = Clock::start();
+    let mut clock = Clock::start();
     let offset = clock.offset();
+    clock.hear_primary(0, offset);
     (clock, offset)
 }
 
--- /dev/null
+++ b/crates/gradeshunt/src/start_offset/tests.rs
@@ -0,0 +1,60 @@
+//! Tests of the part named by the folder.
+
+use super::*;
+
+const HOUR: Micros = 3_600_000_000;
+
+/// Guards the usual start: the first primary that stands at the present settles it.
+#[test]
+fn offset_that_a_primary_confirms_stays() {
+    let mut start = StartOffset::default();
+    assert!(!start.is_shown(0));
+    assert_eq!(start.hear_primary(HOUR, 1_000, HOUR), None);
+    assert!(start.is_shown(1_000));
+    // Whatever is told later is judged as a step.
+    assert_eq!(start.hear_primary(HOUR, 2_000, 2 * HOUR), None);
+}
+
+/// Guards replicas that lag: a process whose clock is behind must not take them for current until a primary agrees.
+#[test]
+fn offset_is_raised_at_once_and_believed_once_a_primary_agrees() {
+    let mut start = StartOffset::default();
+    assert_eq!(start.hear_primary(0, 1_000, 1_000 + HOUR), Some(HOUR));
+    assert!(!start.is_shown(PATIENCE));
+    assert_eq!(start.hear_primary(HOUR, 2_000, 2_000 + HOUR), None);
+    assert!(start.is_shown(2_000));
+}
+
+/// Guards against a spoilt time from far ahead: primaries that agree bring the distance back.
+#[test]
+fn offset_is_lowered_to_the_most_that_several_agree_on() {
+    let mut start = StartOffset::default();
+    let told = [(0, 0), (20_000, -3_000), (40_000, -150_000), (60_000, -1_000)];
+    for (at, late) in &told[..3] {
+        assert_eq!(start.hear_primary(HOUR, *at, at + late), None);
+    }
+    assert!(!start.is_shown(PATIENCE));
+    let (at, late) = told[3];
+    assert_eq!(start.hear_primary(HOUR, at, at + late), Some(0));
+    assert!(start.is_shown(at));
+    // All of these answers may have been slow: the next one that is not raises it.
+    assert_eq!(start.hear_primary(0, at + 5_000, at + 9_000), Some(4_000));
+    assert_eq!(start.hear_primary(4_000, at + 6_000, at + 6_000), None);
+}
+
+/// Guards against a primary that stands still, and single slow answers: what does not agree is no evidence.
+#[test]
+fn offset_is_not_lowered_by_times_that_disagree() {
+    let mut start = StartOffset::default();
+    for at in (0..20).map(|n| n * 300_000) {
+        assert_eq!(start.hear_primary(HOUR, at, 5), None);
+    }
+}
+
+/// Guards deployments whose primaries tell no times.
+#[test]
+fn offset_is_believed_after_a_while_where_no_primary_tells_a_time() {
+    let start = StartOffset::default();
+    assert!(!start.is_shown(PATIENCE - 1));
+    assert!(start.is_shown(PATIENCE));
+}
