--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -289,3 +289,25 @@
     client.write_all(&request(2, "page-read", 300_000, 0)).expect("it is open");
     assert!(next_request(&mut play.accept()).expect("it is sent").contains("id=2,"));
 }
+
+/// Story: a db host answers with an error and sends no ReadyForQuery, as where its answer breaks off right before that. After 3 ms
+/// the error was taken for the end of the attempt, and another attempt was written while the first one's connection stayed open for
+/// half a second: to its db host the first attempt is still out.
+#[test]
+fn no_further_attempt_is_out_beside_one_whose_ready_for_query_is_wanting() {
+    let play = Play::open("not-ready", 600_000);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+    let mut first = play.accept();
+    next_request(&mut first).expect("it is sent");
+    first.write_all(&wire::message(b'E', b"SERROR\0CXX000\0Mbroken\0\0")).expect("it is open");
+    let mut second = play.accept();
+    assert!(next_request(&mut second).expect("it is sent again").contains("id=1,"));
+    first.set_nonblocking(true).expect("it can be set");
+    let end = first.read(&mut [0]);
+    let has_ended = match &end {
+        Ok(read) => *read == 0,
+        Err(e) => e.kind() == io::ErrorKind::ConnectionReset,
+    };
+    assert!(has_ended, "the first connection is open: {end:?}");
+}
