An attempt that ends with an error without ReadyForQuery closes its connection

Callers' writes and reads could run as two copies: a db host that broke off between its error and ReadyForQuery still had the first attempt out, on an open connection, when the next one was written.

Cause: end_before_ready kept the connection for up to 0.5 s behind any whole answer, 3 ms after it. Now only a value, after which nothing is repeated, leaves it open. It holds because no other path ends a job and leaves its connection open but the one at ReadyForQuery itself.

--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use leadmast::Micros;
+use leadmast::{Ending, Micros};
 
 use super::connection::Stage;
 use super::jobs::Job;
@@ -173,15 +173,20 @@
         true
     }
 
-    /// An answer is whole, and its ReadyForQuery late: the client does not wait for that, the connection does.
+    /// An answer is whole, and its ReadyForQuery late: the client does not wait for that. The connection does behind a value. Behind an
+    /// error it is closed: another attempt may follow, and to its db host this one is out as long as the connection is open.
     pub(super) fn end_before_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some((member, _, mut job, reply)) = self.take_job(id) else { return };
-        job.leave_connection(ConnectionEnd::AwaitsReady);
-        let by = turn.now + READY_TIMEOUT;
-        if let (Some(ending), Some(s)) = (reply.ending(), self.servers.get_mut(&id)) {
-            s.stage = Stage::Trailing { by };
-            turn.deadlines.set(by, Due::Server(id));
-            self.end(turn, exchange, member, job, ending, reply);
+        let ending = reply.ending().unwrap_or(Ending::Reset);
+        match self.servers.get_mut(&id) {
+            Some(s) if ending == Ending::Ok => {
+                job.leave_connection(ConnectionEnd::AwaitsReady);
+                let by = turn.now + READY_TIMEOUT;
+                s.stage = Stage::Trailing { by };
+                turn.deadlines.set(by, Due::Server(id));
+            }
+            _ => self.close(turn, id),
         }
+        self.end(turn, exchange, member, job, ending, reply);
     }
 }
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -292,7 +292,9 @@
 
 /// Story: a db host answers with an error and sends no ReadyForQuery, as where its answer breaks off right before that. After 3 ms
 /// the error was taken for the end of the attempt, and another attempt was written while the first one's connection stayed open for
-/// half a second: to its db host the first attempt is still out.
+/// half a second: to its db host the first attempt was still out. Cause: `end_before_ready` kept the connection for any answer that
+/// was whole. Evidence: when the second attempt is read here, a read of the first connection would block. It is closed now behind
+/// an error.
 #[test]
 fn no_further_attempt_is_out_beside_one_whose_ready_for_query_is_wanting() {
     let play = Play::open("not-ready", 600_000);
