--- a/crates/gradeshunt/tests/faults.rs
+++ b/crates/gradeshunt/tests/faults.rs
@@ -298,3 +298,26 @@
         assert!(control.get(Knob::Injected).expect("a count") > 0, "the shim has struck");
     }
 }
+
+/// Story: the system has no buffer or port for a connection, for a moment. Each connect that failed at once ended an attempt, and the
+/// next one followed in the same millisecond, so that all attempts were used up and the request refused before the want had passed.
+#[test]
+fn connect_that_fails_for_a_moment_uses_up_no_attempts() {
+    const MORE_THAN_ALL_ATTEMPTS: i64 = 20;
+    let (_site, config) = site();
+    for (name, number) in [("no-port", errno::EADDRNOTAVAIL), ("no-buffer", errno::ENOBUFS)] {
+        let (program, control) = program(name, config.clone(), "");
+        let mut client = connect(&program);
+        control.set(Knob::ConnectErrno, number).expect("it is set");
+        control.set(Knob::ConnectRate, 1000).expect("it is set");
+        client.ask(&read_of(1)).expect("it is open");
+        let began = Instant::now();
+        while control.get(Knob::Injected).expect("a count") < MORE_THAN_ALL_ATTEMPTS {
+            assert!(began.elapsed() < PATIENCE, "no more connects are tried: {}", program.log());
+            thread::yield_now();
+        }
+        control.set(Knob::ConnectRate, 0).expect("it is set");
+        let reply = client.until_ready().expect("an answer");
+        assert_eq!(reply.code(), None, "{reply:?}");
+    }
+}
