A connect that fails at once for a want that passes is made again; its attempt waits

Callers were refused within a millisecond of a passing want (ENOBUFS, EADDRNOTAVAIL): begin ended the job where open failed, and each further attempt followed at once and failed alike.

The job now waits for a connection as it does while one comes up, within its own time, and connections are tried again after 10 ms (backend/opening.rs). What does not pass, and a full share of descriptors, ends it as before.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -5,6 +5,7 @@
 mod hosts;
 mod jobs;
 mod load_report;
+mod opening;
 mod pool;
 mod reading;
 mod reply;
--- a/crates/gradeshunt/src/backend/hosts.rs
+++ b/crates/gradeshunt/src/backend/hosts.rs
@@ -37,6 +37,8 @@
     pub(super) starting: usize,
     /// All connections to it.
     pub(super) servers: usize,
+    /// When connections are tried again for which the system lacked something.
+    pub(super) connect_at: Option<Micros>,
     /// Jobs that wait for a connection, oldest first.
     pub(super) waiting: VecDeque<Job>,
     pub(super) positions: PositionReader,
@@ -150,6 +152,7 @@
             idle: Vec::new(),
             starting: 0,
             servers: 0,
+            connect_at: None,
             waiting: VecDeque::new(),
             positions: PositionReader::default(),
         });
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -8,7 +8,7 @@
     may_begin_at, may_write, time_to_tell, AttemptDenial, HostStanding, Telling, WriteFacts,
 };
 use leadmast::{Ending, MemberId, Micros, Probed};
-use slog::{debug, info, warn};
+use slog::{debug, info};
 
 use super::connection::{Sending, Server, Stage, Unwritten};
 use super::hosts::Host;
@@ -77,26 +77,10 @@
         if let Some(id) = self.lease(turn, member) {
             return self.write(turn, exchange, id, job);
         }
-        let full = self.servers.len() >= self.most && !self.close_oldest_idle(turn);
-        let opened =
-            if full { Err(io::Error::other("too many connections")) } else { self.open(turn, member) };
-        // The system may have fewer descriptors than the configuration says.
-        let opened = match opened {
-            Err(_) if self.close_oldest_idle(turn) => self.open(turn, member),
-            opened => opened,
-        };
-        match opened {
-            Ok(()) => {
-                if let Some(host) = self.hosts.get_mut(&member) {
-                    host.waiting.push_back(job);
-                }
-            }
-            Err(e) => {
-                // Ours is the fault, not the host's: nothing was sent.
-                warn!(turn.log, "no connection to spare for a db host"; "error" => e.to_string());
-                self.end(turn, exchange, member, job, Ending::Moot, Reply::default());
-            }
+        if let Some(host) = self.hosts.get_mut(&member) {
+            host.waiting.push_back(job);
         }
+        self.open_for_waiting(turn, exchange, member);
     }
 
     /// Why a job may not begin, or its connection not be used for it.
@@ -264,6 +248,8 @@
                 let Some(job) = host.waiting.remove(at) else { return };
                 // Its connection goes on coming up, for the next one. Of an attempt nothing was sent.
                 let ending = match job {
+                    // It waited for this machine, and tells nothing of the db host.
+                    _ if host.connect_at.is_some() => Ending::Moot,
                     Job::Probe { .. } => ending,
                     Job::Attempt { since, .. } => {
                         unsent_ending(ending, turn.now - since, self.connections.connect_timeout)
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -17,6 +17,8 @@
     Attempt(AttemptId),
     /// A probe that has.
     Probe(MemberId),
+    /// Connections to a db host for which the system lacked something are tried again.
+    Connect(MemberId),
     /// A db host connection that should be up by now, or has stood idle long enough.
     Server(ServerId),
     /// A client that should have sent its startup message by now, or read its last answer.
@@ -58,7 +60,9 @@
     pub fn name(self) -> &'static str {
         match self {
             Due::Module(_) => "module's timers",
-            Due::Overdue(_) | Due::Attempt(_) | Due::Probe(_) | Due::Server(_) => "db hosts' deadlines",
+            Due::Overdue(_) | Due::Attempt(_) | Due::Probe(_) | Due::Connect(_) | Due::Server(_) => {
+                "db hosts' deadlines"
+            }
             Due::Session(_) | Due::Accept | Due::AcceptPeers | Due::Reap | Due::CloseListener => {
                 "clients' deadlines"
             }
--- a/crates/gradeshunt/src/passing.rs
+++ b/crates/gradeshunt/src/passing.rs
@@ -11,7 +11,7 @@
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Whether an error tells of a want that passes: of descriptors, memory, room on a disk, or of a disk that errs for a while.
+/// Whether an error tells of a want that passes: of descriptors, ports, memory, room on a disk, or of a disk that errs for a while.
 pub fn passes(e: &io::Error) -> bool {
     matches!(
         Errno::from_io_error(e),
@@ -21,6 +21,7 @@
                 | Errno::NFILE
                 | Errno::MFILE
                 | Errno::NOBUFS
+                | Errno::ADDRNOTAVAIL
                 | Errno::NOMEM
                 | Errno::NOSPC
                 | Errno::DQUOT
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -250,6 +250,7 @@
             Due::Module(_) | Due::Overdue(_) | Due::Call(_) | Due::Reopen => {}
             Due::Attempt(id) => self.backend.attempt_due(turn, exchange, id),
             Due::Probe(member) => self.backend.probe_due(turn, exchange, member),
+            Due::Connect(member) => self.backend.connect_due(turn, exchange, member),
             Due::Server(id) => self.backend.server_due(turn, exchange, id),
             Due::Session(id) => self.frontend.session_due(turn, id),
             Due::Accept => self.frontend.accept(turn),
