--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -313,3 +313,22 @@
     };
     assert!(has_ended, "the first connection is open: {end:?}");
 }
+
+/// Story: a db host turns a long statement away before it has read the whole. Its answer ends the attempt, and the connection was pooled
+/// with the rest of the statement in its buffer: once the db host read on, that was delivered, and the statement began there though it
+/// had ended and another attempt was out. Shown by what the first connection gets behind its answer.
+#[test]
+fn statement_that_was_answered_before_its_end_is_not_written_on() {
+    let play = Play::open("answered-early", 600_000);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, LONG)).expect("it is open");
+    let mut first = play.accept();
+    until_request_begins(&mut first);
+    let refusal = wire::message(b'E', b"SERROR\0C53300\0Mbusy\0\0");
+    first.write_all(&[refusal, wire::message(b'Z', b"I")].concat()).expect("it is open");
+    // The next attempt comes on a connection of its own, if the first one is not used again.
+    first.set_read_timeout(Some(Duration::from_secs(2))).expect("it can be set");
+    let mut rest = Vec::new();
+    let ended = first.read_to_end(&mut rest);
+    assert!(rest.len() < LONG, "it was written whole: {ended:?}");
+}
