A connection whose request is answered before it is written whole is reset

Callers' statements could run after their attempt had ended, beside the next one: a db host answered before it had read a long statement, the connection was pooled with the rest in its buffer, and the rest was written when the db host read on.

Cause: connection_ready looked for bytes that had come behind the answer, and not for bytes still to be written.

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -160,6 +160,13 @@
         // What comes behind an answer belongs to no request, least of all to the next: a second copy would pass
         // for its value. The answer before it stands; the connection is of no further use.
         let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty());
+        // An answer may come before its request is written whole: the rest must not follow, for the attempt has ended.
+        if self.servers.get(&id).is_some_and(|s| !s.outbound.is_empty()) {
+            self.take_idle(turn, id);
+            self.servers.get_mut(&id).into_iter().for_each(|s| s.stage = Stage::Spent);
+            self.close(turn, id);
+            return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
+        }
         if copied || surplus || self.reuse_denial(turn.now, id).is_some() {
             self.close(turn, id);
             return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -316,7 +316,8 @@
 
 /// Story: a db host turns a long statement away before it has read the whole. Its answer ends the attempt, and the connection was pooled
 /// with the rest of the statement in its buffer: once the db host read on, that was delivered, and the statement began there though it
-/// had ended and another attempt was out. Shown by what the first connection gets behind its answer.
+/// had ended and another attempt was out. Cause: `connection_ready` looked at what had come, and not at what was still to be written.
+/// Evidence: all 250 KB came behind the answer. Such a connection is reset now.
 #[test]
 fn statement_that_was_answered_before_its_end_is_not_written_on() {
     let play = Play::open("answered-early", 600_000);
