Requests that cross the close of a drained or idle connection stay unread

Callers lost requests at SIGTERM and at idle closes: what came behind the shutdown of a client's connection was read and dropped, which is a request that was read and not answered.

Cause: Frontend::ready read on while the last message was out. Behind Draining and Idle it now leaves all unread and asks the poll whether the client has ended its sending; whoever is closed for what it has sent is read on until it has its error.

--- a/crates/gradeshunt/src/frontend/closing.rs
+++ b/crates/gradeshunt/src/frontend/closing.rs
@@ -40,6 +40,12 @@
 }
 
 impl CloseReason {
+    /// Whether a request may cross the close, which is answered if it is read. Whoever is closed for what it has sent may still be
+    /// sending, and is read until it has had the error that says why.
+    pub(super) fn leaves_unread(self) -> bool {
+        matches!(self, CloseReason::Idle | CloseReason::Draining)
+    }
+
     /// Its name in the log and the figures.
     pub(super) fn name(self) -> &'static str {
         match self {
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -123,6 +123,7 @@
             outbound: Ring::default(),
             stage: Stage::Startup,
             source,
+            leaves_unread: false,
             skipping: false,
             ended: false,
             asked: false,
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -36,9 +36,9 @@
     Ready,
     /// A request is out.
     Waiting(RequestId),
-    /// The last message is being written; whatever still comes is discarded.
+    /// The last message is being written.
     Closing,
-    /// It is written, and sending shut down, once: each time wakes the poll. It is read on until the client closes too.
+    /// It is written, and sending shut down, once: each time wakes the poll. The client is to close too.
     Lingering,
 }
 
@@ -47,6 +47,8 @@
     pub(super) inbound: Inbound,
     pub(super) outbound: Ring,
     pub(super) stage: Stage,
+    /// What still comes behind the last message stays unread: it may be a request, which is sent again only where it was not read.
+    pub(super) leaves_unread: bool,
     /// Whether it is a client's or another proxy's. It follows from the address at which it came in.
     pub(super) source: gradeshunt_placement::Source,
     /// An unsupported message was answered with an error: all is passed over until Sync.
@@ -97,6 +99,10 @@
         let arrived = waited.unwrap_or(turn.now - turn.unread);
         for n in 0..=READS_PER_TURN {
             let Some(s) = self.sessions.get_mut(&id) else { return };
+            if s.is_ending() && s.leaves_unread {
+                s.ended |= s.polled.has_hung_up();
+                break;
+            }
             if n == READS_PER_TURN {
                 s.inbound.note_unread(&s.polled.socket, arrived);
                 turn.again.push(Source::Session(id));
@@ -169,6 +175,7 @@
     pub(super) fn close_with(&mut self, turn: &mut Turn, id: SessionId, last: Writer, reason: CloseReason) {
         let Some(s) = self.sessions.get_mut(&id).filter(|s| !s.is_ending()) else { return };
         s.stage = Stage::Closing;
+        s.leaves_unread = reason.leaves_unread();
         s.inbound.clear();
         let _ = s.outbound.push(&last.0);
         self.note_close(turn, id, reason);
