The soak ends processes by signals in series, and kills at the earliest

They send TERM, HUP, TERM, HUP now, and what has not ended the longest deadline and 0.7 s after the first is killed, and a fault. Clients use their open connections until then, as before.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -18,9 +18,10 @@
 
 /// New connections come for this long after SIGTERM.
 const CONNECTS_AFTER_TERM: Duration = Duration::from_millis(300);
-/// SIGKILL comes the longest deadline and so much more after SIGTERM; a busy machine is given this much beyond that.
+/// SIGKILL comes the longest deadline and so much more after SIGTERM.
 const KILL_AFTER: Duration = Duration::from_millis(700);
-const SCHEDULING: Duration = Duration::from_millis(500);
+/// A process is told to end in a series of signals, as by an operator who is not sure that the first one came.
+const SIGNALS_AT_THE_END: [&str; 4] = ["TERM", "HUP", "TERM", "HUP"];
 /// A process has to be ready this long after its start.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Pace of the looks at a process that starts.
@@ -171,8 +172,10 @@
         self.judge_own_counts();
         let Some(mut process) = lock(&self.process).take() else { return Ok(()) };
         lock(&self.door).terminated = Some(Instant::now());
-        process.signal("TERM")?;
-        let ended = process.exits(LONGEST_WAIT + KILL_AFTER + SCHEDULING)?;
+        for signal in SIGNALS_AT_THE_END {
+            process.signal(signal)?;
+        }
+        let ended = process.exits(LONGEST_WAIT + KILL_AFTER)?;
         self.pid.store(0, Ordering::Relaxed);
         lock(&self.door).open = false;
         match ended {
