Positions told before the clocks are known are told to the decisions once they are

A process that has just started dropped what standbys had answered to its first probes, and held its next read for another probe, which a busy machine answers too late: it was refused.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -41,6 +41,8 @@
     servers: BTreeMap<ServerId, Server>,
     attempts: BTreeMap<AttemptId, (Micros, Place)>,
     probes: BTreeMap<MemberId, (Micros, Place)>,
+    /// Those that told a position before primaries had shown the distance of the clocks at the start.
+    unshown: Vec<MemberId>,
     next: u64,
 }
 
@@ -55,6 +57,7 @@
             servers: BTreeMap::new(),
             attempts: BTreeMap::new(),
             probes: BTreeMap::new(),
+            unshown: Vec::new(),
             next: 0,
         }
     }
--- a/crates/gradeshunt/src/backend/hosts.rs
+++ b/crates/gradeshunt/src/backend/hosts.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use leadmast::permission::HostStanding;
-use leadmast::{Ending, ListKind, MemberId, Micros, Note, Phase};
+use leadmast::{Ending, ListKind, MemberId, Micros, Note, Phase, Probed, Report};
 use slog::{debug, info};
 
 use super::jobs::Job;
@@ -184,6 +184,27 @@
         self.close_idle(turn, member);
     }
 
+    /// Takes note where a db host has told a position that can't be believed yet, and tells all of those once they can be: a process
+    /// that has just started would ask again, and hold its first reads for that.
+    pub(super) fn tell_unshown(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId) {
+        if self.hosts.get(&member).is_some_and(|host| host.positions.holds_unshown()) {
+            self.unshown.push(member);
+        }
+        let now = turn.clock.now();
+        if self.unshown.is_empty() || !turn.clock.is_shown(now) {
+            return;
+        }
+        for member in std::mem::take(&mut self.unshown) {
+            let host = self.hosts.get_mut(&member);
+            let told = host.and_then(|host| host.positions.take_unshown(&turn.clock, now));
+            if let Some((position, at)) = told {
+                let report = Report { position: Some(position), primary: Some(false), ..Report::default() };
+                let elapsed = turn.now - at;
+                exchange.probed(turn, Probed { member, ending: Ending::Ok, elapsed, report: Some(report) });
+            }
+        }
+    }
+
     /// Guards a long life's memory: hosts are replaced by others under new names, again and again.
     pub(super) fn forget_if_gone(&mut self, member: MemberId) {
         let gone = |h: &Host| h.standing == Standing::Gone && h.servers == 0;
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -302,6 +302,7 @@
                     Ending::Error if reply.error.is_some() => Said::Error(reply.bytes),
                     _ => Said::Nothing,
                 };
+                self.tell_unshown(turn, exchange, member);
                 exchange.ended(turn, Ended { attempt: id, ending, note, said, trace: *trace });
             }
             Job::Probe { since } => {
@@ -314,6 +315,7 @@
                     report_of(&row, &self.fields, |ms, primary| host.position(turn, ms, primary))
                 });
                 exchange.probed(turn, Probed { member, ending, elapsed: turn.now - since, report });
+                self.tell_unshown(turn, exchange, member);
             }
         }
     }
--- a/crates/gradeshunt/src/position.rs
+++ b/crates/gradeshunt/src/position.rs
@@ -44,6 +44,8 @@
     latest: Option<Told>,
     /// What was told last before the latest step.
     before_step: Option<Told>,
+    /// What was told last before primaries had shown the distance of the start.
+    unshown: Option<Told>,
 }
 
 impl PositionReader {
@@ -59,8 +61,10 @@
         }
         // A replica that lags would look current to a process that has started with its clock behind.
         if primary != Some(true) && !clock.is_shown(now) {
+            self.unshown = Some(told);
             return None;
         }
+        self.unshown = None;
         let offset = self.follow(clock, told, primary);
         self.offset = clock.is_shown(now).then_some(offset);
         self.before_step = self.before(clock.stepped_at());
@@ -73,6 +77,18 @@
         (position <= now + AHEAD).then_some(position)
     }
 
+    /// Whether it holds a position that could not be believed yet.
+    pub fn holds_unshown(&self) -> bool {
+        self.unshown.is_some()
+    }
+
+    /// A position that could not be believed when it came, and when that was, once it can be.
+    pub fn take_unshown(&mut self, clock: &Clock, now: Micros) -> Option<(Micros, Micros)> {
+        let told = self.unshown.take_if(|_| clock.is_shown(now))?;
+        let position = told.unix - clock.offset();
+        (position <= told.at + AHEAD).then_some((position, told.at))
+    }
+
     /// The distance to read this position with: the former one, or where what was told asks for it the one that this machine
     /// shows, or the one that other db hosts have confirmed.
     fn follow(&self, clock: &mut Clock, told: Told, primary: Option<bool>) -> Micros {
