A db host of a test reads on only once its early answer has been worked off

`statement_that_was_answered_before_its_end_is_not_written_on` fails beside load: in 1 of 12 runs of the program as it was, beside six busy loops and three plays, and more often beside an eleventh test. Its debug log shows the attempt ended with its connection kept: the test read on right behind its answer, so that the proxy had rightly written the whole statement before it saw that answer. The proxy can't know better, and the check asserts nothing about that order.

The test awaits the log line that the attempt has ended before it reads on. It is as strict: without the reset of a connection whose request is not written whole it still reads all 250 KB.

--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -25,6 +25,8 @@
 const AIM_MS: f64 = 200.0;
 /// One for which a db host passes for heard of late while it reads a long statement on a busy machine.
 const LONG_AIM_MS: f64 = 4_000.0;
+/// Starts the program with a log that tells of each attempt.
+const DEBUG_LOG: &str = r#"exec "$0" --log-level debug --log-format json;"#;
 
 /// A process, and its only db host, whose connections hold little that is unread.
 struct Play {
@@ -40,6 +42,17 @@
 
     /// Opens one whose configuration is edited.
     fn open_with(name: &str, window_ms: u64, aim: f64, edit: impl Fn(&mut Value)) -> Play {
+        Play::open_in_shell(name, window_ms, aim, edit, "")
+    }
+
+    /// Opens one that shell commands start.
+    fn open_in_shell(
+        name: &str,
+        window_ms: u64,
+        aim: f64,
+        edit: impl Fn(&mut Value),
+        shell: &'static str,
+    ) -> Play {
         let host = TcpListener::bind("127.0.0.1:0").expect("a port");
         socket2::SockRef::from(&host).set_recv_buffer_size(RECEIVE_BUFFER).expect("it can be set");
         socket2::SockRef::from(&host).set_read_timeout(Some(PATIENCE)).expect("it can be set");
@@ -56,7 +69,7 @@
             program: Path::new(env!("CARGO_BIN_EXE_gradeshunt")),
             folder: Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id())),
             config,
-            shell: "",
+            shell,
             environment: Vec::new(),
         };
         let program = Standalone::start(start, |_| {}).expect("it starts");
@@ -320,13 +333,15 @@
 /// Evidence: all 250 KB came behind the answer. Such a connection is reset now.
 #[test]
 fn statement_that_was_answered_before_its_end_is_not_written_on() {
-    let play = Play::open("answered-early", 600_000);
+    let play = Play::open_in_shell("answered-early", 600_000, AIM_MS, |_| {}, DEBUG_LOG);
     let mut client = play.client();
     client.stream().write_all(&request(1, "page-read", 300_000, LONG)).expect("it is open");
     let mut first = play.accept();
     until_request_begins(&mut first);
     let refusal = wire::message(b'E', b"SERROR\0C53300\0Mbusy\0\0");
     first.write_all(&[refusal, wire::message(b'Z', b"I")].concat()).expect("it is open");
+    // The db host reads on only once the answer has been worked off: before, the proxy would rightly write the whole statement.
+    play.program.until_logged("attempt ended", PATIENCE);
     // The next attempt comes on a connection of its own, if the first one is not used again.
     first.set_read_timeout(Some(Duration::from_secs(2))).expect("it can be set");
     let mut rest = Vec::new();
