Starts that were read with a wrong clock are told again once primaries show the time

A process that starts while its own wall clock alone is ahead took a db host that had just started for warm, so that it would get as much as a warm one (found by reading). Cause: startedAtMs of the first lists is read with the distance of the clocks that the own clock shows; primaries correct that distance soon after, and the starts stayed. A start that is told again unchanged kept its first reading, too.

The reader keeps what is listed with a start until the distance is shown, and tells those again that have started later by it. The decisions take the later of two starts. Nothing is told before discovery's first list.

The test sets an own clock 30 s ahead: the start is taken in as 30 s old, which was all that ever came before; now it is told again as just started.

--- a/crates/gradeshunt/src/control_core.rs
+++ b/crates/gradeshunt/src/control_core.rs
@@ -124,6 +124,7 @@
     pub fn step(&mut self) -> Option<Step> {
         loop {
             // The module hears of a change before the pool acts on it, and before anything else is sent.
+            self.news.extend(self.discovery.corrected_starts(&self.turn.clock));
             if !self.news.is_empty() {
                 let news = self.news.remove(0);
                 return Some(Step::List(self.tell(news)));
--- a/crates/gradeshunt/src/discovery/list.rs
+++ b/crates/gradeshunt/src/discovery/list.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 
 use crate::backend::Listed;
-use crate::clock::Clock;
+use crate::clock::{Clock, STEP_TOLERANCE};
 
 /// How many unreadable entries of a list are told of one by one.
 const TOLD: usize = 3;
@@ -52,13 +52,22 @@
     /// Their last starts, as they were told and on the proxy's clock. The wall clock may have been stepped since: what is told
     /// again unchanged is no other start.
     starts: HashMap<MemberId, Start>,
+    /// Listed with a start before primaries had shown the distance of the clocks: it may have been read wrongly.
+    unshown: BTreeMap<MemberId, Entry>,
     next: u32,
     generation: u64,
 }
 
 impl Reader {
     pub fn new(names: Names) -> Self {
-        Reader { names, numbers: HashMap::new(), starts: HashMap::new(), next: 0, generation: 0 }
+        Reader {
+            names,
+            numbers: HashMap::new(),
+            starts: HashMap::new(),
+            unshown: BTreeMap::new(),
+            next: 0,
+            generation: 0,
+        }
     }
 
     /// The latest list's version.
@@ -128,10 +137,33 @@
         self.numbers.retain(|_, m| !gone.contains(m) && listed.as_ref().is_none_or(|all| all.contains(m)));
         let numbers: HashSet<_> = self.numbers.values().copied().collect();
         self.starts.retain(|member, _| numbers.contains(member));
+        if !clock.is_shown(clock.now()) {
+            let started = news.entries.iter().filter(|e| e.since.is_some());
+            self.unshown.extend(started.map(|e| (e.member, e.clone())));
+        }
+        self.unshown.retain(|member, _| numbers.contains(member));
         self.generation = generation;
         Ok(news)
     }
 
+    /// Tells starts again that were read with a distance of the clocks which primaries have corrected since: a db host that has just
+    /// started would pass for warm.
+    pub fn corrected_starts(&mut self, clock: &Clock) -> Option<News> {
+        if self.unshown.is_empty() || !clock.is_shown(clock.now()) {
+            return None;
+        }
+        let mut news = News::new(ListKind::Incremental);
+        for (member, mut entry) in std::mem::take(&mut self.unshown) {
+            let Some(start) = self.starts.get_mut(&member) else { continue };
+            let at = clock.latest_at_unix_ms(start.unix_ms);
+            if at > start.at + STEP_TOLERANCE {
+                (start.at, entry.since) = (at, Some(at));
+                news.entries.push(entry);
+            }
+        }
+        (!news.entries.is_empty()).then_some(news)
+    }
+
     /// When a db host has started that tells this Unix time in milliseconds.
     fn start(&mut self, clock: &Clock, member: MemberId, unix_ms: f64) -> Micros {
         let known = self.starts.get(&member).filter(|start| start.unix_ms == unix_ms);
--- a/crates/gradeshunt/src/discovery/list/tests.rs
+++ b/crates/gradeshunt/src/discovery/list/tests.rs
@@ -119,3 +119,30 @@
     clock.confirm();
     assert!(since(&clock, restarted + 1) >= clock.now() - 1_000_000);
 }
+
+/// Guards slow start where a process starts with its own clock ahead: a db host that has just started must not pass for warm once
+/// primaries have shown the time.
+#[test]
+fn start_that_was_read_with_a_wrong_clock_is_told_again_once_the_time_is_shown() {
+    const AHEAD_MS: i64 = 30_000;
+    let (mut reader, mut clock) = (reader(), Clock::start());
+    let own_unix_ms = |clock: &Clock| (clock.now() + clock.offset()) / 1000;
+    let started_ms = own_unix_ms(&clock) - AHEAD_MS;
+    let list = format!(
+        r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"s","hostPort":"127.0.0.1:1","zone":"a","cell":1,
+            "lifecycle":"ready","startedAtMs":{started_ms}}}]}}"#
+    );
+    let told = reader.news(&clock, &list, 0).expect("a list").entries[0].since.expect("a start");
+    assert!(told <= clock.now() - 29_000_000, "it passes for warm");
+    assert!(reader.corrected_starts(&clock).is_none(), "nobody has shown the time");
+    let offset = clock.offset();
+    // Four answers of primaries, 10 ms apart, show that all others' clocks are 30 s behind.
+    for answer in 1..=4 {
+        let at = answer * 10_000;
+        clock.hear_primary(at, at + offset - AHEAD_MS * 1000);
+    }
+    let news = reader.corrected_starts(&clock).expect("a start to correct");
+    assert_eq!((news.kind, news.entries.len()), (ListKind::Incremental, 1));
+    assert!(news.entries[0].since.expect("a start") >= -1_000_000, "it has just started");
+    assert!(reader.corrected_starts(&clock).is_none(), "once is enough");
+}
--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -71,6 +71,8 @@
     /// When a watch is opened anew, if one is to be.
     reopen: Option<Micros>,
     reader: Reader,
+    /// A list has come.
+    is_heard: bool,
     calls: BTreeMap<CallId, Call>,
     next: u64,
 }
@@ -78,7 +80,16 @@
 impl Discovery {
     pub fn new(addr: SocketAddr, silence: Micros, names: Names, pace: Pace) -> Self {
         let reader = Reader::new(names);
-        Discovery { addr, silence, pace, reopen: None, reader, calls: BTreeMap::new(), next: 0 }
+        Discovery {
+            addr,
+            silence,
+            pace,
+            reopen: None,
+            reader,
+            is_heard: false,
+            calls: BTreeMap::new(),
+            next: 0,
+        }
     }
 
     /// Watches from now on. The decisions ask for nothing before their first event, and a process without a list has none:
@@ -108,6 +119,15 @@
         Ok(News { kind: ListKind::Saved, ..news })
     }
 
+    /// Db hosts whose starts were read wrongly before primaries had shown the distance of the clocks. Nothing before the first list:
+    /// what the configuration knows is no news.
+    pub fn corrected_starts(&mut self, clock: &Clock) -> Option<News> {
+        if !self.is_heard {
+            return None;
+        }
+        self.reader.corrected_starts(clock)
+    }
+
     /// The number of a db host that is listed now.
     pub fn member(&self, id: &str) -> Option<MemberId> {
         self.reader.member(id)
@@ -199,7 +219,9 @@
                 Err(e) => return self.fail(turn, id, &e.to_string(), news),
             };
             let before = news.len();
-            if let Err(what) = self.take(turn, id, news) {
+            let taken = self.take(turn, id, news);
+            self.is_heard |= news.len() > before;
+            if let Err(what) = taken {
                 return self.fail(turn, id, &what, news);
             }
             let Some(call) = self.calls.get_mut(&id) else { return };
@@ -207,7 +229,10 @@
             if call.ask == Ask::Fetch && done {
                 let body = call.answer.body();
                 match self.reader.line(&turn.clock, &body, call.after) {
-                    Ok(Some(n)) => news.push(n),
+                    Ok(Some(n)) => {
+                        self.is_heard = true;
+                        news.push(n);
+                    }
                     Ok(None) => return self.fail(turn, id, "an empty list", news),
                     Err(what) => return self.fail(turn, id, &what, news),
                 }
