A test forces the worker's ping to fail: a reload is taken in all the same

The thread for file work wakes the loop through a trait of the program's own now, `Wake`, which calloop's ping implements; a test's waker wakes nobody, and a reload that moves discovery must reach it.

--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -24,7 +24,7 @@
 use crate::frontend::Frontend;
 use crate::passing::patiently;
 use crate::resumed::Resumed;
-use crate::shared::worker::Worker;
+use crate::shared::worker::{Wake, Worker};
 use crate::shared::{self, Shared};
 use crate::turn::{self, Ready, Source};
 
@@ -74,11 +74,30 @@
 
 impl Proxy {
     /// Opens the sockets and starts the thread for file work. Clients are served once it has begun.
+    ///
+    /// # Errors
+    ///
+    /// Where the system gives no socket, poll or thread, in words for the operator.
     pub fn new(
+        config: Config,
+        file: Option<PathBuf>,
+        event_loop: &EventLoop<'static, Ready>,
+        log: Logger,
+    ) -> Result<Proxy, String> {
+        let (ping, pinged) = patiently(calloop::ping::make_ping).map_err(|e| format!("cannot poll: {e}"))?;
+        let source = Resumed(pinged);
+        let told = event_loop.handle().insert_source(source, |(), (), ready| ready.push(Source::Files));
+        told.map_err(|e| format!("cannot poll: {e}"))?;
+        Proxy::with_waker(config, file, event_loop, log, ping)
+    }
+
+    /// The proxy whose thread for file work wakes the loop by `waker`.
+    fn with_waker(
         mut config: Config,
         file: Option<PathBuf>,
         event_loop: &EventLoop<'static, Ready>,
         log: Logger,
+        waker: impl Wake + 'static,
     ) -> Result<Proxy, String> {
         let mut core = Core::new(&mut config, event_loop, log)?;
         let tenants = config.tenants();
@@ -101,12 +120,7 @@
                 .map_err(|e| format!("cannot listen at {addr}: {e}"))
         };
         let control = control.map(listen).transpose()?;
-        let handle = event_loop.handle();
-        let (ping, pinged) = patiently(calloop::ping::make_ping).map_err(|e| format!("cannot poll: {e}"))?;
-        let told =
-            handle.insert_source(Resumed(pinged), |(), (), ready: &mut Ready| ready.push(Source::Files));
-        told.map_err(|e| format!("cannot poll: {e}"))?;
-        let worker = Worker::start(move || shared::files::open(&name), file, ping);
+        let worker = Worker::start(move || shared::files::open(&name), file, waker);
         let worker = worker.map_err(|e| format!("cannot start a thread: {e}"))?;
         let turn = &mut core.turn;
         turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
@@ -283,3 +297,6 @@
         self.settle();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gradeshunt/src/shared/worker.rs
+++ b/crates/gradeshunt/src/shared/worker.rs
@@ -18,6 +18,18 @@
 /// Pause between two tries to open the files.
 const OPEN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Wakes the loop. That may fail without a word, as where the system takes no write.
+pub trait Wake: Send {
+    /// The loop is to turn soon.
+    fn wake(&self);
+}
+
+impl Wake for Ping {
+    fn wake(&self) {
+        self.ping();
+    }
+}
+
 /// The loop's end of the queues.
 pub struct Worker {
     tasks: SyncSender<Task>,
@@ -25,18 +37,19 @@
 }
 
 impl Worker {
-    /// Starts the thread. It opens the files there, and tries again for as long as what keeps it from that may pass; it rereads the configuration from `config`, and pings the loop for all that is done.
+    /// Starts the thread. It opens the files there, and tries again for as long as what keeps it from that may pass; it rereads the
+    /// configuration from `config`, and wakes the loop for all that is done.
     pub fn start(
         mut open: impl FnMut() -> io::Result<Box<dyn Files>> + Send + 'static,
         config: Option<PathBuf>,
-        ping: Ping,
+        waker: impl Wake + 'static,
     ) -> std::io::Result<Worker> {
         let (tasks, to_do) = sync_channel::<Task>(TASKS);
         let (tell, done) = sync_channel(TASKS + 1);
         let work = move || {
             let tell = |done| {
                 let told = tell.send(done).is_ok();
-                ping.ping();
+                waker.wake();
                 told
             };
             let mut files = loop {
