--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -142,32 +142,37 @@
         };
         let copied = error.is_some() && s.refused == error;
         s.refused = error;
-        match stage {
+        // An answer may come before its request is written whole: the rest must not follow. A copy's request may be at work yet.
+        let unfinished = copied || !s.outbound.is_empty();
+        let ended = match stage {
             Stage::Starting { by } => {
                 host.starting -= 1;
                 turn.deadlines.clear(by, Due::Server(id));
+                None
             }
-            Stage::Trailing { by } => turn.deadlines.clear(by, Due::Server(id)),
-            Stage::Idle { .. } | Stage::Spent => {}
-            Stage::Busy { mut job, reply, .. } => {
-                job.leave_connection(ConnectionEnd::Kept);
-                let ending = reply.ending().unwrap_or(Ending::Reset);
-                let (ending, reply) =
-                    if copied { (Ending::Error, Reply::default()) } else { (ending, reply) };
-                self.end(turn, exchange, member, job, ending, reply);
+            Stage::Trailing { by } => {
+                turn.deadlines.clear(by, Due::Server(id));
+                None
             }
+            Stage::Idle { .. } | Stage::Spent => None,
+            Stage::Busy { job, reply, .. } => Some((job, reply)),
+        };
+        if unfinished {
+            self.reset(turn, id);
+        }
+        if let Some((mut job, reply)) = ended {
+            job.leave_connection(if unfinished { ConnectionEnd::Reset } else { ConnectionEnd::Kept });
+            let ending = reply.ending().unwrap_or(Ending::Reset);
+            let (ending, reply) = if copied { (Ending::Error, Reply::default()) } else { (ending, reply) };
+            self.end(turn, exchange, member, job, ending, reply);
+        }
+        if unfinished {
+            return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
         }
         // What comes behind an answer belongs to no request, least of all to the next: a second copy would pass
         // for its value. The answer before it stands; the connection is of no further use.
         let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty());
-        // An answer may come before its request is written whole: the rest must not follow, for the attempt has ended.
-        if self.servers.get(&id).is_some_and(|s| !s.outbound.is_empty()) {
-            self.take_idle(turn, id);
-            self.servers.get_mut(&id).into_iter().for_each(|s| s.stage = Stage::Spent);
-            self.close(turn, id);
-            return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
-        }
-        if copied || surplus || self.reuse_denial(turn.now, id).is_some() {
+        if surplus || self.reuse_denial(turn.now, id).is_some() {
             self.close(turn, id);
             return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
         }
--- a/crates/gradeshunt/src/backend/pool.rs
+++ b/crates/gradeshunt/src/backend/pool.rs
@@ -61,6 +61,15 @@
         self.forget_if_gone(s.member);
     }
 
+    /// Takes a connection out of the pool and resets it.
+    pub(super) fn reset(&mut self, turn: &mut Turn, id: ServerId) {
+        self.take_idle(turn, id);
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.stage = Stage::Spent;
+        }
+        self.close(turn, id);
+    }
+
     /// Takes a connection out of the pool.
     pub(super) fn take_idle(&mut self, turn: &mut Turn, id: ServerId) {
         let Some(s) = self.servers.get(&id) else { return };
--- a/crates/gradeshunt/src/control_core.rs
+++ b/crates/gradeshunt/src/control_core.rs
@@ -108,6 +108,7 @@
         match due {
             Due::Module(tag) => self.exchange.timer(&mut self.turn, tag),
             Due::Overdue(id) => self.exchange.overdue(&mut self.turn, id),
+            Due::SendOn(id) => self.exchange.send_on_due(&mut self.turn, id),
             Due::Call(id) => self.discovery.call_due(&mut self.turn, id, &mut self.news),
             Due::Reopen => self.discovery.reopen_due(&mut self.turn, &mut self.news),
             _ => return false,
--- a/crates/gradeshunt/src/deadlines.rs
+++ b/crates/gradeshunt/src/deadlines.rs
@@ -15,6 +15,8 @@
     Overdue(RequestId),
     /// An attempt that has waited long enough.
     Attempt(AttemptId),
+    /// A request whose try at another proxy has come to nothing may be sent on again.
+    SendOn(RequestId),
     /// A probe that has.
     Probe(MemberId),
     /// Connections to a db host for which the system lacked something are tried again.
@@ -60,9 +62,12 @@
     pub fn name(self) -> &'static str {
         match self {
             Due::Module(_) => "module's timers",
-            Due::Overdue(_) | Due::Attempt(_) | Due::Probe(_) | Due::Connect(_) | Due::Server(_) => {
-                "db hosts' deadlines"
-            }
+            Due::Overdue(_)
+            | Due::SendOn(_)
+            | Due::Attempt(_)
+            | Due::Probe(_)
+            | Due::Connect(_)
+            | Due::Server(_) => "db hosts' deadlines",
             Due::Session(_) | Due::Accept | Due::AcceptPeers | Due::Reap | Due::CloseListener => {
                 "clients' deadlines"
             }
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 
 use gradeshunt_sites::proxy::Sites;
-use leadmast::permission::{may_begin, may_take, repeat_by, AttemptLimits};
+use leadmast::permission::{may_begin, may_take, repeat_by, settled_at, AttemptLimits};
 use leadmast::*;
 use slog::{debug, error, info};
 
@@ -50,6 +50,8 @@
     written: bool,
     /// When the first attempt that may have run was sent.
     doubt_since: Option<Micros>,
+    /// From when on another attempt may follow those whose connections were closed.
+    settled_at: Option<Micros>,
     /// When its client left before it had its answer.
     left: Option<Micros>,
     /// How its latest attempt has ended.
@@ -173,6 +175,7 @@
             out: None,
             written: false,
             doubt_since: None,
+            settled_at: None,
             left: None,
             ended: None,
             ended_attempts: Vec::new(),
@@ -297,7 +300,11 @@
             turn.deadlines.clear(r.deadline + self.slack, Due::Overdue(id));
             // Of what another proxy serves the module knows nothing.
             if r.forward.is_none() {
-                self.outcome(turn, id, attempt.number, member, Ending::Ok, true, elapsed, note);
+                let last = true;
+                self.outcome(
+                    turn,
+                    Outcome { last, elapsed, note, ..outcome_of(attempt, member, Ending::Ok) },
+                );
             }
         }
     }
@@ -306,6 +313,11 @@
         let Ended { attempt: AttemptId { request: id, number }, ending, note, said, trace } = ended;
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(out) = r.out.take_if(|o| o.number == number) else { return };
+        // The time of the close itself: that of the turn may be long past.
+        if trace.connection_end == ConnectionEnd::Reset {
+            r.settled_at = r.settled_at.max(Some(settled_at(turn.clock.now())));
+        }
+        let settled_at = r.settled_at;
         if r.forward.is_some() {
             return self.forward_ended(turn, id, out, ending, said);
         }
@@ -341,7 +353,8 @@
         let verdict = last && ending == Ending::Error && !over;
         let ending = if verdict { Ending::Cancelled } else { ending };
         let elapsed = turn.now - out.since;
-        self.outcome(turn, id, number, out.member, ending, last, elapsed, note);
+        let outcome = outcome_of(AttemptId { request: id, number }, out.member, ending);
+        self.outcome(turn, Outcome { last, elapsed, note, settled_at, ..outcome });
     }
 
     pub fn probed(&mut self, turn: &mut Turn, probed: Probed) {
@@ -444,7 +457,8 @@
 
     fn send(&mut self, turn: &mut Turn, id: RequestId, member: MemberId, timeout: Micros) {
         let Some(r) = self.requests.get_mut(&id) else {
-            return self.outcome(turn, id, 0, member, Ending::Moot, true, 0, None);
+            let attempt = AttemptId { request: id, number: 0 };
+            return self.outcome(turn, Outcome { last: true, ..outcome_of(attempt, member, Ending::Moot) });
         };
         let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
         let (number, facts) = (r.sends, r.facts(effect));
@@ -456,7 +470,7 @@
         let until = r.deadline.min(turn.now + timeout);
         if let Err(denial) = may_begin(turn.now, &facts, &self.limits, None) {
             self.denied(turn, attempt, denial);
-            return self.outcome(turn, id, number, member, Ending::Moot, last, 0, None);
+            return self.outcome(turn, Outcome { last, ..outcome_of(attempt, member, Ending::Moot) });
         }
         // A repeat is none only within its window, counted from the first send: a connection that comes up late must not
         // carry it past that.
@@ -467,21 +481,10 @@
         self.orders.push_back(Order::Start { attempt, member, body: Rc::clone(&r.body), until, write_by });
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn outcome(
-        &mut self,
-        turn: &mut Turn,
-        request: RequestId,
-        attempt: u32,
-        member: MemberId,
-        ending: Ending,
-        last: bool,
-        elapsed: Micros,
-        note: Option<Note>,
-    ) {
-        *self.tally.endings.entry(name(ending)).or_default() += 1;
-        site_loss::see(&mut self.sites, turn.now, member, ending, elapsed);
-        let outcome = Outcome { request, attempt, member, ending, last, elapsed, note, report: None };
+    /// An attempt has ended: the module is told.
+    fn outcome(&mut self, turn: &mut Turn, outcome: Outcome) {
+        *self.tally.endings.entry(name(outcome.ending)).or_default() += 1;
+        site_loss::see(&mut self.sites, turn.now, outcome.member, outcome.ending, outcome.elapsed);
         self.tell(turn, Event::Outcome(outcome));
     }
 
@@ -530,6 +533,13 @@
     }
 }
 
+/// An attempt that ended so, at once and without a word.
+fn outcome_of(attempt: AttemptId, member: MemberId, ending: Ending) -> Outcome {
+    let AttemptId { request, number: attempt } = attempt;
+    let (last, elapsed, note, report, settled_at) = (false, 0, None, None, None);
+    Outcome { request, attempt, member, ending, last, elapsed, note, report, settled_at }
+}
+
 /// An ending's name in the log.
 pub fn name(ending: Ending) -> &'static str {
     match ending {
--- a/crates/gradeshunt/src/exchange/audit.rs
+++ b/crates/gradeshunt/src/exchange/audit.rs
@@ -21,6 +21,7 @@
             begun: self.sends,
             out: u32::from(self.out.is_some()),
             doubt: self.doubt_since.map(|since| Doubt { since, zone: None }),
+            settled_at: self.settled_at,
         }
     }
 
@@ -64,6 +65,7 @@
             deadline: r.deadline,
             client_left: r.left,
             repeat_until,
+            settled_at: r.settled_at,
             others_out: u32::from(r.out.as_ref().is_some_and(|out| out.number != attempt.number)),
             number: attempt.number,
             attempts: self.limits.attempts,
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -8,6 +8,7 @@
 
 use super::reason::FinalReason;
 use super::{AttemptId, Exchange, Final, Form, Order, Out, Said};
+use crate::deadlines::Due;
 use crate::placing::{self, Decision};
 use crate::turn::Turn;
 
@@ -119,6 +120,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(forward) = r.forward.take() else { return };
         let (over, begun, group) = (r.over, r.begun, r.group);
+        let again_at = r.settled_at.map_or(turn.now, |settled| settled.max(turn.now));
         let leaving = matches!(said, Said::Leaving);
         let ran = !ending.never_ran() && !leaving;
         if ran {
@@ -137,8 +139,8 @@
             Said::Refused { retry_after } => {
                 self.finish(turn, id, Final::Refused { retry_after }, Some(FinalReason::HomeRefused))
             }
-            Said::Nothing | Said::Leaving if !ran || self.may_repeat(turn.now, id, turn.now) => {
-                self.decide(turn, id, *forward);
+            Said::Nothing | Said::Leaving if !ran || self.may_repeat(turn.now, id, again_at) => {
+                self.send_on_at(turn, id, *forward, again_at);
             }
             Said::Nothing | Said::Leaving => {
                 self.finish(turn, id, Final::Failed(None), Some(FinalReason::MayHaveRun))
@@ -147,6 +149,24 @@
         self.forget_if_done(id);
     }
 
+    /// Sends a request on to another proxy, or serves it from here, once the close of its latest connection has settled.
+    fn send_on_at(&mut self, turn: &mut Turn, id: RequestId, forward: Forward, at: Micros) {
+        if at <= turn.now {
+            return self.decide(turn, id, forward);
+        }
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.forward = Some(Box::new(forward));
+        turn.deadlines.set(at, Due::SendOn(id));
+    }
+
+    /// The close has settled: the request is sent on, unless it is over by now.
+    pub fn send_on_due(&mut self, turn: &mut Turn, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.over) else { return };
+        if let Some(forward) = r.forward.take() {
+            self.decide(turn, id, *forward);
+        }
+    }
+
     /// What the end of a try says of the proxy that it went to.
     fn judge_peer(
         &mut self,
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -261,7 +261,7 @@
         self.core.due(due);
         let (turn, exchange) = (&mut self.core.turn, &mut self.core.exchange);
         match due {
-            Due::Module(_) | Due::Overdue(_) | Due::Call(_) | Due::Reopen => {}
+            Due::Module(_) | Due::Overdue(_) | Due::SendOn(_) | Due::Call(_) | Due::Reopen => {}
             Due::Attempt(id) => self.backend.attempt_due(turn, exchange, id),
             Due::Probe(member) => self.backend.probe_due(turn, exchange, member),
             Due::Connect(member) => self.backend.connect_due(turn, exchange, member),
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -348,3 +348,44 @@
     let ended = first.read_to_end(&mut rest);
     assert!(rest.len() < LONG, "it was written whole: {ended:?}");
 }
+
+/// How long behind the end of the one before it an attempt was written, by the process's own clock, in microseconds.
+fn repeat_wait(play: &Play, number: u64) -> i64 {
+    let began = Instant::now();
+    loop {
+        let log = play.program.log();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let mut repeats = lines.filter(|line| line["msg"] == "repeat written");
+        if let Some(told) = repeats.find(|line| line["number"] == number && line["earlier"] == number - 1) {
+            let micros = |name: &str| told[name].as_i64().expect("a time");
+            return micros("at") - micros("earlier_ended");
+        }
+        assert!(began.elapsed() < PATIENCE, "no repeat {number}: {log}");
+    }
+}
+
+/// Guards against second copies: an attempt must not be written right behind the close of the one before, on whatever path that was
+/// given up.
+#[test]
+fn repeat_is_not_written_before_the_close_of_the_earlier_attempt_has_settled() {
+    const SETTLES_IN_US: i64 = 2_000;
+    let more_attempts = |config: &mut Value| config["settings"]["allowed"]["attempts"] = json!(9);
+    let play = Play::open_in_shell("settled", 600_000, LONG_AIM_MS, more_attempts, DEBUG_LOG);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, LONG)).expect("it is open");
+    let refusal = wire::message(b'E', b"SERROR\0C53300\0Mbusy\0\0");
+    let early = [refusal, wire::message(b'Z', b"I")].concat();
+    let error = wire::message(b'E', b"SERROR\0CXX000\0Mbroken\0\0");
+    let spoilt = vec![b'?', 0, 0, 0, 4];
+    let mut first = play.accept();
+    until_request_begins(&mut first);
+    first.write_all(&early).expect("it is open");
+    let broken = Vec::new();
+    for (number, answer) in [(1, error), (2, spoilt), (3, broken), (4, Vec::new())] {
+        let mut server = play.accept();
+        assert!(next_request(&mut server).expect("it is sent").contains("id=1,"));
+        let wait = repeat_wait(&play, number);
+        assert!(wait >= SETTLES_IN_US, "attempt {number} is written {wait} us behind the close");
+        server.write_all(&answer).expect("it is open");
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -120,6 +120,8 @@
     asked: Option<MemberId>,
     attempts: Vec<Attempt>,
     answered: bool,
+    /// From when on another attempt may follow the closed connections of earlier ones.
+    settled_at: Option<Micros>,
     /// When the first attempt that another followed in doubt was sent: it counts for a keyed class's window throughout.
     copied_from: Option<Micros>,
 }
@@ -129,6 +131,11 @@
         self.attempts.iter().filter(|a| a.ending.is_none()).count()
     }
 
+    /// Whether the closes of its attempts' connections have settled.
+    fn is_settled(&self, now: Micros) -> bool {
+        self.settled_at.is_none_or(|at| now >= at)
+    }
+
     /// The first attempt that may have run or is still out.
     fn doubt(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|a| !a.ending.is_some_and(Ending::never_ran))
@@ -146,6 +153,8 @@
     requests: BTreeMap<RequestId, Request>,
     /// Open requests by the time at which their final answer falls due.
     due: BTreeSet<(Micros, RequestId)>,
+    /// Held requests whose next attempt has to wait, by the time from which on it may follow.
+    settling: BTreeSet<(Micros, RequestId)>,
     /// Work of each class: its median answer time, raised by members that are not crowded alone.
     work: Vec<f64>,
     /// The usual wait of each class's clients.
@@ -165,6 +174,8 @@
     /// When a suspect is looked at next, when the next round is due, the end of the latest stall, its own start.
     look_at: Micros,
     timer: Micros,
+    /// The latest time for which a timer was asked because a close settles then.
+    settled_timer: Micros,
     awake: Micros,
     born: Micros,
     /// Answered work of late, the weight of warm members as of some time, and the mean merit of requests.
@@ -188,6 +199,7 @@
             sequence: 0,
             requests: BTreeMap::new(),
             due: BTreeSet::new(),
+            settling: BTreeSet::new(),
             work: settings.classes.iter().map(|c| (c.aim as f64 / 4.0).max(1.0)).collect(),
             waits: settings.classes.iter().map(|c| c.deadline as f64).collect(),
             tail: (PATIENT.0 + PATIENT.1) / 2.0,
@@ -200,6 +212,7 @@
             polite: NEVER,
             look_at: FOREVER,
             timer: now,
+            settled_timer: NEVER,
             awake: now,
             born: now,
             served: (0.0, now),
@@ -239,6 +252,7 @@
             Event::Maintenance { member, out } => self.on_maintenance(now, member, out),
             Event::Timer { tag: _ } | Event::Peer { from: _, body: _ } => {}
         }
+        self.dispatch_settled(now, actions);
         if due {
             self.timer = FOREVER;
             self.sweep(now, actions);
@@ -248,6 +262,11 @@
             self.timer = next;
             actions.push(Action::Timer { tag: TimerTag(0), at: next });
         }
+        // No round: what is held beside these is not to be shed any sooner for them.
+        if let Some((at, _)) = self.settling.first().filter(|s| s.0 != self.settled_timer) {
+            self.settled_timer = *at;
+            actions.push(Action::Timer { tag: TimerTag(0), at: *at });
+        }
     }
 
     /// Nothing due, no timer: an idle driver costs nothing. What is out is looked at as answers come.
@@ -307,7 +326,8 @@
     }
 
     fn on_outcome(&mut self, now: Micros, outcome: Outcome, actions: &mut Vec<Action>) {
-        let Outcome { request: id, attempt, member, ending, last, elapsed, note, report } = outcome;
+        let Outcome { request: id, attempt, member, ending, last, elapsed, note, report, settled_at } =
+            outcome;
         if let Some(report) = report {
             let asked = now - elapsed;
             self.learn(asked, report.position.map_or(asked, |p| p.min(asked)), member, report);
@@ -323,6 +343,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(attempt as usize).filter(|a| a.ending.is_none()) else { return };
         a.ending = Some(ending);
+        r.settled_at = r.settled_at.max(settled_at);
         let (sent, class, group) = (a.sent, r.class, r.group);
         let (bucket, sequence) = (r.bucket.filter(|_| write && ending == Ending::Ok), r.sequence);
         if let Some(m) = self.members.get_mut(&member) {
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -8,6 +8,7 @@
         let Some(g) = self.groups.get(&group) else { return };
         let primary = g.primary;
         let requests = g.held.iter().filter_map(|id| self.requests.get(id).map(|r| (*id, r)));
+        let requests = requests.filter(|(_, r)| r.is_settled(now));
         let mut held: Vec<_> = requests.map(|(id, r)| (self.merit(now, r), (r.arrived, id))).collect();
         // Of equals the newest: under overload it has the most time left.
         held.sort_by(|a, b| b.0.total_cmp(&a.0).then(b.1.cmp(&a.1)));
@@ -51,6 +52,15 @@
         }
     }
 
+    /// Sends what has waited for a close to settle. It is not shed before that: the wait was not its own.
+    pub(super) fn dispatch_settled(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let unsettled = self.settling.split_off(&(now + 1, RequestId(0)));
+        let settled = std::mem::replace(&mut self.settling, unsettled);
+        let group_of = |(_, id): &(Micros, RequestId)| self.requests.get(id).map(|r| r.group);
+        let groups: BTreeSet<_> = settled.iter().filter_map(group_of).collect();
+        groups.into_iter().for_each(|group| self.dispatch(now, group, actions));
+    }
+
     /// A read that only ignorance keeps from replicas waits for one probe's answer: with many drivers primaries drown.
     pub(super) fn enquire(&mut self, now: Micros, r: &mut Request, actions: &mut Vec<Action>) -> bool {
         let Some(need) = self.need(now, r).filter(|n| *n > NEVER && r.out() == 0) else { return false };
@@ -94,6 +104,7 @@
             begun: r.attempts.len() as u32,
             out: r.out() as u32,
             doubt,
+            settled_at: r.settled_at,
         };
         let limits = AttemptLimits {
             attempts: allowed.attempts,
--- a/src/balance/outcome.rs
+++ b/src/balance/outcome.rs
@@ -102,9 +102,11 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.primary_only |= ending == Ending::Miss;
         let (group, r) = (r.group, &self.requests[&id]);
-        let permitted = self.may_send(now, r, r.doubt().map_or(self.settings.zone, |a| a.zone));
+        let at = r.settled_at.map_or(now, |settled| settled.max(now));
+        let permitted = self.may_send(at, r, r.doubt().map_or(self.settings.zone, |a| a.zone));
         if permitted && (free || self.spend()) {
             self.hold(group, id);
+            self.settling.extend((at > now).then_some((at, id)));
         } else {
             self.give_up(now, id, actions);
         }
@@ -131,6 +133,9 @@
     pub(super) fn close(&mut self, now: Micros, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let first = self.due.remove(&(r.deadline, id));
+        if let Some(at) = r.settled_at {
+            self.settling.remove(&(at, id));
+        }
         r.answered = true;
         self.groups.entry(r.group).or_default().held.remove(&id);
         let cancel = first && self.settings.allowed.cancel;
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -45,7 +45,7 @@
                 let patient = if r.attempts.is_empty() { vain } else { r.deadline };
                 let useful = r.deadline.min(hold + best).min(r.began + c.aim);
                 let end = if c.late_worth > LITTLE { patient } else { useful };
-                if r.out() == 0 && now + best + self.pace > end {
+                if r.out() == 0 && r.is_settled(now) && now + best + self.pace > end {
                     lost.push(*id);
                 }
             }
--- a/src/bin/leadmast-wirehost/wire.rs
+++ b/src/bin/leadmast-wirehost/wire.rs
@@ -190,6 +190,7 @@
         ending: ending(row.int(6, "ending")?)?,
         attempt: small(row.int(7, "go")?)?,
         report: report(row, 8, names)?,
+        settled_at: None,
     }))
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -392,6 +392,8 @@
     pub note: Option<Note>,
     /// A report that came along.
     pub report: Option<Report>,
+    /// From when on another attempt may follow, where this one's connection was closed under it.
+    pub settled_at: Option<Micros>,
 }
 
 /// How a probe ended.
--- a/src/invariant.rs
+++ b/src/invariant.rs
@@ -108,6 +108,8 @@
     pub client_left: Option<Micros>,
     /// Until when it may run, where an earlier attempt may have: `Some(None)` where it never may.
     pub repeat_until: Option<Option<Micros>>,
+    /// When the closes of its request's earlier connections have settled, where any was closed.
+    pub settled_at: Option<Micros>,
     /// Attempts of its request that were out beside it.
     pub others_out: u32,
     /// Its number, from 0 on.
@@ -128,8 +130,9 @@
             Some(None) => true,
             Some(Some(until)) => self.at > until,
         };
+        let beside_another = self.others_out > 0 || self.settled_at.is_some_and(|settled| self.at < settled);
         let found = [
-            (Rule::OneAttempt, self.others_out > 0 && !self.second_copies),
+            (Rule::OneAttempt, beside_another && !self.second_copies),
             (Rule::AttemptLimit, self.number >= self.attempts),
             (Rule::Repeat, repeated),
             (Rule::ClientLeft, left_before),
--- a/src/permission/attempt.rs
+++ b/src/permission/attempt.rs
@@ -11,6 +11,8 @@
 /// A longer one may take this part of its client's time to write, and this long at most.
 const WRITING_SHARE: Micros = 4;
 const LONGEST_WRITING: Micros = 1_000_000;
+/// How long the close of a connection may take to reach its db host, beyond what bytes on another connection take.
+const CLOSE_SETTLES_IN: Micros = 2_000;
 
 /// An attempt that may have run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +40,8 @@
     pub out: u32,
     /// Its first attempt that may have run.
     pub doubt: Option<Doubt>,
+    /// When the closes of its earlier attempts' connections have settled, where any was closed.
+    pub settled_at: Option<Micros>,
 }
 
 /// What the settings allow.
@@ -79,6 +83,8 @@
     TimeToldPassed,
     /// One attempt is out, and the settings allow no second one.
     AttemptOut,
+    /// The connection of an earlier attempt was closed just now: its db host may count that attempt as out yet.
+    CloseUnsettled,
     /// The settings allow no more attempts.
     AttemptsUsed,
     /// It may have run, and its class may never run twice.
@@ -99,12 +105,13 @@
 
 impl AttemptDenial {
     /// All of them, for figures.
-    pub const ALL: [AttemptDenial; 13] = [
+    pub const ALL: [AttemptDenial; 14] = [
         AttemptDenial::Answered,
         AttemptDenial::ClientLeft,
         AttemptDenial::DeadlinePassed,
         AttemptDenial::TimeToldPassed,
         AttemptDenial::AttemptOut,
+        AttemptDenial::CloseUnsettled,
         AttemptDenial::AttemptsUsed,
         AttemptDenial::MayHaveRun,
         AttemptDenial::WindowOver,
@@ -123,6 +130,7 @@
             AttemptDenial::DeadlinePassed => "deadline_passed",
             AttemptDenial::TimeToldPassed => "time_told_passed",
             AttemptDenial::AttemptOut => "attempt_out",
+            AttemptDenial::CloseUnsettled => "close_unsettled",
             AttemptDenial::AttemptsUsed => "attempts_used",
             AttemptDenial::MayHaveRun => "may_have_run",
             AttemptDenial::WindowOver => "window_over",
@@ -157,12 +165,21 @@
     if request.out > 0 && !limits.second_copies {
         return Err(AttemptDenial::AttemptOut);
     }
+    if request.settled_at.is_some_and(|at| now < at) && !limits.second_copies {
+        return Err(AttemptDenial::CloseUnsettled);
+    }
     if now >= request.deadline {
         return Err(AttemptDenial::DeadlinePassed);
     }
     may_repeat(now, request.effect, request.doubt, zone, limits.margin)
 }
 
+/// From when on another attempt may follow one whose connection was closed at `closed_at`. TCP orders nothing between two connections:
+/// at once, the next attempt's bytes might be worked off before the close, and two attempts be out to whoever sees both.
+pub fn settled_at(closed_at: Micros) -> Micros {
+    closed_at + CLOSE_SETTLES_IN
+}
+
 /// Whether a request may run once more at `at`, for all that is known of its first attempt that may have run.
 ///
 /// # Errors
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -343,6 +343,24 @@
             elapsed,
             note,
             report: None,
+            settled_at: None,
+        }));
+    }
+
+    /// An attempt ends whose connection was closed under it: another may follow from `settled_at` on.
+    pub fn end_closed(&mut self, at: (u64, u32, MemberId), ending: Ending, settled_at: Micros) {
+        let (id, attempt, member) = at;
+        self.out.remove(&(id, attempt));
+        self.handle(Event::Outcome(Outcome {
+            request: RequestId(id),
+            attempt,
+            member,
+            ending,
+            last: false,
+            elapsed: 20_000,
+            note: None,
+            report: None,
+            settled_at: Some(settled_at),
         }));
     }
 
--- a/tests/permission.rs
+++ b/tests/permission.rs
@@ -21,6 +21,7 @@
         begun: 0,
         out: 0,
         doubt: None,
+        settled_at: None,
     }
 }
 
@@ -164,6 +165,7 @@
         deadline: 1_500_000,
         client_left: None,
         repeat_until: None,
+        settled_at: None,
         others_out: 0,
         number: 0,
         attempts: 3,
