--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -10,7 +10,7 @@
 use super::reply::{Reply, Shape};
 use super::Backend;
 use crate::deadlines::Due;
-use crate::exchange::{ConnectionEnd, Exchange};
+use crate::exchange::{AttemptId, ConnectionEnd, Exchange};
 use crate::ids::ServerId;
 use crate::pg::Writer;
 use crate::placing::{is_peer, PEER_USER};
@@ -190,7 +190,7 @@
     /// Writes what is to be written, as far as the connection takes it and the rules permit it at that moment.
     pub(super) fn flush(
         &mut self,
-        turn: &Turn,
+        turn: &mut Turn,
         exchange: &mut Exchange,
         id: ServerId,
     ) -> Result<(), Unwritten> {
@@ -210,7 +210,7 @@
     }
 
     /// Bytes of an attempt were written: maybe its first, maybe its last.
-    fn note_written(&mut self, turn: &Turn, exchange: &mut Exchange, id: ServerId) {
+    fn note_written(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         let Stage::Busy { job: Job::Attempt { id: attempt, trace, .. }, .. } = &mut s.stage else { return };
         if s.outbound.is_empty() {
@@ -221,7 +221,20 @@
             exchange.begun_at_host(turn, *attempt, closed);
         }
         if s.outbound.is_empty() {
-            exchange.dispatched(turn, *attempt, s.sending.told);
+            let (attempt, Sending { told, told_until, .. }) = (*attempt, s.sending);
+            exchange.dispatched(turn, attempt, told);
+            self.look_by(turn, attempt, told_until);
+        }
+    }
+
+    /// Looks at an attempt at this time, where nothing of it falls due before: what the system still holds then tells its db host too
+    /// much time.
+    fn look_by(&mut self, turn: &mut Turn, attempt: AttemptId, by: Option<Micros>) {
+        let (Some(by), Some((due, _))) = (by, self.attempts.get_mut(&attempt)) else { return };
+        if by < *due {
+            turn.deadlines.clear(*due, Due::Attempt(attempt));
+            turn.deadlines.set(by, Due::Attempt(attempt));
+            *due = by;
         }
     }
 }
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -206,7 +206,7 @@
         }
     }
 
-    /// A repeat whose window ends may go on if it has arrived by then; until when it is waited for.
+    /// An attempt whose window ends, or the time that it tells, may go on if it has arrived by then; until when it is waited for.
     pub(super) fn goes_on_until(&self, now: Micros, id: AttemptId) -> Option<Micros> {
         let (_, Place::On(server)) = self.attempts.get(&id)? else { return None };
         let Stage::Busy { job: Job::Attempt { until, .. }, .. } = &self.servers.get(server)?.stage else {
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -220,6 +220,22 @@
     assert!(again.contains("id=1,") && told_ms(&again) <= WAIT_MS - PASSED_MS + 150, "{}", told_ms(&again));
 }
 
+/// Guards the time told: a statement that the system has taken whole arrives whenever its db host reads on.
+#[test]
+fn short_statement_whose_time_told_has_passed_does_not_arrive_later() {
+    const WAIT_MS: u64 = 300_000;
+    const PASSED_MS: u64 = 1_500;
+    let play = Play::open("held-time-told", 600_000);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "plain-write", WAIT_MS, HELD)).expect("it is open");
+    let mut server = play.accept();
+    until_request_begins(&mut server);
+    let_pass(&play, PASSED_MS);
+    let mut rest = Vec::new();
+    let ended = server.read_to_end(&mut rest);
+    assert!(rest.len() < HELD, "it has arrived whole: {ended:?}");
+}
+
 /// A client leaves while the db host reads nothing: what the system still holds of its request does not arrive afterwards.
 #[test]
 fn attempt_whose_client_has_left_does_not_arrive_later() {
