The soak can have a crowd: connections that rest before each process, beyond its descriptors

`--crowd N` opens N connections before each process that ask once, one in four nothing, and rest; what it draws leaves the play's seed alone. A process short of descriptors may close whoever rests or has just come, so that a client of a crowded process counts such a close as crossed; attempts that arrived, and the process's own count of closes without an answer, still make it a fault.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -64,6 +64,8 @@
     pub manners: Arc<Manners>,
     pub ends: Arc<AtomicBool>,
     pub rng: Rng,
+    /// Others crowd its proxy, which may then close whoever rests or has just come, unread.
+    pub is_crowded: bool,
 }
 
 /// A session.
@@ -177,6 +179,8 @@
                 // What crosses the end of a resting connection is sent again. Few clients are open, so that only a process that
                 // leaves has a reason to close one.
                 Reply::Ended(_) if answered && self.proxy.door().has_left(session.epoch) => Outcome::Crossed,
+                // In a crowd, whether it was read first is left to the ledger, which knows of attempts, and to the process's own count.
+                Reply::Ended(_) if self.is_crowded => Outcome::Crossed,
                 Reply::Ended(why) => {
                     self.ledger.note(
                         statement.id,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -32,6 +32,9 @@
     proxies: usize,
     #[arg(long, default_value_t = 2)]
     clients: usize,
+    /// Connections that rest before each process: beyond its 256 descriptors they crowd it.
+    #[arg(long, default_value_t = 0)]
+    crowd: usize,
     /// In which order troubles come: in lanes, or each pair of kinds once, with or without a third beside it.
     #[arg(long, value_enum, default_value_t = Order::Lanes)]
     order: Order,
@@ -56,6 +59,7 @@
         let mut options = Options::of(&arguments.program, &folder, seed);
         options.proxies = arguments.proxies;
         options.clients_each = arguments.clients;
+        options.crowd = arguments.crowd;
         options.schedule = match arguments.order {
             Order::Lanes => Schedule::Lanes,
             Order::Pairs => Schedule::Pairs,
