Unix times stand in a module of their own; transient errors and waits have plain names

`clock.rs` and `start_offset.rs` used each other: what both need, the tolerance between two clocks and the reading of Unix times, is in `unix_time.rs`. `passing.rs` is `transient.rs` (`is_transient`, `retry_while_transient`); the constants LOOK, SEE and HEAR of the proxy and TELLS of the stand-ins say what they bound.

--- a/crates/gradeshunt/src/backend/opening.rs
+++ b/crates/gradeshunt/src/backend/opening.rs
@@ -9,7 +9,7 @@
 use super::Backend;
 use crate::deadlines::Due;
 use crate::exchange::Exchange;
-use crate::passing::passes;
+use crate::transient::is_transient;
 use crate::turn::Turn;
 
 /// Pause before another try where the system lacked something for a connection.
@@ -21,7 +21,7 @@
     pub(super) fn open_for_waiting(&mut self, turn: &mut Turn, exchange: &mut Exchange, member: MemberId) {
         match self.open_with_room(turn, member) {
             Ok(()) => {}
-            Err(e) if passes(&e) => self.connect_later(turn, member, &e),
+            Err(e) if is_transient(&e) => self.connect_later(turn, member, &e),
             Err(e) => {
                 warn!(turn.log, "no connection to spare for a db host"; "error" => e.to_string());
                 self.end_latest_waiting(turn, exchange, member);
--- a/crates/gradeshunt/src/clock.rs
+++ b/crates/gradeshunt/src/clock.rs
@@ -14,13 +14,10 @@
 use leadmast::Micros;
 
 use crate::start_offset::StartOffset;
+use crate::unix_time::{near, unix_micros, STEP_TOLERANCE};
 
-/// Further from 1970 than any time that is meant, in milliseconds.
-const FAR: f64 = 1e14;
 /// So far a db host's clock may be ahead.
 pub const AHEAD: Micros = 1_000_000;
-/// Differences of the two clocks up to this are no step: times come in whole milliseconds, and reading two clocks takes a while.
-pub const STEP_TOLERANCE: Micros = 20_000;
 /// A reading of both clocks that took longer says nothing.
 const LONGEST_READING: Micros = 5_000;
 /// How long a candidate that nobody has confirmed makes positions count as old as either distance says.
@@ -173,17 +170,6 @@
     }
 }
 
-/// Whether two distances are the same but for the reading of the clocks.
-pub fn near(one: Micros, other: Micros) -> bool {
-    (one - other).abs() <= STEP_TOLERANCE
-}
-
-/// A Unix time in milliseconds as microseconds. It comes from outside: what no calendar holds is cut off, so that sums with it
-/// stay in range.
-pub fn unix_micros(ms: f64) -> Micros {
-    (ms.clamp(-FAR, FAR) * 1000.0).round() as Micros
-}
-
 fn unix_now() -> Micros {
     micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO))
 }
--- a/crates/gradeshunt/src/config.rs
+++ b/crates/gradeshunt/src/config.rs
@@ -11,8 +11,8 @@
 use gradeshunt_placement::Placement;
 use gradeshunt_sites::proxy::Sites;
 
-use crate::passing::passes;
 use crate::routing::{rules, Rules};
+use crate::transient::is_transient;
 
 /// An idle watch brings a line every 2 s: one silent for longer has broken, though its connection stands.
 const SILENCE: Micros = 3_000_000;
@@ -55,7 +55,7 @@
     /// In one line.
     pub why: String,
     /// A file can't be read now, and may be later.
-    pub passes: bool,
+    pub is_transient: bool,
 }
 
 impl Display for ConfigError {
@@ -66,7 +66,7 @@
 
 impl From<String> for ConfigError {
     fn from(why: String) -> Self {
-        ConfigError { why, passes: false }
+        ConfigError { why, is_transient: false }
     }
 }
 
@@ -78,8 +78,10 @@
 
 /// Reads a file of the operators'.
 fn read_file(path: &Path) -> Result<String, ConfigError> {
-    std::fs::read_to_string(path)
-        .map_err(|e| ConfigError { why: format!("cannot read {}: {e}", path.display()), passes: passes(&e) })
+    std::fs::read_to_string(path).map_err(|e| ConfigError {
+        why: format!("cannot read {}: {e}", path.display()),
+        is_transient: is_transient(&e),
+    })
 }
 
 impl Config {
--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -8,7 +8,7 @@
 
 use crate::control_core::Core;
 use crate::deadlines::Due;
-use crate::passing::patiently;
+use crate::transient::retry_while_transient;
 use crate::turn::{Ready, Source};
 
 /// Those who work off what a turn of the loop brings.
@@ -36,7 +36,8 @@
     ///
     /// Where the system gives none.
     pub fn open() -> Result<Cycle, String> {
-        let event_loop = patiently(|| Ok(EventLoop::try_new()?)).map_err(|e| format!("cannot poll: {e}"))?;
+        let event_loop =
+            retry_while_transient(|| Ok(EventLoop::try_new()?)).map_err(|e| format!("cannot poll: {e}"))?;
         Ok(Cycle { event_loop, ready: Ready::new() })
     }
 
--- a/crates/gradeshunt/src/discovery/list.rs
+++ b/crates/gradeshunt/src/discovery/list.rs
@@ -13,7 +13,8 @@
 use serde_json::Value;
 
 use crate::backend::Listed;
-use crate::clock::{Clock, STEP_TOLERANCE};
+use crate::clock::Clock;
+use crate::unix_time::STEP_TOLERANCE;
 
 /// How many unreadable entries of a list are told of one by one.
 const TOLD: usize = 3;
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -21,7 +21,7 @@
 mod logging;
 mod loop_stats;
 mod memory;
-mod passing;
+
 mod pg;
 mod placement_command;
 mod placing;
@@ -36,7 +36,9 @@
 mod shared;
 mod site_loss;
 mod start_offset;
+mod transient;
 mod turn;
+mod unix_time;
 
 pub use cli::Arguments;
 pub use config::{Config, ConfigError};
--- a/crates/gradeshunt/src/position.rs
+++ b/crates/gradeshunt/src/position.rs
@@ -6,7 +6,8 @@
 
 use leadmast::Micros;
 
-use crate::clock::{near, unix_micros, Candidate, Clock, AHEAD, STEP_TOLERANCE};
+use crate::clock::{Candidate, Clock, AHEAD};
+use crate::unix_time::{near, unix_micros, STEP_TOLERANCE};
 
 /// A db host that tells positions at the pace of real time moves on by this share of the time passed, at least and at most.
 const PACE: (f64, f64) = (0.75, 1.25);
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -22,20 +22,20 @@
 use crate::deadlines::Due;
 use crate::exchange;
 use crate::frontend::Frontend;
-use crate::passing::patiently;
 use crate::resumed::Resumed;
 use crate::shared::worker::{Wake, Worker};
 use crate::shared::{self, Shared};
+use crate::transient::retry_while_transient;
 use crate::turn::{self, Ready, Source};
 
 const SUMMARY: Micros = 10_000_000;
 /// Interval of the looks at what the processes of this proxy share.
-const LOOK: Micros = 50_000;
+const SHARED_STATE_POLL_INTERVAL: Micros = 50_000;
 /// A new process waits so long to see what others of its proxy do.
-const SEE: Micros = 2_000_000;
+const SHARED_STATE_TIMEOUT: Micros = 2_000_000;
 /// A process that starts beside another waits for discovery so much longer than discovery may be silent, well within
 /// the 6 s that it has.
-const HEAR: Micros = 1_000_000;
+const DISCOVERY_GRACE: Micros = 1_000_000;
 /// Descriptors for operators' connections.
 const OPERATORS: usize = 12;
 
@@ -84,7 +84,8 @@
         event_loop: &EventLoop<'static, Ready>,
         log: Logger,
     ) -> Result<Proxy, String> {
-        let (ping, pinged) = patiently(calloop::ping::make_ping).map_err(|e| format!("cannot poll: {e}"))?;
+        let (ping, pinged) =
+            retry_while_transient(calloop::ping::make_ping).map_err(|e| format!("cannot poll: {e}"))?;
         let source = Resumed(pinged);
         let told = event_loop.handle().insert_source(source, |(), (), ready| ready.push(Source::Files));
         told.map_err(|e| format!("cannot poll: {e}"))?;
@@ -107,16 +108,15 @@
         let connect_timeout = facts.connections.connect_timeout;
         let backend = Backend::new(facts.connections, &facts.names);
         let listener = match listen_fd {
-            Some(fd) => patiently(|| turn::inherited(fd))
+            Some(fd) => retry_while_transient(|| turn::inherited(fd))
                 .map_err(|e| format!("cannot listen on descriptor {fd}: {e}"))?,
-            None => {
-                patiently(|| turn::listener(listen)).map_err(|e| format!("cannot listen at {listen}: {e}"))?
-            }
+            None => retry_while_transient(|| turn::listener(listen))
+                .map_err(|e| format!("cannot listen at {listen}: {e}"))?,
         };
         let mut frontend = Frontend::new(facts.settings, facts.names);
         frontend.route_by(rules);
         let listen = |addr| {
-            patiently(|| Control::listen(&core.turn, addr, OPERATORS))
+            retry_while_transient(|| Control::listen(&core.turn, addr, OPERATORS))
                 .map_err(|e| format!("cannot listen at {addr}: {e}"))
         };
         let control = control.map(listen).transpose()?;
@@ -125,8 +125,8 @@
         let turn = &mut core.turn;
         turn.deadlines.set(turn.now + SUMMARY, Due::Summary);
         turn.deadlines.set(turn.now, Due::Reap);
-        turn.deadlines.set(turn.now + LOOK, Due::Look);
-        let begin_by = turn.now + SEE;
+        turn.deadlines.set(turn.now + SHARED_STATE_POLL_INTERVAL, Due::Look);
+        let begin_by = turn.now + SHARED_STATE_TIMEOUT;
         turn.deadlines.set(begin_by, Due::Begin);
         let mut proxy = Proxy {
             core,
@@ -169,7 +169,7 @@
             self.serve();
         } else {
             info!(self.core.turn.log, "starting beside another process"; "control" => self.operators());
-            self.core.turn.deadlines.set(self.core.turn.now + self.silence + HEAR, Due::Serve);
+            self.core.turn.deadlines.set(self.core.turn.now + self.silence + DISCOVERY_GRACE, Due::Serve);
         }
     }
 
@@ -272,7 +272,7 @@
             Due::Caller(id) => self.control.iter_mut().for_each(|c| c.due(turn, id)),
             Due::AcceptCallers => self.control.iter_mut().for_each(|c| c.accept(turn)),
             Due::Look => {
-                turn.deadlines.set(turn.now + LOOK, Due::Look);
+                turn.deadlines.set(turn.now + SHARED_STATE_POLL_INTERVAL, Due::Look);
                 // The ping that tells of work done may have failed.
                 self.file_work_done();
                 let turn = &self.core.turn;
@@ -283,7 +283,7 @@
             Due::Reap => self.frontend.reap(turn),
             Due::CloseListener => self.frontend.close_listener(turn, exchange, false),
             Due::Serve if self.frontend.has_hosts => self.serve(),
-            Due::Serve => turn.deadlines.set(turn.now + LOOK, Due::Serve),
+            Due::Serve => turn.deadlines.set(turn.now + SHARED_STATE_POLL_INTERVAL, Due::Serve),
             Due::Sites => self.watch_sites(),
             Due::Summary => {
                 exchange.sum_up(turn);
--- a/crates/gradeshunt/src/proxy/changes.rs
+++ b/crates/gradeshunt/src/proxy/changes.rs
@@ -64,7 +64,7 @@
             }
             Err(why) => {
                 warn!(self.core.turn.log, "configuration kept, the new one can't be used";
-                    "again" => why.passes, "why" => why.to_string())
+                    "again" => why.is_transient, "why" => why.to_string())
             }
         }
     }
--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -10,11 +10,11 @@
 use crate::config::Config;
 use crate::cycle::Cycle;
 use crate::logging;
-use crate::passing::patiently;
 use crate::placement_command;
 use crate::planning;
 use crate::proxy::Proxy;
 use crate::resumed::Resumed;
+use crate::transient::retry_while_transient;
 use crate::turn::{Ready, Source};
 
 /// The status of `gradeshunt plan` where a loss is not borne.
@@ -36,7 +36,7 @@
 fn serve(file: Option<PathBuf>, format: LogFormat, level: LogLevel) -> Result<(), String> {
     // Before anything that takes time, for until then a signal's default ends the process; and before any thread starts, so that
     // it inherits the mask: only the loop hears of signals.
-    let signals = patiently(|| Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGHUP])?));
+    let signals = retry_while_transient(|| Ok(Signals::new(&[Signal::SIGTERM, Signal::SIGHUP])?));
     let signals = signals.map_err(|e| format!("cannot take signals: {e}"))?;
     let config = Config::load(file.as_deref())?;
     let cycle = Cycle::open()?;
--- a/crates/gradeshunt/src/shared/mod.rs
+++ b/crates/gradeshunt/src/shared/mod.rs
@@ -79,7 +79,7 @@
 pub struct OpenFailure {
     pub why: String,
     /// It may pass, and is tried again.
-    pub passes: bool,
+    pub is_transient: bool,
 }
 
 /// What the rest of the program has to do about it.
@@ -275,7 +275,7 @@
     pub fn done(&mut self, now: Micros, done: Done) -> Vec<Change> {
         match done {
             Done::Opened(Ok(())) => Vec::new(),
-            Done::Opened(Err(failure)) if failure.passes => {
+            Done::Opened(Err(failure)) if failure.is_transient => {
                 self.complain(now, "cannot use $TMPDIR yet", failure.why).into_iter().collect()
             }
             Done::Opened(Err(failure)) => {
@@ -307,7 +307,7 @@
             Done::Reread(config) => {
                 self.reread.done();
                 // What an operator has announced is owed until it was read.
-                if config.as_ref().is_err_and(|e| e.passes) {
+                if config.as_ref().is_err_and(|e| e.is_transient) {
                     self.reread_at = Some(now + REREAD_PAUSE);
                 }
                 vec![Change::Reread(config)]
--- a/crates/gradeshunt/src/shared/tests.rs
+++ b/crates/gradeshunt/src/shared/tests.rs
@@ -90,10 +90,10 @@
     shared.look(50_000);
     assert_eq!(shared.next(50_000), Some(Task::Tell(Duty::Serving)));
     shared.done(50_000, Done::Told(Ok(())));
-    for (passes, again) in [(true, Some(Task::Reread)), (false, None)] {
+    for (is_transient, again) in [(true, Some(Task::Reread)), (false, None)] {
         shared.reread();
         assert_eq!(shared.next(50_000), Some(Task::Reread));
-        let error = ConfigError { passes, ..ConfigError::from("why".to_owned()) };
+        let error = ConfigError { is_transient, ..ConfigError::from("why".to_owned()) };
         shared.done(50_000, Done::Reread(Err(error)));
         shared.look(50_000 + REREAD_PAUSE);
         assert_eq!(shared.next(50_000 + REREAD_PAUSE), again);
--- a/crates/gradeshunt/src/shared/worker.rs
+++ b/crates/gradeshunt/src/shared/worker.rs
@@ -11,7 +11,7 @@
 use super::files::Files;
 use super::{Done, OpenFailure, Task};
 use crate::config::Config;
-use crate::passing::passes;
+use crate::transient::is_transient;
 
 /// Tasks that may wait: more than [`super::Shared`] ever asks for at a time.
 const TASKS: usize = 32;
@@ -56,8 +56,8 @@
                 match open() {
                     Ok(files) => break files,
                     Err(e) => {
-                        let failure = OpenFailure { passes: passes(&e), why: e.to_string() };
-                        let goes_on = failure.passes;
+                        let failure = OpenFailure { is_transient: is_transient(&e), why: e.to_string() };
+                        let goes_on = failure.is_transient;
                         if !tell(Done::Opened(Err(failure))) || !goes_on {
                             return;
                         }
--- a/crates/gradeshunt/src/start_offset.rs
+++ b/crates/gradeshunt/src/start_offset.rs
@@ -6,7 +6,7 @@
 
 use leadmast::Micros;
 
-use crate::clock::STEP_TOLERANCE;
+use crate::unix_time::STEP_TOLERANCE;
 
 /// A primary's time that is older by the distance in use was told by a clock that differs. A process that is held up, or a slow
 /// answer, explains less.
--- a/crates/gradeshunt/src/passing.rs
+++ b/crates/gradeshunt/src/transient.rs
@@ -1,4 +1,4 @@
-//! Errors of the system that pass by themselves, and how a start waits for that.
+//! Transient errors of the system, and how a start waits for their end.
 
 use std::io;
 use std::thread;
@@ -11,8 +11,8 @@
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// Whether an error tells of a want that passes: of descriptors, ports, memory, room on a disk, or of a disk that errs for a while.
-pub fn passes(e: &io::Error) -> bool {
+/// Whether an error is transient: a lack of descriptors, ports, memory, room on a disk, or of a disk that errs for a while.
+pub fn is_transient(e: &io::Error) -> bool {
     matches!(
         Errno::from_io_error(e),
         Some(
@@ -33,12 +33,12 @@
 /// Tries again for a while where the system can't give what a start needs at once. Nobody is served yet who could be held up.
 ///
 /// # Errors
-/// The last one, where it does not pass in time, or is not such as passes.
-pub fn patiently<T>(mut get: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+/// The last one, where it lasts too long or is not transient.
+pub fn retry_while_transient<T>(mut get: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     let began = Instant::now();
     loop {
         match get() {
-            Err(e) if passes(&e) && began.elapsed() < START_PATIENCE => thread::sleep(PAUSE),
+            Err(e) if is_transient(&e) && began.elapsed() < START_PATIENCE => thread::sleep(PAUSE),
             got => return got,
         }
     }
--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -40,7 +40,7 @@
 }
 
 /// How long a watch may take no bytes before nobody waits for it any more.
-const TELLS: Duration = Duration::from_secs(10);
+const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The service. Clones are the same one.
 #[derive(Clone)]
@@ -136,7 +136,7 @@
         let list = lock(&self.list.0);
         let generation = list.generation;
         let behind = |list: &mut List| list.watches.values().any(|told| *told < generation);
-        drop(self.told.wait_timeout_while(list, TELLS, behind));
+        drop(self.told.wait_timeout_while(list, LONG_POLL_TIMEOUT, behind));
     }
 
     fn serve(&self, stream: TcpStream, caller: Option<usize>) -> io::Result<()> {
