A watch that breaks is opened anew within 50 ms; only further failures back off

The watch's connection broke as the change came, what was written to it counts as told, and the next call was made 1 to 2 s later (`AWAY + rng(AWAY)`).

`list_calls.rs` backs off exponentially with jitter. A call that told a list and stood for a second resets that; behind it, and behind up to four broken connections in a row, the next call goes out at once, spread by the fleet's size. Refusals and silence back off up to 1 to 2 s as before.

--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -24,9 +24,7 @@
 
 /// Reads of a call in one turn.
 const READS: usize = 8;
-/// Within this time all proxies of a fleet open watches anew that fell silent for all at once, each at its turn. What a
-/// silent watch misses counts as told 6 s after its silence began: 3 s show that it is silent, a call that is refused is
-/// repeated within 2 s, and the rest is for the call that brings it.
+/// Within this time all proxies of a fleet open watches anew that fell silent for all at once, each at its turn.
 const REOPEN_WITHIN: Micros = 500_000;
 
 /// How the list comes, and how soon a watch that has ended is opened anew.
@@ -146,15 +144,15 @@
         }
         if let Err(e) = self.call(turn, ask) {
             warn!(turn.log, "discovery cannot be reached"; "error" => e.to_string());
-            self.failed(turn, ask, news);
+            self.failed(turn, ask, kind_of(&e), news);
         }
     }
 
     /// A call has come to nothing. Where the list is pushed a watch is opened anew, else the module says when to ask.
-    fn failed(&mut self, turn: &mut Turn, ask: Ask, news: &mut Vec<News>) {
+    fn failed(&mut self, turn: &mut Turn, ask: Ask, kind: ListKind, news: &mut Vec<News>) {
         match self.pace.pushed {
             Some(wait) if ask == Ask::Watch => self.reopen_in(turn, wait),
-            _ => news.push(News::new(ListKind::Failed)),
+            _ => news.push(News::new(kind)),
         }
     }
 
@@ -216,7 +214,7 @@
                 Ok(Moved::Nothing) => return,
                 Ok(Moved::End) => true,
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
-                Err(e) => return self.fail(turn, id, &e.to_string(), news),
+                Err(e) => return self.fail_as(turn, id, &e.to_string(), kind_of(&e), news),
             };
             let before = news.len();
             let taken = self.take(turn, id, news);
@@ -267,7 +265,12 @@
         Ok(())
     }
 
+    /// Discovery has refused a call, ended it, or been silent for too long.
     fn fail(&mut self, turn: &mut Turn, id: CallId, why: &str, news: &mut Vec<News>) {
+        self.fail_as(turn, id, why, ListKind::Failed, news);
+    }
+
+    fn fail_as(&mut self, turn: &mut Turn, id: CallId, why: &str, kind: ListKind, news: &mut Vec<News>) {
         let Some(call) = self.calls.get(&id) else { return };
         let (former, ask) = (call.former, call.ask);
         self.end(turn, id);
@@ -276,7 +279,7 @@
             return info!(turn.log, "former watch ended"; "why" => why);
         }
         warn!(turn.log, "call to discovery failed"; "why" => why);
-        self.failed(turn, ask, news);
+        self.failed(turn, ask, kind, news);
     }
 
     /// The call `id` has told the list: where it is the successor, what was asked elsewhere is no longer heard.
@@ -295,5 +298,14 @@
     }
 }
 
+/// What a failed call of the system says of discovery: who refuses a connection is not there, and else the connection alone is known to
+/// be broken.
+fn kind_of(error: &io::Error) -> ListKind {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => ListKind::Failed,
+        _ => ListKind::Broken,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/sites/src/proxy.rs
+++ b/crates/sites/src/proxy.rs
@@ -101,7 +101,7 @@
 
     /// News of the list.
     pub fn list(&mut self, kind: ListKind, entries: &[Entry]) {
-        if kind == ListKind::Failed {
+        if matches!(kind, ListKind::Failed | ListKind::Broken) {
             return;
         }
         let listed = entries.iter().filter_map(|e| {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -2,6 +2,7 @@
 
 mod candidates;
 mod dispatch;
+mod list_calls;
 mod member;
 mod membership;
 mod outcome;
@@ -10,6 +11,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use self::list_calls::{CallEnd, ListCalls};
 use self::member::Member;
 use crate::interface::*;
 use crate::permission::{may_begin, AttemptLimits, Doubt, RequestFacts};
@@ -67,7 +69,7 @@
 const LOOK_LONGEST: Micros = 4_000_000;
 /// Connects that a member refuses in a while by mere mishap, as when a network resets them.
 const FEW: f64 = 2.5;
-/// Away so long a member may have started anew, silent so long it is not active; a failed call for the list is repeated.
+/// Away so long a member may have started anew; silent so long it is not active.
 const AWAY: Micros = 1_000_000;
 
 /// A sum that fades with [`MEMORY`], and as of when.
@@ -164,6 +166,7 @@
     retries: f64,
     probes: f64,
     ask_at: Option<Micros>,
+    list_calls: ListCalls,
     /// Members with work of ours, heard of lately or not well; groups that hold requests.
     watched: BTreeSet<MemberId>,
     holding: BTreeSet<GroupId>,
@@ -206,6 +209,7 @@
             retries: RETRY_SAVED,
             probes: PROBE_SAVED,
             ask_at: settings.list_on_request.then_some(now),
+            list_calls: ListCalls::new(now, settings.fleet),
             watched: BTreeSet::new(),
             holding: BTreeSet::new(),
             pace: (settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) / SWEEP).clamp(1_000, 10_000),
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -4,11 +4,18 @@
 
 impl Balancer {
     pub(super) fn on_members(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
-        if kind == ListKind::Failed {
-            // Paced and spread, so that drivers that failed together don't ask together.
-            self.ask_at = Some(now + AWAY + self.rng.i64(0..AWAY));
+        let end = match kind {
+            ListKind::Failed => Some(CallEnd::Refused),
+            ListKind::Broken => Some(CallEnd::Broken),
+            ListKind::Full | ListKind::Incremental | ListKind::Saved => None,
+        };
+        if let Some(end) = end {
+            self.ask_at = Some(self.list_calls.failed(now, end, &mut self.rng));
             return;
         }
+        if kind != ListKind::Saved {
+            self.list_calls.heard();
+        }
         if matches!(kind, ListKind::Full | ListKind::Saved) {
             let listed: BTreeSet<_> = entries.iter().map(|e| e.member).collect();
             let stay = self.settings.rules.dropped_stay_open;
--- a/src/balance/upkeep.rs
+++ b/src/balance/upkeep.rs
@@ -9,12 +9,20 @@
         self.find_silent(now);
         self.shed(now, actions);
         self.look(now, actions);
-        actions.extend(self.ask_at.take_if(|at| now >= *at).map(|_| Action::Watch));
+        self.ask_for_list(now, actions);
         self.holding.clone().into_iter().for_each(|group| self.dispatch(now, group, actions));
         let active = |m: &Member| !m.out.is_empty() || m.suspect || now - m.heard <= AWAY;
         self.watched.retain(|id| self.members.get(id).is_some_and(active));
     }
 
+    /// Asks for the list where it is time to.
+    fn ask_for_list(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if self.ask_at.take_if(|at| now >= *at).is_some() {
+            self.list_calls.asked(now);
+            actions.push(Action::Watch);
+        }
+    }
+
     /// A member that holds work of ours in silence for several usual answer times is a suspect, unless most do.
     pub(super) fn find_silent(&mut self, now: Micros) {
         let mut silent = Vec::new();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -282,6 +282,8 @@
     Saved,
     /// A call or a subscription failed; the old list stands.
     Failed,
+    /// The connection of a call or a subscription broke; the old list stands, and the service may be well.
+    Broken,
 }
 
 /// How many members a balancer knows.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -44,3 +44,96 @@
     assert_eq!(sent_of(&mut balancer, 1, GROUP), Some(PRIMARY));
     assert_eq!(sent_of(&mut balancer, 2, OTHER_GROUP), Some(REPLICA));
 }
+
+/// A driver whose watch stands since `now`, and has told a list.
+fn driver_with_watch(now: Micros) -> Driver {
+    let mut settings = settings(vec![ANY]);
+    settings.list_on_request = true;
+    let mut driver = Driver::new(settings);
+    driver.run_to(now);
+    assert_eq!(driver.watches(), 1);
+    driver.members(&[PRIMARY, REPLICA], PRIMARY);
+    driver
+}
+
+/// When the latest watch was asked for.
+fn latest_watch(driver: &Driver) -> Option<Micros> {
+    driver.log.iter().rfind(|(_, action)| *action == Action::Watch).map(|(at, _)| *at)
+}
+
+/// Guards drains against a watch that breaks as they come: what was written to it counts as told.
+#[test]
+fn watch_that_breaks_after_it_stood_is_opened_anew_within_50_ms() {
+    const BROKEN_AT: Micros = 10_000_000;
+    for seed in 0..20 {
+        let mut driver = driver_with_watch(1_000);
+        driver.run_to(BROKEN_AT + seed);
+        driver.list(ListKind::Failed, Vec::new());
+        driver.run_to(BROKEN_AT + seed + 50_000);
+        assert_eq!(driver.watches(), 2);
+    }
+}
+
+/// Guards discovery against crowds: calls that go on failing are made ever less often.
+#[test]
+fn calls_for_the_list_that_fail_in_a_row_back_off() {
+    const BROKEN_AT: Micros = 10_000_000;
+    let mut driver = driver_with_watch(1_000);
+    driver.run_to(BROKEN_AT);
+    for failure in 0..30 {
+        let (failed_at, before) = (driver.now(), driver.watches());
+        driver.list(ListKind::Failed, Vec::new());
+        driver.run_to(failed_at + 2_000_000);
+        assert_eq!(driver.watches(), before + 1);
+        let wait = latest_watch(&driver).expect("one was asked for") - failed_at;
+        let least = if failure == 0 { 0 } else { (25_000 << failure.min(10)).min(1_000_000) };
+        assert!(wait >= least, "after failure {failure}: {wait} us");
+    }
+}
+
+/// Guards drains where calls break one after the other: each of them may have been told the drain before it broke.
+#[test]
+fn calls_whose_connections_break_are_made_again_at_once_four_times() {
+    let mut driver = driver_with_watch(1_000);
+    driver.run_to(10_000_000);
+    for broken in 1..=4 {
+        driver.list(ListKind::Broken, Vec::new());
+        let failed_at = driver.now();
+        driver.run_to(failed_at + 50_000);
+        assert_eq!(driver.watches(), 1 + broken);
+    }
+    driver.list(ListKind::Broken, Vec::new());
+    let failed_at = driver.now();
+    driver.run_to(failed_at + 50_000);
+    assert_eq!(driver.watches(), 5, "it backs off");
+}
+
+/// Guards discovery against a crowd of processes that start together, and drivers against calls that never tell a list.
+#[test]
+fn first_call_for_the_list_that_fails_is_made_again_after_a_second_or_two() {
+    let mut settings = settings(vec![ANY]);
+    settings.list_on_request = true;
+    let mut driver = Driver::new(settings);
+    driver.run_to(5_000);
+    driver.list(ListKind::Failed, Vec::new());
+    driver.run_to(1_004_999);
+    assert_eq!(driver.watches(), 1);
+    driver.run_to(2_005_001);
+    assert_eq!(driver.watches(), 2);
+}
+
+/// Guards discovery that ends each call behind its list, as a long poll that has nothing to wait for: it is no sound call.
+#[test]
+fn calls_that_end_right_behind_their_list_back_off_like_failures() {
+    let mut driver = driver_with_watch(1_000);
+    for _ in 0..20 {
+        driver.members(&[PRIMARY, REPLICA], PRIMARY);
+        driver.list(ListKind::Failed, Vec::new());
+        let before = driver.watches();
+        while driver.watches() == before {
+            let now = driver.now();
+            driver.run_to(now + 1_000);
+        }
+    }
+    assert!(driver.now() >= 20 * 1_000_000, "{} us for 20 calls", driver.now());
+}
