--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -5,116 +5,6 @@
 use common::*;
 use leadmast::*;
 
-#[test]
-fn session_read_takes_a_replica_just_at_the_position_and_not_one_just_short() {
-    for (known, expect) in [(1_000_000, REPLICA), (999_000, PRIMARY)] {
-        let mut d = Driver::new(settings(vec![SESSION, WRITE]));
-        d.members(&[PRIMARY, REPLICA], PRIMARY);
-        d.position(REPLICA, known);
-        d.at(1_000_000);
-        let write = d.write(1, 7);
-        d.ok(write, Some(1_000_000), true);
-        d.at(1_020_000);
-        d.request(2, SESSION, Some(7));
-        d.settle_probes();
-        assert_eq!(d.sent(2), vec![expect], "known position {known}");
-    }
-}
-
-#[test]
-fn unsettled_bucket_reads_at_the_primary_until_its_latest_write_is_answered() {
-    let mut d = Driver::new(settings(vec![SESSION, WRITE]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.at(1_000_000);
-    let first = d.write(1, 7);
-    let second = d.write(2, 7);
-    d.ok(first, Some(1_000_000), true);
-    d.position(REPLICA, 1_050_000);
-    d.request(3, SESSION, Some(7));
-    assert_eq!(d.sent(3), vec![PRIMARY], "the later write is still out");
-    d.ok(second, Some(1_001_000), true);
-    d.request(4, SESSION, Some(7));
-    assert_eq!(d.sent(4), vec![REPLICA], "settled, and the replica has reached it");
-}
-
-#[test]
-fn lost_write_answer_settles_its_bucket_past_the_moment_of_its_end() {
-    let mut d = Driver::new(settings(vec![SESSION, UNSAFE]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.at(1_000_000);
-    d.request(1, UNSAFE, Some(7));
-    d.at(1_200_000);
-    d.end((1, 0, PRIMARY), Ending::Error, None, false);
-    assert_eq!(d.finals(1), 1, "an unsafe write in doubt is failed, never sent again");
-    assert_eq!(d.sent(1).len(), 1);
-    d.position(REPLICA, 1_150_000);
-    d.at(1_240_000);
-    d.request(2, SESSION, Some(7));
-    d.settle_probes();
-    assert_eq!(d.sent(2), vec![PRIMARY], "a replica behind the end is not trusted");
-    d.position(REPLICA, 1_230_000);
-    d.request(3, SESSION, Some(7));
-    assert_eq!(d.sent(3), vec![REPLICA], "the bucket is not parked on the primary");
-}
-
-#[test]
-fn bounded_read_is_judged_at_the_moment_of_its_send() {
-    for (age, expect) in [(300_000, REPLICA), (300_001, PRIMARY)] {
-        let mut d = Driver::new(settings(vec![BOUNDED]));
-        d.members(&[PRIMARY, REPLICA], PRIMARY);
-        d.at(2_000_000);
-        d.position(REPLICA, 2_000_000 - age);
-        d.request(1, BOUNDED, None);
-        d.settle_probes();
-        assert_eq!(d.sent(1), vec![expect], "age {age}");
-    }
-}
-
-#[test]
-fn fresh_reads_and_writes_take_only_the_primary_and_any_reads_spare_it() {
-    let mut d = Driver::new(settings(vec![FRESH, ANY]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.position(REPLICA, 1);
-    for id in 0..20 {
-        d.request(id, FRESH, None);
-        assert_eq!(d.sent(id), vec![PRIMARY]);
-        d.ok((id, 0, PRIMARY), None, true);
-        d.request(id + 100, ANY, None);
-        assert_eq!(d.sent(id + 100), vec![REPLICA]);
-        d.ok((id + 100, 0, REPLICA), None, false);
-    }
-}
-
-#[test]
-fn carried_token_replaces_the_bucket_position() {
-    let mut s = settings(vec![SESSION]);
-    s.tokens = Tokens::Carried;
-    let mut d = Driver::new(s);
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.at(1_000_000);
-    d.position(REPLICA, 951_000);
-    d.request_since(1, SESSION, Some(7), Some(50_000));
-    assert_eq!(d.sent(1), vec![REPLICA], "commit at 950 ms, a unit for rounding, and it is reached");
-    d.request_since(2, SESSION, Some(7), Some(49_999));
-    d.settle_probes();
-    assert_eq!(d.sent(2), vec![PRIMARY], "a microsecond later it is not");
-}
-
-#[test]
-fn checked_read_may_try_a_replica_slightly_behind_and_a_miss_turns_it_to_the_primary() {
-    let mut s = settings(vec![SESSION]);
-    (s.tokens, s.behind) = (Tokens::Carried, Behind::Wait(50_000));
-    let mut d = Driver::new(s);
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.at(1_000_000);
-    d.position(REPLICA, 980_000);
-    d.at(1_010_000);
-    d.request_since(1, SESSION, Some(7), Some(5_000));
-    assert_eq!(d.sent(1), vec![REPLICA]);
-    d.end((1, 0, REPLICA), Ending::Miss, Some(Note { position: Some(985_000), primary: false }), false);
-    assert_eq!(d.sent(1), vec![REPLICA, PRIMARY]);
-}
-
 #[test]
 fn write_moves_on_at_once_when_the_role_has_changed() {
     let mut d = Driver::new(settings(vec![WRITE]));
@@ -139,73 +29,6 @@
     assert_eq!(d.sent(2), vec![PRIMARY]);
 }
 
-#[test]
-fn nothing_new_goes_to_draining_or_vanished_members() {
-    let mut d = Driver::new(settings(vec![ANY]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Draining, ..entry(REPLICA, false) }]);
-    d.request(1, ANY, None);
-    assert_eq!(d.sent(1), vec![PRIMARY]);
-    d.list(ListKind::Full, vec![entry(REPLICA, false)]);
-    for id in 10..20 {
-        d.request(id, ANY, None);
-        assert_eq!(d.sent(id), vec![REPLICA], "absent from a full list means removed");
-    }
-}
-
-#[test]
-fn members_that_are_gone_are_forgotten_and_may_return() {
-    // Guards a long life's memory, and the time of each draw: members are replaced again and again.
-    let mut d = Driver::new(settings(vec![ANY]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.request(1, ANY, None);
-    assert_eq!(d.sent(1), vec![REPLICA]);
-    for n in 10..200 {
-        let gone = Entry { phase: Phase::Removed, ..entry(MemberId(n), false) };
-        d.list(ListKind::Incremental, vec![entry(MemberId(n), false)]);
-        d.list(ListKind::Incremental, vec![gone]);
-        d.list(ListKind::Full, vec![entry(PRIMARY, true)]);
-    }
-    assert_eq!(d.balancer.targets().known, 2, "one listed, one that still owes an answer");
-    d.ok((1, 0, REPLICA), None, false);
-    d.list(ListKind::Incremental, vec![entry(REPLICA, false)]);
-    d.request(2, ANY, None);
-    assert_eq!(d.sent(2), vec![REPLICA]);
-}
-
-#[test]
-fn member_held_out_gets_nothing_until_the_call_back_whatever_the_list_says() {
-    // Guards maintenance by hand: it stands beside the list's word, and ends with a cold member.
-    let mut d = Driver::new(settings(vec![ANY]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    let maintain = |d: &mut Driver, out| d.handle(Event::Maintenance { member: REPLICA, out });
-    maintain(&mut d, true);
-    maintain(&mut d, true);
-    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Draining, ..entry(REPLICA, false) }]);
-    d.list(ListKind::Full, vec![entry(PRIMARY, true), entry(REPLICA, false)]);
-    d.request(1, ANY, None);
-    assert_eq!(d.sent(1), vec![PRIMARY]);
-    assert_eq!(d.balancer.targets(), Targets { known: 2, listed: 2, avoided: 1 });
-    maintain(&mut d, false);
-    assert_eq!(d.balancer.targets().avoided, 0);
-    for id in 10..40 {
-        d.request(id, ANY, None);
-    }
-    let at_replica = (10..40).filter(|id| d.sent(*id) == vec![REPLICA]).count();
-    assert!((1..10).contains(&at_replica), "it is cold: {at_replica}");
-}
-
-#[test]
-fn vanished_member_stays_open_where_the_settings_say_so() {
-    let mut s = settings(vec![FRESH]);
-    s.rules.dropped_stay_open = true;
-    let mut d = Driver::new(s);
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.list(ListKind::Full, vec![entry(REPLICA, false)]);
-    d.request(1, FRESH, None);
-    assert_eq!(d.sent(1), vec![PRIMARY]);
-}
-
 #[test]
 fn keyed_write_in_doubt_is_repeated_only_inside_its_window() {
     for (wait, sends) in [(500_000, 2), (1_999_000, 1)] {
@@ -238,18 +61,6 @@
     }
 }
 
-#[test]
-fn reads_take_a_primary_with_room_where_the_replicas_have_none() {
-    // Guards the few replicas that keep up while the others lag: they drowned beside an idle primary.
-    let mut d = Driver::new(settings(vec![BOUNDED]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.position(REPLICA, 0);
-    (0..80).for_each(|id| d.request(id, BOUNDED, None));
-    assert_eq!(d.sends_to(REPLICA), 24, "its whole window");
-    let spilt = d.sends_to(PRIMARY);
-    assert!((10..24).contains(&spilt), "{spilt}: the rest of the room is for what only a primary can do");
-}
-
 #[test]
 fn repeat_counts_from_its_first_try() {
     // Guards against work for answers that come after their aim, and earn nothing.
@@ -445,49 +256,6 @@
     assert!(nearly * 10 >= warm * 7, "nearly warm {nearly}, warm {warm}");
 }
 
-#[test]
-fn read_that_finds_no_member_holds_up_none_that_needs_less() {
-    // Guards the pass over requests that wait: of writes and bounded reads one stands for all, not of session reads.
-    let mut s = settings(vec![SESSION]);
-    s.tokens = Tokens::Carried;
-    let mut d = Driver::new(s);
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.handle(Event::Maintenance { member: PRIMARY, out: true });
-    d.position(REPLICA, 500_000);
-    d.at(2_000_000);
-    d.request_since(1, SESSION, Some(7), Some(1_200_000));
-    d.request_since(2, SESSION, Some(8), Some(1_000));
-    assert_eq!((d.sent(1), d.sent(2)), (vec![], vec![]));
-    d.position(REPLICA, 1_000_000);
-    assert_eq!((d.sent(1), d.sent(2)), (vec![REPLICA], vec![]));
-}
-
-#[test]
-fn failed_list_calls_are_asked_again_later_and_not_at_once() {
-    let mut s = settings(vec![ANY]);
-    s.list_on_request = true;
-    let mut d = Driver::new(s);
-    d.run_to(100_000);
-    assert_eq!(d.watches(), 1);
-    d.list(ListKind::Failed, vec![]);
-    d.run_to(1_000_000);
-    assert_eq!(d.watches(), 1, "paced");
-    d.run_to(2_200_000);
-    assert_eq!(d.watches(), 2);
-}
-
-#[test]
-fn read_waits_for_one_probe_that_may_open_a_replica() {
-    let mut d = Driver::new(settings(vec![BOUNDED]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.position(REPLICA, 1);
-    d.at(5_000_000);
-    d.request(1, BOUNDED, None);
-    assert_eq!(d.sent(1), vec![], "held while a replica is asked");
-    d.position(REPLICA, 4_900_000);
-    assert_eq!(d.sent(1), vec![REPLICA]);
-}
-
 #[test]
 fn strange_events_are_ignored() {
     let mut d = Driver::new(settings(vec![ANY]));
@@ -548,22 +316,6 @@
     assert_eq!(d.sent(id + 1), vec![PRIMARY], "it has room at once");
 }
 
-#[test]
-fn bucket_collision_parks_few_sessions() {
-    let mut d = Driver::new(settings(vec![SESSION, WRITE]));
-    d.members(&[PRIMARY, REPLICA], PRIMARY);
-    d.write(1, 7);
-    let mut parked = 0;
-    for id in 10..16_010 {
-        d.log.clear();
-        d.request(id, SESSION, Some(id));
-        let to = d.sent(id)[0];
-        parked += usize::from(to == PRIMARY);
-        d.ok((id, 0, to), None, to == PRIMARY);
-    }
-    assert!((1..16).contains(&parked), "{parked} of 16,000 sessions share the bucket of one open write");
-}
-
 #[test]
 fn member_out_of_reach_is_not_taken_for_a_restarted_one() {
     // Guards against treating members behind a mended cut as cold ones for many seconds.
@@ -774,29 +526,3 @@
     let (quick, half) = (sends(4), sends(2));
     assert!(quick == 200 && half < 150, "quick {quick}, answering half {half}");
 }
-
-#[test]
-fn read_that_members_cannot_check_takes_no_replica_that_is_only_supposed_to_be_recent() {
-    // Guards against stale answers to plain statements, which carry no position for a replica to check.
-    for (checked, expect) in [(true, REPLICA), (false, PRIMARY)] {
-        let mut s = settings(vec![SESSION]);
-        (s.tokens, s.behind) = (Tokens::Carried, Behind::Refuse);
-        let mut d = Driver::new(s);
-        d.members(&[PRIMARY, REPLICA], PRIMARY);
-        d.at(1_000_000);
-        d.position(REPLICA, 999_000);
-        d.at(1_005_000);
-        d.handle(Event::Request(Arrival {
-            request: RequestId(1),
-            class: ClassId(0),
-            group: GROUP,
-            key: Some(7),
-            deadline: 1_900_000,
-            since_write: Some(6_000),
-            repeat: false,
-            checked,
-            tenant: None,
-        }));
-        assert_eq!(d.sent(1), vec![expect], "checked {checked}");
-    }
-}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -7,7 +7,7 @@
 
 const OTHER_GROUP: GroupId = GroupId(2);
 
-fn entry(member: MemberId, group: GroupId, leader: bool) -> Entry {
+fn entry_in(member: MemberId, group: GroupId, leader: bool) -> Entry {
     Entry { member, common: member.0.into(), group, weight: 1.0, leader, ..Entry::default() }
 }
 
@@ -19,9 +19,9 @@
     let mut list = |balancer: &mut Balancer, now, kind, entries| {
         balancer.handle(now, Event::Members { kind, entries }, &mut actions);
     };
-    let whole = vec![entry(PRIMARY, GROUP, true), entry(REPLICA, GROUP, false)];
+    let whole = vec![entry_in(PRIMARY, GROUP, true), entry_in(REPLICA, GROUP, false)];
     list(&mut balancer, 0, ListKind::Full, whole);
-    list(&mut balancer, 1_000, ListKind::Incremental, vec![entry(REPLICA, OTHER_GROUP, true)]);
+    list(&mut balancer, 1_000, ListKind::Incremental, vec![entry_in(REPLICA, OTHER_GROUP, true)]);
     let sent_of = |balancer: &mut Balancer, id: u64, group| {
         let mut actions = Vec::new();
         let arrival = Arrival {
@@ -137,3 +137,84 @@
     }
     assert!(driver.now() >= 20 * 1_000_000, "{} us for 20 calls", driver.now());
 }
+
+#[test]
+fn nothing_new_goes_to_draining_or_vanished_members() {
+    let mut d = Driver::new(settings(vec![ANY]));
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Draining, ..entry(REPLICA, false) }]);
+    d.request(1, ANY, None);
+    assert_eq!(d.sent(1), vec![PRIMARY]);
+    d.list(ListKind::Full, vec![entry(REPLICA, false)]);
+    for id in 10..20 {
+        d.request(id, ANY, None);
+        assert_eq!(d.sent(id), vec![REPLICA], "absent from a full list means removed");
+    }
+}
+
+#[test]
+fn members_that_are_gone_are_forgotten_and_may_return() {
+    // Guards a long life's memory, and the time of each draw: members are replaced again and again.
+    let mut d = Driver::new(settings(vec![ANY]));
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    d.request(1, ANY, None);
+    assert_eq!(d.sent(1), vec![REPLICA]);
+    for n in 10..200 {
+        let gone = Entry { phase: Phase::Removed, ..entry(MemberId(n), false) };
+        d.list(ListKind::Incremental, vec![entry(MemberId(n), false)]);
+        d.list(ListKind::Incremental, vec![gone]);
+        d.list(ListKind::Full, vec![entry(PRIMARY, true)]);
+    }
+    assert_eq!(d.balancer.targets().known, 2, "one listed, one that still owes an answer");
+    d.ok((1, 0, REPLICA), None, false);
+    d.list(ListKind::Incremental, vec![entry(REPLICA, false)]);
+    d.request(2, ANY, None);
+    assert_eq!(d.sent(2), vec![REPLICA]);
+}
+
+#[test]
+fn member_held_out_gets_nothing_until_the_call_back_whatever_the_list_says() {
+    // Guards maintenance by hand: it stands beside the list's word, and ends with a cold member.
+    let mut d = Driver::new(settings(vec![ANY]));
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    let maintain = |d: &mut Driver, out| d.handle(Event::Maintenance { member: REPLICA, out });
+    maintain(&mut d, true);
+    maintain(&mut d, true);
+    d.list(ListKind::Incremental, vec![Entry { phase: Phase::Draining, ..entry(REPLICA, false) }]);
+    d.list(ListKind::Full, vec![entry(PRIMARY, true), entry(REPLICA, false)]);
+    d.request(1, ANY, None);
+    assert_eq!(d.sent(1), vec![PRIMARY]);
+    assert_eq!(d.balancer.targets(), Targets { known: 2, listed: 2, avoided: 1 });
+    maintain(&mut d, false);
+    assert_eq!(d.balancer.targets().avoided, 0);
+    for id in 10..40 {
+        d.request(id, ANY, None);
+    }
+    let at_replica = (10..40).filter(|id| d.sent(*id) == vec![REPLICA]).count();
+    assert!((1..10).contains(&at_replica), "it is cold: {at_replica}");
+}
+
+#[test]
+fn vanished_member_stays_open_where_the_settings_say_so() {
+    let mut s = settings(vec![FRESH]);
+    s.rules.dropped_stay_open = true;
+    let mut d = Driver::new(s);
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    d.list(ListKind::Full, vec![entry(REPLICA, false)]);
+    d.request(1, FRESH, None);
+    assert_eq!(d.sent(1), vec![PRIMARY]);
+}
+
+#[test]
+fn failed_list_calls_are_asked_again_later_and_not_at_once() {
+    let mut s = settings(vec![ANY]);
+    s.list_on_request = true;
+    let mut d = Driver::new(s);
+    d.run_to(100_000);
+    assert_eq!(d.watches(), 1);
+    d.list(ListKind::Failed, vec![]);
+    d.run_to(1_000_000);
+    assert_eq!(d.watches(), 1, "paced");
+    d.run_to(2_200_000);
+    assert_eq!(d.watches(), 2);
+}
