Decisions: the limits of members and the steady round have plain names, one constant a meaning

`room.rs` is `concurrency.rs` (`concurrency_limit`, `admits`), `upkeep.rs` is `periodic.rs`. AWAY, one second with seven meanings, is a constant for each: how long a restart takes, for how long a member is active, and so on, with the values as they were. Tests of the decisions pass unchanged.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,13 +1,13 @@
 //! The decisions. Types, events and actions stand in `src/interface.rs`; docs/design.md tells the mechanism.
 
 mod candidates;
+mod concurrency;
 mod dispatch;
 mod list_calls;
 mod member;
 mod membership;
 mod outcome;
-mod room;
-mod upkeep;
+mod periodic;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -69,8 +69,20 @@
 const LOOK_LONGEST: Micros = 4_000_000;
 /// Connects that a member refuses in a while by mere mishap, as when a network resets them.
 const FEW: f64 = 2.5;
-/// Away so long a member may have started anew; silent so long it is not active.
-const AWAY: Micros = 1_000_000;
+/// A member that was down for this long may have started anew.
+const RESTART_TAKES: Micros = 1_000_000;
+/// A member that was heard of within this time is looked over in each round.
+const ACTIVE_FOR: Micros = 1_000_000;
+/// A suspect is tried with requests after this long, though its probes fail.
+const SUSPECT_TRIED_AFTER: Micros = 2_000_000;
+/// The time in which a replica's lag is taken to fade.
+const LAG_FADES_IN: Micros = 2_000_000;
+/// Answers that are rarer than this count for more, one by one.
+const DENSE_ANSWERS: Micros = 1_000_000;
+/// How long the weight of warm members is taken as it was summed up.
+const WARM_SUMMED_FOR: Micros = 1_000_000;
+/// A driver counts as no younger than this.
+const LEAST_AGE: Micros = 1_000_000;
 
 /// A sum that fades with [`MEMORY`], and as of when.
 type Recent = (f64, Micros);
@@ -313,7 +325,7 @@
         self.merit += 0.05 * (self.merit(now, &r) - self.merit);
         self.requests.insert(id, r);
         self.hold(group, id);
-        if now - self.warm.1 > AWAY {
+        if now - self.warm.1 > WARM_SUMMED_FOR {
             let up = self.members.values().filter(|m| m.usable());
             self.warm = (up.map(|m| m.entry.weight * self.share(now, m)).sum(), now);
         }
@@ -380,7 +392,7 @@
         let group = m.entry.group;
         if ending == Ending::Ok {
             // It refused a connection and runs, too soon for a new start: its table is full of idle ones.
-            if m.suspect && m.down && now - m.ill_since < AWAY && fade(m.refused, now) > FEW {
+            if m.suspect && m.down && now - m.ill_since < RESTART_TAKES && fade(m.refused, now) > FEW {
                 self.polite = now + MEMORY as Micros;
             }
             m.recover(now);
--- a/src/balance/candidates.rs
+++ b/src/balance/candidates.rs
@@ -56,7 +56,7 @@
         };
         // Where members check reads, one slightly behind is tried, else one that may have caught up: a miss is cheap.
         let slack = self.settings.behind.slack().filter(|_| r.checked);
-        for past in [FOREVER, 2 * AWAY] {
+        for past in [FOREVER, LAG_FADES_IN] {
             if let (true, Some(need), Some(slack)) = (found.is_empty(), self.need(now, r), slack) {
                 found = self.replicas(r.group, |m| m.outlook(now, past) + slack >= need);
             }
@@ -85,7 +85,7 @@
             m.entry.weight.max(0.01) * self.share(now, m) * errors / m.slow.max(0.2)
         };
         let open = among.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m)));
-        let open = open.filter(|(_, m)| now >= m.pause && self.has_room(now, m, class, merit));
+        let open = open.filter(|(_, m)| now >= m.pause && self.admits(now, m, class, merit));
         let open: Vec<_> = open.map(|(id, m)| (weigh(m), m.out.len(), id)).collect();
         let mut lots: Vec<_> = open.iter().map(|o| (-self.rng.f64().max(1e-12).ln() / o.0, o)).collect();
         lots.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/src/balance/room.rs
+++ b/src/balance/concurrency.rs
@@ -12,7 +12,7 @@
     }
 
     /// Attempts that a member may hold in the mean: a cold one its share of what warm ones bear, by half until it answers.
-    pub(super) fn room(&self, now: Micros, m: &Member) -> f64 {
+    pub(super) fn concurrency_limit(&self, now: Micros, m: &Member) -> f64 {
         let share = self.share(now, m);
         if share >= 1.0 {
             return m.window;
@@ -26,16 +26,16 @@
     /// Attempts of ours that a warm member of weight one holds in the mean, as served of late.
     pub(super) fn borne(&self, now: Micros) -> f64 {
         // A young driver has seen only so much of the time that its memory spans.
-        let seen = MEMORY * (1.0 - (-((now - self.born).max(AWAY) as f64) / MEMORY).exp());
+        let seen = MEMORY * (1.0 - (-((now - self.born).max(LEAST_AGE) as f64) / MEMORY).exp());
         fade(self.served, now) / seen / self.warm.0.max(0.01)
     }
 
-    /// Room below one attempt thins in time, one out at a time. What is worth more may go ahead: the rest makes room.
-    pub(super) fn has_room(&self, now: Micros, m: &Member, class: ClassId, merit: f64) -> bool {
-        let room = self.room(now, m);
-        if room >= 1.0 {
+    /// Whether a member takes one more. A limit below one attempt is kept in time, one out at a time; what is worth more may go ahead.
+    pub(super) fn admits(&self, now: Micros, m: &Member, class: ClassId, merit: f64) -> bool {
+        let limit = self.concurrency_limit(now, m);
+        if limit >= 1.0 {
             let low = merit < self.merit * LITTLE;
-            return (m.held().count() as f64) < if low { room * LEFT } else { room };
+            return (m.held().count() as f64) < if low { limit * LEFT } else { limit };
         }
         let cold = self.share(now, m) < 1.0;
         let ahead = if cold { 0.0 } else { (merit / self.merit.max(1e-12) - 1.0).clamp(-1.0, AHEAD) };
@@ -51,13 +51,13 @@
     /// Whether a primary has more room than what only it can do is likely to need.
     pub(super) fn spares(&self, now: Micros, id: MemberId) -> bool {
         let m = self.members.get(&id).filter(|m| m.usable() && m.strain <= CROWDED && !self.crowded(now));
-        m.is_some_and(|m| m.held().count() as f64 + 1.0 <= self.room(now, m) * SPARE)
+        m.is_some_and(|m| m.held().count() as f64 + 1.0 <= self.concurrency_limit(now, m) * SPARE)
     }
 
-    /// The time between two turns: a cold member's room bounds its work, a warm one's what it holds, by its latest answers.
+    /// The time between two turns: a cold member's limit bounds its work, a warm one's what it holds, by its latest answers.
     pub(super) fn gap(&self, now: Micros, class: ClassId, m: &Member) -> f64 {
         let strain = if self.share(now, m) < 1.0 { 0.0 } else { fade((m.strain, m.heard), now) };
         let takes = strain * self.settings.classes[class.0].aim as f64;
-        (self.work[class.0].max(takes) / self.room(now, m)).min(MEMORY)
+        (self.work[class.0].max(takes) / self.concurrency_limit(now, m)).min(MEMORY)
     }
 }
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -69,7 +69,7 @@
             return m.and_then(|m| m.probing).is_some_and(|sent| now - sent < self.pace * ENQUIRY / 2);
         }
         // Drawn among those that should be recent enough: all drivers must not ask the same one.
-        let old = |m: &Member| m.outlook(now, 2 * AWAY) >= need && now - m.heard_position > self.pace * 2;
+        let old = |m: &Member| m.outlook(now, LAG_FADES_IN) >= need && now - m.heard_position > self.pace * 2;
         let likely = self.replicas(r.group, old);
         let Some(to) = self.rng.choice(&likely).copied() else { return false };
         if self.members[&to].probing.is_none() && !self.probe(now, to, actions) {
@@ -118,7 +118,7 @@
         let Some(r) = self.requests.get(&id) else { return };
         let (attempt, work) = (r.attempts.len() as u32, self.work[r.class.0]);
         let Some(m) = self.members.get(&to) else { return };
-        let gap = if self.room(now, m) < 1.0 { self.gap(now, r.class, m) as Micros } else { 0 };
+        let gap = if self.concurrency_limit(now, m) < 1.0 { self.gap(now, r.class, m) as Micros } else { 0 };
         let (Some(m), Some(r)) = (self.members.get_mut(&to), self.requests.get_mut(&id)) else { return };
         m.turn = if gap > 0 { now.max(m.turn + gap) } else { m.turn };
         m.busy = (fade(m.busy, now) + work, now);
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -105,7 +105,7 @@
             self.suspect = false;
             // Not below one: suspicions in a row must not thin it to nothing.
             self.window = self.window.min((self.window / 2.0).max(1.0));
-            if self.down && now - self.ill_since > AWAY {
+            if self.down && now - self.ill_since > RESTART_TAKES {
                 (self.entry.since, self.turn) = (self.entry.since.max(Some(now)), now);
             }
             self.ill_since = now;
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -75,7 +75,7 @@
         }
         // Drivers that learn together of a start must not turn to it together: the first turn is drawn.
         if let (true, Some(m)) = (started, self.members.get(&id)) {
-            let gap = self.fastest() as f64 / self.room(now, m);
+            let gap = self.fastest() as f64 / self.concurrency_limit(now, m);
             let drawn = (self.rng.f64() * gap.min(MEMORY)) as Micros;
             self.members.entry(id).and_modify(|m| m.turn = now - drawn);
         }
--- a/src/balance/outcome.rs
+++ b/src/balance/outcome.rs
@@ -14,11 +14,11 @@
         let primary = self.groups.get(&m.entry.group).is_some_and(|g| g.primary == Some(id));
         if primary && (late || matches!(ending, Ending::Ok | Ending::Full)) {
             let told = if ending == Ending::Full { 1.0 } else { share.min(2.0) };
-            let fresh = (1.0 - ((self.crowd.1 - now) as f64 / AWAY as f64).exp()).max(0.1);
+            let fresh = (1.0 - ((self.crowd.1 - now) as f64 / DENSE_ANSWERS as f64).exp()).max(0.1);
             self.crowd = (self.crowd.0 + fresh * (told - self.crowd.0), now);
         }
         // How long this tells of: as answers get rare each counts for more, up to a few seconds' worth.
-        let age = ((now - m.heard) as f64 / AWAY as f64).min(3.0);
+        let age = ((now - m.heard) as f64 / DENSE_ANSWERS as f64).min(3.0);
         let fresh = 1.0 - (-age).exp();
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Miss | Ending::Full) {
             m.heard = now;
--- a/src/balance/upkeep.rs
+++ b/src/balance/periodic.rs
@@ -11,7 +11,7 @@
         self.look(now, actions);
         self.ask_for_list(now, actions);
         self.holding.clone().into_iter().for_each(|group| self.dispatch(now, group, actions));
-        let active = |m: &Member| !m.out.is_empty() || m.suspect || now - m.heard <= AWAY;
+        let active = |m: &Member| !m.out.is_empty() || m.suspect || now - m.heard <= ACTIVE_FOR;
         self.watched.retain(|id| self.members.get(id).is_some_and(active));
     }
 
@@ -70,7 +70,7 @@
             let due = now >= m.look_at;
             if due {
                 m.look_at = now + (now - m.ill_since).clamp(self.pace * LOOK, LOOK_LONGEST);
-                if now - m.ill_since > 2 * AWAY {
+                if now - m.ill_since > SUSPECT_TRIED_AFTER {
                     m.recover(now);
                 }
             }
