--- a/crates/gradeshunt/src/cycle/tests.rs
+++ b/crates/gradeshunt/src/cycle/tests.rs
@@ -41,9 +41,7 @@
     fn due(&mut self, _: Due) {}
 }
 
-/// Story: in a turn that takes long, requests at its end told their db hosts up to its length too much. Cause: `turn.now` was read once
-/// a turn. Evidence: `behind` is `Some(60016)` here without the mend. The time of each source and deadline is its own now, while what
-/// is read counts as there since the turn began.
+/// Guards the time told: requests at the end of a long turn must not tell the time of its beginning.
 #[test]
 fn time_goes_on_within_a_turn() {
     let mut config = Config::load(Some(Path::new("../../examples/config.json"))).expect("the example");
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -135,10 +135,7 @@
     assert!(frontend.sessions.is_empty(), "it has closed too");
 }
 
-/// Story: a process drains, and clients' next requests cross the close of their connections. They were read behind the close and
-/// dropped: lost, while a request that was not read is sent again. Cause: `ready` read on while the last message was out, so that
-/// the close would be no reset. Evidence: 38 and 39 reads behind the close in two drains of 24 clients, each of which met a closed
-/// connection. What comes behind such a close stays unread now, and the end of the client's sending is asked of the poll.
+/// Guards requests that cross the close of a drained or idle connection: what is read and not answered is lost.
 #[test]
 fn request_that_crosses_a_close_is_not_read() {
     for reason in [CloseReason::Draining, CloseReason::Idle] {
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -242,9 +242,7 @@
     client_leaves_before_arrival(Play::open("left-in-the-queue", 600_000), LONG);
 }
 
-/// Story: a db host reads nothing; a request of 20 KB is handed to the system whole, and is given up at the end of its time. Its
-/// connection was closed, and a close delivers what the system holds: the statement arrived whole once the db host read on, after
-/// its client was answered. Evidence: 20006 bytes read of 20000 after the answer. It is reset now, as is all that is given up.
+/// Guards against statements that arrive after they were given up: the system holds them whole, and a close delivers them.
 #[test]
 fn short_attempt_that_was_given_up_does_not_arrive_later() {
     let play = Play::open("given-up-in-the-queue", 600_000);
@@ -258,25 +256,20 @@
     assert!(rest.len() < HELD, "it has arrived whole: {ended:?}");
 }
 
-/// Story: as before, and its client leaves: the attempt is called off by a close, which delivered it whole. Evidence: 20003 bytes
-/// read of 20000. It is reset now.
+/// Guards against statements that arrive after their client has left: the system holds them whole, and a close delivers them.
 #[test]
 fn short_attempt_whose_client_has_left_does_not_arrive_later() {
     client_leaves_before_arrival(Play::open("left-in-the-system", 600_000), HELD);
 }
 
-/// Story: as before, where the settings call off nothing that is sent. The proxy's own buffer was empty, so that the request passed
-/// for sent and was left alone; its last byte, with which it begins, arrived whenever the db host read on. Evidence: without asking
-/// the system whether it has sent all, the test reads the whole statement.
+/// Guards the same where the settings call off nothing that is sent.
 #[test]
 fn short_attempt_that_is_not_called_off_does_not_arrive_after_its_client_has_left() {
     let keep_sent = |config: &mut Value| config["settings"]["allowed"]["mayCancel"] = json!(false);
     client_leaves_before_arrival(Play::open_with("left-and-kept", 600_000, AIM_MS, keep_sent), HELD);
 }
 
-/// Story: as before, with the repeat of a keyed write whose window ends meanwhile. Nothing looked at it once it was handed over, so
-/// that it ran a second time after db hosts had stopped to drop repeats. Evidence: without a deadline at the window's end the test
-/// reads the whole statement. That is looked at now when the window ends.
+/// Guards against repeats that arrive after their window, held by the system until then.
 #[test]
 fn short_repeat_whose_window_has_ended_does_not_arrive_later() {
     window_ends_before_arrival("held-repeat", HELD);
@@ -319,11 +312,7 @@
     assert!(next_request(&mut play.accept()).expect("it is sent").contains("id=2,"));
 }
 
-/// Story: a db host answers with an error and sends no ReadyForQuery, as where its answer breaks off right before that. After 3 ms
-/// the error was taken for the end of the attempt, and another attempt was written while the first one's connection stayed open for
-/// half a second: to its db host the first attempt was still out. Cause: `end_before_ready` kept the connection for any answer that
-/// was whole. Evidence: when the second attempt is read here, a read of the first connection would block. It is closed now behind
-/// an error.
+/// Guards against two attempts at once: a connection whose ReadyForQuery is wanting is open to its db host.
 #[test]
 fn no_further_attempt_is_out_beside_one_whose_ready_for_query_is_wanting() {
     let play = Play::open("not-ready", 600_000);
@@ -343,10 +332,7 @@
     assert!(has_ended, "the first connection is open: {end:?}");
 }
 
-/// Story: a db host turns a long statement away before it has read the whole. Its answer ends the attempt, and the connection was pooled
-/// with the rest of the statement in its buffer: once the db host read on, that was delivered, and the statement began there though it
-/// had ended and another attempt was out. Cause: `connection_ready` looked at what had come, and not at what was still to be written.
-/// Evidence: all 250 KB came behind the answer. Such a connection is reset now.
+/// Guards against statements that run after they were answered: the rest of one must not follow its early answer.
 #[test]
 fn statement_that_was_answered_before_its_end_is_not_written_on() {
     let play = Play::open_in_shell("answered-early", 600_000, AIM_MS, |_| {}, DEBUG_LOG);
--- a/crates/gradeshunt/tests/faults.rs
+++ b/crates/gradeshunt/tests/faults.rs
@@ -299,10 +299,7 @@
     }
 }
 
-/// Story: the system has no buffer or port for a connection, for a moment. Each connect that failed at once ended an attempt, and the
-/// next one followed in the same millisecond, so that the request was refused before the want had passed. Cause: `begin` ended the
-/// job where `open` failed. Evidence: two lines `no connection to spare for a db host` in the same millisecond, and the refusal. The
-/// job waits now, and connections are tried again after 10 ms.
+/// Guards requests against connects that fail for want of a buffer or port, which passes: each used up an attempt.
 #[test]
 fn connect_that_fails_for_a_moment_uses_up_no_attempts() {
     const MORE_THAN_ALL_ATTEMPTS: i64 = 20;
--- a/crates/gradeshunt/tests/stepped_clocks.rs
+++ b/crates/gradeshunt/tests/stepped_clocks.rs
@@ -151,11 +151,7 @@
     reads_stay_at_the_current_standby("alone-forward", Stepped::ProcessAlone, BEHIND.as_millis() as i64);
 }
 
-/// Story: a process started while its own wall clock was wrong, and all reads went to the primary until that clock was right.
-/// Cause: `Clock::start` took the distance that its own clock showed for that of all machines: where that was ahead, each standby
-/// looked too old, and where it was behind, positions were from the future and not believed, or a standby that lags as far
-/// looked current. Evidence: 100 of 100 reads at the primary for 20 s; a debug log with `position: Some(-9993481)` of a primary, 10 s
-/// off, and `report: None` of the standbys. Now primaries, which stand at the present, show the distance at the start.
+/// Guards reads of a process that starts while its own wall clock is wrong: they all went to the primary.
 fn process_whose_clock_is_off_reads_at_the_current_standby(name: &str, ms: i64) {
     let mut play = Play::open_off_by(name, ms);
     play.until_at_the_current_standby("from the start");
