--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -186,7 +186,8 @@
             ),
             None => {
                 lock(&self.door).killed = self.door().epoch;
-                self.ledger.fault(Rule::Process, format!("proxy {} did not end in time", self.number));
+                let text = format!("proxy {} did not end in time: {}", self.number, tail(&mut process));
+                self.ledger.fault(Rule::Process, text);
             }
         }
         Ok(())
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -54,6 +54,9 @@
 
     /// Sends what has waited for a close to settle. It is not shed before that: the wait was not its own.
     pub(super) fn dispatch_settled(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if self.settling.first().is_none_or(|(at, _)| now < *at) {
+            return;
+        }
         let unsettled = self.settling.split_off(&(now + 1, RequestId(0)));
         let settled = std::mem::replace(&mut self.settling, unsettled);
         let group_of = |(_, id): &(Micros, RequestId)| self.requests.get(id).map(|r| r.group);
