--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -21,6 +21,25 @@
 /// Descriptors kept for the log, the poll, the signals, discovery and files.
 const RESERVED: usize = 24;
 
+/// When what happens at the end of a process that was told to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Shutdown {
+    /// No request that comes later is read.
+    last_call: Micros,
+    /// What is open gets its last answer.
+    last_answers: Micros,
+    leave: Micros,
+}
+
+impl Shutdown {
+    /// Of a process that is told to end at `now` and whose classes wait for `longest` at most.
+    fn at(now: Micros, longest: Micros) -> Shutdown {
+        let leave = now + longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
+        let last_answers = leave - LAST_ANSWERS;
+        Shutdown { last_call: last_answers - LAST_CALL, last_answers, leave }
+    }
+}
+
 impl Proxy {
     /// Two processes of a proxy share its limits while both live.
     pub(super) fn share_limits(&mut self) {
@@ -74,10 +93,10 @@
         }
         self.shared.turn_to(Duty::Leaving);
         let now = self.core.turn.now;
-        let leave = now + self.longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
-        self.frontend.set_drain_deadline(leave - LAST_ANSWERS - LAST_CALL);
+        let Shutdown { last_call, last_answers, leave } = Shutdown::at(now, self.longest);
+        self.frontend.set_drain_deadline(last_call);
         self.core.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
-        self.core.turn.deadlines.set(leave - LAST_ANSWERS, Due::LastAnswers);
+        self.core.turn.deadlines.set(last_answers, Due::LastAnswers);
         self.core.turn.deadlines.set(leave, Due::Leave);
     }
 }
--- a/crates/gradeshunt/src/proxy/lifetime/tests.rs
+++ b/crates/gradeshunt/src/proxy/lifetime/tests.rs
@@ -10,9 +10,11 @@
 /// Guards the last answers of a process that is held up right before it gives them: SIGKILL must not find them wanting.
 #[test]
 fn process_that_is_held_up_before_its_last_answers_leaves_before_sigkill() {
-    let last_answers = LEAVE_AFTER - LAST_ANSWERS;
-    assert!(last_answers + HELD_UP < KILL_AFTER, "{last_answers} us");
-    assert!(LEAVE_AFTER + HELD_UP <= KILL_AFTER, "{LEAVE_AFTER} us");
-    // Requests are read for a while behind the last new connections.
-    assert!(ACCEPT_ON <= LEAVE_AFTER - LAST_ANSWERS, "{ACCEPT_ON} us");
+    for longest in [0, 1_000_000, LONGEST_COUNTED, 2 * LONGEST_COUNTED] {
+        let killed_at = longest.min(LONGEST_COUNTED) + KILL_AFTER;
+        let shutdown = Shutdown::at(0, longest);
+        assert!(shutdown.last_answers + HELD_UP < killed_at, "{shutdown:?}");
+        assert!(shutdown.leave + HELD_UP <= killed_at, "{shutdown:?}");
+        assert!(shutdown.last_call < shutdown.last_answers, "{shutdown:?}");
+    }
 }
