Tests that stop a process await that each of its threads stands

The signal returns before the process stands: a thread that waits for events and has not had its turn yet takes in the request that the test writes next, and is stopped then with that alone, before the list is written. That is another order than the one that is meant, and one in which the request may be sent.

`Standalone::stop` awaits the state T of each thread. The check stays.

--- a/crates/gradeshunt/tests/crossings.rs
+++ b/crates/gradeshunt/tests/crossings.rs
@@ -49,6 +49,10 @@
         self.0.signal(name);
     }
 
+    fn stop(&self) {
+        self.0.stop();
+    }
+
     fn terminate(&self) {
         self.signal("-TERM");
     }
@@ -221,7 +225,7 @@
     let client = &mut clients[0];
     assert!(until_ready(client, 2).expect("it is answered").ends_with("IZ"));
     assert_eq!(client.read(&mut [0]).expect("a close"), 0);
-    program.signal("-STOP");
+    program.stop();
     let crossing = (0..2).map(|_| client.write_all(&read_of(1)));
     assert!(crossing.collect::<std::io::Result<()>>().is_ok());
     assert_eq!(client.read(&mut [0]).expect("no reset"), 0);
@@ -319,7 +323,7 @@
     let (mut server, _) = host.accept().expect("it connects");
     wire::read_startup(&mut server).expect("a startup message");
     server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
-    program.signal("-STOP");
+    program.stop();
     meanwhile(&mut client, &mut server);
     program.signal("-CONT");
     let mut next = Client::connect(program.addr(), &[("user", "portal")], PATIENCE).expect("it is welcome");
@@ -536,7 +540,7 @@
     server.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat()).expect("it is open");
     until_ready(&mut client, 2).expect("the startup reply, and the first answer");
 
-    program.signal("-STOP");
+    program.stop();
     client.write_all(&read_of(2)).expect("it is open");
     let line = format!("{}\n", list(3, "draining"));
     write!(watch, "{:x}\r\n{line}\r\n", line.len()).expect("it is open");
--- a/crates/stand-ins/src/standalone.rs
+++ b/crates/stand-ins/src/standalone.rs
@@ -126,6 +126,27 @@
         assert!(kill.is_ok_and(|s| s.success()));
     }
 
+    /// Stops it, and waits until each of its threads stands. The signal alone returns before that: a thread that waits for events may
+    /// still take in what comes first.
+    ///
+    /// # Panics
+    /// Where there is no such process any more.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        while !self.threads_stand() {
+            std::thread::yield_now();
+        }
+    }
+
+    /// Whether each of its threads is stopped, by the state behind its name in parentheses (proc(5)).
+    fn threads_stand(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it lives");
+        tasks.filter_map(Result::ok).all(|task| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
+        })
+    }
+
     /// How it has ended, if it has.
     ///
     /// # Errors
