--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -11,7 +11,7 @@
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::Table;
 
-use crate::ledger::{Arrival, Ledger};
+use crate::ledger::{Arrival, Ledger, OpenFor};
 use crate::lock;
 use crate::statement::{Class, Statement};
 
@@ -23,6 +23,8 @@
 pub const KEY_WINDOW: Duration = Duration::from_secs(2);
 /// How long what bytes say on arrival is not to be relied on after its db host has begun to read again.
 const CATCHING_UP: Duration = Duration::from_millis(500);
+/// How long a connection that should have been closed is looked at, for the text of a fault.
+const LOOKED_AT: Duration = Duration::from_millis(50);
 
 /// The wall clock of all machines of a play, which can be stepped.
 #[derive(Clone, Default)]
@@ -255,7 +257,8 @@
         let arrival = Arrival { statement, host: self.0.number, at, drains_since, prompt };
         // One that its proxy has given up by the time at which it is read came before whatever is out now.
         let given_up = !is_open(stream);
-        let number = self.0.ledger.arrived(&arrival, |number| !given_up && self.is_out(statement.id, number));
+        let open_for = |number| if given_up { None } else { self.open_for(statement.id, number) };
+        let number = self.0.ledger.arrived(&arrival, open_for);
         if let Ok(copy) = stream.try_clone() {
             lock(&self.0.attempts).insert((statement.id, number), copy);
         }
@@ -273,12 +276,20 @@
         }
     }
 
-    /// Whether the connection of an attempt still stands on its proxy's side.
-    fn is_out(&self, id: u64, number: usize) -> bool {
-        let Some(stream) = lock(&self.0.attempts).get(&(id, number)).and_then(|s| s.try_clone().ok()) else {
-            return false;
-        };
-        is_open(&stream)
+    /// For how long the connection of an attempt still stands on its proxy's side, where it does.
+    fn open_for(&self, id: u64, number: usize) -> Option<OpenFor> {
+        let stream = lock(&self.0.attempts).get(&(id, number)).and_then(|s| s.try_clone().ok())?;
+        let began = Instant::now();
+        if !is_open(&stream) {
+            return None;
+        }
+        while is_open(&stream) {
+            if began.elapsed() > LOOKED_AT {
+                return Some(OpenFor::AtLeast(LOOKED_AT));
+            }
+            thread::yield_now();
+        }
+        Some(OpenFor::ClosedAfter(began.elapsed()))
     }
 
     /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -3,6 +3,7 @@
 //! All times are monotonic: the wall clocks of a play are stepped.
 
 use std::collections::{BTreeMap, HashMap};
+use std::fmt::{self, Display};
 use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -83,6 +84,23 @@
     pub prompt: bool,
 }
 
+/// For how long the connection of an attempt was open behind the arrival of the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenFor {
+    ClosedAfter(Duration),
+    /// It was looked at for this long.
+    AtLeast(Duration),
+}
+
+impl Display for OpenFor {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            OpenFor::ClosedAfter(time) => write!(f, "closed {time:?} later"),
+            OpenFor::AtLeast(time) => write!(f, "open for {time:?} at least"),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AttemptState {
     Out,
@@ -246,9 +264,9 @@
         }
     }
 
-    /// An attempt has arrived; gives its number among those of its request. `is_open` tells whether the connection of an
-    /// earlier attempt still stands, by that number.
-    pub fn arrived(&self, arrival: &Arrival, is_open: impl Fn(usize) -> bool) -> usize {
+    /// An attempt has arrived; gives its number among those of its request. `open_for` tells for how long the connection of an
+    /// earlier attempt still stands, by that number, where it does.
+    pub fn arrived(&self, arrival: &Arrival, open_for: impl Fn(usize) -> Option<OpenFor>) -> usize {
         let told = |proxy: usize, generation: u64| self.told(proxy, generation);
         let mut book = lock(&self.book);
         book.attempts += 1;
@@ -257,10 +275,9 @@
         let Some(request) = book.requests.get_mut(&statement.id) else { return 0 };
         let number = request.attempts.len();
         let mut found = Vec::new();
-        let out =
-            request.attempts.iter().enumerate().any(|(n, a)| a.state == AttemptState::Out && is_open(n));
-        if out {
-            found.push((Rule::TwoAttemptsOut, String::new()));
+        let mut out = request.attempts.iter().enumerate().filter(|(_, a)| a.state == AttemptState::Out);
+        if let Some((n, open)) = out.find_map(|(n, _)| open_for(n).map(|open| (n, open))) {
+            found.push((Rule::TwoAttemptsOut, format!("beside attempt {n}, whose connection was {open}")));
         }
         if prompt {
             if let Some(since) = request.left.and_then(|left| at.checked_duration_since(left)) {
