A repeat beside a connection that awaits ReadyForQuery is counted as a violation

Callers of an older program had two attempts of one request out at once while the process counted no violation: it took an attempt for ended as soon as its answer was whole, though its connection stood open until ReadyForQuery, and its db host counts the attempt as out for as long.

Cause: `dispatched` counted only the attempt that the exchange itself held as out. Change: earlier attempts whose connection awaits ReadyForQuery count as out beside the one that is written (`one_attempt`).

Result: the test fails without the change (0 counted, 1 expected) and passes with it.

--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -554,3 +554,6 @@
         Ending::Miss => "miss",
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gradeshunt/src/exchange/audit.rs
+++ b/crates/gradeshunt/src/exchange/audit.rs
@@ -7,7 +7,7 @@
 use slog::{debug, error};
 
 use super::reason::FinalReason;
-use super::{name, AttemptId, Exchange, Request};
+use super::{name, AttemptId, ConnectionEnd, Exchange, Request};
 use crate::turn::Turn;
 
 impl Request {
@@ -25,6 +25,17 @@
         }
     }
 
+    /// Attempts that are out beside this one: whoever is at a db host counts one as out for as long as its connection is open and
+    /// has not told ReadyForQuery, also where it counts as ended here.
+    fn others_out(&self, number: u32) -> u32 {
+        let other = self.out.as_ref().is_some_and(|out| out.number != number);
+        let open = self
+            .ended_attempts
+            .iter()
+            .filter(|ended| ended.trace.connection_end == ConnectionEnd::AwaitsReady);
+        u32::from(other) + open.count() as u32
+    }
+
     /// Why it gets no answer of a db host's, where the decisions give it up.
     pub(super) fn given_up_because(&self) -> FinalReason {
         match (self.sends, self.doubt_since) {
@@ -66,7 +77,7 @@
             client_left: r.left,
             repeat_until,
             settled_at: r.settled_at,
-            others_out: u32::from(r.out.as_ref().is_some_and(|out| out.number != attempt.number)),
+            others_out: r.others_out(attempt.number),
             number: attempt.number,
             attempts: self.limits.attempts,
             second_copies: self.limits.second_copies,
