The modules of the decisions name what they import

They took all of src/balance.rs by `use super::*`, so that a reader had to look there for where a name comes from, and imports that only a child needed stood in the parent. No line of code beside the imports changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,10 +11,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use self::list_calls::{CallEnd, ListCalls};
+use self::list_calls::ListCalls;
 use self::member::Member;
 use crate::interface::*;
-use crate::permission::{may_begin, AttemptLimits, Doubt, RequestFacts};
 
 /// Buckets of session keys, as many as the source's switch holds.
 const BUCKETS: u64 = 4096;
--- a/src/balance/candidates.rs
+++ b/src/balance/candidates.rs
@@ -1,6 +1,8 @@
 //! What is known of positions and roles, which members may serve a request, and the draw among them.
 
-use super::*;
+use super::member::Member;
+use super::{Balancer, Request, BAD, FOREVER, LAG_FADES_IN, MEMORY, NEVER};
+use crate::interface::{ClassId, GroupId, MemberId, Micros, ReadLevel, Report};
 
 impl Balancer {
     /// A report may be older than the probe that brought it: its role counts as of its own position.
--- a/src/balance/concurrency.rs
+++ b/src/balance/concurrency.rs
@@ -1,6 +1,8 @@
 //! How much a member may hold: windows, cold starts, crowding.
 
-use super::*;
+use super::member::Member;
+use super::{fade, Balancer, AHEAD, CROWDED, FIRST_WINDOW, LEAST_AGE, LEFT, LITTLE, MEMORY, SPARE, WARMING};
+use crate::interface::{ClassId, MemberId, Micros};
 
 impl Balancer {
     /// Share of its capacity that a member may have reached since its start.
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -1,6 +1,11 @@
 //! Requests that are held find their members, the worthiest first.
 
-use super::*;
+use std::collections::BTreeSet;
+
+use super::member::Member;
+use super::{fade, Attempt, Balancer, Request, CROWDED, ENQUIRY, LAG_FADES_IN, NEVER, PATIENT};
+use crate::interface::{Action, Effect, GroupId, MemberId, Micros, ReadLevel, RequestId, ZoneId};
+use crate::permission::{may_begin, AttemptLimits, Doubt, RequestFacts};
 
 impl Balancer {
     /// Sends what the group holds, the worthiest for its work first, as far as members have room.
--- a/src/balance/list_calls.rs
+++ b/src/balance/list_calls.rs
@@ -1,6 +1,6 @@
 //! When the list of members is asked for again after a call for it has failed.
 
-use super::*;
+use crate::interface::Micros;
 
 /// A call that told a list and stood for this long was sound: what ended it passes by itself.
 const STABLE_AFTER: Micros = 1_000_000;
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -1,6 +1,9 @@
 //! One member as the balancer knows it: its health, its position, its window.
 
-use super::*;
+use std::collections::BTreeMap;
+
+use super::{fade, Recent, CROWDED, FIRST_WINDOW, MEMORY, NEVER, RESTART_TAKES};
+use crate::interface::{ClassId, Entry, Micros, RequestId};
 
 #[derive(Default)]
 pub(super) struct Member {
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -1,6 +1,11 @@
 //! Lists of members and operators' words: who is in which group, who is barred, who has started.
 
-use super::*;
+use std::collections::BTreeSet;
+
+use super::list_calls::CallEnd;
+use super::member::Member;
+use super::{Balancer, MEMORY, NEVER};
+use crate::interface::{Entry, GroupId, ListKind, MemberId, Micros, Phase};
 
 impl Balancer {
     pub(super) fn on_members(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>) {
--- a/src/balance/outcome.rs
+++ b/src/balance/outcome.rs
@@ -1,6 +1,9 @@
 //! What endings say of members, and what becomes of requests whose attempts have ended.
 
-use super::*;
+use super::{fade, Balancer, CROWDED, DENSE_ANSWERS, HOLD, LEAST, LEAST_WINDOW, LOOK, PATIENT, TAIL};
+use crate::interface::{
+    Action, ClassId, Effect, Ending, GroupId, MemberId, Micros, Outcome, RequestId, Scope,
+};
 
 impl Balancer {
     /// What an outcome says of the member's health, speed and room.
--- a/src/balance/periodic.rs
+++ b/src/balance/periodic.rs
@@ -1,6 +1,8 @@
 //! The steady round: silence, holds that can not be met, looks at suspects, probes.
 
-use super::*;
+use super::member::Member;
+use super::{Balancer, ACTIVE_FOR, FOREVER, HOLD, LITTLE, LOOK, LOOK_LONGEST, SUSPECT_TRIED_AFTER, VAIN};
+use crate::interface::{Action, MemberId, Micros};
 
 impl Balancer {
     /// The steady round: silence, holds that can't be met, lost primaries, probes, the member list.
