The exchange in modules of one job each

One file of 556 lines held the state, both sides' calls, the module's events and actions, final answers and the log's summary; its parent imported its children and they it. Now the state (state, request, tally), the calls of each side (client_side, server_side), the module (decisions), final answers, audit and summary stand apart, and imports go one way: no module imports the parent.

--- a/crates/gradeshunt/src/exchange/audit.rs
+++ b/crates/gradeshunt/src/exchange/audit.rs
@@ -2,39 +2,16 @@
 //! and retries are counted for operators here.
 
 use leadmast::invariant::{violates_answer_time, violates_drain, Rule, Written};
-use leadmast::permission::{AttemptDenial, Doubt, RequestFacts};
+use leadmast::permission::AttemptDenial;
 use leadmast::{Effect, Ending, Micros, RequestId};
 use slog::{debug, error};
 
+use super::endings::name;
 use super::reason::FinalReason;
-use super::{name, AttemptId, Exchange, Request};
+use super::state::Exchange;
+use crate::ids::AttemptId;
 use crate::turn::Turn;
 
-impl Request {
-    /// What is known of it where an attempt is considered.
-    pub(super) fn facts(&self, effect: Effect) -> RequestFacts {
-        RequestFacts {
-            effect,
-            deadline: self.deadline,
-            answered: self.over,
-            client_left: self.left.is_some(),
-            begun: self.sends,
-            out: u32::from(self.out.is_some()),
-            doubt: self.doubt_since.map(|since| Doubt { since, zone: None }),
-            settled_at: self.settled_at,
-        }
-    }
-
-    /// Why it gets no answer of a db host's, where the decisions give it up.
-    pub(super) fn given_up_because(&self) -> FinalReason {
-        match (self.sends, self.doubt_since) {
-            (0, None) => FinalReason::NeverSent,
-            (_, None) => FinalReason::NeverRan,
-            (_, Some(_)) => FinalReason::MayHaveRun,
-        }
-    }
-}
-
 impl Exchange {
     /// An attempt is written whole; it tells its db host so much of its client's time.
     pub fn dispatched(&mut self, turn: &Turn, attempt: AttemptId, told: Option<Micros>) {
@@ -123,4 +100,17 @@
         debug!(turn.log, "not served"; "why" => reason.name(), "outcome" => outcome, "attempts" => attempts,
             "request" => id.0);
     }
+
+    /// Tells of all earlier attempts of a request of which another one is written.
+    pub(super) fn trace_repeat(&self, turn: &Turn, attempt: AttemptId, at: Micros) {
+        let Some(r) = self.requests.get(&attempt.request) else { return };
+        for earlier in &r.ended_attempts {
+            let trace = &earlier.trace;
+            debug!(turn.log, "repeat written"; "at" => at, "earlier_ended" => earlier.ended,
+                "earlier_ending" => name(earlier.ending), "earlier_connection_end" => ?trace.connection_end,
+                "earlier_written" => trace.written, "earlier_leased" => trace.leased,
+                "earlier_connection" => trace.connection.map(|c| c.0), "earlier_begun" => earlier.since,
+                "earlier" => earlier.number, "number" => attempt.number, "request" => attempt.request.0);
+        }
+    }
 }
--- /dev/null
+++ b/crates/gradeshunt/src/exchange/endings.rs
@@ -0,0 +1,27 @@
+//! How attempts end: the name of an ending, and the outcome that the module is told.
+
+use leadmast::{Ending, MemberId, Outcome};
+
+use crate::ids::AttemptId;
+
+/// An attempt that ended so, at once and without a word.
+pub(super) fn outcome_of(attempt: AttemptId, member: MemberId, ending: Ending) -> Outcome {
+    let AttemptId { request, number: attempt } = attempt;
+    let (last, elapsed, note, report, settled_at) = (false, 0, None, None, None);
+    Outcome { request, attempt, member, ending, last, elapsed, note, report, settled_at }
+}
+
+/// An ending's name in the log.
+pub fn name(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Ok => "ok",
+        Ending::Error => "error",
+        Ending::Full => "full",
+        Ending::Timeout => "timeout",
+        Ending::ConnectFailed => "connect_failed",
+        Ending::Reset => "reset",
+        Ending::Cancelled => "cancelled",
+        Ending::Moot => "moot",
+        Ending::Miss => "miss",
+    }
+}
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -1,30 +1,24 @@
 //! Requests that are sent on to a home proxy. The module hears nothing of them, unless no home can be had and they are served
 //! from here after all.
 
-use gradeshunt_placement::{Bucket, Source};
+use gradeshunt_placement::Source;
 use leadmast::permission::{may_repeat, repeat_by, Doubt};
 use leadmast::{Arrival, Effect, Ending, Event, MemberId, Micros, RequestId};
 use slog::{debug, warn};
 
+use super::endings;
+use super::messages::{Final, Form, Order, Said};
 use super::reason::FinalReason;
-use super::{AttemptId, Exchange, Final, Form, Order, Out, Said};
+use super::request::{Forward, Out};
+use super::state::Exchange;
 use crate::deadlines::Due;
+use crate::ids::AttemptId;
 use crate::placing::{self, Decision};
 use crate::turn::Turn;
 
 /// Numbers of tries at other proxies; the module numbers its attempts from 0 on.
 const FIRST_FORWARD: u32 = 1 << 16;
 
-/// A request on its way over other proxies.
-#[derive(Debug)]
-pub(super) struct Forward {
-    /// What the module is told should it be served from here.
-    arrival: Arrival,
-    bucket: Bucket,
-    /// The proxies that it was sent on to.
-    tried: Vec<MemberId>,
-}
-
 impl AttemptId {
     /// Whether it is a try at another proxy, and no attempt at a db host.
     pub fn is_forward(self) -> bool {
@@ -185,7 +179,7 @@
             (Said::Leaving, _) | (Said::Nothing, _) => {
                 if placing.failed(turn.now, out.member) {
                     let name = placing.name(out.member).map(str::to_owned);
-                    warn!(turn.log, "home proxy is unavailable"; "ending" => super::name(ending), "name" => name);
+                    warn!(turn.log, "home proxy is unavailable"; "ending" => endings::name(ending), "name" => name);
                     self.leave_peer(turn.now, out.member);
                 }
             }
--- a/crates/gradeshunt/src/exchange/messages.rs
+++ b/crates/gradeshunt/src/exchange/messages.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use gradeshunt_placement::Source;
-use leadmast::*;
+use leadmast::{ClassId, Ending, GroupId, MemberId, Micros, Note, TenantId};
 
 use super::trace::AttemptTrace;
 use crate::ids::AttemptId;
