The soak's ledger keeps the connections of attempts, so that one recorded can be seen at once

An attempt was recorded in the ledger, and its connection was put into a map of the db hosts afterwards, under another lock. A second attempt that came between the two found the first one without a connection, took it for closed, and two attempts out were not found. Named by reading; no play was looked for that missed one so.

An attempt's connection is part of its arrival now, and the ledger keeps it until the attempt has ended: recorded and to be seen are one step. Whether a connection stands is in a module of its own. What is judged else stays as it is.

--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -1,7 +1,7 @@
 //! A db host of a soak play: a thread for each connection, PostgreSQL's protocol, and states that troubles set.
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -11,7 +11,7 @@
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::Table;
 
-use crate::ledger::{Arrival, Ledger, OpenFor};
+use crate::ledger::{Arrival, Ledger};
 use crate::lock;
 use crate::statement::{Class, Statement};
 
@@ -23,8 +23,6 @@
 pub const KEY_WINDOW: Duration = Duration::from_secs(2);
 /// How long what bytes say on arrival is not to be relied on after its db host has begun to read again.
 const CATCHING_UP: Duration = Duration::from_millis(500);
-/// How long a connection that should have been closed is looked at, for the text of a fault.
-const LOOKED_AT: Duration = Duration::from_millis(50);
 
 /// The wall clock of all machines of a play, which can be stepped.
 #[derive(Clone, Default)]
@@ -89,8 +87,6 @@
     ledger: Arc<Ledger>,
     state: Mutex<State>,
     changed: Condvar,
-    /// Connections of attempts that are out, by request and number.
-    attempts: Arc<Mutex<HashMap<(u64, usize), TcpStream>>>,
     /// Reads that it has served.
     reads: AtomicU64,
 }
@@ -104,7 +100,6 @@
 pub struct Shared {
     pub wall: WallClock,
     pub ledger: Arc<Ledger>,
-    pub attempts: Arc<Mutex<HashMap<(u64, usize), TcpStream>>>,
 }
 
 impl DbHost {
@@ -130,7 +125,6 @@
             ledger: Arc::clone(&shared.ledger),
             state: Mutex::new(state),
             changed: Condvar::new(),
-            attempts: Arc::clone(&shared.attempts),
             reads: AtomicU64::new(0),
         }));
         let served = host.clone();
@@ -215,21 +209,22 @@
         drop(waited.unwrap_or_else(|poisoned| poisoned.into_inner()));
     }
 
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
+    fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        let stream = Arc::new(stream);
         self.wait_while(|ills| ills.deaf);
-        wire::read_startup(&mut stream)?;
-        stream.write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())?;
+        wire::read_startup(&mut &*stream)?;
+        (&*stream).write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())?;
         loop {
             self.wait_while(|ills| ills.deaf);
-            let (tag, body) = wire::read(&mut stream)?;
+            let (tag, body) = wire::read(&mut &*stream)?;
             if tag != b'Q' {
                 return Ok(());
             }
             let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
             let goes_on = match Statement::read(&text) {
-                Some(statement) => self.request(&mut stream, &statement)?,
-                None => self.probe(&mut stream)?,
+                Some(statement) => self.request(&stream, &statement)?,
+                None => self.probe(&stream)?,
             };
             if !goes_on {
                 return Ok(());
@@ -238,7 +233,7 @@
     }
 
     /// A load report.
-    fn probe(&self, stream: &mut TcpStream) -> io::Result<bool> {
+    fn probe(&self, mut stream: &TcpStream) -> io::Result<bool> {
         self.wait_while(|ills| ills.hangs);
         let report = format!("x0={:.3},x1={}", self.position().0 / 1000.0, u8::from(self.0.primary));
         let row = Table { tag: "SHOW".to_owned(), ..Table::of(&["pressure"], &[&[&report]]) };
@@ -246,52 +241,29 @@
         Ok(true)
     }
 
-    fn request(&self, stream: &mut TcpStream, statement: &Statement) -> io::Result<bool> {
+    fn request(&self, stream: &Arc<TcpStream>, statement: &Statement) -> io::Result<bool> {
         let (drains_since, prompt) = {
             let state = lock(&self.0.state);
             let prompt =
                 !state.ills.deaf && state.deaf_until.is_none_or(|until| until.elapsed() > CATCHING_UP);
             (state.drains_since, prompt)
         };
-        let (statement, at) = (*statement, Instant::now());
-        let arrival = Arrival { statement, host: self.0.number, at, drains_since, prompt };
-        // One that its proxy has given up by the time at which it is read came before whatever is out now.
-        let given_up = !is_open(stream);
-        let open_for = |number| if given_up { None } else { self.open_for(statement.id, number) };
-        let number = self.0.ledger.arrived(&arrival, open_for);
-        if let Ok(copy) = stream.try_clone() {
-            lock(&self.0.attempts).insert((statement.id, number), copy);
-        }
+        let mut arrival = Arrival::now(*statement, self.0.number, stream);
+        (arrival.drains_since, arrival.prompt) = (drains_since, prompt);
+        let number = self.0.ledger.arrived(arrival);
         self.wait_while(|ills| ills.hangs);
-        let reply = self.work(&statement, prompt);
+        let reply = self.work(statement, prompt);
         // Before its proxy can hear of the end, and begin another attempt.
-        lock(&self.0.attempts).remove(&(statement.id, number));
         self.0.ledger.attempt_ended(statement.id, number);
         match reply {
-            Some(reply) => stream.write_all(&reply).map(|()| true),
+            Some(reply) => (&**stream).write_all(&reply).map(|()| true),
             None => {
-                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+                let _ = socket2::SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
                 Ok(false)
             }
         }
     }
 
-    /// For how long the connection of an attempt still stands on its proxy's side, where it does.
-    fn open_for(&self, id: u64, number: usize) -> Option<OpenFor> {
-        let stream = lock(&self.0.attempts).get(&(id, number)).and_then(|s| s.try_clone().ok())?;
-        let began = Instant::now();
-        if !is_open(&stream) {
-            return None;
-        }
-        while is_open(&stream) {
-            if began.elapsed() > LOOKED_AT {
-                return Some(OpenFor::AtLeast(LOOKED_AT));
-            }
-            thread::yield_now();
-        }
-        Some(OpenFor::ClosedAfter(began.elapsed()))
-    }
-
     /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
     fn work(&self, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
         thread::sleep(WORK);
@@ -338,11 +310,3 @@
         self.0.ledger.executed(statement);
     }
 }
-
-/// Whether a connection stands on its proxy's side, and nothing stands unread on it.
-fn is_open(stream: &TcpStream) -> bool {
-    let nonblocking = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
-    let mut byte = [0_u8; 1];
-    let peeked = rustix::net::recv(stream, &mut byte[..], nonblocking);
-    matches!(peeked.map_err(io::Error::from), Err(e) if e.kind() == ErrorKind::WouldBlock)
-}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -3,12 +3,13 @@
 //! All times are monotonic: the wall clocks of a play are stepped.
 
 use std::collections::{BTreeMap, HashMap};
-use std::fmt::{self, Display};
-use std::sync::{Mutex, OnceLock};
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use gradeshunt_stand_ins::discovery::Discovery;
 
+use crate::connection::{is_open, open_for, OpenFor};
 use crate::lock;
 use crate::statement::{Class, Statement, READ_BOUND};
 
@@ -72,43 +73,43 @@
     OwnCount,
 }
 
-/// An attempt as it arrives at a db host.
-#[derive(Clone, Copy, Debug)]
+/// An attempt as it arrives at a db host: what is known of it before the ledger is held.
+#[derive(Clone, Debug)]
 pub struct Arrival {
+    /// The request as the attempt tells it.
     pub statement: Statement,
+    /// The db host.
     pub host: usize,
+    /// When it was read.
     pub at: Instant,
     /// The generation of the list that says that its db host drains.
     pub drains_since: Option<u64>,
     /// Its db host reads as soon as bytes come: times of arrival are those of the network.
     pub prompt: bool,
+    /// Its connection.
+    connection: Arc<TcpStream>,
+    /// Its proxy has closed the connection by the time at which it is read: it came before whatever is out now.
+    given_up: bool,
 }
 
-/// For how long the connection of an attempt was open behind the arrival of the next one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OpenFor {
-    ClosedAfter(Duration),
-    /// It was looked at for this long.
-    AtLeast(Duration),
-}
-
-impl Display for OpenFor {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            OpenFor::ClosedAfter(time) => write!(f, "closed {time:?} later"),
-            OpenFor::AtLeast(time) => write!(f, "open for {time:?} at least"),
+impl Arrival {
+    /// One that a db host has just read promptly, and that no list says to drain.
+    pub fn now(statement: Statement, host: usize, connection: &Arc<TcpStream>) -> Arrival {
+        Arrival {
+            statement,
+            host,
+            at: Instant::now(),
+            drains_since: None,
+            prompt: true,
+            connection: Arc::clone(connection),
+            given_up: !is_open(connection),
         }
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AttemptState {
-    Out,
-    Ended,
-}
-
 struct Attempt {
-    state: AttemptState,
+    /// Its connection while it is out.
+    connection: Option<Arc<TcpStream>>,
 }
 
 struct Request {
@@ -126,6 +127,14 @@
     note: String,
 }
 
+impl Request {
+    /// An attempt whose connection stands on its proxy's side, by its number, and for how long it does.
+    fn other_attempt_out(&self) -> Option<(usize, OpenFor)> {
+        let out = |(n, attempt): (usize, &Attempt)| Some((n, open_for(attempt.connection.as_ref()?)?));
+        self.attempts.iter().enumerate().find_map(out)
+    }
+}
+
 #[derive(Default)]
 struct Book {
     requests: HashMap<u64, Request>,
@@ -264,19 +273,17 @@
         }
     }
 
-    /// An attempt has arrived; gives its number among those of its request. `open_for` tells for how long the connection of an
-    /// earlier attempt still stands, by that number, where it does.
-    pub fn arrived(&self, arrival: &Arrival, open_for: impl Fn(usize) -> Option<OpenFor>) -> usize {
+    /// An attempt has arrived; gives its number among those of its request.
+    pub fn arrived(&self, arrival: Arrival) -> usize {
         let told = |proxy: usize, generation: u64| self.told(proxy, generation);
         let mut book = lock(&self.book);
         book.attempts += 1;
         let slack = book.slack();
-        let Arrival { statement, host, at, drains_since, prompt } = *arrival;
+        let Arrival { statement, host, at, drains_since, prompt, connection, given_up } = arrival;
         let Some(request) = book.requests.get_mut(&statement.id) else { return 0 };
         let number = request.attempts.len();
         let mut found = Vec::new();
-        let mut out = request.attempts.iter().enumerate().filter(|(_, a)| a.state == AttemptState::Out);
-        if let Some((n, open)) = out.find_map(|(n, _)| open_for(n).map(|open| (n, open))) {
+        if let Some((n, open)) = request.other_attempt_out().filter(|_| !given_up) {
             found.push((Rule::TwoAttemptsOut, format!("beside attempt {n}, whose connection was {open}")));
         }
         if prompt {
@@ -303,7 +310,7 @@
                 ));
             }
         }
-        request.attempts.push(Attempt { state: AttemptState::Out });
+        request.attempts.push(Attempt { connection: Some(connection) });
         for (rule, text) in found {
             book.fault(rule, format!("attempt {number} of {statement:?} at host {host} {text}"));
         }
@@ -314,7 +321,7 @@
     pub fn attempt_ended(&self, id: u64, number: usize) {
         let mut book = lock(&self.book);
         let attempt = book.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(number));
-        attempt.into_iter().for_each(|a| a.state = AttemptState::Ended);
+        attempt.into_iter().for_each(|a| a.connection = None);
     }
 
     /// A db host has executed a write; a repeat that it dropped is none.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! tells what broke a rule. The processes count violations themselves; a sound play ends with none on either side.
 
 pub mod client;
+pub mod connection;
 mod crowd;
 pub mod db_host;
 pub mod fleet;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -39,8 +39,7 @@
     /// # Errors
     /// Those of sockets.
     pub fn open(ledger: &Arc<Ledger>, proxies: usize) -> io::Result<Site> {
-        let shared =
-            Shared { wall: WallClock::default(), ledger: Arc::clone(ledger), attempts: Arc::default() };
+        let shared = Shared { wall: WallClock::default(), ledger: Arc::clone(ledger) };
         let (mut hosts, mut entries) = (Vec::new(), Vec::new());
         for set in 1..=SETS {
             let keys = Keys::default();
