The soak asks whether an attempt's own connection stands where the ledger is held

A db host's thread asked whether the connection of the attempt that it had read still stood, and then waited for the ledger. While it waited the proxy gave the attempt up and sent its repeat, whose thread got the ledger first. The first one was then judged by its old answer, and what it found open was its own, permitted repeat.

Whether it stands is asked where the ledger is held now, right before the others are looked at; one given up before is recorded as an attempt as before. That is as strict: others that are recorded were sent by then, so that two that stand are out at once, and of two attempts whose connections both stand the second to be recorded finds the first, whichever was sent first. What an old answer found beside that was a close and a permitted repeat. The ledger has room for 131,072 requests from its start; before, hundreds of threads waited for it while its map grew at 28,672.

attempt_given_up_before_it_reaches_the_ledger_is_no_second_one forces the order without a wait.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -29,6 +29,9 @@
 const DRAIN_GRACE: Duration = Duration::from_millis(250);
 /// What an answer tells counts as known this long after its writing.
 const KNOWN_AFTER: Duration = Duration::from_millis(100);
+/// Requests that a ledger has room for from its start: while a map of crowded plays' 28,672 grows and is copied, hundreds of threads wait
+/// for the ledger.
+const REQUESTS: usize = 1 << 17;
 /// Faults that are kept word for word.
 const KEPT: usize = 40;
 
@@ -86,10 +89,8 @@
     pub drains_since: Option<u64>,
     /// Its db host reads as soon as bytes come: times of arrival are those of the network.
     pub prompt: bool,
-    /// Its connection.
+    /// Its connection. Whether that stands is asked where the ledger is held: an answer from before may be older than the next attempt.
     connection: Arc<TcpStream>,
-    /// Its proxy has closed the connection by the time at which it is read: it came before whatever is out now.
-    given_up: bool,
 }
 
 impl Arrival {
@@ -102,7 +103,6 @@
             drains_since: None,
             prompt: true,
             connection: Arc::clone(connection),
-            given_up: !is_open(connection),
         }
     }
 }
@@ -128,14 +128,17 @@
 }
 
 impl Request {
-    /// An attempt whose connection stands on its proxy's side, by its number, and for how long it does.
-    fn other_attempt_out(&self) -> Option<(usize, OpenFor)> {
+    /// An attempt whose connection stands beside this one's on their proxy's side, by its number, and for how long it does.
+    fn attempt_out_beside(&self, connection: &TcpStream) -> Option<(usize, OpenFor)> {
+        // One given up before it came here was followed by a repeat, which may have come first.
+        if !is_open(connection) {
+            return None;
+        }
         let out = |(n, attempt): (usize, &Attempt)| Some((n, open_for(attempt.connection.as_ref()?)?));
         self.attempts.iter().enumerate().find_map(out)
     }
 }
 
-#[derive(Default)]
 struct Book {
     requests: HashMap<u64, Request>,
     next: u64,
@@ -165,6 +168,20 @@
     pub faults: Vec<String>,
 }
 
+impl Default for Book {
+    fn default() -> Book {
+        Book {
+            requests: HashMap::with_capacity(REQUESTS),
+            next: 0,
+            faults: Vec::new(),
+            counts: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            attempts: 0,
+            held_up: None,
+        }
+    }
+}
+
 impl Book {
     /// By how much times may be off at this moment, beside the rules' own slack.
     fn slack(&self) -> Duration {
@@ -279,11 +296,11 @@
         let mut book = lock(&self.book);
         book.attempts += 1;
         let slack = book.slack();
-        let Arrival { statement, host, at, drains_since, prompt, connection, given_up } = arrival;
+        let Arrival { statement, host, at, drains_since, prompt, connection } = arrival;
         let Some(request) = book.requests.get_mut(&statement.id) else { return 0 };
         let number = request.attempts.len();
         let mut found = Vec::new();
-        if let Some((n, open)) = request.other_attempt_out().filter(|_| !given_up) {
+        if let Some((n, open)) = request.attempt_out_beside(&connection) {
             found.push((Rule::TwoAttemptsOut, format!("beside attempt {n}, whose connection was {open}")));
         }
         if prompt {
--- a/crates/soak/tests/two_attempts.rs
+++ b/crates/soak/tests/two_attempts.rs
@@ -81,3 +81,21 @@
     ledger.arrived(arrival(statement, &last));
     assert_eq!(two_attempts_out(&ledger), 0, "{:?}", ledger.summary().faults);
 }
+
+/// Guards against answers that are old by the time they are judged by: the first attempt is read while its connection stands, held up
+/// before the ledger, and given up; its repeat is recorded first. What the first one then finds open is its own, permitted repeat.
+#[test]
+fn attempt_given_up_before_it_reaches_the_ledger_is_no_second_one() {
+    let ledger = Ledger::default();
+    let statement = asked(&ledger);
+    let (first, repeat) = (Pair::open(), Pair::open());
+    let held = arrival(statement, &first);
+    first.reset();
+    ledger.arrived(arrival(statement, &repeat));
+    ledger.arrived(held);
+    assert_eq!(two_attempts_out(&ledger), 0, "{:?}", ledger.summary().faults);
+    assert_eq!(ledger.summary().attempts, 2, "it is recorded as an attempt");
+    // A third one beside the repeat, which still stands, is a real second one.
+    ledger.arrived(arrival(statement, &Pair::open()));
+    assert_eq!(two_attempts_out(&ledger), 1, "{:?}", ledger.summary().faults);
+}
