The soak counts a client as gone from its close on, not from when the ledger was free

The time was taken where the ledger was held: a client that had closed its connection counted as gone as much later as its thread had waited for the ledger, and attempts in that time were not found. Its thread takes the time right behind the close now, so that the rule is judged more strictly by that wait.

client_has_left_when_it_closed fails where the ledger takes the time itself (run so: 0 found for 1), and passes now.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -214,7 +214,7 @@
         let _ = session.stream.write_all(&bytes);
         thread::sleep(Duration::from_millis(self.rng.u64(0..60)));
         let _ = session.stream.shutdown(std::net::Shutdown::Both);
-        self.ledger.left(statement.id);
+        self.ledger.left(statement.id, Instant::now());
     }
 
     /// Sends a part of a request, and waits to be told or closed.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -246,11 +246,11 @@
         statement
     }
 
-    /// A request's client has closed its connection.
-    pub fn left(&self, id: u64) {
+    /// A request's client has closed its connection then.
+    pub fn left(&self, id: u64, at: Instant) {
         let mut book = lock(&self.book);
         if let Some(request) = book.requests.get_mut(&id) {
-            request.left = Some(Instant::now());
+            request.left = Some(at);
         }
         drop(book);
         self.ended(id, Outcome::Left);
--- /dev/null
+++ b/crates/soak/tests/times.rs
@@ -0,0 +1,49 @@
+//! Times that the ledger judges by: those of what happened, however late a busy ledger came to it.
+
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gradeshunt_soak::ledger::{Arrival, Ledger, Rule};
+use gradeshunt_soak::statement::{Class, Statement};
+
+const WAIT: Duration = Duration::from_secs(10);
+const HOST: usize = 0;
+/// So long after its client left, an attempt breaks the rule where processes are not held up.
+const TOO_LATE: Duration = Duration::from_millis(300);
+
+fn connection() -> (TcpStream, Arc<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("it listens");
+    let proxy = TcpStream::connect(listener.local_addr().expect("an address")).expect("it connects");
+    let (host, _) = listener.accept().expect("it is accepted");
+    (proxy, Arc::new(host))
+}
+
+fn asked(ledger: &Ledger) -> Statement {
+    ledger.asked(0, Class::Read, WAIT, 1, 0)
+}
+
+/// An attempt that a db host read then; what is left of its time is told.
+fn arrives_at(ledger: &Ledger, statement: Statement, at: Instant) {
+    let (_proxy, host) = connection();
+    let statement = Statement { wait: Duration::from_millis(1), ..statement };
+    let mut arrival = Arrival::now(statement, HOST, &host);
+    arrival.at = at;
+    ledger.arrived(arrival);
+}
+
+fn broken(ledger: &Ledger, rule: Rule) -> u64 {
+    ledger.summary().counts.get(&rule).copied().unwrap_or(0)
+}
+
+/// Guards against a client that counts as gone only once the ledger is free: attempts long behind its close would pass.
+#[test]
+fn client_has_left_when_it_closed() {
+    let ledger = Ledger::default();
+    let statement = asked(&ledger);
+    // Both have happened by now.
+    let closed = Instant::now() - 2 * TOO_LATE;
+    ledger.left(statement.id, closed);
+    arrives_at(&ledger, statement, closed + TOO_LATE);
+    assert_eq!(broken(&ledger, Rule::ClientLeft), 1, "{:?}", ledger.summary().faults);
+}
