The soak times answers by when they came, not by when the ledger was free

The time that a request took was read where the ledger was held: a client that had its answer and waited for the ledger in a crowd counted that wait as the proxy's, and so could break AnswerInTime for it. Its thread takes the time as the answer is read.

The bounds stay as they are. answer_is_timed_when_it_came judges one answer in time and one a second too late by their own times; it fails where the ledger takes the time itself (run so: 0 found for 1), and passes now.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -172,6 +172,7 @@
             } else {
                 Reply::Ended("it could not be sent".to_owned())
             };
+            let at = Instant::now();
             let outcome = match reply {
                 Reply::Answered(outcome) => outcome,
                 _ if self.was_killed(session) => Outcome::Killed,
@@ -189,11 +190,11 @@
                     Outcome::Closed
                 }
             };
-            self.ledger.ended(statement.id, outcome);
+            self.ledger.ended(statement.id, outcome, at);
             if !matches!(outcome, Outcome::Served | Outcome::Refused | Outcome::Failed) {
                 // What stands behind it fares no better, and by no other fault.
                 let rest = if outcome == Outcome::Killed { Outcome::Killed } else { Outcome::Crossed };
-                statements[n + 1..].iter().for_each(|s| self.ledger.ended(s.id, rest));
+                statements[n + 1..].iter().for_each(|s| self.ledger.ended(s.id, rest, at));
                 return false;
             }
             answered = true;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -253,7 +253,7 @@
             request.left = Some(at);
         }
         drop(book);
-        self.ended(id, Outcome::Left);
+        self.ended(id, Outcome::Left, at);
     }
 
     /// Notes how a request's connection ended, for the text of a fault.
@@ -261,14 +261,14 @@
         lock(&self.book).requests.get_mut(&id).into_iter().for_each(|request| request.note = note.clone());
     }
 
-    /// A request has ended for its client.
-    pub fn ended(&self, id: u64, outcome: Outcome) {
+    /// A request has ended for its client then.
+    pub fn ended(&self, id: u64, outcome: Outcome, at: Instant) {
         let mut book = lock(&self.book);
         *book.outcomes.entry(outcome).or_default() += 1;
         let slack = book.slack();
         let Some(request) = book.requests.get_mut(&id) else { return };
         request.outcome = Some(outcome);
-        let (took, statement) = (request.asked.elapsed(), request.statement);
+        let (took, statement) = (at.saturating_duration_since(request.asked), request.statement);
         let (attempts, note) = (request.attempts.len(), std::mem::take(&mut request.note));
         let allowed = (statement.wait + ANSWER_SLACK) * (request.behind + 1) + slack;
         match outcome {
--- a/crates/soak/tests/times.rs
+++ b/crates/soak/tests/times.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gradeshunt_soak::ledger::{Arrival, Ledger, Rule};
+use gradeshunt_soak::ledger::{Arrival, Ledger, Outcome, Rule};
 use gradeshunt_soak::statement::{Class, Statement};
 
 const WAIT: Duration = Duration::from_secs(10);
@@ -47,3 +47,17 @@
     arrives_at(&ledger, statement, closed + TOO_LATE);
     assert_eq!(broken(&ledger, Rule::ClientLeft), 1, "{:?}", ledger.summary().faults);
 }
+
+/// Guards against answers that are timed when the ledger is free: one that came too late is found, and one that came in time is not
+/// late because its client's thread waited for the ledger.
+#[test]
+fn answer_is_timed_when_it_came() {
+    const TOO_LATE: Duration = Duration::from_secs(1);
+    let ledger = Ledger::default();
+    let (in_time, late) = (asked(&ledger), asked(&ledger));
+    let now = Instant::now();
+    ledger.ended(in_time.id, Outcome::Served, now + WAIT);
+    assert_eq!(broken(&ledger, Rule::AnswerInTime), 0, "{:?}", ledger.summary().faults);
+    ledger.ended(late.id, Outcome::Served, now + WAIT + TOO_LATE);
+    assert_eq!(broken(&ledger, Rule::AnswerInTime), 1, "{:?}", ledger.summary().faults);
+}
