The soak grants slack for processes held up by an attempt's own time

Whether processes had been held up within the last second was asked when the ledger was free, and what was judged by it had happened before: an attempt 0.99 s behind was judged without that slack if its thread waited for the ledger in a crowd. It goes by the time of the attempt, the answer or the read now, and by none later.

The second and the slack stay as they are. slack_for_processes_held_up_is_that_of_the_attempt judges one attempt 0.5 s and one 2 s behind; it fails where the ledger goes by its own time (run so: 0 found for 1), and passes now.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -183,9 +183,10 @@
 }
 
 impl Book {
-    /// By how much times may be off at this moment, beside the rules' own slack.
-    fn slack(&self) -> Duration {
-        match self.held_up.is_some_and(|at| at.elapsed() < HELD_UP_LASTS) {
+    /// By how much times may be off then, beside the rules' own slack. Where processes were held up since, they may have been before.
+    fn slack_at(&self, at: Instant) -> Duration {
+        let lasts = |held_up: Instant| at.saturating_duration_since(held_up) < HELD_UP_LASTS;
+        match self.held_up.is_some_and(lasts) {
             true => SCHEDULING + HELD_UP,
             false => SCHEDULING,
         }
@@ -265,7 +266,7 @@
     pub fn ended(&self, id: u64, outcome: Outcome, at: Instant) {
         let mut book = lock(&self.book);
         *book.outcomes.entry(outcome).or_default() += 1;
-        let slack = book.slack();
+        let slack = book.slack_at(at);
         let Some(request) = book.requests.get_mut(&id) else { return };
         request.outcome = Some(outcome);
         let (took, statement) = (at.saturating_duration_since(request.asked), request.statement);
@@ -295,8 +296,8 @@
         let told = |proxy: usize, generation: u64| self.told(proxy, generation);
         let mut book = lock(&self.book);
         book.attempts += 1;
-        let slack = book.slack();
         let Arrival { statement, host, at, drains_since, prompt, connection } = arrival;
+        let slack = book.slack_at(at);
         let Some(request) = book.requests.get_mut(&statement.id) else { return 0 };
         let number = request.attempts.len();
         let mut found = Vec::new();
@@ -354,7 +355,8 @@
 
     /// A db host is about to serve a read from data of this age.
     pub fn served_from(&self, statement: &Statement, host: usize, age: Duration, prompt: bool) {
-        let slack = lock(&self.book).slack();
+        let at = Instant::now();
+        let slack = lock(&self.book).slack_at(at);
         if prompt && statement.class == Class::Read && age > READ_BOUND + KNOWN_AFTER + slack {
             self.fault(
                 Rule::StaleRead,
--- a/crates/soak/tests/times.rs
+++ b/crates/soak/tests/times.rs
@@ -61,3 +61,20 @@
     ledger.ended(late.id, Outcome::Served, now + WAIT + TOO_LATE);
     assert_eq!(broken(&ledger, Rule::AnswerInTime), 1, "{:?}", ledger.summary().faults);
 }
+
+/// Guards against slack for processes that are held up that goes by when the ledger is free: it ends, and begins, by the attempt's own time.
+#[test]
+fn slack_for_processes_held_up_is_that_of_the_attempt() {
+    const SLACK_LASTS: Duration = Duration::from_secs(1);
+    let ledger = Ledger::default();
+    let (within, behind) = (asked(&ledger), asked(&ledger));
+    let now = Instant::now();
+    ledger.held_up();
+    for (statement, attempt) in [(within, now + SLACK_LASTS / 2), (behind, now + 2 * SLACK_LASTS)] {
+        ledger.left(statement.id, attempt - TOO_LATE);
+        arrives_at(&ledger, statement, attempt);
+    }
+    let faults = ledger.summary().faults;
+    assert_eq!(broken(&ledger, Rule::ClientLeft), 1, "{faults:?}");
+    assert!(faults[0].contains(&format!("id: {}", behind.id)), "{faults:?}");
+}
