The soak's db hosts take an attempt's time first, and judge promptness as of it

A db host's thread took the time of an attempt behind its own lock, and whether the host had caught up by then by a clock read under it. A thread that waited there counted a read as prompt whose bytes came while the host was still catching up, and told its arrival too late, for which DeadlineTold, ClientLeft and Drain could be found where nothing was wrong. The time is taken right behind the read now, and whether the host was prompt is asked as of it.

The bounds stay as they are. read_is_prompt_as_of_its_own_time fails where the clock is read when it is asked (run so: before the host read again counts as prompt), and passes now.

--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -68,6 +68,7 @@
     position: f64,
 }
 
+#[derive(Default)]
 struct State {
     ills: Ills,
     /// When it was deaf last.
@@ -78,6 +79,14 @@
     open: BTreeMap<u64, TcpStream>,
 }
 
+impl State {
+    /// Whether it read as soon as bytes came then.
+    fn is_prompt_at(&self, at: Instant) -> bool {
+        let has_caught_up = |until| at.saturating_duration_since(until) > CATCHING_UP;
+        !self.ills.deaf && self.deaf_until.is_none_or(has_caught_up)
+    }
+}
+
 struct Inner {
     number: usize,
     primary: bool,
@@ -109,13 +118,6 @@
     /// Those of the socket.
     pub fn open(number: usize, primary: bool, keys: &Keys, shared: &Shared) -> io::Result<DbHost> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let state = State {
-            ills: Ills::default(),
-            deaf_until: None,
-            frozen: None,
-            drains_since: None,
-            open: BTreeMap::new(),
-        };
         let host = DbHost(Arc::new(Inner {
             number,
             primary,
@@ -123,7 +125,7 @@
             wall: shared.wall.clone(),
             keys: Arc::clone(keys),
             ledger: Arc::clone(&shared.ledger),
-            state: Mutex::new(state),
+            state: Mutex::default(),
             changed: Condvar::new(),
             reads: AtomicU64::new(0),
         }));
@@ -242,14 +244,13 @@
     }
 
     fn request(&self, stream: &Arc<TcpStream>, statement: &Statement) -> io::Result<bool> {
-        let (drains_since, prompt) = {
+        // Its time is taken before any lock is waited for, and what else is judged with it is asked as of then.
+        let mut arrival = Arrival::now(*statement, self.0.number, stream);
+        (arrival.drains_since, arrival.prompt) = {
             let state = lock(&self.0.state);
-            let prompt =
-                !state.ills.deaf && state.deaf_until.is_none_or(|until| until.elapsed() > CATCHING_UP);
-            (state.drains_since, prompt)
+            (state.drains_since, state.is_prompt_at(arrival.at))
         };
-        let mut arrival = Arrival::now(*statement, self.0.number, stream);
-        (arrival.drains_since, arrival.prompt) = (drains_since, prompt);
+        let prompt = arrival.prompt;
         let number = self.0.ledger.arrived(arrival);
         self.wait_while(|ills| ills.hangs);
         let reply = self.work(statement, prompt);
@@ -310,3 +311,6 @@
         self.0.ledger.executed(statement);
     }
 }
+
+#[cfg(test)]
+mod tests;
