The soak's db hosts, clients and processes have plain names

Ills, ail, manners, door and befallen were words of this test alone. They are DbHostFaults, set_faults, ClientBehavior, Availability and affected now, and a db host that was deaf stops reading.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -29,7 +29,7 @@
 
 /// How often clients misbehave, in a thousand requests. Troubles set it.
 #[derive(Default)]
-pub struct Manners {
+pub struct ClientBehavior {
     /// They close their connection with a request out.
     pub leave: AtomicU64,
     /// They stop amid a request and stay.
@@ -40,12 +40,12 @@
     pub rest: AtomicU64,
 }
 
-impl Manners {
+impl ClientBehavior {
     /// What clients do by themselves.
-    pub fn usual() -> Manners {
-        let manners = Manners::default();
-        manners.reset();
-        manners
+    pub fn usual() -> ClientBehavior {
+        let behavior = ClientBehavior::default();
+        behavior.reset();
+        behavior
     }
 
     /// Back to the usual.
@@ -61,7 +61,7 @@
 pub struct Client {
     pub proxy: Arc<Proxy>,
     pub ledger: Arc<Ledger>,
-    pub manners: Arc<Manners>,
+    pub behavior: Arc<ClientBehavior>,
     pub ends: Arc<AtomicBool>,
     pub rng: Rng,
     /// Others crowd its proxy, which may then close whoever rests or has just come, unread.
@@ -104,36 +104,36 @@
         }
     }
 
-    fn does(&mut self, manner: impl Fn(&Manners) -> &AtomicU64) -> bool {
-        let rate = manner(&self.manners).load(Ordering::Relaxed);
+    fn does(&mut self, rate_of: impl Fn(&ClientBehavior) -> &AtomicU64) -> bool {
+        let rate = rate_of(&self.behavior).load(Ordering::Relaxed);
         self.rng.u64(0..1000) < rate
     }
 
     fn connect(&mut self) -> Option<Session> {
-        let door = self.proxy.door();
-        if !door.admits() {
+        let availability = self.proxy.availability();
+        if !availability.admits() {
             return None;
         }
         let stream = TcpStream::connect(self.proxy.addr).ok()?;
         stream.set_nodelay(true).ok()?;
-        Some(Session { stream, epoch: door.epoch, used: false })
+        Some(Session { stream, epoch: availability.epoch, used: false })
     }
 
-    /// One request, or several, or a misdeed; false where the connection is of no more use.
+    /// One request, or several, or one that is no whole request; false where the connection is of no more use.
     fn turn(&mut self, session: &mut Session) -> bool {
         // Whoever connects and says nothing for long may be closed, and has not been read.
-        if session.used && self.does(|m| &m.rest) {
+        if session.used && self.does(|b| &b.rest) {
             thread::sleep(Duration::from_millis(self.rng.u64(200..2_500)));
         }
-        if self.does(|m| &m.stop_midway) {
+        if self.does(|b| &b.stop_midway) {
             self.stop_midway(session);
             return false;
         }
-        if self.does(|m| &m.leave) {
+        if self.does(|b| &b.leave) {
             self.leave(session);
             return false;
         }
-        let requests = if self.does(|m| &m.pipeline) { self.rng.u32(2..=PIPELINE) } else { 1 };
+        let requests = if self.does(|b| &b.pipeline) { self.rng.u32(2..=PIPELINE) } else { 1 };
         self.ask(session, requests)
     }
 
@@ -179,13 +179,15 @@
                 Reply::Silence => Outcome::Unanswered,
                 // What crosses the end of a resting connection is sent again. Few clients are open, so that only a process that
                 // leaves has a reason to close one.
-                Reply::Ended(_) if answered && self.proxy.door().has_left(session.epoch) => Outcome::Crossed,
+                Reply::Ended(_) if answered && self.proxy.availability().has_left(session.epoch) => {
+                    Outcome::Crossed
+                }
                 // In a crowd, whether it was read first is left to the ledger, which knows of attempts, and to the process's own count.
                 Reply::Ended(_) if self.is_crowded => Outcome::Crossed,
                 Reply::Ended(why) => {
                     self.ledger.note(
                         statement.id,
-                        format!("{why}; {:?}; {}", self.proxy.door(), self.proxy.log_tail()),
+                        format!("{why}; {:?}; {}", self.proxy.availability(), self.proxy.log_tail()),
                     );
                     Outcome::Closed
                 }
@@ -205,7 +207,7 @@
     fn was_killed(&self, session: &Session) -> bool {
         // A process that is being killed may be found dead a moment later.
         thread::sleep(PAUSE);
-        self.proxy.door().killed >= session.epoch
+        self.proxy.availability().killed >= session.epoch
     }
 
     /// Sends a request and closes soon after.
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -45,7 +45,7 @@
     }
 
     fn connect(&mut self) -> Option<TcpStream> {
-        if !self.proxy.door().admits() {
+        if !self.proxy.availability().admits() {
             return None;
         }
         let mut connection = TcpStream::connect(self.proxy.addr).ok()?;
--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -43,13 +43,13 @@
 /// Keys of a set's writes that have run, and when.
 pub type Keys = Arc<Mutex<HashMap<u64, Instant>>>;
 
-/// What troubles set.
+/// Faults of a db host, which troubles set.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ills {
+pub struct DbHostFaults {
     /// It takes requests and works on none.
     pub hangs: bool,
     /// It reads nothing.
-    pub deaf: bool,
+    pub stops_reading: bool,
     /// It turns requests away.
     pub full: bool,
     /// It errs.
@@ -70,9 +70,9 @@
 
 #[derive(Default)]
 struct State {
-    ills: Ills,
-    /// When it was deaf last.
-    deaf_until: Option<Instant>,
+    faults: DbHostFaults,
+    /// When it read nothing last.
+    stopped_reading_until: Option<Instant>,
     frozen: Option<Frozen>,
     /// The generation of the list that says that it drains.
     drains_since: Option<u64>,
@@ -83,7 +83,7 @@
     /// Whether it read as soon as bytes came then.
     fn is_prompt_at(&self, at: Instant) -> bool {
         let has_caught_up = |until| at.saturating_duration_since(until) > CATCHING_UP;
-        !self.ills.deaf && self.deaf_until.is_none_or(has_caught_up)
+        !self.faults.stops_reading && self.stopped_reading_until.is_none_or(has_caught_up)
     }
 }
 
@@ -158,13 +158,13 @@
         self.0.reads.load(Ordering::Relaxed)
     }
 
-    /// Changes what ails it.
-    pub fn ail(&self, change: impl FnOnce(&mut Ills)) {
+    /// Changes its faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut DbHostFaults)) {
         let mut state = lock(&self.0.state);
-        let was_deaf = state.ills.deaf;
-        change(&mut state.ills);
-        if was_deaf && !state.ills.deaf {
-            state.deaf_until = Some(Instant::now());
+        let had_stopped_reading = state.faults.stops_reading;
+        change(&mut state.faults);
+        if had_stopped_reading && !state.faults.stops_reading {
+            state.stopped_reading_until = Some(Instant::now());
         }
         self.0.changed.notify_all();
     }
@@ -205,20 +205,20 @@
         }
     }
 
-    fn wait_while(&self, ails: impl Fn(&Ills) -> bool) {
+    fn wait_while(&self, has_fault: impl Fn(&DbHostFaults) -> bool) {
         let state = lock(&self.0.state);
-        let waited = self.0.changed.wait_while(state, |state| ails(&state.ills));
+        let waited = self.0.changed.wait_while(state, |state| has_fault(&state.faults));
         drop(waited.unwrap_or_else(|poisoned| poisoned.into_inner()));
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let stream = Arc::new(stream);
-        self.wait_while(|ills| ills.deaf);
+        self.wait_while(|faults| faults.stops_reading);
         wire::read_startup(&mut &*stream)?;
         (&*stream).write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())?;
         loop {
-            self.wait_while(|ills| ills.deaf);
+            self.wait_while(|faults| faults.stops_reading);
             let (tag, body) = wire::read(&mut &*stream)?;
             if tag != b'Q' {
                 return Ok(());
@@ -236,7 +236,7 @@
 
     /// A load report.
     fn probe(&self, mut stream: &TcpStream) -> io::Result<bool> {
-        self.wait_while(|ills| ills.hangs);
+        self.wait_while(|faults| faults.hangs);
         let report = format!("x0={:.3},x1={}", self.position().0 / 1000.0, u8::from(self.0.primary));
         let row = Table { tag: "SHOW".to_owned(), ..Table::of(&["pressure"], &[&[&report]]) };
         stream.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat())?;
@@ -252,7 +252,7 @@
         };
         let prompt = arrival.prompt;
         let number = self.0.ledger.arrived(arrival);
-        self.wait_while(|ills| ills.hangs);
+        self.wait_while(|faults| faults.hangs);
         let reply = self.work(statement, prompt);
         // Before its proxy can hear of the end, and begin another attempt.
         self.0.ledger.attempt_ended(statement.id, number);
@@ -268,9 +268,9 @@
     /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
     fn work(&self, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
         thread::sleep(WORK);
-        let ills = lock(&self.0.state).ills;
+        let faults = lock(&self.0.state).faults;
         let error = |code: &str, text: &str| wire::error(code, text);
-        let mut reply = if ills.full {
+        let mut reply = if faults.full {
             error("53300", "too many requests wait")
         } else if statement.class.writes() && !self.0.primary {
             error("25006", "cannot execute INSERT in a read-only transaction")
@@ -281,10 +281,10 @@
                 self.0.reads.fetch_add(1, Ordering::Relaxed);
                 self.0.ledger.served_from(statement, self.0.number, self.position().1, prompt);
             }
-            if ills.resets {
+            if faults.resets {
                 return None;
             }
-            if ills.errs {
+            if faults.errs {
                 error("XX000", "an error of its own")
             } else {
                 let tag = if statement.class.writes() { "INSERT 0 1" } else { "SELECT 1" };
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -29,7 +29,7 @@
 
 /// Whether clients may connect to a process.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Door {
+pub struct Availability {
     /// Counts its starts.
     pub epoch: u64,
     pub open: bool,
@@ -39,7 +39,7 @@
     pub killed: u64,
 }
 
-impl Door {
+impl Availability {
     /// Whether the process of a start was told to end, or has ended.
     pub fn has_left(&self, epoch: u64) -> bool {
         self.epoch != epoch || !self.open || self.terminated.is_some()
@@ -62,7 +62,7 @@
     pid: AtomicU32,
     /// Held while the process is ended and another one started.
     lifecycle: Mutex<()>,
-    door: Mutex<Door>,
+    availability: Mutex<Availability>,
     ledger: Arc<Ledger>,
 }
 
@@ -92,13 +92,13 @@
             process: Mutex::new(None),
             pid: AtomicU32::new(0),
             lifecycle: Mutex::new(()),
-            door: Mutex::default(),
+            availability: Mutex::default(),
             ledger: Arc::clone(ledger),
         })
     }
 
-    pub fn door(&self) -> Door {
-        *lock(&self.door)
+    pub fn availability(&self) -> Availability {
+        *lock(&self.availability)
     }
 
     /// Writes the configuration that the next start and the next reload read.
@@ -151,8 +151,9 @@
         }
         self.pid.store(process.id(), Ordering::Relaxed);
         *lock(&self.process) = Some(process);
-        let mut door = lock(&self.door);
-        (door.epoch, door.open, door.terminated) = (door.epoch + 1, true, None);
+        let mut availability = lock(&self.availability);
+        (availability.epoch, availability.open, availability.terminated) =
+            (availability.epoch + 1, true, None);
         Ok(())
     }
 
@@ -171,13 +172,13 @@
     pub fn terminate(&self) -> io::Result<()> {
         self.judge_own_counts();
         let Some(mut process) = lock(&self.process).take() else { return Ok(()) };
-        lock(&self.door).terminated = Some(Instant::now());
+        lock(&self.availability).terminated = Some(Instant::now());
         for signal in SIGNALS_AT_THE_END {
             process.signal(signal)?;
         }
         let ended = process.exits(LONGEST_WAIT + KILL_AFTER)?;
         self.pid.store(0, Ordering::Relaxed);
-        lock(&self.door).open = false;
+        lock(&self.availability).open = false;
         match ended {
             Some(status) if status.success() => {}
             Some(status) => self.ledger.fault(
@@ -185,7 +186,7 @@
                 format!("proxy {} ended with {status}: {}", self.number, tail(&mut process)),
             ),
             None => {
-                lock(&self.door).killed = self.door().epoch;
+                lock(&self.availability).killed = self.availability().epoch;
                 let text = format!("proxy {} did not end in time: {}", self.number, tail(&mut process));
                 self.ledger.fault(Rule::Process, text);
             }
@@ -196,9 +197,9 @@
     /// Kills the process.
     pub fn kill(&self) {
         let process = lock(&self.process).take();
-        let mut door = lock(&self.door);
-        (door.open, door.killed) = (false, door.epoch);
-        drop(door);
+        let mut availability = lock(&self.availability);
+        (availability.open, availability.killed) = (false, availability.epoch);
+        drop(availability);
         self.pid.store(0, Ordering::Relaxed);
         drop(process);
     }
@@ -213,8 +214,8 @@
         *held = None;
         self.pid.store(0, Ordering::Relaxed);
         drop(held);
-        let mut door = lock(&self.door);
-        (door.open, door.killed) = (false, door.epoch);
+        let mut availability = lock(&self.availability);
+        (availability.open, availability.killed) = (false, availability.epoch);
         Ok(false)
     }
 
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -11,7 +11,7 @@
 
 use fastrand::Rng;
 
-use crate::client::{Client, Manners};
+use crate::client::{Client, ClientBehavior};
 use crate::crowd::Crowd;
 use crate::fleet::Proxy;
 use crate::ledger::{Ledger, Summary};
@@ -156,7 +156,7 @@
     let ledger = Arc::new(Ledger::default());
     let site = Site::open(&ledger, options.proxies)?;
     let proxies = open_fleet(options, &shim, &site, &ledger)?;
-    let manners = Arc::new(Manners::usual());
+    let behavior = Arc::new(ClientBehavior::usual());
     let ends = Arc::new(AtomicBool::new(false));
     let mut rng = Rng::with_seed(options.seed);
     let clients: Vec<_> = proxies
@@ -166,7 +166,7 @@
             let client = Client {
                 proxy: Arc::clone(proxy),
                 ledger: Arc::clone(&ledger),
-                manners: Arc::clone(&manners),
+                behavior: Arc::clone(&behavior),
                 ends: Arc::clone(&ends),
                 rng: rng.fork(),
                 is_crowded: options.crowd > 0,
@@ -175,7 +175,7 @@
         })
         .collect();
     let crowds = if options.crowd > 0 { open_crowds(options, &proxies, &ledger, &ends) } else { Vec::new() };
-    let scene = Scene { site: &site, proxies: &proxies, manners: &manners, ledger: &ledger };
+    let scene = Scene { site: &site, proxies: &proxies, behavior: &behavior, ledger: &ledger };
     let overlaps = Mutex::new(Overlaps::default());
     let told = thread::scope(|scope| {
         let over = Arc::new(AtomicBool::new(false));
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -9,7 +9,7 @@
 use rustix::process::Signal;
 use serde_json::json;
 
-use crate::client::Manners;
+use crate::client::ClientBehavior;
 use crate::fleet::Proxy;
 use crate::ledger::Ledger;
 use crate::shim::{errno, Knob};
@@ -109,7 +109,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Trouble {
     pub kind: Kind,
-    /// Proxies that it befalls, where it befalls some.
+    /// Proxies that it affects, where it affects some.
     pub proxies: Vec<usize>,
     /// The db host.
     pub host: usize,
@@ -121,12 +121,12 @@
 impl Trouble {
     /// Draws one of a kind, for a third of the proxies and one db host.
     pub fn of(kind: Kind, rng: &mut Rng, proxies: usize, hosts: usize) -> Trouble {
-        let mut befallen: Vec<usize> = (0..proxies).collect();
-        rng.shuffle(&mut befallen);
-        befallen.truncate(proxies.div_ceil(3));
+        let mut affected: Vec<usize> = (0..proxies).collect();
+        rng.shuffle(&mut affected);
+        affected.truncate(proxies.div_ceil(3));
         Trouble {
             kind,
-            proxies: befallen,
+            proxies: affected,
             host: rng.usize(0..hosts),
             form: rng.usize(0..840),
             lasts: Duration::from_millis(rng.u64(LASTS_MS)),
@@ -138,7 +138,7 @@
 pub struct Scene<'a> {
     pub site: &'a Site,
     pub proxies: &'a [std::sync::Arc<Proxy>],
-    pub manners: &'a Manners,
+    pub behavior: &'a ClientBehavior,
     pub ledger: &'a Ledger,
 }
 
@@ -148,7 +148,7 @@
     /// # Errors
     /// Those of files and processes that the test itself needs.
     pub fn play(&self, trouble: &Trouble) -> io::Result<()> {
-        let befallen = || trouble.proxies.iter().filter_map(|n| self.proxies.get(*n));
+        let affected = || trouble.proxies.iter().filter_map(|n| self.proxies.get(*n));
         match trouble.kind {
             Kind::InterruptedCalls
             | Kind::FailingCalls
@@ -157,15 +157,15 @@
             | Kind::FullLog
             | Kind::InterruptedSignals => {
                 let knobs = knobs(trouble);
-                for (proxy, (knob, value)) in befallen().flat_map(|p| knobs.iter().map(move |k| (p, *k))) {
+                for (proxy, (knob, value)) in affected().flat_map(|p| knobs.iter().map(move |k| (p, *k))) {
                     proxy.faults.set(knob, value)?;
                 }
                 if trouble.kind == Kind::InterruptedSignals {
-                    befallen().for_each(|proxy| proxy.signal(Signal::HUP));
+                    affected().for_each(|proxy| proxy.signal(Signal::HUP));
                 }
                 std::thread::sleep(trouble.lasts);
                 let set: Vec<Knob> = knobs.iter().map(|k| k.0).collect();
-                befallen().try_for_each(|proxy| proxy.heal(&set))
+                affected().try_for_each(|proxy| proxy.heal(&set))
             }
             Kind::SteppedClocks => {
                 let ms = STEPS_MS[trouble.form % STEPS_MS.len()];
@@ -190,9 +190,9 @@
             Kind::HeldUp => {
                 for _ in 0..TIMES {
                     self.ledger.held_up();
-                    befallen().for_each(|proxy| proxy.signal(Signal::STOP));
+                    affected().for_each(|proxy| proxy.signal(Signal::STOP));
                     std::thread::sleep(HELD_UP);
-                    befallen().for_each(|proxy| proxy.signal(Signal::CONT));
+                    affected().for_each(|proxy| proxy.signal(Signal::CONT));
                     self.ledger.held_up();
                     std::thread::sleep(trouble.lasts / TIMES as u32);
                 }
@@ -200,7 +200,7 @@
             }
             Kind::Reloads => {
                 for n in 0..TIMES {
-                    for proxy in befallen() {
+                    for proxy in affected() {
                         proxy.configure(self.site, self.proxies.len(), trouble.form + n)?;
                         proxy.signal(Signal::HUP);
                     }
@@ -214,7 +214,7 @@
                 Ok(())
             }),
             _ => {
-                self.ail(trouble);
+                self.play_peers(trouble);
                 Ok(())
             }
         }
@@ -238,30 +238,30 @@
     }
 
     /// Lets db hosts, discovery or clients misbehave for a while.
-    fn ail(&self, trouble: &Trouble) {
+    fn play_peers(&self, trouble: &Trouble) {
         let host = &self.site.hosts[trouble.host];
         let wait = || std::thread::sleep(trouble.lasts);
         match trouble.kind {
             Kind::HangingHost => {
-                host.ail(|ills| ills.hangs = true);
+                host.set_faults(|faults| faults.hangs = true);
                 wait();
-                host.ail(|ills| ills.hangs = false);
+                host.set_faults(|faults| faults.hangs = false);
             }
             Kind::DeafHost => {
-                host.ail(|ills| ills.deaf = true);
+                host.set_faults(|faults| faults.stops_reading = true);
                 wait();
-                host.ail(|ills| ills.deaf = false);
+                host.set_faults(|faults| faults.stops_reading = false);
             }
             Kind::ResettingHost => {
-                host.ail(|ills| ills.resets = true);
+                host.set_faults(|faults| faults.resets = true);
                 wait();
-                host.ail(|ills| ills.resets = false);
+                host.set_faults(|faults| faults.resets = false);
             }
             Kind::RefusingHost => {
                 let errs = trouble.form.is_multiple_of(2);
-                host.ail(|ills| (ills.errs, ills.full) = (errs, !errs));
+                host.set_faults(|faults| (faults.errs, faults.full) = (errs, !errs));
                 wait();
-                host.ail(|ills| (ills.errs, ills.full) = (false, false));
+                host.set_faults(|faults| (faults.errs, faults.full) = (false, false));
             }
             Kind::CutHost => {
                 host.cut();
@@ -283,16 +283,16 @@
             Kind::SilentDiscovery => self.with_discovery(Service::Silent, trouble.lasts),
             Kind::DownDiscovery => self.with_discovery(Service::Down, trouble.lasts),
             Kind::LeavingClients => {
-                self.manners.leave.store(300, Ordering::Relaxed);
+                self.behavior.leave.store(300, Ordering::Relaxed);
                 wait();
-                self.manners.reset();
+                self.behavior.reset();
             }
             Kind::BadClients => {
-                self.manners.stop_midway.store(30, Ordering::Relaxed);
-                self.manners.pipeline.store(300, Ordering::Relaxed);
-                self.manners.rest.store(100, Ordering::Relaxed);
+                self.behavior.stop_midway.store(30, Ordering::Relaxed);
+                self.behavior.pipeline.store(300, Ordering::Relaxed);
+                self.behavior.rest.store(100, Ordering::Relaxed);
                 wait();
-                self.manners.reset();
+                self.behavior.reset();
             }
             _ => wait(),
         }
