--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -1,22 +1,20 @@
-//! A db host of a soak play: a thread for each connection, PostgreSQL's protocol, and states that troubles set.
+//! A db host of a soak play: a thread for each connection, and states that troubles set.
+
+mod serving;
+#[cfg(test)]
+mod tests;
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::{self, Write};
+use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use gradeshunt_stand_ins::postgres::wire;
-use gradeshunt_stand_ins::script::Table;
-
-use crate::ledger::{Arrival, Ledger};
+use crate::ledger::Ledger;
 use crate::lock;
-use crate::statement::{Class, Statement};
 
-/// How long a request is worked on.
-const WORK: Duration = Duration::from_millis(2);
 /// How far a standby is behind by itself.
 const USUAL_LAG: Duration = Duration::from_millis(40);
 /// How long the key of a write is known.
@@ -204,113 +202,4 @@
             None => (self.0.wall.now_ms() - USUAL_LAG.as_secs_f64() * 1000.0, USUAL_LAG),
         }
     }
-
-    fn wait_while(&self, has_fault: impl Fn(&DbHostFaults) -> bool) {
-        let state = lock(&self.0.state);
-        let waited = self.0.changed.wait_while(state, |state| has_fault(&state.faults));
-        drop(waited.unwrap_or_else(|poisoned| poisoned.into_inner()));
-    }
-
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        let stream = Arc::new(stream);
-        self.wait_while(|faults| faults.stops_reading);
-        wire::read_startup(&mut &*stream)?;
-        (&*stream).write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())?;
-        loop {
-            self.wait_while(|faults| faults.stops_reading);
-            let (tag, body) = wire::read(&mut &*stream)?;
-            if tag != b'Q' {
-                return Ok(());
-            }
-            let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
-            let goes_on = match Statement::read(&text) {
-                Some(statement) => self.request(&stream, &statement)?,
-                None => self.probe(&stream)?,
-            };
-            if !goes_on {
-                return Ok(());
-            }
-        }
-    }
-
-    /// A load report.
-    fn probe(&self, mut stream: &TcpStream) -> io::Result<bool> {
-        self.wait_while(|faults| faults.hangs);
-        let report = format!("x0={:.3},x1={}", self.position().0 / 1000.0, u8::from(self.0.primary));
-        let row = Table { tag: "SHOW".to_owned(), ..Table::of(&["pressure"], &[&[&report]]) };
-        stream.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat())?;
-        Ok(true)
-    }
-
-    fn request(&self, stream: &Arc<TcpStream>, statement: &Statement) -> io::Result<bool> {
-        // Its time is taken before any lock is waited for, and what else is judged with it is asked as of then.
-        let mut arrival = Arrival::now(*statement, self.0.number, stream);
-        (arrival.drains_since, arrival.prompt) = {
-            let state = lock(&self.0.state);
-            (state.drains_since, state.is_prompt_at(arrival.at))
-        };
-        let prompt = arrival.prompt;
-        let number = self.0.ledger.arrived(arrival);
-        self.wait_while(|faults| faults.hangs);
-        let reply = self.work(statement, prompt);
-        // Before its proxy can hear of the end, and begin another attempt.
-        self.0.ledger.attempt_ended(statement.id, number);
-        match reply {
-            Some(reply) => (&**stream).write_all(&reply).map(|()| true),
-            None => {
-                let _ = socket2::SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
-                Ok(false)
-            }
-        }
-    }
-
-    /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
-    fn work(&self, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
-        thread::sleep(WORK);
-        let faults = lock(&self.0.state).faults;
-        let error = |code: &str, text: &str| wire::error(code, text);
-        let mut reply = if faults.full {
-            error("53300", "too many requests wait")
-        } else if statement.class.writes() && !self.0.primary {
-            error("25006", "cannot execute INSERT in a read-only transaction")
-        } else {
-            if statement.class.writes() {
-                self.execute(statement);
-            } else {
-                self.0.reads.fetch_add(1, Ordering::Relaxed);
-                self.0.ledger.served_from(statement, self.0.number, self.position().1, prompt);
-            }
-            if faults.resets {
-                return None;
-            }
-            if faults.errs {
-                error("XX000", "an error of its own")
-            } else {
-                let tag = if statement.class.writes() { "INSERT 0 1" } else { "SELECT 1" };
-                let value = statement.value();
-                wire::table(&Table { tag: tag.to_owned(), ..Table::of(&["data"], &[&[&value]]) })
-            }
-        };
-        let role = if self.0.primary { "primary" } else { "standby" };
-        reply.extend(wire::parameter("replication_role", role));
-        reply.extend(wire::parameter("log_position", &format!("{:.0}", self.position().0.floor())));
-        reply.extend(wire::message(b'Z', b"I"));
-        Some(reply)
-    }
-
-    /// Executes a write, unless its key is known.
-    fn execute(&self, statement: &Statement) {
-        if statement.class == Class::KeyedWrite {
-            let mut keys = lock(&self.0.keys);
-            if keys.get(&statement.id).is_some_and(|ran| ran.elapsed() < KEY_WINDOW) {
-                return;
-            }
-            keys.insert(statement.id, Instant::now());
-        }
-        self.0.ledger.executed(statement);
-    }
 }
-
-#[cfg(test)]
-mod tests;
