--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -1,30 +1,26 @@
-//! A db host of a soak play: a thread for each connection, PostgreSQL's protocol, and states that troubles set.
+//! A db host of a soak play: a thread for each connection, and states that troubles set.
+
+mod serving;
+#[cfg(test)]
+mod tests;
 
 use std::collections::{BTreeMap, HashMap};
-use std::io::{self, ErrorKind, Write};
+use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use gradeshunt_stand_ins::postgres::wire;
-use gradeshunt_stand_ins::script::Table;
-
-use crate::ledger::{Arrival, Ledger, OpenFor};
+use crate::ledger::Ledger;
 use crate::lock;
-use crate::statement::{Class, Statement};
 
-/// How long a request is worked on.
-const WORK: Duration = Duration::from_millis(2);
 /// How far a standby is behind by itself.
 const USUAL_LAG: Duration = Duration::from_millis(40);
 /// How long the key of a write is known.
 pub const KEY_WINDOW: Duration = Duration::from_secs(2);
 /// How long what bytes say on arrival is not to be relied on after its db host has begun to read again.
 const CATCHING_UP: Duration = Duration::from_millis(500);
-/// How long a connection that should have been closed is looked at, for the text of a fault.
-const LOOKED_AT: Duration = Duration::from_millis(50);
 
 /// The wall clock of all machines of a play, which can be stepped.
 #[derive(Clone, Default)]
@@ -45,13 +41,13 @@
 /// Keys of a set's writes that have run, and when.
 pub type Keys = Arc<Mutex<HashMap<u64, Instant>>>;
 
-/// What troubles set.
+/// Faults of a db host, which troubles set.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ills {
+pub struct DbHostFaults {
     /// It takes requests and works on none.
     pub hangs: bool,
     /// It reads nothing.
-    pub deaf: bool,
+    pub stops_reading: bool,
     /// It turns requests away.
     pub full: bool,
     /// It errs.
@@ -70,16 +66,25 @@
     position: f64,
 }
 
+#[derive(Default)]
 struct State {
-    ills: Ills,
-    /// When it was deaf last.
-    deaf_until: Option<Instant>,
+    faults: DbHostFaults,
+    /// When it read nothing last.
+    stopped_reading_until: Option<Instant>,
     frozen: Option<Frozen>,
     /// The generation of the list that says that it drains.
     drains_since: Option<u64>,
     open: BTreeMap<u64, TcpStream>,
 }
 
+impl State {
+    /// Whether it read as soon as bytes came then.
+    fn is_prompt_at(&self, at: Instant) -> bool {
+        let has_caught_up = |until| at.saturating_duration_since(until) > CATCHING_UP;
+        !self.faults.stops_reading && self.stopped_reading_until.is_none_or(has_caught_up)
+    }
+}
+
 struct Inner {
     number: usize,
     primary: bool,
@@ -89,8 +94,6 @@
     ledger: Arc<Ledger>,
     state: Mutex<State>,
     changed: Condvar,
-    /// Connections of attempts that are out, by request and number.
-    attempts: Arc<Mutex<HashMap<(u64, usize), TcpStream>>>,
     /// Reads that it has served.
     reads: AtomicU64,
 }
@@ -104,7 +107,6 @@
 pub struct Shared {
     pub wall: WallClock,
     pub ledger: Arc<Ledger>,
-    pub attempts: Arc<Mutex<HashMap<(u64, usize), TcpStream>>>,
 }
 
 impl DbHost {
@@ -114,13 +116,6 @@
     /// Those of the socket.
     pub fn open(number: usize, primary: bool, keys: &Keys, shared: &Shared) -> io::Result<DbHost> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let state = State {
-            ills: Ills::default(),
-            deaf_until: None,
-            frozen: None,
-            drains_since: None,
-            open: BTreeMap::new(),
-        };
         let host = DbHost(Arc::new(Inner {
             number,
             primary,
@@ -128,9 +123,8 @@
             wall: shared.wall.clone(),
             keys: Arc::clone(keys),
             ledger: Arc::clone(&shared.ledger),
-            state: Mutex::new(state),
+            state: Mutex::default(),
             changed: Condvar::new(),
-            attempts: Arc::clone(&shared.attempts),
             reads: AtomicU64::new(0),
         }));
         let served = host.clone();
@@ -162,13 +156,13 @@
         self.0.reads.load(Ordering::Relaxed)
     }
 
-    /// Changes what ails it.
-    pub fn ail(&self, change: impl FnOnce(&mut Ills)) {
+    /// Changes its faults.
+    pub fn set_faults(&self, change: impl FnOnce(&mut DbHostFaults)) {
         let mut state = lock(&self.0.state);
-        let was_deaf = state.ills.deaf;
-        change(&mut state.ills);
-        if was_deaf && !state.ills.deaf {
-            state.deaf_until = Some(Instant::now());
+        let had_stopped_reading = state.faults.stops_reading;
+        change(&mut state.faults);
+        if had_stopped_reading && !state.faults.stops_reading {
+            state.stopped_reading_until = Some(Instant::now());
         }
         self.0.changed.notify_all();
     }
@@ -208,141 +202,4 @@
             None => (self.0.wall.now_ms() - USUAL_LAG.as_secs_f64() * 1000.0, USUAL_LAG),
         }
     }
-
-    fn wait_while(&self, ails: impl Fn(&Ills) -> bool) {
-        let state = lock(&self.0.state);
-        let waited = self.0.changed.wait_while(state, |state| ails(&state.ills));
-        drop(waited.unwrap_or_else(|poisoned| poisoned.into_inner()));
-    }
-
-    fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
-        stream.set_nodelay(true)?;
-        self.wait_while(|ills| ills.deaf);
-        wire::read_startup(&mut stream)?;
-        stream.write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())?;
-        loop {
-            self.wait_while(|ills| ills.deaf);
-            let (tag, body) = wire::read(&mut stream)?;
-            if tag != b'Q' {
-                return Ok(());
-            }
-            let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
-            let goes_on = match Statement::read(&text) {
-                Some(statement) => self.request(&mut stream, &statement)?,
-                None => self.probe(&mut stream)?,
-            };
-            if !goes_on {
-                return Ok(());
-            }
-        }
-    }
-
-    /// A load report.
-    fn probe(&self, stream: &mut TcpStream) -> io::Result<bool> {
-        self.wait_while(|ills| ills.hangs);
-        let report = format!("x0={:.3},x1={}", self.position().0 / 1000.0, u8::from(self.0.primary));
-        let row = Table { tag: "SHOW".to_owned(), ..Table::of(&["pressure"], &[&[&report]]) };
-        stream.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat())?;
-        Ok(true)
-    }
-
-    fn request(&self, stream: &mut TcpStream, statement: &Statement) -> io::Result<bool> {
-        let (drains_since, prompt) = {
-            let state = lock(&self.0.state);
-            let prompt =
-                !state.ills.deaf && state.deaf_until.is_none_or(|until| until.elapsed() > CATCHING_UP);
-            (state.drains_since, prompt)
-        };
-        let (statement, at) = (*statement, Instant::now());
-        let arrival = Arrival { statement, host: self.0.number, at, drains_since, prompt };
-        // One that its proxy has given up by the time at which it is read came before whatever is out now.
-        let given_up = !is_open(stream);
-        let open_for = |number| if given_up { None } else { self.open_for(statement.id, number) };
-        let number = self.0.ledger.arrived(&arrival, open_for);
-        if let Ok(copy) = stream.try_clone() {
-            lock(&self.0.attempts).insert((statement.id, number), copy);
-        }
-        self.wait_while(|ills| ills.hangs);
-        let reply = self.work(&statement, prompt);
-        // Before its proxy can hear of the end, and begin another attempt.
-        lock(&self.0.attempts).remove(&(statement.id, number));
-        self.0.ledger.attempt_ended(statement.id, number);
-        match reply {
-            Some(reply) => stream.write_all(&reply).map(|()| true),
-            None => {
-                let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
-                Ok(false)
-            }
-        }
-    }
-
-    /// For how long the connection of an attempt still stands on its proxy's side, where it does.
-    fn open_for(&self, id: u64, number: usize) -> Option<OpenFor> {
-        let stream = lock(&self.0.attempts).get(&(id, number)).and_then(|s| s.try_clone().ok())?;
-        let began = Instant::now();
-        if !is_open(&stream) {
-            return None;
-        }
-        while is_open(&stream) {
-            if began.elapsed() > LOOKED_AT {
-                return Some(OpenFor::AtLeast(LOOKED_AT));
-            }
-            thread::yield_now();
-        }
-        Some(OpenFor::ClosedAfter(began.elapsed()))
-    }
-
-    /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
-    fn work(&self, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
-        thread::sleep(WORK);
-        let ills = lock(&self.0.state).ills;
-        let error = |code: &str, text: &str| wire::error(code, text);
-        let mut reply = if ills.full {
-            error("53300", "too many requests wait")
-        } else if statement.class.writes() && !self.0.primary {
-            error("25006", "cannot execute INSERT in a read-only transaction")
-        } else {
-            if statement.class.writes() {
-                self.execute(statement);
-            } else {
-                self.0.reads.fetch_add(1, Ordering::Relaxed);
-                self.0.ledger.served_from(statement, self.0.number, self.position().1, prompt);
-            }
-            if ills.resets {
-                return None;
-            }
-            if ills.errs {
-                error("XX000", "an error of its own")
-            } else {
-                let tag = if statement.class.writes() { "INSERT 0 1" } else { "SELECT 1" };
-                let value = statement.value();
-                wire::table(&Table { tag: tag.to_owned(), ..Table::of(&["data"], &[&[&value]]) })
-            }
-        };
-        let role = if self.0.primary { "primary" } else { "standby" };
-        reply.extend(wire::parameter("replication_role", role));
-        reply.extend(wire::parameter("log_position", &format!("{:.0}", self.position().0.floor())));
-        reply.extend(wire::message(b'Z', b"I"));
-        Some(reply)
-    }
-
-    /// Executes a write, unless its key is known.
-    fn execute(&self, statement: &Statement) {
-        if statement.class == Class::KeyedWrite {
-            let mut keys = lock(&self.0.keys);
-            if keys.get(&statement.id).is_some_and(|ran| ran.elapsed() < KEY_WINDOW) {
-                return;
-            }
-            keys.insert(statement.id, Instant::now());
-        }
-        self.0.ledger.executed(statement);
-    }
-}
-
-/// Whether a connection stands on its proxy's side, and nothing stands unread on it.
-fn is_open(stream: &TcpStream) -> bool {
-    let nonblocking = rustix::net::RecvFlags::PEEK | rustix::net::RecvFlags::DONTWAIT;
-    let mut byte = [0_u8; 1];
-    let peeked = rustix::net::recv(stream, &mut byte[..], nonblocking);
-    matches!(peeked.map_err(io::Error::from), Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -3,12 +3,13 @@
 //! All times are monotonic: the wall clocks of a play are stepped.
 
 use std::collections::{BTreeMap, HashMap};
-use std::fmt::{self, Display};
-use std::sync::{Mutex, OnceLock};
+use std::net::TcpStream;
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use gradeshunt_stand_ins::discovery::Discovery;
 
+use crate::connection::{is_open, open_for, OpenFor};
 use crate::lock;
 use crate::statement::{Class, Statement, READ_BOUND};
 
@@ -28,6 +29,9 @@
 const DRAIN_GRACE: Duration = Duration::from_millis(250);
 /// What an answer tells counts as known this long after its writing.
 const KNOWN_AFTER: Duration = Duration::from_millis(100);
+/// Requests that a ledger has room for from its start: while a map of crowded plays' 28,672 grows and is copied, hundreds of threads wait
+/// for the ledger.
+const REQUESTS: usize = 1 << 17;
 /// Faults that are kept word for word.
 const KEPT: usize = 40;
 
@@ -72,43 +76,40 @@
     OwnCount,
 }
 
-/// An attempt as it arrives at a db host.
-#[derive(Clone, Copy, Debug)]
+/// An attempt as it arrives at a db host: what is known of it before the ledger is held.
+#[derive(Clone, Debug)]
 pub struct Arrival {
+    /// The request as the attempt tells it.
     pub statement: Statement,
+    /// The db host.
     pub host: usize,
+    /// When it was read.
     pub at: Instant,
     /// The generation of the list that says that its db host drains.
     pub drains_since: Option<u64>,
     /// Its db host reads as soon as bytes come: times of arrival are those of the network.
     pub prompt: bool,
+    /// Its connection. Whether that stands is asked where the ledger is held: an answer from before may be older than the next attempt.
+    connection: Arc<TcpStream>,
 }
 
-/// For how long the connection of an attempt was open behind the arrival of the next one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OpenFor {
-    ClosedAfter(Duration),
-    /// It was looked at for this long.
-    AtLeast(Duration),
-}
-
-impl Display for OpenFor {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            OpenFor::ClosedAfter(time) => write!(f, "closed {time:?} later"),
-            OpenFor::AtLeast(time) => write!(f, "open for {time:?} at least"),
+impl Arrival {
+    /// One that a db host has just read promptly, and that no list says to drain.
+    pub fn now(statement: Statement, host: usize, connection: &Arc<TcpStream>) -> Arrival {
+        Arrival {
+            statement,
+            host,
+            at: Instant::now(),
+            drains_since: None,
+            prompt: true,
+            connection: Arc::clone(connection),
         }
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum AttemptState {
-    Out,
-    Ended,
-}
-
 struct Attempt {
-    state: AttemptState,
+    /// Its connection while it is out.
+    connection: Option<Arc<TcpStream>>,
 }
 
 struct Request {
@@ -126,7 +127,18 @@
     note: String,
 }
 
-#[derive(Default)]
+impl Request {
+    /// An attempt whose connection stands beside this one's on their proxy's side, by its number, and for how long it does.
+    fn attempt_out_beside(&self, connection: &TcpStream) -> Option<(usize, OpenFor)> {
+        // One given up before it came here was followed by a repeat, which may have come first.
+        if !is_open(connection) {
+            return None;
+        }
+        let out = |(n, attempt): (usize, &Attempt)| Some((n, open_for(attempt.connection.as_ref()?)?));
+        self.attempts.iter().enumerate().find_map(out)
+    }
+}
+
 struct Book {
     requests: HashMap<u64, Request>,
     next: u64,
@@ -156,10 +168,25 @@
     pub faults: Vec<String>,
 }
 
+impl Default for Book {
+    fn default() -> Book {
+        Book {
+            requests: HashMap::with_capacity(REQUESTS),
+            next: 0,
+            faults: Vec::new(),
+            counts: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            attempts: 0,
+            held_up: None,
+        }
+    }
+}
+
 impl Book {
-    /// By how much times may be off at this moment, beside the rules' own slack.
-    fn slack(&self) -> Duration {
-        match self.held_up.is_some_and(|at| at.elapsed() < HELD_UP_LASTS) {
+    /// By how much times may be off then, beside the rules' own slack. Where processes were held up since, they may have been before.
+    fn slack_at(&self, at: Instant) -> Duration {
+        let lasts = |held_up: Instant| at.saturating_duration_since(held_up) < HELD_UP_LASTS;
+        match self.held_up.is_some_and(lasts) {
             true => SCHEDULING + HELD_UP,
             false => SCHEDULING,
         }
@@ -220,14 +247,14 @@
         statement
     }
 
-    /// A request's client has closed its connection.
-    pub fn left(&self, id: u64) {
+    /// A request's client has closed its connection then.
+    pub fn left(&self, id: u64, at: Instant) {
         let mut book = lock(&self.book);
         if let Some(request) = book.requests.get_mut(&id) {
-            request.left = Some(Instant::now());
+            request.left = Some(at);
         }
         drop(book);
-        self.ended(id, Outcome::Left);
+        self.ended(id, Outcome::Left, at);
     }
 
     /// Notes how a request's connection ended, for the text of a fault.
@@ -235,14 +262,14 @@
         lock(&self.book).requests.get_mut(&id).into_iter().for_each(|request| request.note = note.clone());
     }
 
-    /// A request has ended for its client.
-    pub fn ended(&self, id: u64, outcome: Outcome) {
+    /// A request has ended for its client then.
+    pub fn ended(&self, id: u64, outcome: Outcome, at: Instant) {
         let mut book = lock(&self.book);
         *book.outcomes.entry(outcome).or_default() += 1;
-        let slack = book.slack();
+        let slack = book.slack_at(at);
         let Some(request) = book.requests.get_mut(&id) else { return };
         request.outcome = Some(outcome);
-        let (took, statement) = (request.asked.elapsed(), request.statement);
+        let (took, statement) = (at.saturating_duration_since(request.asked), request.statement);
         let (attempts, note) = (request.attempts.len(), std::mem::take(&mut request.note));
         let allowed = (statement.wait + ANSWER_SLACK) * (request.behind + 1) + slack;
         match outcome {
@@ -264,19 +291,17 @@
         }
     }
 
-    /// An attempt has arrived; gives its number among those of its request. `open_for` tells for how long the connection of an
-    /// earlier attempt still stands, by that number, where it does.
-    pub fn arrived(&self, arrival: &Arrival, open_for: impl Fn(usize) -> Option<OpenFor>) -> usize {
+    /// An attempt has arrived; gives its number among those of its request.
+    pub fn arrived(&self, arrival: Arrival) -> usize {
         let told = |proxy: usize, generation: u64| self.told(proxy, generation);
         let mut book = lock(&self.book);
         book.attempts += 1;
-        let slack = book.slack();
-        let Arrival { statement, host, at, drains_since, prompt } = *arrival;
+        let Arrival { statement, host, at, drains_since, prompt, connection } = arrival;
+        let slack = book.slack_at(at);
         let Some(request) = book.requests.get_mut(&statement.id) else { return 0 };
         let number = request.attempts.len();
         let mut found = Vec::new();
-        let mut out = request.attempts.iter().enumerate().filter(|(_, a)| a.state == AttemptState::Out);
-        if let Some((n, open)) = out.find_map(|(n, _)| open_for(n).map(|open| (n, open))) {
+        if let Some((n, open)) = request.attempt_out_beside(&connection) {
             found.push((Rule::TwoAttemptsOut, format!("beside attempt {n}, whose connection was {open}")));
         }
         if prompt {
@@ -303,7 +328,7 @@
                 ));
             }
         }
-        request.attempts.push(Attempt { state: AttemptState::Out });
+        request.attempts.push(Attempt { connection: Some(connection) });
         for (rule, text) in found {
             book.fault(rule, format!("attempt {number} of {statement:?} at host {host} {text}"));
         }
@@ -314,7 +339,7 @@
     pub fn attempt_ended(&self, id: u64, number: usize) {
         let mut book = lock(&self.book);
         let attempt = book.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(number));
-        attempt.into_iter().for_each(|a| a.state = AttemptState::Ended);
+        attempt.into_iter().for_each(|a| a.connection = None);
     }
 
     /// A db host has executed a write; a repeat that it dropped is none.
@@ -330,7 +355,8 @@
 
     /// A db host is about to serve a read from data of this age.
     pub fn served_from(&self, statement: &Statement, host: usize, age: Duration, prompt: bool) {
-        let slack = lock(&self.book).slack();
+        let at = Instant::now();
+        let slack = lock(&self.book).slack_at(at);
         if prompt && statement.class == Class::Read && age > READ_BOUND + KNOWN_AFTER + slack {
             self.fault(
                 Rule::StaleRead,
