A process that ended in time is found though its watcher looks late

Cause: Process::exits slept 2 ms at a time and never looked again once its time was over. A thread of the test that got no processor until then found no end where one was.

One more look alone would be too lenient: an end between the time and a late look would pass. So the end and the time (pidfd, timerfd) now wake one epoll, which keeps what wakes it in that order. Which of them came first is told however late the thread runs: an end in time is found, and an end behind its time is late though it is there at the look. A process that has ended before the watch begins has ended in time, as before.

Where a process of the soak is late, the fault now says how late the look was, where each of its threads stood (state, wchan, time run and time waited for a processor), and when it ended after all, which is waited for 1 s more and changes nothing of the verdict.

Tests: the order is forced, with an event in place of the timer: the process ends (awaited by waitid), the time passes, then the look; and the other way round.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -24,6 +24,8 @@
 const SIGNALS_AT_THE_END: [&str; 4] = ["TERM", "HUP", "TERM", "HUP"];
 /// A process has to be ready this long after its start.
 const READY_WITHIN: Duration = Duration::from_secs(10);
+/// One that has not ended by then is waited for so long more, to tell of it; it is late all the same.
+const ENDS_LATER: Duration = Duration::from_millis(1_000);
 /// Pace of the looks at a process that starts.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -175,19 +177,20 @@
         for signal in SIGNALS_AT_THE_END {
             process.signal(signal)?;
         }
-        let ended = process.exits(LONGEST_WAIT + KILL_AFTER)?;
+        let ended = process.exits_or_stands(LONGEST_WAIT + KILL_AFTER)?;
         self.pid.store(0, Ordering::Relaxed);
         lock(&self.door).open = false;
         match ended {
-            Some(status) if status.success() => {}
-            Some(status) => self.ledger.fault(
+            Ok(status) if status.success() => {}
+            Ok(status) => self.ledger.fault(
                 Rule::Process,
                 format!("proxy {} ended with {status}: {}", self.number, tail(&mut process)),
             ),
-            None => {
+            Err(overdue) => {
                 lock(&self.door).killed = self.door().epoch;
-                let text = format!("proxy {} did not end in time: {}", self.number, tail(&mut process));
-                self.ledger.fault(Rule::Process, text);
+                let later = ends_later(&mut process, overdue.looked_late)?;
+                let text = format!("proxy {} did not end in time, {overdue}; {later}", self.number);
+                self.ledger.fault(Rule::Process, format!("{text}: {}", tail(&mut process)));
             }
         }
         Ok(())
@@ -244,6 +247,17 @@
     }
 }
 
+/// Tells how long after its time a process ended that was looked at so late.
+fn ends_later(process: &mut Process, looked_late: Duration) -> io::Result<String> {
+    let looked = Instant::now();
+    Ok(match process.exits(ENDS_LATER)? {
+        Some(status) => {
+            format!("ended {} ms late with {status}", (looked_late + looked.elapsed()).as_millis())
+        }
+        None => format!("had not ended {} ms later", ENDS_LATER.as_millis()),
+    })
+}
+
 /// The last lines of a process's log.
 fn tail(process: &mut Process) -> String {
     let lines = process.logged();
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod checker;
 pub mod discovery;
+pub mod ending;
 pub mod engine;
 pub mod postgres;
 pub mod program;
--- a/crates/stand-ins/src/program.rs
+++ b/crates/stand-ins/src/program.rs
@@ -8,8 +8,11 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::time::{Duration, Instant};
 
+use rustix::process::Pid;
 use serde_json::Value;
 
+use crate::ending::{Ending, Overdue};
+
 /// What the program needs around it.
 pub struct Platform {
     /// The program's file.
@@ -144,7 +147,7 @@
 
     /// Sends a signal by name (`TERM`, `HUP`, `STOP`, `CONT`).
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        use rustix::process::{kill_process, Pid, Signal};
+        use rustix::process::{kill_process, Signal};
         let signal = match name {
             "TERM" => Signal::TERM,
             "HUP" => Signal::HUP,
@@ -158,14 +161,17 @@
 
     /// Waits for its end, so long at most.
     pub fn exits(&mut self, within: Duration) -> io::Result<Option<ExitStatus>> {
-        let since = Instant::now();
-        while since.elapsed() < within {
-            if let Some(status) = self.child.try_wait()? {
-                return Ok(Some(status));
-            }
-            std::thread::sleep(Duration::from_millis(2));
+        if let Some(status) = self.child.try_wait()? {
+            return Ok(Some(status));
         }
-        Ok(None)
+        let in_time = Ending::within(Pid::from_child(&self.child), within)?.is_in_time()?;
+        Ok(if in_time { Some(self.child.wait()?) } else { None })
+    }
+
+    /// As [`Process::exits`]; where it does not end in time, tells where it stands.
+    pub fn exits_or_stands(&mut self, within: Duration) -> io::Result<Result<ExitStatus, Overdue>> {
+        let over = Instant::now() + within;
+        Ok(self.exits(within)?.ok_or_else(|| Overdue::since(over, self.id())))
     }
 
     pub fn id(&self) -> u32 {
