A request keeps its class's effect; final answers are counted in one place

The exchange looked the effect up in four places and the time after which to come again in three, and matched each final answer twice, once for the figures and once for the log's summary. Now a request carries its effect from the start, the time has one function, and the summary counts with the same type as the figures. Log lines and figures stay as they were.

--- a/crates/gradeshunt/src/exchange/audit.rs
+++ b/crates/gradeshunt/src/exchange/audit.rs
@@ -30,8 +30,7 @@
         if attempt.is_forward() {
             return;
         }
-        let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
-        let repeat_until = r.doubt_since.and_then(|since| match effect {
+        let repeat_until = r.doubt_since.and_then(|since| match r.effect {
             Effect::Safe => None,
             Effect::Unsafe => Some(None),
             Effect::Keyed { window, .. } => Some(Some(since + window)),
--- a/crates/gradeshunt/src/exchange/client_side.rs
+++ b/crates/gradeshunt/src/exchange/client_side.rs
@@ -1,7 +1,7 @@
 //! What the client side tells the exchange: calls, clients that leave or cancel, and how much they have read.
 
 use leadmast::permission::may_take;
-use leadmast::{Arrival, Event, RequestId};
+use leadmast::{Arrival, Effect, Event, RequestId};
 
 use super::messages::{Call, Final, Order, ROOM};
 use super::reason::FinalReason;
@@ -21,9 +21,10 @@
         // The module answers by the deadline. Should it not, the client gets its answer all the same.
         turn.deadlines.set(deadline + self.slack, Due::Overdue(id));
         let place = tenant.map_or(self.figures.tenants.len() - 1, |t| t.0);
-        let request = Request::new(class, group, tenant, place, deadline, body);
+        let effect = self.effects.get(class.0).copied().unwrap_or(Effect::Unsafe);
+        let request = Request::new(class, effect, group, tenant, place, deadline, body);
         self.requests.insert(id, request);
-        let refused = Final::Refused { retry_after: self.retry_after.get(class.0).copied().flatten() };
+        let refused = Final::Refused { retry_after: self.retry_after(class) };
         // Its wait was over before its turn came: nobody would have the answer of an attempt.
         if may_take(turn.now, deadline).is_err() {
             self.tally.expired_unsent += 1;
--- a/crates/gradeshunt/src/exchange/decisions.rs
+++ b/crates/gradeshunt/src/exchange/decisions.rs
@@ -3,9 +3,7 @@
 use std::rc::Rc;
 
 use leadmast::permission::{may_begin, repeat_by};
-use leadmast::{
-    Action, Effect, Ending, Entry, Event, ListKind, MemberId, Micros, Outcome, RequestId, TimerTag,
-};
+use leadmast::{Action, Ending, Entry, Event, ListKind, MemberId, Micros, Outcome, RequestId, TimerTag};
 use slog::debug;
 
 use super::endings::{name, outcome_of};
@@ -95,8 +93,7 @@
             let attempt = AttemptId { request: id, number: 0 };
             return self.outcome(turn, Outcome { last: true, ..outcome_of(attempt, member, Ending::Moot) });
         };
-        let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
-        let (number, facts) = (r.sends, r.facts(effect));
+        let (number, facts) = (r.sends, r.facts());
         r.sends += 1;
         if let (0, Some(sites)) = (number, &mut self.sites) {
             sites.sent(r.group, r.class, r.of);
@@ -109,7 +106,7 @@
         }
         // A repeat is none only within its window, counted from the first send: a connection that comes up late must not
         // carry it past that.
-        let write_by = repeat_by(effect, facts.doubt, self.limits.margin).unwrap_or(until);
+        let write_by = repeat_by(facts.effect, facts.doubt, self.limits.margin).unwrap_or(until);
         self.note_retry(after);
         let Some(r) = self.requests.get_mut(&id) else { return };
         r.out = Some(Out { number, member, since: turn.now });
--- a/crates/gradeshunt/src/exchange/final_answers.rs
+++ b/crates/gradeshunt/src/exchange/final_answers.rs
@@ -25,7 +25,7 @@
         let open: Vec<_> = self.requests.iter().filter(|(_, r)| !r.over).map(|(id, _)| *id).collect();
         for id in open {
             let Some(r) = self.requests.get(&id) else { continue };
-            let retry_after = self.retry_after.get(r.class.0).copied().flatten();
+            let retry_after = self.retry_after(r.class);
             let answer = match (r.begun, r.doubt_since.is_some() || r.written) {
                 (true, _) => Final::Broken,
                 (false, true) => Final::Failed(None),
@@ -61,18 +61,14 @@
         let Some((class, tenant, beyond)) = of else { return };
         let tenant = &mut self.figures.tenants[tenant];
         let tenant = if beyond { &mut tenant.beyond } else { &mut tenant.within };
-        for count in [Some(tenant), self.figures.classes.get_mut(class)].into_iter().flatten() {
+        let finals = &mut self.tally.finals;
+        for count in [Some(finals), Some(tenant), self.figures.classes.get_mut(class)].into_iter().flatten() {
             match &answer {
                 Final::Served(_) => count.served += 1,
                 Final::Refused { .. } => count.refused += 1,
                 Final::Failed(_) | Final::Cancelled | Final::Broken => count.failed += 1,
             }
         }
-        match &answer {
-            Final::Served(_) => self.tally.served += 1,
-            Final::Refused { .. } => self.tally.refused += 1,
-            Final::Failed(_) | Final::Cancelled | Final::Broken => self.tally.failed += 1,
-        }
         self.answers.push_back((id, Answer::Final(answer)));
     }
 
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -3,7 +3,7 @@
 
 use gradeshunt_placement::Source;
 use leadmast::permission::{may_repeat, repeat_by, Doubt};
-use leadmast::{Arrival, Effect, Ending, Event, MemberId, Micros, RequestId};
+use leadmast::{Arrival, Ending, Event, MemberId, Micros, RequestId};
 use slog::{debug, warn};
 
 use super::endings;
@@ -64,8 +64,7 @@
     }
 
     fn refuse(&mut self, turn: &mut Turn, id: RequestId) {
-        let class = self.requests.get(&id).map(|r| r.class.0);
-        let retry_after = class.and_then(|class| self.retry_after.get(class).copied().flatten());
+        let retry_after = self.requests.get(&id).and_then(|r| self.retry_after(r.class));
         self.finish(turn, id, Final::Refused { retry_after }, Some(FinalReason::NoHome));
     }
 
@@ -84,9 +83,8 @@
         let number = FIRST_FORWARD + forward.tried.len() as u32;
         debug!(turn.log, "sent on"; "request" => id.0, "member" => peer.0);
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
         let doubt = r.doubt_since.map(|since| Doubt { since, zone: None });
-        let write_by = repeat_by(effect, doubt, self.limits.margin).map_or(until, |by| by.min(until));
+        let write_by = repeat_by(r.effect, doubt, self.limits.margin).map_or(until, |by| by.min(until));
         r.out = Some(Out { number, member: peer, since: turn.now });
         r.forward = Some(Box::new(forward));
         let body = std::rc::Rc::clone(&r.body);
@@ -97,9 +95,8 @@
     /// Whether a request that may have run may be sent once more at `at`.
     fn may_repeat(&self, now: Micros, id: RequestId, at: Micros) -> bool {
         let Some(r) = self.requests.get(&id) else { return false };
-        let effect = self.effects.get(r.class.0).copied().unwrap_or(Effect::Unsafe);
         let doubt = Doubt { since: r.doubt_since.unwrap_or(now), zone: None };
-        may_repeat(at, effect, Some(doubt), None, self.limits.margin).is_ok()
+        may_repeat(at, r.effect, Some(doubt), None, self.limits.margin).is_ok()
     }
 
     /// A try at another proxy has ended.
--- a/crates/gradeshunt/src/exchange/request.rs
+++ b/crates/gradeshunt/src/exchange/request.rs
@@ -30,6 +30,8 @@
 /// A request that has no final answer yet, or whose last attempt is still out.
 pub(super) struct Request {
     pub(super) class: ClassId,
+    /// What a second run of it would do, by its class.
+    pub(super) effect: Effect,
     pub(super) group: GroupId,
     pub(super) of: Option<TenantId>,
     /// Its place in [`Figures::tenants`](crate::figures::Figures::tenants), and whether it is beyond that tenant's share.
@@ -69,6 +71,7 @@
     /// A request that has just been taken; `tenant` is its place among the figures of tenants.
     pub(super) fn new(
         class: ClassId,
+        effect: Effect,
         group: GroupId,
         of: Option<TenantId>,
         tenant: usize,
@@ -77,6 +80,7 @@
     ) -> Self {
         Request {
             class,
+            effect,
             group,
             of,
             tenant,
@@ -102,9 +106,9 @@
     }
 
     /// What is known of it where an attempt is considered.
-    pub(super) fn facts(&self, effect: Effect) -> RequestFacts {
+    pub(super) fn facts(&self) -> RequestFacts {
         RequestFacts {
-            effect,
+            effect: self.effect,
             deadline: self.deadline,
             answered: self.over,
             client_left: self.left.is_some(),
--- a/crates/gradeshunt/src/exchange/state.rs
+++ b/crates/gradeshunt/src/exchange/state.rs
@@ -4,7 +4,7 @@
 
 use gradeshunt_sites::proxy::Sites;
 use leadmast::permission::AttemptLimits;
-use leadmast::{Action, Balancer, Effect, Event, Micros, RequestId, Settings};
+use leadmast::{Action, Balancer, ClassId, Effect, Event, Micros, RequestId, Settings};
 
 use super::messages::{Answer, Ask, Order};
 use super::request::Request;
@@ -79,4 +79,8 @@
             answers: VecDeque::new(),
         }
     }
+    /// When a refused request of this class may come again, where the settings allow to say so.
+    pub(super) fn retry_after(&self, class: ClassId) -> Option<Micros> {
+        self.retry_after.get(class.0).copied().flatten()
+    }
 }
--- a/crates/gradeshunt/src/exchange/summary.rs
+++ b/crates/gradeshunt/src/exchange/summary.rs
@@ -20,7 +20,8 @@
         let endings: Vec<_> = t.endings.iter().map(|(name, n)| format!("{name}={n}")).collect();
         info!(turn.log, "summary"; "open" => self.requests.len(), "members" => self.balancer.targets().known,
             "requests" => t.requests,
-            "served" => t.served, "refused" => t.refused, "failed" => t.failed, "gone" => t.gone,
+            "served" => t.finals.served, "refused" => t.finals.refused, "failed" => t.finals.failed,
+            "gone" => t.gone,
             "gone_unsent" => t.gone_unsent, "sent_after_gone" => t.sent_after_gone,
             "expired_unsent" => t.expired_unsent,
             "attempts" => endings.join(","));
--- a/crates/gradeshunt/src/figures.rs
+++ b/crates/gradeshunt/src/figures.rs
@@ -4,7 +4,7 @@
 
 use leadmast::invariant::Violations;
 
-/// How a class's requests have ended, since the start.
+/// How requests have ended: those of a class since the start, or all since the last summary.
 #[derive(Clone, Copy, Default)]
 pub struct Count {
     pub served: u64,
