Shared steps of the decisions stand once: reports, holds, weights, zones of repeats

The shortest aim, the short hold, the least weight of a member, the zone of a repeat and what a report tells were each written out two or three times. Each is one function now, and the least weight a named constant. The decisions stay as they were.

Format and lints of the workspace are clean.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -90,6 +90,15 @@
     recent.0 * (-((now - recent.1) as f64) / MEMORY).exp()
 }
 
+fn shortest_aim(settings: &Settings) -> Micros {
+    settings.classes.iter().map(|c| c.aim).min().unwrap_or(0)
+}
+
+/// How long a read of this class is held that earns as little when late.
+fn brief_hold(class: &Class) -> Micros {
+    (class.aim as f64 * HOLD) as Micros
+}
+
 #[derive(Default)]
 struct Group {
     members: BTreeSet<MemberId>,
@@ -223,7 +232,7 @@
             list_calls: ListCalls::new(now, settings.fleet),
             watched: BTreeSet::new(),
             holding: BTreeSet::new(),
-            pace: (settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) / SWEEP).clamp(1_000, 10_000),
+            pace: (shortest_aim(&settings) / SWEEP).clamp(1_000, 10_000),
             polite: NEVER,
             look_at: FOREVER,
             timer: now,
@@ -287,7 +296,7 @@
 
     /// Nothing due, no timer: an idle driver costs nothing. What is out is looked at as answers come.
     fn next_round(&self, now: Micros) -> Micros {
-        let aim = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
+        let aim = shortest_aim(&self.settings);
         let held = if self.holding.is_empty() { FOREVER } else { now + (aim / ROUND).max(self.pace) };
         let out = if self.due.is_empty() { FOREVER } else { now + self.fastest().max(self.pace) };
         let (due, ask) = (self.due.first().map_or(FOREVER, |d| d.0), self.ask_at.unwrap_or(FOREVER));
@@ -344,10 +353,7 @@
     fn on_outcome(&mut self, now: Micros, outcome: Outcome, actions: &mut Vec<Action>) {
         let Outcome { request: id, attempt, member, ending, last, elapsed, note, report, settled_at } =
             outcome;
-        if let Some(report) = report {
-            let asked = now - elapsed;
-            self.learn(asked, report.position.map_or(asked, |p| p.min(asked)), member, report);
-        }
+        self.learn_answer(now - elapsed, member, report);
         let class = self.requests.get(&id).map(|r| &self.settings.classes[r.class.0]);
         let write = class.is_some_and(|c| c.read == ReadLevel::Write);
         if let Some(note) = note {
@@ -398,10 +404,7 @@
             m.recover(now);
         }
         // A failed probe convicts nobody: members may serve while their probes fail.
-        if let Some(report) = report {
-            let asked = now - elapsed;
-            self.learn(asked, report.position.map_or(asked, |p| p.min(asked)), id, report);
-        }
+        self.learn_answer(now - elapsed, id, report);
         self.dispatch(now, group, actions);
     }
 }
--- a/src/balance/candidates.rs
+++ b/src/balance/candidates.rs
@@ -5,6 +5,12 @@
 use crate::interface::{ClassId, GroupId, MemberId, Micros, ReadLevel, Report};
 
 impl Balancer {
+    /// The report that an answer to a question of that time brought, if it did.
+    pub(super) fn learn_answer(&mut self, asked: Micros, id: MemberId, report: Option<Report>) {
+        let Some(report) = report else { return };
+        self.learn(asked, report.position.map_or(asked, |p| p.min(asked)), id, report);
+    }
+
     /// A report may be older than the probe that brought it: its role counts as of its own position.
     pub(super) fn learn(&mut self, now: Micros, as_of: Micros, id: MemberId, told: Report) {
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -84,7 +90,7 @@
         let weigh = |m: &Member| {
             let errors = m.errors * (-((now - m.heard) as f64) / MEMORY).exp();
             let errors = if errors > BAD { 0.02 } else { 1.0 - errors };
-            m.entry.weight.max(0.01) * self.share(now, m) * errors / m.slow.max(0.2)
+            m.weight() * self.share(now, m) * errors / m.slow.max(0.2)
         };
         let open = among.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m)));
         let open = open.filter(|(_, m)| now >= m.pause && self.admits(now, m, class, merit));
--- a/src/balance/concurrency.rs
+++ b/src/balance/concurrency.rs
@@ -22,7 +22,7 @@
         let (proven, most) = (Some(m.heard) > m.entry.since, self.settings.rules.fall_multiple);
         let least = if proven && m.strain <= CROWDED { most } else { 0.0 };
         let spare = (most / 2.0 * (1.0 + WARMING * share * share)).max(least);
-        m.window.min(share * m.entry.weight.max(0.01) * self.borne(now) * spare).max(1e-6)
+        m.window.min(share * m.weight() * self.borne(now) * spare).max(1e-6)
     }
 
     /// Attempts of ours that a warm member of weight one holds in the mean, as served of late.
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -5,6 +5,10 @@
 use super::{fade, Recent, CROWDED, FIRST_WINDOW, MEMORY, NEVER, RESTART_TAKES};
 use crate::interface::{ClassId, Entry, Micros, RequestId};
 
+/// The least weight that a member counts with, whatever the list says.
+const LEAST_WEIGHT: f64 = 0.01;
+
+/// What is known of one member.
 #[derive(Default)]
 pub(super) struct Member {
     pub(super) entry: Entry,
@@ -98,6 +102,11 @@
         self.out.range((self.ill_since, RequestId(0), 0)..).map(|(at, class)| (at.0, *class))
     }
 
+    /// Its weight as listed, or the least one.
+    pub(super) fn weight(&self) -> f64 {
+        self.entry.weight.max(LEAST_WEIGHT)
+    }
+
     pub(super) fn usable(&self) -> bool {
         !self.barred && !self.suspect && !self.held_out
     }
--- a/src/balance/outcome.rs
+++ b/src/balance/outcome.rs
@@ -1,8 +1,10 @@
 //! What endings say of members, and what becomes of requests whose attempts have ended.
 
-use super::{fade, Balancer, CROWDED, DENSE_ANSWERS, HOLD, LEAST, LEAST_WINDOW, LOOK, PATIENT, TAIL};
+use super::{
+    brief_hold, fade, Balancer, Request, CROWDED, DENSE_ANSWERS, LEAST, LEAST_WINDOW, LOOK, PATIENT, TAIL,
+};
 use crate::interface::{
-    Action, ClassId, Effect, Ending, GroupId, MemberId, Micros, Outcome, RequestId, Scope,
+    Action, ClassId, Effect, Ending, GroupId, MemberId, Micros, Outcome, RequestId, Scope, ZoneId,
 };
 
 impl Balancer {
@@ -26,7 +28,7 @@
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Miss | Ending::Full) {
             m.heard = now;
         }
-        let least = (m.entry.weight.max(0.01) * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
+        let least = (m.weight() * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
         let (ratio, lately) = (elapsed as f64 / self.work[class.0], now - self.pace * LOOK);
         if ending == Ending::ConnectFailed && elapsed < self.pace * LOOK {
             m.refused = (fade(m.refused, now) + 1.0, now);
@@ -75,13 +77,18 @@
         m.down |= down;
         for id in m.out.keys().map(|k| k.1).collect::<Vec<_>>() {
             let Some(r) = self.requests.get(&id).filter(|r| !r.answered && r.out() == 1) else { continue };
-            let (group, zone) = (r.group, r.doubt().map_or(self.settings.zone, |a| a.zone));
+            let (group, zone) = (r.group, self.repeat_zone(r));
             if self.may_send(now, r, zone) && self.spend() {
                 self.hold(group, id);
             }
         }
     }
 
+    /// The zone in which another attempt is likeliest to be permitted: that of the first one that may have run.
+    fn repeat_zone(&self, r: &Request) -> ZoneId {
+        r.doubt().map_or(self.settings.zone, |first| first.zone)
+    }
+
     pub(super) fn hold(&mut self, group: GroupId, id: RequestId) {
         self.groups.entry(group).or_default().held.insert(id);
         self.holding.insert(group);
@@ -106,7 +113,7 @@
         r.primary_only |= ending == Ending::Miss;
         let (group, r) = (r.group, &self.requests[&id]);
         let at = r.settled_at.map_or(now, |settled| settled.max(now));
-        let permitted = self.may_send(at, r, r.doubt().map_or(self.settings.zone, |a| a.zone));
+        let permitted = self.may_send(at, r, self.repeat_zone(r));
         if permitted && (free || self.spend()) {
             self.hold(group, id);
             self.resumed.extend((at > now).then_some((at, id)));
@@ -123,7 +130,7 @@
         let effect = self.settings.classes[r.class.0].effect;
         if r.doubt().is_none() || matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. }) {
             let a = &self.settings.allowed;
-            let hold = (self.settings.classes[r.class.0].aim as f64 * HOLD) as Micros;
+            let hold = brief_hold(&self.settings.classes[r.class.0]);
             let retry_after = a.retry_after.then_some(hold.min(a.max_retry_after));
             actions.push(Action::Refuse { request: id, retry_after });
         } else {
--- a/src/balance/periodic.rs
+++ b/src/balance/periodic.rs
@@ -1,7 +1,9 @@
 //! The steady round: silence, holds that can not be met, looks at suspects, probes.
 
 use super::member::Member;
-use super::{Balancer, ACTIVE_FOR, FOREVER, HOLD, LITTLE, LOOK, LOOK_LONGEST, SUSPECT_TRIED_AFTER, VAIN};
+use super::{
+    brief_hold, Balancer, ACTIVE_FOR, FOREVER, LITTLE, LOOK, LOOK_LONGEST, SUSPECT_TRIED_AFTER, VAIN,
+};
 use crate::interface::{Action, MemberId, Micros};
 
 impl Balancer {
@@ -49,7 +51,7 @@
                 let c = &self.settings.classes[r.class.0];
                 let best = ((self.work[r.class.0] / 2.0) as Micros).min(c.aim / 2);
                 // Where lateness leaves little, refuse while a repeat still has time.
-                let hold = r.arrived + (c.aim as f64 * HOLD) as Micros;
+                let hold = r.arrived + brief_hold(c);
                 // Nor is one held for most of its time in vain.
                 let vain = r.arrived + ((r.deadline - r.arrived) as f64 * VAIN) as Micros;
                 let patient = if r.attempts.is_empty() { vain } else { r.deadline };
