Constants and methods of the decisions bear the field's names

BAD, FEW, LOOK, VAIN, LEFT and others said what they are only in their comments, and comments told of a storm, looks and what is saved up where the field says retry budget, token bucket, probe, decay and power of two choices. Constants, private methods and fields are renamed, their comments and those of the state reworded. No value and no line of logic changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,76 +18,83 @@
 /// Buckets of session keys, as many as the source's switch holds.
 const BUCKETS: u64 = 4096;
 /// Positions come in whole milliseconds: a commit was rounded up by less than this.
-const UNIT: Micros = 1_000;
+const POSITION_UNIT: Micros = 1_000;
 /// Before any time that a clock shows, with room to subtract.
 const NEVER: Micros = -(1 << 60);
 const FOREVER: Micros = 1 << 60;
-/// Parts of the shortest aim: pace of the rounds while anything is held, and the shortest pace.
-const ROUND: i64 = 10;
-const SWEEP: i64 = 50;
-/// A member's share of attempts that fails before it loses its place in the draw.
-const BAD: f64 = 0.3;
-/// Attempts that all drivers may hold at a member that shows no crowding; each starts with two at least.
-const FIRST_WINDOW: f64 = 24.0;
-/// No window shrinks below this part of what members bear: less work does not mend, say, a slow link.
-const LEAST: f64 = 0.3;
-/// Nor below what holds this many attempts there over all drivers, one of a driver's at most.
-const LEAST_WINDOW: f64 = 4.0;
-/// A driver's memory of what it sends and what members bear.
-const MEMORY: f64 = 10e6;
-/// Answers may take this share of their aim, in the mean, before a member counts as crowded.
+/// Rounds in the shortest aim while requests are held.
+const ROUNDS_PER_AIM: i64 = 10;
+/// Paces in the shortest aim; a pace is the shortest time between rounds.
+const PACES_PER_AIM: i64 = 50;
+/// Failure rate (moving average) above which a member is hardly drawn any more.
+const ERROR_SHARE_LIMIT: f64 = 0.3;
+/// Initial concurrency window of a member, in attempts of all drivers together; each driver starts with two at least.
+const INITIAL_WINDOW: f64 = 24.0;
+/// A window never shrinks below this share of the mean concurrency of members: less load does not cure, say, a slow link.
+const MIN_WINDOW_SHARE: f64 = 0.3;
+/// Nor below what allows this many attempts at a member from all drivers together; for one driver it need not exceed one.
+const MIN_FLEET_WINDOW: f64 = 4.0;
+/// Time constant of the exponential decay of sums of recent work and load, in microseconds.
+const DECAY_US: f64 = 10e6;
+/// Mean answer time, as a share of the aim, above which a member counts as crowded.
 const CROWDED: f64 = 0.28;
-/// A first attempt may take so many usual answer times, at least and at most: as many as nearly all take.
-const PATIENT: (f64, f64) = (6.0, 24.0);
-/// Share of answers that may take longer.
-const TAIL: f64 = 0.003;
-/// Share of a primary's room that reads may fill which replicas could serve, had they room.
-const SPARE: f64 = 0.85;
-/// By how much the bound on a cold member has grown, beside itself, when it is warm; with the square of its share.
-const WARMING: f64 = 3.0;
-/// Turns that a thinned member grants in advance to what is worth more than most for its work.
-const AHEAD: f64 = 2.0;
-/// What is worth so little beside the mean, for its work, gets no more than this share of a member's room.
-const LITTLE: f64 = 0.25;
-const LEFT: f64 = 0.25;
-/// A tenant's unused share is saved up for this long.
-const SAVED: Micros = 500_000;
-/// A read that earns as little when late is held for this share of its aim, then refused.
-const HOLD: f64 = 0.12;
-/// One that earns more is held this share of its time before its first attempt: under half of it is little lost.
-const VAIN: f64 = 0.45;
-/// Retries that a request earns, and the most that are saved up: failures can't turn into a storm.
-const RETRY_SHARE: f64 = 0.2;
-const RETRY_SAVED: f64 = 2.0;
-/// Points that probes may cost, as a share of one; and probes that may be saved up.
+/// Least and greatest timeout of a first attempt, as multiples of the usual answer time.
+const TIMEOUT_FACTORS: (f64, f64) = (6.0, 24.0);
+/// Share of answers that may take longer than that timeout: it is adapted to this quantile.
+const TAIL_SHARE: f64 = 0.003;
+/// Share of a primary's window that reads which replicas could serve may fill while those are full.
+const PRIMARY_READ_SHARE: f64 = 0.85;
+/// Growth of the limit on a cold member's concurrency over its warm-up, beside the first value; quadratic in its share.
+const WARMUP_GROWTH: f64 = 3.0;
+/// Turns that a member with a window below one grants in advance to requests worth more than the mean for their work.
+const MAX_TURNS_AHEAD: f64 = 2.0;
+/// Requests worth less than this share of the mean for their work count as low in worth.
+const LOW_WORTH: f64 = 0.25;
+/// Share of a member's window that those may fill.
+const LOW_WORTH_ROOM: f64 = 0.25;
+/// Burst of a tenant's rate limit: its unused share is kept for this long.
+const TENANT_BURST: Micros = 500_000;
+/// A read that is worth little when late is held for this share of its aim, then refused.
+const BRIEF_HOLD_SHARE: f64 = 0.12;
+/// One that is worth more is held for this share of its time before its first attempt, so that a repeat by its client
+/// can still be in time.
+const FIRST_ATTEMPT_HOLD_SHARE: f64 = 0.45;
+/// Retry budget (token bucket): tokens earned by each request, and the most that are kept. Failures can't turn into a
+/// retry storm.
+const RETRIES_PER_REQUEST: f64 = 0.2;
+const MAX_RETRY_TOKENS: f64 = 2.0;
+/// Probe budget: points that probes may cost for each request, as a share of one, and the most tokens that are kept.
 const PROBE_POINTS: f64 = 0.014;
-const PROBE_SAVED: f64 = 8.0;
-/// Shortest paces in a read's longest wait for a probe, and in the first gap between looks; the longest such gap.
-const ENQUIRY: i64 = 5;
-const LOOK: i64 = 10;
-const LOOK_LONGEST: Micros = 4_000_000;
-/// Connects that a member refuses in a while by mere mishap, as when a network resets them.
-const FEW: f64 = 2.5;
-/// A member that was down for this long may have started anew.
+const MAX_PROBE_TOKENS: f64 = 8.0;
+/// Twice the longest wait of a read for a probe, in paces.
+const PROBE_WAIT_PACES: i64 = 5;
+/// Paces in the first gap between probes of a suspect.
+const PROBE_GAP_PACES: i64 = 10;
+/// The longest gap between probes of a suspect.
+const MAX_PROBE_GAP: Micros = 4_000_000;
+/// Refused connects of late that can be accidents, as when a network resets them; more, of a
+/// member that runs, mean that its connection table is full.
+const REFUSED_CONNECTS_TOLERATED: f64 = 2.5;
+/// A member that was down for this long may have restarted, and counts as cold.
 const RESTART_TAKES: Micros = 1_000_000;
 /// A member that was heard of within this time is looked over in each round.
 const ACTIVE_FOR: Micros = 1_000_000;
-/// A suspect is tried with requests after this long, though its probes fail.
+/// After this long a suspect gets requests again though its probes fail.
 const SUSPECT_TRIED_AFTER: Micros = 2_000_000;
-/// The time in which a replica's lag is taken to fade.
+/// Time constant with which a replica's replication lag is expected to shrink.
 const LAG_FADES_IN: Micros = 2_000_000;
 /// Answers that are rarer than this count for more, one by one.
 const DENSE_ANSWERS: Micros = 1_000_000;
 /// How long the weight of warm members is taken as it was summed up.
 const WARM_SUMMED_FOR: Micros = 1_000_000;
 /// A driver counts as no younger than this.
-const LEAST_AGE: Micros = 1_000_000;
+const MIN_AGE: Micros = 1_000_000;
 
-/// A sum that fades with [`MEMORY`], and as of when.
+/// A sum that fades with [`DECAY_US`], and as of when.
 type Recent = (f64, Micros);
 
 fn fade(recent: Recent, now: Micros) -> f64 {
-    recent.0 * (-((now - recent.1) as f64) / MEMORY).exp()
+    recent.0 * (-((now - recent.1) as f64) / DECAY_US).exp()
 }
 
 fn shortest_aim(settings: &Settings) -> Micros {
@@ -96,9 +103,10 @@
 
 /// How long a read of this class is held that earns as little when late.
 fn brief_hold(class: &Class) -> Micros {
-    (class.aim as f64 * HOLD) as Micros
+    (class.aim as f64 * BRIEF_HOLD_SHARE) as Micros
 }
 
+/// A replica set as the list tells it, with the requests that wait for one of its members.
 #[derive(Default)]
 struct Group {
     members: BTreeSet<MemberId>,
@@ -106,19 +114,23 @@
     held: BTreeSet<RequestId>,
 }
 
+/// What sessions whose keys fall in one bucket have written.
 #[derive(Default, Clone)]
 struct Bucket {
     /// The latest write that is not settled.
     open: Option<u64>,
+    /// The commit position that their reads have to see.
     position: Micros,
 }
 
+/// An attempt; it is out until it has an ending.
 struct Attempt {
     zone: ZoneId,
     sent: Micros,
     ending: Option<Ending>,
 }
 
+/// A request without its final answer, or with attempts that are still out.
 #[derive(Default)]
 struct Request {
     class: ClassId,
@@ -176,13 +188,14 @@
     /// Open requests by the time at which their final answer falls due.
     due: BTreeSet<(Micros, RequestId)>,
     /// Held requests that are looked at again at a time: a close settles then, or a probe has been waited for long enough.
-    resumed: BTreeSet<(Micros, RequestId)>,
+    dispatch_due: BTreeSet<(Micros, RequestId)>,
     /// Work of each class: its median answer time, raised by members that are not crowded alone.
     work: Vec<f64>,
     /// The usual wait of each class's clients.
     waits: Vec<f64>,
     /// How many usual answer times nearly all answers take at most.
     tail: f64,
+    /// Tokens left in the budgets of retries and probes.
     retries: f64,
     probes: f64,
     ask_at: Option<Micros>,
@@ -193,13 +206,16 @@
     /// The shortest pace of the rounds: what is short beside the shortest aim.
     pace: Micros,
     /// Until when connections count as scarce: idle ones are closed, and one refused convicts nobody.
-    polite: Micros,
-    /// When a suspect is looked at next, when the next round is due, the end of the latest stall, its own start.
-    look_at: Micros,
+    connections_scarce_until: Micros,
+    /// When a suspect is probed next.
+    probe_due: Micros,
+    /// When the next round is due.
     timer: Micros,
     /// The latest time for which a timer was asked because requests are looked at again then.
     resume_timer: Micros,
-    awake: Micros,
+    /// The end of the latest time for which the driver stood still.
+    stalled_until: Micros,
+    /// When the driver started.
     born: Micros,
     /// Answered work of late, the weight of warm members as of some time, and the mean merit of requests.
     served: Recent,
@@ -222,22 +238,22 @@
             sequence: 0,
             requests: BTreeMap::new(),
             due: BTreeSet::new(),
-            resumed: BTreeSet::new(),
+            dispatch_due: BTreeSet::new(),
             work: settings.classes.iter().map(|c| (c.aim as f64 / 4.0).max(1.0)).collect(),
             waits: settings.classes.iter().map(|c| c.deadline as f64).collect(),
-            tail: (PATIENT.0 + PATIENT.1) / 2.0,
-            retries: RETRY_SAVED,
-            probes: PROBE_SAVED,
+            tail: (TIMEOUT_FACTORS.0 + TIMEOUT_FACTORS.1) / 2.0,
+            retries: MAX_RETRY_TOKENS,
+            probes: MAX_PROBE_TOKENS,
             ask_at: settings.list_on_request.then_some(now),
             list_calls: ListCalls::new(now, settings.fleet),
             watched: BTreeSet::new(),
             holding: BTreeSet::new(),
-            pace: (shortest_aim(&settings) / SWEEP).clamp(1_000, 10_000),
-            polite: NEVER,
-            look_at: FOREVER,
+            pace: (shortest_aim(&settings) / PACES_PER_AIM).clamp(1_000, 10_000),
+            connections_scarce_until: NEVER,
+            probe_due: FOREVER,
             timer: now,
             resume_timer: NEVER,
-            awake: now,
+            stalled_until: now,
             born: now,
             served: (0.0, now),
             warm: (1.0, NEVER),
@@ -265,7 +281,7 @@
         let due = now >= self.timer;
         // A driver that stood still finds all that came meanwhile at once: the silence was its own.
         if now > self.timer + self.settings.tick + self.pace {
-            self.awake = now;
+            self.stalled_until = now;
         }
         match event {
             Event::Members { kind, entries } => self.on_members(now, kind, entries),
@@ -279,7 +295,7 @@
         self.dispatch_resumed(now, actions);
         if due {
             self.timer = FOREVER;
-            self.sweep(now, actions);
+            self.run_round(now, actions);
         }
         let next = self.next_round(now).max(now + 1);
         if next < self.timer {
@@ -287,7 +303,7 @@
             actions.push(Action::Timer { tag: TimerTag(0), at: next });
         }
         // No round: what is held beside these is not to be shed any sooner for them.
-        let resume = self.resumed.first().map(|(at, _)| (*at).max(now + 1));
+        let resume = self.dispatch_due.first().map(|(at, _)| (*at).max(now + 1));
         if let Some(at) = resume.filter(|at| *at != self.resume_timer) {
             self.resume_timer = at;
             actions.push(Action::Timer { tag: TimerTag(0), at });
@@ -297,14 +313,15 @@
     /// Nothing due, no timer: an idle driver costs nothing. What is out is looked at as answers come.
     fn next_round(&self, now: Micros) -> Micros {
         let aim = shortest_aim(&self.settings);
-        let held = if self.holding.is_empty() { FOREVER } else { now + (aim / ROUND).max(self.pace) };
+        let held =
+            if self.holding.is_empty() { FOREVER } else { now + (aim / ROUNDS_PER_AIM).max(self.pace) };
         let out = if self.due.is_empty() { FOREVER } else { now + self.fastest().max(self.pace) };
         let (due, ask) = (self.due.first().map_or(FOREVER, |d| d.0), self.ask_at.unwrap_or(FOREVER));
-        held.min(out).min(due).min(ask).min(self.look_at)
+        held.min(out).min(due).min(ask).min(self.probe_due)
     }
 
     fn fastest(&self) -> Micros {
-        self.work.iter().copied().fold(MEMORY, f64::min) as Micros
+        self.work.iter().copied().fold(DECAY_US, f64::min) as Micros
     }
 
     fn on_request(&mut self, now: Micros, arrival: Arrival, actions: &mut Vec<Action>) {
@@ -319,7 +336,7 @@
         let write = c.read == ReadLevel::Write;
         let bucket = key.map(|k| (mix(k ^ mix(group.0)) % BUCKETS) as usize);
         let need = match self.settings.tokens {
-            Tokens::Carried => since_write.map(|ago| now - ago + UNIT),
+            Tokens::Carried => since_write.map(|ago| now - ago + POSITION_UNIT),
             Tokens::Remembered => bucket.map(|b| self.buckets[b].position),
         };
         let share = self.take_share(now, arrival.tenant);
@@ -327,9 +344,9 @@
         let sequence = if write { self.sequence } else { 0 };
         let r = Request { class, group, bucket, arrived: now, began, deadline, need, ..Request::default() };
         let r = Request { checked, share, sequence, ..r };
-        self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
+        self.retries = (self.retries + RETRIES_PER_REQUEST).min(MAX_RETRY_TOKENS);
         let per_request = (PROBE_POINTS / self.settings.prices.probe.max(PROBE_POINTS)).min(0.5);
-        self.probes = (self.probes + per_request).min(PROBE_SAVED);
+        self.probes = (self.probes + per_request).min(MAX_PROBE_TOKENS);
         self.due.insert((deadline, id));
         self.merit += 0.05 * (self.merit(now, &r) - self.merit);
         self.requests.insert(id, r);
@@ -346,7 +363,7 @@
         let t = tenant?.0;
         let rate = self.settings.tenants.get(t)?.rate.max(1e-6) / f64::from(self.settings.fleet);
         let (next, gap) = (self.shares.get_mut(t).filter(|next| **next <= now)?, (1e6 / rate) as Micros);
-        *next = (*next).max(now - SAVED) + gap;
+        *next = (*next).max(now - TENANT_BURST) + gap;
         Some((t, gap))
     }
 
@@ -358,7 +375,8 @@
         let write = class.is_some_and(|c| c.read == ReadLevel::Write);
         if let Some(note) = note {
             // A served write's position was rounded up.
-            let position = note.position.map(|p| if write && ending == Ending::Ok { p - UNIT } else { p });
+            let position =
+                note.position.map(|p| if write && ending == Ending::Ok { p - POSITION_UNIT } else { p });
             let told = Report { position, primary: Some(note.primary), ..Report::default() };
             self.learn(now, now, member, told);
         }
@@ -371,8 +389,9 @@
         if let Some(m) = self.members.get_mut(&member) {
             m.out.remove(&(sent, id, attempt));
         }
-        self.judge(now, &outcome, class);
-        if now < self.polite && self.members.get(&member).is_some_and(|m| m.out.is_empty()) {
+        self.update_health(now, &outcome, class);
+        if now < self.connections_scarce_until && self.members.get(&member).is_some_and(|m| m.out.is_empty())
+        {
             actions.push(Action::Close { member });
         }
         if let Some(b) = bucket.map(|b| &mut self.buckets[b]) {
@@ -386,7 +405,7 @@
             // A miss costs no member work, an error costs one that has it to spare; all else draws on the budget.
             let calm = self.members.get(&member).is_some_and(|m| m.strain <= CROWDED);
             let free = write && ending.never_ran() || calm && ending == Ending::Error;
-            self.again(now, id, ending, free || ending == Ending::Miss, actions);
+            self.retry_or_give_up(now, id, ending, free || ending == Ending::Miss, actions);
         }
         self.dispatch(now, group, actions);
     }
@@ -398,8 +417,12 @@
         let group = m.entry.group;
         if ending == Ending::Ok {
             // It refused a connection and runs, too soon for a new start: its table is full of idle ones.
-            if m.suspect && m.down && now - m.ill_since < RESTART_TAKES && fade(m.refused, now) > FEW {
-                self.polite = now + MEMORY as Micros;
+            if m.suspect
+                && m.down
+                && now - m.ill_since < RESTART_TAKES
+                && fade(m.refused, now) > REFUSED_CONNECTS_TOLERATED
+            {
+                self.connections_scarce_until = now + DECAY_US as Micros;
             }
             m.recover(now);
         }
--- a/src/balance/candidates.rs
+++ b/src/balance/candidates.rs
@@ -1,7 +1,7 @@
-//! What is known of positions and roles, which members may serve a request, and the draw among them.
+//! What is known of positions and roles, which members may serve a request, and the choice among them.
 
 use super::member::Member;
-use super::{Balancer, Request, BAD, FOREVER, LAG_FADES_IN, MEMORY, NEVER};
+use super::{Balancer, Request, DECAY_US, ERROR_SHARE_LIMIT, FOREVER, LAG_FADES_IN, NEVER};
 use crate::interface::{ClassId, GroupId, MemberId, Micros, ReadLevel, Report};
 
 impl Balancer {
@@ -79,8 +79,9 @@
         g.members.iter().filter(|id| Some(**id) != g.primary).filter(fits).copied().collect()
     }
 
-    /// The draw: two by size and health, then less of our work: idle drivers must not all turn to the best one.
-    pub(super) fn draw(
+    /// Power of two choices: two members are drawn by weight and health, and the one with less of our work is taken. Idle drivers
+    /// must not all turn to the best one.
+    pub(super) fn pick(
         &mut self,
         now: Micros,
         class: ClassId,
@@ -88,8 +89,8 @@
         among: &[MemberId],
     ) -> Option<MemberId> {
         let weigh = |m: &Member| {
-            let errors = m.errors * (-((now - m.heard) as f64) / MEMORY).exp();
-            let errors = if errors > BAD { 0.02 } else { 1.0 - errors };
+            let errors = m.errors * (-((now - m.heard) as f64) / DECAY_US).exp();
+            let errors = if errors > ERROR_SHARE_LIMIT { 0.02 } else { 1.0 - errors };
             m.weight() * self.share(now, m) * errors / m.slow.max(0.2)
         };
         let open = among.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m)));
--- a/src/balance/concurrency.rs
+++ b/src/balance/concurrency.rs
@@ -1,7 +1,10 @@
 //! How much a member may hold: windows, cold starts, crowding.
 
 use super::member::Member;
-use super::{fade, Balancer, AHEAD, CROWDED, FIRST_WINDOW, LEAST_AGE, LEFT, LITTLE, MEMORY, SPARE, WARMING};
+use super::{
+    fade, Balancer, CROWDED, DECAY_US, INITIAL_WINDOW, LOW_WORTH, LOW_WORTH_ROOM, MAX_TURNS_AHEAD, MIN_AGE,
+    PRIMARY_READ_SHARE, WARMUP_GROWTH,
+};
 use crate::interface::{ClassId, MemberId, Micros};
 
 impl Balancer {
@@ -21,14 +24,14 @@
         }
         let (proven, most) = (Some(m.heard) > m.entry.since, self.settings.rules.fall_multiple);
         let least = if proven && m.strain <= CROWDED { most } else { 0.0 };
-        let spare = (most / 2.0 * (1.0 + WARMING * share * share)).max(least);
+        let spare = (most / 2.0 * (1.0 + WARMUP_GROWTH * share * share)).max(least);
         m.window.min(share * m.weight() * self.borne(now) * spare).max(1e-6)
     }
 
     /// Attempts of ours that a warm member of weight one holds in the mean, as served of late.
     pub(super) fn borne(&self, now: Micros) -> f64 {
         // A young driver has seen only so much of the time that its memory spans.
-        let seen = MEMORY * (1.0 - (-((now - self.born).max(LEAST_AGE) as f64) / MEMORY).exp());
+        let seen = DECAY_US * (1.0 - (-((now - self.born).max(MIN_AGE) as f64) / DECAY_US).exp());
         fade(self.served, now) / seen / self.warm.0.max(0.01)
     }
 
@@ -36,30 +39,33 @@
     pub(super) fn admits(&self, now: Micros, m: &Member, class: ClassId, merit: f64) -> bool {
         let limit = self.concurrency_limit(now, m);
         if limit >= 1.0 {
-            let low = merit < self.merit * LITTLE;
-            return (m.held().count() as f64) < if low { limit * LEFT } else { limit };
+            let low = merit < self.merit * LOW_WORTH;
+            return (m.held().count() as f64) < if low { limit * LOW_WORTH_ROOM } else { limit };
         }
         let cold = self.share(now, m) < 1.0;
-        let ahead = if cold { 0.0 } else { (merit / self.merit.max(1e-12) - 1.0).clamp(-1.0, AHEAD) };
+        let ahead =
+            if cold { 0.0 } else { (merit / self.merit.max(1e-12) - 1.0).clamp(-1.0, MAX_TURNS_AHEAD) };
         let few = (m.held().count() as f64) < 1.0 + ahead.max(0.0);
         few && (now - m.turn) as f64 >= self.gap(now, class, m) * (1.0 - ahead)
     }
 
     /// Whether primaries at large are crowded: of one alone a driver of a large fleet hears too seldom to tell in time.
     pub(super) fn crowded(&self, now: Micros) -> bool {
-        f64::from(self.settings.fleet) > FIRST_WINDOW && fade(self.crowd, now) > CROWDED
+        f64::from(self.settings.fleet) > INITIAL_WINDOW && fade(self.crowd, now) > CROWDED
     }
 
     /// Whether a primary has more room than what only it can do is likely to need.
     pub(super) fn spares(&self, now: Micros, id: MemberId) -> bool {
         let m = self.members.get(&id).filter(|m| m.usable() && m.strain <= CROWDED && !self.crowded(now));
-        m.is_some_and(|m| m.held().count() as f64 + 1.0 <= self.concurrency_limit(now, m) * SPARE)
+        m.is_some_and(|m| {
+            m.held().count() as f64 + 1.0 <= self.concurrency_limit(now, m) * PRIMARY_READ_SHARE
+        })
     }
 
     /// The time between two turns: a cold member's limit bounds its work, a warm one's what it holds, by its latest answers.
     pub(super) fn gap(&self, now: Micros, class: ClassId, m: &Member) -> f64 {
         let strain = if self.share(now, m) < 1.0 { 0.0 } else { fade((m.strain, m.heard), now) };
         let takes = strain * self.settings.classes[class.0].aim as f64;
-        (self.work[class.0].max(takes) / self.concurrency_limit(now, m)).min(MEMORY)
+        (self.work[class.0].max(takes) / self.concurrency_limit(now, m)).min(DECAY_US)
     }
 }
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 
 use super::member::Member;
-use super::{fade, Attempt, Balancer, Request, CROWDED, ENQUIRY, LAG_FADES_IN, NEVER, PATIENT};
+use super::{
+    fade, Attempt, Balancer, Request, CROWDED, LAG_FADES_IN, NEVER, PROBE_WAIT_PACES, TIMEOUT_FACTORS,
+};
 use crate::interface::{Action, Effect, GroupId, MemberId, Micros, ReadLevel, RequestId, ZoneId};
 use crate::permission::{may_begin, AttemptLimits, Doubt, RequestFacts};
 
@@ -30,16 +32,16 @@
             // Reads that fall back on the primary leave its turns to what only it can do.
             let read = self.settings.classes[r.class.0].read;
             let off = matches!(read, ReadLevel::Bounded(_) | ReadLevel::Any) && self.crowded(now);
-            if lone && (self.enquire(now, id, &mut r, actions) || off) {
+            if lone && (self.wait_for_probe(now, id, &mut r, actions) || off) {
                 self.requests.insert(id, r);
                 continue;
             }
             let only = matches!(read, ReadLevel::Write | ReadLevel::Fresh);
             let worth = if lone && !only { worth / 2.0 } else { worth };
-            let mut target = self.draw(now, r.class, worth, &among);
+            let mut target = self.pick(now, r.class, worth, &among);
             // Where those have no room, a primary with room to spare takes reads too: a few recent ones would drown.
             if let (None, false, Some(p)) = (target, lone, primary.filter(|p| self.spares(now, *p))) {
-                target = self.draw(now, r.class, worth / 2.0, &[p]);
+                target = self.pick(now, r.class, worth / 2.0, &[p]);
             }
             // Session reads differ in what they need.
             if target.is_none() && read != ReadLevel::Session {
@@ -59,18 +61,18 @@
 
     /// Sends what has waited for a close to settle, or for a probe. The former is not shed before: that wait was not its own.
     pub(super) fn dispatch_resumed(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        if self.resumed.first().is_none_or(|(at, _)| now < *at) {
+        if self.dispatch_due.first().is_none_or(|(at, _)| now < *at) {
             return;
         }
-        let later = self.resumed.split_off(&(now + 1, RequestId(0)));
-        let due = std::mem::replace(&mut self.resumed, later);
+        let later = self.dispatch_due.split_off(&(now + 1, RequestId(0)));
+        let due = std::mem::replace(&mut self.dispatch_due, later);
         let group_of = |(_, id): &(Micros, RequestId)| self.requests.get(id).map(|r| r.group);
         let groups: BTreeSet<_> = due.iter().filter_map(group_of).collect();
         groups.into_iter().for_each(|group| self.dispatch(now, group, actions));
     }
 
     /// A read that only ignorance keeps from replicas waits for one probe's answer: with many drivers primaries drown.
-    pub(super) fn enquire(
+    pub(super) fn wait_for_probe(
         &mut self,
         now: Micros,
         id: RequestId,
@@ -91,13 +93,13 @@
         }
         r.asked = Some(to);
         let asked_at = self.members[&to].probing.unwrap_or(now);
-        self.resumed.insert((self.waited_until(asked_at), id));
+        self.dispatch_due.insert((self.waited_until(asked_at), id));
         true
     }
 
     /// Until when a probe is waited for that was sent then.
     fn waited_until(&self, sent: Micros) -> Micros {
-        sent + self.pace * ENQUIRY / 2
+        sent + self.pace * PROBE_WAIT_PACES / 2
     }
 
     /// Worth for work; what is late already counts with what it still earns.
@@ -151,7 +153,7 @@
             self.buckets[b].open = self.buckets[b].open.max(Some(r.sequence));
         }
         // A connection may fall silent while its member serves on: a first attempt waits no longer than nearly all take.
-        let tail = if m.strain > CROWDED { PATIENT.1 } else { self.tail };
+        let tail = if m.strain > CROWDED { TIMEOUT_FACTORS.1 } else { self.tail };
         let patience = (work * m.slow.max(1.0) * tail) as Micros;
         let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
         let timeout = if first { patience.max(self.pace).min(r.deadline - now) } else { r.deadline - now };
--- a/src/balance/member.rs
+++ b/src/balance/member.rs
@@ -2,11 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use super::{fade, Recent, CROWDED, FIRST_WINDOW, MEMORY, NEVER, RESTART_TAKES};
+use super::{fade, Recent, CROWDED, DECAY_US, INITIAL_WINDOW, NEVER, RESTART_TAKES};
 use crate::interface::{ClassId, Entry, Micros, RequestId};
 
 /// The least weight that a member counts with, whatever the list says.
-const LEAST_WEIGHT: f64 = 0.01;
+const MIN_WEIGHT: f64 = 0.01;
 
 /// What is known of one member.
 #[derive(Default)]
@@ -40,9 +40,9 @@
     pub(super) ill_since: Micros,
     pub(super) down: bool,
     /// When a connection of it last broke while it was heard otherwise; connects refused of late.
-    pub(super) strike: Micros,
+    pub(super) last_broken: Micros,
     pub(super) refused: Recent,
-    pub(super) look_at: Micros,
+    pub(super) probe_due: Micros,
     /// When the probe that is still out was sent.
     pub(super) probing: Option<Micros>,
 }
@@ -55,11 +55,11 @@
             heard_position: NEVER,
             heard: NEVER,
             slow: 1.0,
-            window: (FIRST_WINDOW / f64::from(fleet.max(1))).max(2.0),
+            window: (INITIAL_WINDOW / f64::from(fleet.max(1))).max(2.0),
             turn: NEVER,
             pause: NEVER,
             ill_since: NEVER,
-            strike: NEVER,
+            last_broken: NEVER,
             ..Member::default()
         }
     }
@@ -91,7 +91,7 @@
 
     /// The window shrinks from what is used: what is out there or, where that is mostly nothing, the mean.
     pub(super) fn cut(&mut self, now: Micros, to: f64, least: f64) {
-        let mean = 2.0 * fade(self.busy, now) / MEMORY;
+        let mean = 2.0 * fade(self.busy, now) / DECAY_US;
         let used = if self.out.is_empty() { mean } else { self.out.len() as f64 + 1.0 };
         self.window = (self.window.min(used) * to).max(least).max(1e-6);
         self.cut_at = now;
@@ -104,9 +104,10 @@
 
     /// Its weight as listed, or the least one.
     pub(super) fn weight(&self) -> f64 {
-        self.entry.weight.max(LEAST_WEIGHT)
+        self.entry.weight.max(MIN_WEIGHT)
     }
 
+    /// Whether it may get new requests.
     pub(super) fn usable(&self) -> bool {
         !self.barred && !self.suspect && !self.held_out
     }
--- a/src/balance/membership.rs
+++ b/src/balance/membership.rs
@@ -4,7 +4,7 @@
 
 use super::list_calls::CallEnd;
 use super::member::Member;
-use super::{Balancer, MEMORY, NEVER};
+use super::{Balancer, DECAY_US, NEVER};
 use crate::interface::{Entry, GroupId, ListKind, MemberId, Micros, Phase};
 
 impl Balancer {
@@ -81,7 +81,7 @@
         // Drivers that learn together of a start must not turn to it together: the first turn is drawn.
         if let (true, Some(m)) = (started, self.members.get(&id)) {
             let gap = self.fastest() as f64 / self.concurrency_limit(now, m);
-            let drawn = (self.rng.f64() * gap.min(MEMORY)) as Micros;
+            let drawn = (self.rng.f64() * gap.min(DECAY_US)) as Micros;
             self.members.entry(id).and_modify(|m| m.turn = now - drawn);
         }
     }
--- a/src/balance/outcome.rs
+++ b/src/balance/outcome.rs
@@ -1,15 +1,16 @@
 //! What endings say of members, and what becomes of requests whose attempts have ended.
 
 use super::{
-    brief_hold, fade, Balancer, Request, CROWDED, DENSE_ANSWERS, LEAST, LEAST_WINDOW, LOOK, PATIENT, TAIL,
+    brief_hold, fade, Balancer, Request, CROWDED, DENSE_ANSWERS, MIN_FLEET_WINDOW, MIN_WINDOW_SHARE,
+    PROBE_GAP_PACES, TAIL_SHARE, TIMEOUT_FACTORS,
 };
 use crate::interface::{
     Action, ClassId, Effect, Ending, GroupId, MemberId, Micros, Outcome, RequestId, Scope, ZoneId,
 };
 
 impl Balancer {
-    /// What an outcome says of the member's health, speed and room.
-    pub(super) fn judge(&mut self, now: Micros, outcome: &Outcome, class: ClassId) {
+    /// Updates the member's failure rate, answer times and concurrency window by an outcome.
+    pub(super) fn update_health(&mut self, now: Micros, outcome: &Outcome, class: ClassId) {
         let Outcome { member: id, ending, elapsed, .. } = *outcome;
         let (borne, fleet) = (self.borne(now), f64::from(self.settings.fleet.max(1)));
         let share = elapsed as f64 / (self.settings.classes[class.0].aim as f64).max(1.0);
@@ -28,9 +29,9 @@
         if matches!(ending, Ending::Ok | Ending::Error | Ending::Miss | Ending::Full) {
             m.heard = now;
         }
-        let least = (m.weight() * borne * LEAST).max((LEAST_WINDOW / fleet).min(1.0));
-        let (ratio, lately) = (elapsed as f64 / self.work[class.0], now - self.pace * LOOK);
-        if ending == Ending::ConnectFailed && elapsed < self.pace * LOOK {
+        let least = (m.weight() * borne * MIN_WINDOW_SHARE).max((MIN_FLEET_WINDOW / fleet).min(1.0));
+        let (ratio, lately) = (elapsed as f64 / self.work[class.0], now - self.pace * PROBE_GAP_PACES);
+        if ending == Ending::ConnectFailed && elapsed < self.pace * PROBE_GAP_PACES {
             m.refused = (fade(m.refused, now) + 1.0, now);
         }
         match ending {
@@ -38,7 +39,8 @@
                 self.served = (fade(self.served, now) + self.work[class.0], now);
                 m.recover(now);
                 let long = ratio / m.slow.max(1.0) > self.tail;
-                self.tail = (self.tail + if long { 2.0 } else { -2.0 * TAIL }).clamp(PATIENT.0, PATIENT.1);
+                self.tail = (self.tail + if long { 2.0 } else { -2.0 * TAIL_SHARE })
+                    .clamp(TIMEOUT_FACTORS.0, TIMEOUT_FACTORS.1);
                 m.errors *= 0.9 - 0.2 * fresh;
                 m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow);
                 m.strain(now, elapsed, share, age, least);
@@ -49,14 +51,18 @@
             Ending::Miss => m.recover(now),
             Ending::Full => {
                 m.cut(now, 0.7, least);
-                (m.turn, m.pause) = (now, now + self.pace * LOOK / 2);
+                (m.turn, m.pause) = (now, now + self.pace * PROBE_GAP_PACES / 2);
+            }
+            Ending::ConnectFailed if now < self.connections_scarce_until => {
+                m.pause = now + self.pace * PROBE_GAP_PACES
             }
-            Ending::ConnectFailed if now < self.polite => m.pause = now + self.pace * LOOK,
             // Connections break one by one, too, while the process serves on. It is gone if others break as well.
-            Ending::ConnectFailed | Ending::Reset if m.heard > m.strike.max(lately) => m.strike = now,
+            Ending::ConnectFailed | Ending::Reset if m.heard > m.last_broken.max(lately) => {
+                m.last_broken = now
+            }
             // One that is gone refuses at once; one that never answers is out of reach, and need not start anew.
-            Ending::ConnectFailed => self.convict(now, id, elapsed < self.pace * LOOK),
-            Ending::Reset => self.convict(now, id, true),
+            Ending::ConnectFailed => self.mark_suspect(now, id, elapsed < self.pace * PROBE_GAP_PACES),
+            Ending::Reset => self.mark_suspect(now, id, true),
             // Called off at its deadline, it took as long at least.
             Ending::Timeout | Ending::Cancelled => {
                 m.slow += (0.2 * fresh).max(0.05) * (ratio - m.slow).max(0.0);
@@ -69,16 +75,17 @@
     }
 
     /// A suspect gets nothing new, and requests that wait on it get a copy where that is permitted.
-    pub(super) fn convict(&mut self, now: Micros, id: MemberId, down: bool) {
+    pub(super) fn mark_suspect(&mut self, now: Micros, id: MemberId, down: bool) {
         let Some(m) = self.members.get_mut(&id) else { return };
         if !m.suspect {
-            (m.suspect, m.down, m.ill_since, m.look_at) = (true, false, now, now + self.pace * LOOK);
+            (m.suspect, m.down, m.ill_since, m.probe_due) =
+                (true, false, now, now + self.pace * PROBE_GAP_PACES);
         }
         m.down |= down;
         for id in m.out.keys().map(|k| k.1).collect::<Vec<_>>() {
             let Some(r) = self.requests.get(&id).filter(|r| !r.answered && r.out() == 1) else { continue };
             let (group, zone) = (r.group, self.repeat_zone(r));
-            if self.may_send(now, r, zone) && self.spend() {
+            if self.may_send(now, r, zone) && self.spend_retry() {
                 self.hold(group, id);
             }
         }
@@ -89,19 +96,21 @@
         r.doubt().map_or(self.settings.zone, |first| first.zone)
     }
 
+    /// Queues a request until a member has room for it.
     pub(super) fn hold(&mut self, group: GroupId, id: RequestId) {
         self.groups.entry(group).or_default().held.insert(id);
         self.holding.insert(group);
     }
 
-    pub(super) fn spend(&mut self) -> bool {
+    /// Takes a token of the retry budget; false where none is left.
+    pub(super) fn spend_retry(&mut self) -> bool {
         let enough = self.retries >= 1.0;
         self.retries -= if enough { 1.0 } else { 0.0 };
         enough
     }
 
     /// All attempts have ended without an answer: hold it for another, or give it up at once.
-    pub(super) fn again(
+    pub(super) fn retry_or_give_up(
         &mut self,
         now: Micros,
         id: RequestId,
@@ -114,9 +123,9 @@
         let (group, r) = (r.group, &self.requests[&id]);
         let at = r.settled_at.map_or(now, |settled| settled.max(now));
         let permitted = self.may_send(at, r, self.repeat_zone(r));
-        if permitted && (free || self.spend()) {
+        if permitted && (free || self.spend_retry()) {
             self.hold(group, id);
-            self.resumed.extend((at > now).then_some((at, id)));
+            self.dispatch_due.extend((at > now).then_some((at, id)));
         } else {
             self.give_up(now, id, actions);
         }
@@ -144,7 +153,7 @@
         let Some(r) = self.requests.get_mut(&id) else { return };
         let first = self.due.remove(&(r.deadline, id));
         if let Some(at) = r.settled_at {
-            self.resumed.remove(&(at, id));
+            self.dispatch_due.remove(&(at, id));
         }
         r.answered = true;
         self.groups.entry(r.group).or_default().held.remove(&id);
--- a/src/balance/periodic.rs
+++ b/src/balance/periodic.rs
@@ -2,17 +2,18 @@
 
 use super::member::Member;
 use super::{
-    brief_hold, Balancer, ACTIVE_FOR, FOREVER, LITTLE, LOOK, LOOK_LONGEST, SUSPECT_TRIED_AFTER, VAIN,
+    brief_hold, Balancer, ACTIVE_FOR, FIRST_ATTEMPT_HOLD_SHARE, FOREVER, LOW_WORTH, MAX_PROBE_GAP,
+    PROBE_GAP_PACES, SUSPECT_TRIED_AFTER,
 };
 use crate::interface::{Action, MemberId, Micros};
 
 impl Balancer {
     /// The steady round: silence, holds that can't be met, lost primaries, probes, the member list.
-    pub(super) fn sweep(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        self.look_at = FOREVER;
-        self.find_silent(now);
+    pub(super) fn run_round(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        self.probe_due = FOREVER;
+        self.suspect_silent(now);
         self.shed(now, actions);
-        self.look(now, actions);
+        self.probe_suspects(now, actions);
         self.ask_for_list(now, actions);
         self.holding.clone().into_iter().for_each(|group| self.dispatch(now, group, actions));
         let active = |m: &Member| !m.out.is_empty() || m.suspect || now - m.heard <= ACTIVE_FOR;
@@ -28,18 +29,18 @@
     }
 
     /// A member that holds work of ours in silence for several usual answer times is a suspect, unless most do.
-    pub(super) fn find_silent(&mut self, now: Micros) {
+    pub(super) fn suspect_silent(&mut self, now: Micros) {
         let mut silent = Vec::new();
         for (id, m) in self.watched.iter().filter_map(|id| self.members.get(id).map(|m| (id, m))) {
             let Some((sent, _)) = m.held().next() else { continue };
             let usual = m.held().map(|(_, c)| self.work[c.0]).fold(0.0, f64::max);
             let patience = usual * m.slow.max(1.0) * (2.0 + 4.0 / m.held().count() as f64);
-            if !m.suspect && (now - sent.max(m.heard).max(self.awake)) as f64 > patience {
+            if !m.suspect && (now - sent.max(m.heard).max(self.stalled_until)) as f64 > patience {
                 silent.push(*id);
             }
         }
         if silent.len() * 2 <= self.watched.len().max(2) {
-            silent.into_iter().for_each(|id| self.convict(now, id, false));
+            silent.into_iter().for_each(|id| self.mark_suspect(now, id, false));
         }
     }
 
@@ -53,10 +54,10 @@
                 // Where lateness leaves little, refuse while a repeat still has time.
                 let hold = r.arrived + brief_hold(c);
                 // Nor is one held for most of its time in vain.
-                let vain = r.arrived + ((r.deadline - r.arrived) as f64 * VAIN) as Micros;
+                let vain = r.arrived + ((r.deadline - r.arrived) as f64 * FIRST_ATTEMPT_HOLD_SHARE) as Micros;
                 let patient = if r.attempts.is_empty() { vain } else { r.deadline };
                 let useful = r.deadline.min(hold + best).min(r.began + c.aim);
-                let end = if c.late_worth > LITTLE { patient } else { useful };
+                let end = if c.late_worth > LOW_WORTH { patient } else { useful };
                 if r.out() == 0 && r.is_settled(now) && now + best + self.pace > end {
                     lost.push(*id);
                 }
@@ -66,23 +67,24 @@
         lost.into_iter().for_each(|id| self.give_up(now, id, actions));
     }
 
-    /// Looks at suspects. Probes may fail while members serve: after a while requests test a suspect, too.
-    pub(super) fn look(&mut self, now: Micros, actions: &mut Vec<Action>) {
+    /// Probes suspects that are due. Probes may fail while members serve: after a while requests test a suspect, too.
+    pub(super) fn probe_suspects(&mut self, now: Micros, actions: &mut Vec<Action>) {
         for id in self.watched.clone() {
             let ill = |m: &&mut Member| m.suspect && !m.barred && !m.held_out;
             let Some(m) = self.members.get_mut(&id).filter(ill) else { continue };
-            let due = now >= m.look_at;
+            let due = now >= m.probe_due;
             if due {
-                m.look_at = now + (now - m.ill_since).clamp(self.pace * LOOK, LOOK_LONGEST);
+                m.probe_due = now + (now - m.ill_since).clamp(self.pace * PROBE_GAP_PACES, MAX_PROBE_GAP);
                 if now - m.ill_since > SUSPECT_TRIED_AFTER {
                     m.recover(now);
                 }
             }
-            self.look_at = self.look_at.min(m.look_at);
+            self.probe_due = self.probe_due.min(m.probe_due);
             let _ = due && self.probe(now, id, actions);
         }
     }
 
+    /// Sends a probe, unless one is out or the probe budget is spent.
     pub(super) fn probe(&mut self, now: Micros, id: MemberId, actions: &mut Vec<Action>) -> bool {
         let Some(m) = self.members.get_mut(&id).filter(|m| m.probing.is_none()) else { return false };
         let granted = self.settings.allowed.probes && self.probes >= 1.0;
