Merge: what stood twice in the exchange and the decisions stands once; plain names in the decisions

Cause: repeated logic and names of an earlier style. Change: one piece of code for both, names of the field; no behaviour changes.

--- a/src/balance/candidates.rs
+++ b/src/balance/candidates.rs
@@ -1,10 +1,16 @@
-//! What is known of positions and roles, which members may serve a request, and the draw among them.
+//! What is known of positions and roles, which members may serve a request, and the choice among them.
 
 use super::member::Member;
-use super::{Balancer, Request, BAD, FOREVER, LAG_FADES_IN, MEMORY, NEVER};
+use super::{Balancer, Request, DECAY_US, ERROR_SHARE_LIMIT, FOREVER, LAG_FADES_IN, NEVER};
 use crate::interface::{ClassId, GroupId, MemberId, Micros, ReadLevel, Report};
 
 impl Balancer {
+    /// The report that an answer to a question of that time brought, if it did.
+    pub(super) fn learn_answer(&mut self, asked: Micros, id: MemberId, report: Option<Report>) {
+        let Some(report) = report else { return };
+        self.learn(asked, report.position.map_or(asked, |p| p.min(asked)), id, report);
+    }
+
     /// A report may be older than the probe that brought it: its role counts as of its own position.
     pub(super) fn learn(&mut self, now: Micros, as_of: Micros, id: MemberId, told: Report) {
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -73,8 +79,9 @@
         g.members.iter().filter(|id| Some(**id) != g.primary).filter(fits).copied().collect()
     }
 
-    /// The draw: two by size and health, then less of our work: idle drivers must not all turn to the best one.
-    pub(super) fn draw(
+    /// Power of two choices: two members are drawn by weight and health, and the one with less of our work is taken. Idle drivers
+    /// must not all turn to the best one.
+    pub(super) fn pick(
         &mut self,
         now: Micros,
         class: ClassId,
@@ -82,9 +89,9 @@
         among: &[MemberId],
     ) -> Option<MemberId> {
         let weigh = |m: &Member| {
-            let errors = m.errors * (-((now - m.heard) as f64) / MEMORY).exp();
-            let errors = if errors > BAD { 0.02 } else { 1.0 - errors };
-            m.entry.weight.max(0.01) * self.share(now, m) * errors / m.slow.max(0.2)
+            let errors = m.errors * (-((now - m.heard) as f64) / DECAY_US).exp();
+            let errors = if errors > ERROR_SHARE_LIMIT { 0.02 } else { 1.0 - errors };
+            m.weight() * self.share(now, m) * errors / m.slow.max(0.2)
         };
         let open = among.iter().filter_map(|id| self.members.get(id).map(|m| (*id, m)));
         let open = open.filter(|(_, m)| now >= m.pause && self.admits(now, m, class, merit));
