Tests force the ways in which an attempt ends before the next one is read

Each way in which an attempt ends is forced by bytes awaited, and its connection looked at when the next attempt is read.

--- a/crates/gradeshunt/src/backend/tests.rs
+++ b/crates/gradeshunt/src/backend/tests.rs
@@ -2,14 +2,16 @@
 
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
 
-use leadmast::{Ending, ListKind, MemberId, Phase};
+use leadmast::{Ending, ListKind, MemberId, Micros, Phase, RequestId};
 
-use super::connection::Stage;
+use super::connection::{Server, Stage};
 use super::hosts::Listed;
 use super::jobs::unsent_ending;
 use super::Backend;
-use crate::exchange::{Exchange, Order};
+use crate::deadlines::Due;
+use crate::exchange::{AttemptId, Body, Exchange, Form, Order};
 use crate::pg::Writer;
 use crate::turn::{Ready, Turn};
 
@@ -113,3 +115,31 @@
     assert_eq!(play.backend.lease(&mut play.turn, MEMBER), None);
     assert!(play.backend.servers.is_empty(), "it is closed");
 }
+
+/// Guards against two attempts at once: in a long turn the time for ReadyForQuery may be over while ReadyForQuery stands unread.
+#[test]
+fn error_whose_ready_for_query_stands_unread_leaves_no_connection_open() {
+    const PATIENCE: Micros = 60_000_000;
+    let mut play = Play::open();
+    let mut server = play.pool_connection();
+    let attempt = AttemptId { request: RequestId(1), number: 0 };
+    let body = Rc::new(Body::new(b"SELECT 1".to_vec(), None, Form::Value));
+    let until = play.turn.clock.now() + PATIENCE;
+    let order = Order::Start { attempt, member: MEMBER, body, until, write_by: until };
+    play.backend.carry_out(&mut play.turn, &mut play.exchange, order);
+    server
+        .write_all(&Writer::default().message(b'E', &[b"SERROR\0CXX000\0Mbroken\0\0"]).0)
+        .expect("it is open");
+    let awaits_ready = |s: &Server| matches!(s.stage, Stage::Busy { ready_by: Some(_), .. });
+    play.until(|backend| backend.servers.values().any(awaits_ready));
+    server.write_all(&Writer::default().ready().0).expect("it is open");
+    while play.backend.servers.values().all(|s| s.polled.is_quiet()) {}
+    play.turn.now += PATIENCE / 2;
+    while let Some(due) = play.turn.deadlines.pop(play.turn.now) {
+        if let Due::Server(id) = due {
+            play.backend.server_due(&mut play.turn, &mut play.exchange, id);
+        }
+    }
+    assert!(play.backend.attempts.is_empty(), "the attempt has ended");
+    assert!(play.backend.servers.is_empty(), "its connection is open");
+}
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -391,3 +391,82 @@
         server.write_all(&answer).expect("it is open");
     }
 }
+
+/// A db host's answer that is an error, up to its ReadyForQuery.
+fn refusal(code: &str, position: &str) -> Vec<u8> {
+    let error = wire::message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
+    let status = wire::message(b'S', format!("log_position\0{position}\0").as_bytes());
+    [error, status].concat()
+}
+
+/// A connection has ended, as far as its db host can see: a read of it would not block.
+fn has_ended(server: &mut TcpStream) -> Result<(), String> {
+    server.set_nonblocking(true).expect("it can be set");
+    let end = server.read(&mut [0]);
+    match &end {
+        Ok(0) => Ok(()),
+        Err(e) if e.kind() == io::ErrorKind::ConnectionReset => Ok(()),
+        _ => Err(format!("the connection is open: {end:?}")),
+    }
+}
+
+/// A position as db hosts tell it, in Unix milliseconds.
+const POSITION: &str = "1767225600123";
+
+/// Guards against two attempts at once: an answer that tells that nothing has run, but has no ReadyForQuery, must not leave its
+/// connection open either.
+#[test]
+fn no_further_attempt_is_out_beside_a_refusal_whose_ready_for_query_is_wanting() {
+    for code in ["53300", "57P03", "25006", "72000"] {
+        let play = Play::open_with(&format!("not-ready-{code}"), 600_000, LONG_AIM_MS, |_| {});
+        let mut client = play.client();
+        client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+        let mut first = play.accept();
+        next_request(&mut first).expect("it is sent");
+        first.write_all(&refusal(code, POSITION)).expect("it is open");
+        let mut second = play.accept();
+        assert!(next_request(&mut second).expect("it is sent again").contains("id=1,"));
+        assert_eq!(has_ended(&mut first), Ok(()), "{code}");
+    }
+}
+
+/// Guards against two attempts at once: a db host that has not answered, or spoilt its answer, sees the end of its connection
+/// before the next attempt.
+#[test]
+fn no_further_attempt_is_out_beside_one_that_was_given_up() {
+    let silent = Vec::new();
+    let spoilt = vec![b'?', 0, 0, 0, 4];
+    let ready_alone = wire::message(b'Z', b"I");
+    let row_alone = wire::message(b'D', &[0, 1, 0, 0, 0, 1, b'v']);
+    let cut = wire::message(b'E', b"SERROR\0CXX000\0")[..9].to_vec();
+    let ways =
+        [("silent", silent), ("spoilt", spoilt), ("ready", ready_alone), ("row", row_alone), ("cut", cut)];
+    for (way, answer) in ways {
+        let play = Play::open(&format!("given-up-{way}"), 600_000);
+        let mut client = play.client();
+        client.stream().write_all(&request(1, "page-read", 20_000, 0)).expect("it is open");
+        let mut first = play.accept();
+        next_request(&mut first).expect("it is sent");
+        first.write_all(&answer).expect("it is open");
+        let mut second = play.accept();
+        assert!(next_request(&mut second).expect("it is sent again").contains("id=1,"), "{way}");
+        assert_eq!(has_ended(&mut first), Ok(()), "{way}");
+    }
+}
+
+/// Guards against two attempts at once: a connection that comes up only once its attempt was given up does not get it as well.
+#[test]
+fn connection_that_comes_up_late_gets_no_attempt_beside_the_next_one() {
+    let play = Play::open("up-late", 600_000);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 20_000, 0)).expect("it is open");
+    let (mut late, _) = play.host.accept().expect("it connects");
+    late.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    let mut second = play.accept();
+    assert!(next_request(&mut second).expect("it is sent").contains("id=1,"));
+    late.write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    wire::read_startup(&mut late).expect("a startup message");
+    let mut other = play.client();
+    other.stream().write_all(&request(2, "page-read", 20_000, 0)).expect("it is open");
+    assert!(next_request(&mut late).expect("it is sent").contains("id=2,"));
+}
