A test that fails: a copied error with an answer between leaves an attempt out

A db host's second copy of an error is known by the code and position of the answer right before it on its connection. With another answer between, a value or another error, it passes for the answer of the request that has the connection by then: that one is sent again, while its attempt is at work on the connection, which stays open in the pool.

--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -470,3 +470,32 @@
     other.stream().write_all(&request(2, "page-read", 20_000, 0)).expect("it is open");
     assert!(next_request(&mut late).expect("it is sent").contains("id=2,"));
 }
+
+/// Guards against two attempts at once: a second copy of an error may come after its connection has carried another answer, and be
+/// taken for that of the request behind.
+#[test]
+fn error_that_is_copied_behind_another_answer_leaves_no_attempt_out() {
+    let ready = wire::message(b'Z', b"I");
+    let error = [refusal("XX000", POSITION), ready.clone()].concat();
+    let row = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    let value = [wire::table(&row), ready.clone()].concat();
+    let other_error = [refusal("XX000", "1767225600124"), ready].concat();
+    for (way, between) in [("value", value), ("error", other_error)] {
+        let play = Play::open_with(&format!("copied-behind-{way}"), 600_000, LONG_AIM_MS, |_| {});
+        let mut client = play.client();
+        client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+        let mut first = play.accept();
+        assert!(next_request(&mut first).expect("it is sent").contains("id=1,"));
+        first.write_all(&error).expect("it is open");
+        assert!(next_request(&mut first).expect("it is sent again").contains("id=1,"));
+        first.write_all(&between).expect("it is open");
+        let mut other = play.client();
+        if way == "value" {
+            other.stream().write_all(&request(2, "page-read", 300_000, 0)).expect("it is open");
+        }
+        let copied = next_request(&mut first).expect("it is sent");
+        first.write_all(&error).expect("it is open");
+        let again = next_request(&mut first);
+        assert!(again.is_err(), "{way}: {copied:?} is out, and here is another: {again:?}");
+    }
+}
