A connection remembers the errors that it told: a copy behind another answer is known

Cause: `Server::refused` held the error of the answer right before, and was emptied by any other answer. A second copy that came behind one more answer ended the next request's attempt, which was at work: sent again, it was out twice on open connections, and a copied refusal or miss told that it had never run.

Change: a connection remembers its latest 8 errors with their positions; a reply that is one of them is a copy (`Server::is_copy`), and its connection is reset before the request goes out again, as before.

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to a db host: its stages, how it is opened and comes up, and how bytes are written to it.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 
@@ -24,6 +25,9 @@
 /// it, or a request would be written to a connection that is just being closed.
 const IDLE_SHARE: f64 = 0.6;
 
+/// Errors that a connection remembers, in answers: a second copy that comes behind more than these is not known for one.
+const ERRORS_KEPT: usize = 8;
+
 /// What the system is to hold at most of what is written to a db host. What it holds is out of the proxy's hands: a db host that
 /// reads nothing gets it whenever it reads on, however late that is.
 const SEND_BUFFER: usize = 32 * 1024;
@@ -78,11 +82,25 @@
     pub(super) outbound: Ring,
     pub(super) stage: Stage,
     pub(super) sending: Sending,
-    /// The latest error that was an answer here, with the position that it told.
-    pub(super) refused: Option<(String, f64)>,
+    /// The latest errors that were answers here, with the positions that they told.
+    pub(super) errors: VecDeque<(String, f64)>,
 }
 
 impl Server {
+    /// Whether a reply is a second copy of an error that was an answer here before. It tells nothing of its request: that may be at work
+    /// there yet, and is sent again. Positions move on, so one that stands still between two errors is a copy's.
+    pub(super) fn is_copy(&self, reply: &Reply) -> bool {
+        reply.told_error().is_some_and(|error| self.errors.contains(&error))
+    }
+
+    /// Remembers an answer that is an error, whose second copy may come behind other answers.
+    fn remember(&mut self, reply: &Reply) {
+        self.errors.extend(reply.told_error());
+        if self.errors.len() > ERRORS_KEPT {
+            self.errors.pop_front();
+        }
+    }
+
     /// Whether a long row is being passed on.
     pub(super) fn is_passing(&self) -> bool {
         match &self.stage {
@@ -108,7 +126,7 @@
             outbound: Ring::default(),
             stage: Stage::Starting { by },
             sending: Sending::default(),
-            refused: None,
+            errors: VecDeque::new(),
         };
         let startup = if is_peer(member) {
             Writer::default().startup(PEER_USER, DATABASE, Some(&self.own_name))
@@ -134,14 +152,10 @@
         turn.deadlines.set(until, Due::Server(id));
         let Some(host) = self.hosts.get_mut(&member) else { return };
         host.idle.push(id);
-        // A second copy of an error, that of the request before, tells nothing of this one: it may be at work there yet, and
-        // is sent again. Positions move on, so one that stands still between two errors is a copy's.
-        let error = match &stage {
-            Stage::Busy { reply, .. } => reply.error.clone().zip(reply.position),
-            _ => None,
-        };
-        let copied = error.is_some() && s.refused == error;
-        s.refused = error;
+        let copied = matches!(&stage, Stage::Busy { reply, .. } if s.is_copy(reply));
+        if let Stage::Busy { reply, .. } = &stage {
+            s.remember(reply);
+        }
         // An answer may come before its request is written whole: the rest must not follow. A copy's request may be at work yet.
         let unfinished = copied || !s.outbound.is_empty();
         let ended = match stage {
--- a/crates/gradeshunt/src/backend/reply.rs
+++ b/crates/gradeshunt/src/backend/reply.rs
@@ -146,6 +146,11 @@
         Ok(())
     }
 
+    /// The error that it is, with the position that it tells; `None` where it is none or tells none.
+    pub(super) fn told_error(&self) -> Option<(String, f64)> {
+        self.error.clone().zip(self.position)
+    }
+
     /// How the attempt has ended, by what has come; `None` while the answer is not whole.
     pub(super) fn ending(&self) -> Option<Ending> {
         match self.error.as_deref() {
