A test that fails: a copied refusal without ReadyForQuery refuses a write that may run

A second copy of an error is known for one only where its ReadyForQuery has come. Where that is wanting, the copy ends the attempt that is at work on its connection by its own code: a refusal or a miss tells that a write has never run, so that its client is refused, or the write is sent again.

--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use gradeshunt_stand_ins::checker::Outcome;
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::Table;
@@ -499,3 +500,19 @@
         assert!(again.is_err(), "{way}: {copied:?} is out, and here is another: {again:?}");
     }
 }
+
+/// Guards writes that must not run twice: a second copy of a refusal says nothing of the attempt behind it, whole or not.
+#[test]
+fn refusal_that_is_copied_without_its_end_is_not_taken_for_one_of_the_next_attempt() {
+    let play = Play::open_with("copied-in-part", 600_000, LONG_AIM_MS, |_| {});
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "plain-write", 300_000, 0)).expect("it is open");
+    let mut first = play.accept();
+    assert!(next_request(&mut first).expect("it is sent").contains("id=1,"));
+    let whole = [refusal("53300", POSITION), wire::message(b'Z', b"I")].concat();
+    first.write_all(&whole).expect("it is open");
+    assert!(next_request(&mut first).expect("it is sent again").contains("id=1,"));
+    first.write_all(&refusal("53300", POSITION)).expect("it is open");
+    let answer = client.until_ready().expect("an answer, for it may run and must not be sent again");
+    assert_eq!(answer.outcome(), Outcome::Failed, "{:?}", answer.code());
+}
