A copied error is none of the attempt that is at work, whether its ReadyForQuery has come or not

Cause: only `connection_ready` looked whether an error is a second copy; where the copy's ReadyForQuery is late (`end_before_ready`), or its connection breaks, is spoilt or is given up behind it, the job ended with the copy's code. A refusal or a miss passed for the word that a write had never run: its client was told to come again, or the write went out again.

Change: `take_job`, which all of these paths use, gives no reply where that is a copy, so that the attempt ends as one that may have run. Its connection is reset as before.

--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -59,12 +59,14 @@
         self.end(turn, exchange, member, job, ending, reply);
     }
 
-    /// Takes the job from a busy connection, with whether some of the request is still unsent.
+    /// Takes the job from a busy connection, with whether some of the request is still unsent, and what has come of its reply: a second
+    /// copy of an earlier error is none.
     pub(super) fn take_job(&mut self, id: ServerId) -> Option<(MemberId, bool, Job, Reply)> {
         let s = self.servers.get_mut(&id)?;
         match std::mem::replace(&mut s.stage, Stage::Spent) {
             Stage::Busy { mut job, reply, .. } => {
                 job.leave_connection(ConnectionEnd::Reset);
+                let reply = if s.is_copy(&reply) { Reply::default() } else { reply };
                 Some((s.member, !s.outbound.is_empty(), job, reply))
             }
             other => {
