--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -537,3 +537,37 @@
     let answer = client.until_ready().expect("an answer, for it may run and must not be sent again");
     assert_eq!(answer.outcome(), Outcome::Failed, "{:?}", answer.code());
 }
+
+/// Guards against statements that run after they were answered: what the system holds of one must not follow its early answer.
+#[test]
+fn short_statement_that_was_answered_before_its_end_does_not_arrive_later() {
+    let play = Play::open_in_shell("answered-early-held", 600_000, AIM_MS, |_| {}, DEBUG_LOG);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, HELD)).expect("it is open");
+    let mut first = play.accept();
+    until_request_begins(&mut first);
+    first.write_all(&[refusal("53300", POSITION), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    play.program.until_logged("attempt ended", PATIENCE);
+    first.set_read_timeout(Some(Duration::from_secs(2))).expect("it can be set");
+    let mut rest = Vec::new();
+    let ended = first.read_to_end(&mut rest);
+    assert!(rest.len() < HELD, "it has arrived whole: {ended:?}");
+}
+
+/// Guards against statements that run after they were answered: a value that comes before its statement's end, without
+/// ReadyForQuery, must not let the rest follow.
+#[test]
+fn statement_whose_value_came_before_its_end_is_not_written_on() {
+    let play = Play::open_in_shell("value-early", 600_000, AIM_MS, |_| {}, DEBUG_LOG);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, LONG)).expect("it is open");
+    let mut first = play.accept();
+    until_request_begins(&mut first);
+    let row = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    first.write_all(&wire::table(&row)).expect("it is open");
+    assert_eq!(client.until_ready().expect("an answer").code(), None);
+    first.set_read_timeout(Some(Duration::from_secs(2))).expect("it can be set");
+    let mut rest = Vec::new();
+    let ended = first.read_to_end(&mut rest);
+    assert!(rest.len() < LONG, "it was written whole: {ended:?}");
+}
