What the system still holds of a request does not follow its answer, nor the rest behind an early value

Cause: `connection_ready` looked at the proxy's own buffer alone, and `end_before_ready` at none, so that the rest of a statement arrived behind an early answer: whole, while the request was sent again, or after its client had its value.

Change: behind an error the system is asked whether it has sent all, as it is for those given up; if not, the connection is reset. Behind a value without ReadyForQuery likewise. Values with ReadyForQuery are not asked about, for each would cost three system calls. What stands unread in the db host's own buffer can't be told from what was read.

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Whether some of what was written here has not left this machine: an answer that comes before is early, and the rest must not
+    /// follow it.
+    pub(super) fn has_more_to_send(&self) -> bool {
+        !self.outbound.is_empty() || self.polled.holds_unsent()
+    }
+
     /// Whether a long row is being passed on.
     pub(super) fn is_passing(&self) -> bool {
         match &self.stage {
@@ -156,8 +162,10 @@
         if let Stage::Busy { reply, .. } = &stage {
             s.remember(reply);
         }
-        // An answer may come before its request is written whole: the rest must not follow. A copy's request may be at work yet.
-        let unfinished = copied || !s.outbound.is_empty();
+        // An answer may come before its request is written whole: the rest must not follow. A copy's request may be at work yet. The
+        // system is asked only behind errors: a value was made from the whole request.
+        let is_error = matches!(&stage, Stage::Busy { reply, .. } if reply.error.is_some());
+        let unfinished = copied || !s.outbound.is_empty() || (is_error && s.has_more_to_send());
         let ended = match stage {
             Stage::Starting { by } => {
                 host.starting -= 1;
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -198,10 +198,7 @@
     pub(super) fn is_unsent(&self, id: AttemptId) -> bool {
         match self.attempts.get(&id) {
             Some((_, Place::Waiting(_))) => true,
-            Some((_, Place::On(server))) => {
-                let holds = |s: &Server| !s.outbound.is_empty() || s.polled.holds_unsent();
-                self.servers.get(server).is_some_and(holds)
-            }
+            Some((_, Place::On(server))) => self.servers.get(server).is_some_and(Server::has_more_to_send),
             None => false,
         }
     }
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -173,13 +173,14 @@
         true
     }
 
-    /// An answer is whole, and its ReadyForQuery late: the client does not wait for that. The connection does behind a value. Behind an
-    /// error it is closed: another attempt may follow, and to its db host this one is out as long as the connection is open.
+    /// An answer is whole, and its ReadyForQuery late: the client does not wait for that. The connection does behind a value,
+    /// unless that came before the whole request was sent. Behind an error it is closed: another attempt may follow, and to its db host
+    /// this one is out as long as the connection is open.
     pub(super) fn end_before_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some((member, _, mut job, reply)) = self.take_job(id) else { return };
         let ending = reply.ending().unwrap_or(Ending::Reset);
         match self.servers.get_mut(&id) {
-            Some(s) if ending == Ending::Ok => {
+            Some(s) if ending == Ending::Ok && !s.has_more_to_send() => {
                 job.leave_connection(ConnectionEnd::AwaitsReady);
                 let by = turn.now + READY_TIMEOUT;
                 s.stage = Stage::Trailing { by };
