--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
+use gradeshunt_stand_ins::checker::Outcome;
 use gradeshunt_stand_ins::postgres::client::Client;
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::Table;
@@ -25,6 +26,8 @@
 const AIM_MS: f64 = 200.0;
 /// One for which a db host passes for heard of late while it reads a long statement on a busy machine.
 const LONG_AIM_MS: f64 = 4_000.0;
+/// One with which a repeat is waited for, however late its turn on a busy machine.
+const PATIENT_AIM_MS: f64 = 20_000.0;
 /// Starts the program with a log that tells of each attempt.
 const DEBUG_LOG: &str = r#"exec "$0" --log-level debug --log-format json;"#;
 
@@ -83,14 +86,34 @@
 
     /// The db host takes the next connection that comes up.
     fn accept(&self) -> TcpStream {
-        let (mut server, _) = self.host.accept().expect("it connects");
-        server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
-        wire::read_startup(&mut server).expect("a startup message");
-        server
-            .write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())
-            .expect("it is open");
-        server
+        let connected = self.host.accept();
+        let (server, _) = connected.unwrap_or_else(|e| panic!("no connection: {e}: {}", self.program.log()));
+        greet(server)
     }
+
+    /// The next attempt on any further connection: probes may take some of them. The last that a test asks of its db host.
+    fn next_attempt(&self) -> String {
+        let host = self.host.try_clone().expect("another handle");
+        let (found, attempts) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            while let Ok((server, _)) = host.accept() {
+                let found = found.clone();
+                std::thread::spawn(move || found.send(next_request(&mut greet(server))));
+            }
+        });
+        let attempt = attempts.recv_timeout(PATIENCE).expect("an attempt");
+        attempt.unwrap_or_else(|e| panic!("no attempt: {e}: {}", self.program.log()))
+    }
+}
+
+/// A db host lets a connection come up.
+fn greet(mut server: TcpStream) -> TcpStream {
+    server.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    wire::read_startup(&mut server).expect("a startup message");
+    server
+        .write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())
+        .expect("it is open");
+    server
 }
 
 /// Waits until a client's request begins to come, and answers what the proxy asks for itself before.
@@ -391,3 +414,160 @@
         server.write_all(&answer).expect("it is open");
     }
 }
+
+/// A db host's answer that is an error, up to its ReadyForQuery.
+fn refusal(code: &str, position: &str) -> Vec<u8> {
+    let error = wire::message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes());
+    let status = wire::message(b'S', format!("log_position\0{position}\0").as_bytes());
+    [error, status].concat()
+}
+
+/// A connection has ended, as far as its db host can see: a read of it would not block.
+fn has_ended(server: &mut TcpStream) -> Result<(), String> {
+    server.set_nonblocking(true).expect("it can be set");
+    let end = server.read(&mut [0]);
+    match &end {
+        Ok(0) => Ok(()),
+        Err(e) if e.kind() == io::ErrorKind::ConnectionReset => Ok(()),
+        _ => Err(format!("the connection is open: {end:?}")),
+    }
+}
+
+/// A position as db hosts tell it, in Unix milliseconds.
+const POSITION: &str = "1767225600123";
+
+/// Guards against two attempts at once: an answer that tells that nothing has run, but has no ReadyForQuery, must not leave its
+/// connection open either.
+#[test]
+fn no_further_attempt_is_out_beside_a_refusal_whose_ready_for_query_is_wanting() {
+    for code in ["53300", "57P03", "25006", "72000"] {
+        let play =
+            Play::open_in_shell(&format!("not-ready-{code}"), 600_000, PATIENT_AIM_MS, |_| {}, DEBUG_LOG);
+        let mut client = play.client();
+        client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+        let mut first = play.accept();
+        next_request(&mut first).expect("it is sent");
+        first.write_all(&refusal(code, POSITION)).expect("it is open");
+        assert!(play.next_attempt().contains("id=1,"));
+        assert_eq!(has_ended(&mut first), Ok(()), "{code}");
+    }
+}
+
+/// Guards against two attempts at once: a db host that has not answered, or spoilt its answer, sees the end of its connection
+/// before the next attempt.
+#[test]
+fn no_further_attempt_is_out_beside_one_that_was_given_up() {
+    let silent = Vec::new();
+    let spoilt = vec![b'?', 0, 0, 0, 4];
+    let ready_alone = wire::message(b'Z', b"I");
+    let row_alone = wire::message(b'D', &[0, 1, 0, 0, 0, 1, b'v']);
+    let cut = wire::message(b'E', b"SERROR\0CXX000\0")[..9].to_vec();
+    let ways =
+        [("silent", silent), ("spoilt", spoilt), ("ready", ready_alone), ("row", row_alone), ("cut", cut)];
+    for (way, answer) in ways {
+        let play = Play::open(&format!("given-up-{way}"), 600_000);
+        let mut client = play.client();
+        client.stream().write_all(&request(1, "page-read", 20_000, 0)).expect("it is open");
+        let mut first = play.accept();
+        next_request(&mut first).expect("it is sent");
+        first.write_all(&answer).expect("it is open");
+        assert!(play.next_attempt().contains("id=1,"), "{way}");
+        assert_eq!(has_ended(&mut first), Ok(()), "{way}");
+    }
+}
+
+/// Guards against two attempts at once: a connection that comes up only once its attempt was given up does not get it as well.
+#[test]
+fn connection_that_comes_up_late_gets_no_attempt_beside_the_next_one() {
+    let play = Play::open("up-late", 600_000);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 20_000, 0)).expect("it is open");
+    let (mut late, _) = play.host.accept().expect("it connects");
+    late.set_read_timeout(Some(PATIENCE)).expect("it can be set");
+    let mut second = play.accept();
+    assert!(next_request(&mut second).expect("it is sent").contains("id=1,"));
+    late.write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    wire::read_startup(&mut late).expect("a startup message");
+    let mut other = play.client();
+    other.stream().write_all(&request(2, "page-read", 20_000, 0)).expect("it is open");
+    assert!(next_request(&mut late).expect("it is sent").contains("id=2,"));
+}
+
+/// Guards against two attempts at once: a second copy of an error may come after its connection has carried another answer, and be
+/// taken for that of the request behind.
+#[test]
+fn error_that_is_copied_behind_another_answer_leaves_no_attempt_out() {
+    let ready = wire::message(b'Z', b"I");
+    let error = [refusal("XX000", POSITION), ready.clone()].concat();
+    let row = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    let value = [wire::table(&row), ready.clone()].concat();
+    let other_error = [refusal("XX000", "1767225600124"), ready].concat();
+    for (way, between) in [("value", value), ("error", other_error)] {
+        let play = Play::open_with(&format!("copied-behind-{way}"), 600_000, PATIENT_AIM_MS, |_| {});
+        let mut client = play.client();
+        client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+        let mut first = play.accept();
+        assert!(next_request(&mut first).expect("it is sent").contains("id=1,"));
+        first.write_all(&error).expect("it is open");
+        assert!(next_request(&mut first).expect("it is sent again").contains("id=1,"));
+        first.write_all(&between).expect("it is open");
+        let mut other = play.client();
+        if way == "value" {
+            other.stream().write_all(&request(2, "page-read", 300_000, 0)).expect("it is open");
+        }
+        let copied = next_request(&mut first).expect("it is sent");
+        first.write_all(&error).expect("it is open");
+        let again = next_request(&mut first);
+        assert!(again.is_err(), "{way}: {copied:?} is out, and here is another: {again:?}");
+    }
+}
+
+/// Guards writes that must not run twice: a second copy of a refusal says nothing of the attempt behind it, whole or not.
+#[test]
+fn refusal_that_is_copied_without_its_end_is_not_taken_for_one_of_the_next_attempt() {
+    let play = Play::open_with("copied-in-part", 600_000, PATIENT_AIM_MS, |_| {});
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "plain-write", 300_000, 0)).expect("it is open");
+    let mut first = play.accept();
+    assert!(next_request(&mut first).expect("it is sent").contains("id=1,"));
+    let whole = [refusal("53300", POSITION), wire::message(b'Z', b"I")].concat();
+    first.write_all(&whole).expect("it is open");
+    assert!(next_request(&mut first).expect("it is sent again").contains("id=1,"));
+    first.write_all(&refusal("53300", POSITION)).expect("it is open");
+    let answer = client.until_ready().expect("an answer, for it may run and must not be sent again");
+    assert_eq!(answer.outcome(), Outcome::Failed, "{:?}", answer.code());
+}
+
+/// Guards against statements that run after they were answered: what the system holds of one must not follow its early answer.
+#[test]
+fn short_statement_that_was_answered_before_its_end_does_not_arrive_later() {
+    let play = Play::open_in_shell("answered-early-held", 600_000, AIM_MS, |_| {}, DEBUG_LOG);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, HELD)).expect("it is open");
+    let mut first = play.accept();
+    until_request_begins(&mut first);
+    first.write_all(&[refusal("53300", POSITION), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    play.program.until_logged("attempt ended", PATIENCE);
+    first.set_read_timeout(Some(Duration::from_secs(2))).expect("it can be set");
+    let mut rest = Vec::new();
+    let ended = first.read_to_end(&mut rest);
+    assert!(rest.len() < HELD, "it has arrived whole: {ended:?}");
+}
+
+/// Guards against statements that run after they were answered: a value that comes before its statement's end, without
+/// ReadyForQuery, must not let the rest follow.
+#[test]
+fn statement_whose_value_came_before_its_end_is_not_written_on() {
+    let play = Play::open_in_shell("value-early", 600_000, AIM_MS, |_| {}, DEBUG_LOG);
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, LONG)).expect("it is open");
+    let mut first = play.accept();
+    until_request_begins(&mut first);
+    let row = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    first.write_all(&wire::table(&row)).expect("it is open");
+    assert_eq!(client.until_ready().expect("an answer").code(), None);
+    first.set_read_timeout(Some(Duration::from_secs(2))).expect("it can be set");
+    let mut rest = Vec::new();
+    let ended = first.read_to_end(&mut rest);
+    assert!(rest.len() < LONG, "it was written whole: {ended:?}");
+}
