What discovery writes to a watch of a former process does not count as told to the running one

A drain is judged by when discovery wrote it to the proxy's process: to one of its watches after it started. A watch that a former process left behind takes a line more before its end is known, so that a drain that came right behind a restart counted as told to a process that had not called yet. Where its first calls fail then, Drain could be found for up to 2 s where nothing was wrong.

The service notes when each watch was opened, and what is told counts where that is after the start.

--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -25,6 +25,23 @@
     Down,
 }
 
+/// A list that was written to a watch.
+struct Told {
+    generation: u64,
+    /// When the watch was opened.
+    opened: Instant,
+    at: Instant,
+}
+
+/// Who calls: a watch, or one that only asks for the list.
+#[derive(Clone, Copy)]
+struct Call {
+    watch: u64,
+    opened: Instant,
+    /// Who it is, where it has an address of its own.
+    caller: Option<usize>,
+}
+
 #[derive(Default)]
 struct List {
     service: Service,
@@ -34,8 +51,8 @@
     changes: VecDeque<(u64, Value)>,
     /// Open watches, each with the generation that was last written to it.
     watches: BTreeMap<u64, u64>,
-    /// What was written to each caller that has an address of its own, and when.
-    told: BTreeMap<usize, Vec<(u64, Instant)>>,
+    /// What was written to each caller that has an address of its own.
+    told: BTreeMap<usize, Vec<Told>>,
     next_watch: u64,
 }
 
@@ -87,11 +104,11 @@
         Ok(addr)
     }
 
-    /// When a caller was first told of a generation, or a later one, after `since`.
+    /// When a caller was first told of a generation, or a later one, by a watch that it opened after `since`.
     pub fn told(&self, caller: usize, generation: u64, since: Instant) -> Option<Instant> {
         let list = lock(&self.list.0);
         let mut told = list.told.get(&caller)?.iter();
-        told.find(|(told, at)| *told >= generation && *at >= since).map(|(_, at)| *at)
+        told.find(|told| told.generation >= generation && told.opened >= since).map(|told| told.at)
     }
 
     /// Changes how the service behaves. What stands silent falls behind and stays so until it is asked anew.
@@ -140,29 +157,31 @@
     }
 
     fn serve(&self, stream: TcpStream, caller: Option<usize>) -> io::Result<()> {
+        let opened = Instant::now();
         let watch = {
             let mut list = lock(&self.list.0);
             list.next_watch += 1;
             list.next_watch
         };
-        let served = self.serve_call(stream, watch, caller);
+        let served = self.serve_call(stream, Call { watch, opened, caller });
         lock(&self.list.0).watches.remove(&watch);
         self.told.notify_all();
         served
     }
 
     /// What this watch has been written is as new as this generation.
-    fn written(&self, watch: u64, generation: u64, caller: Option<usize>) {
+    fn written(&self, call: Call, generation: u64) {
+        let Call { watch, opened, caller } = call;
         let mut list = lock(&self.list.0);
         list.watches.insert(watch, generation);
         if let Some(caller) = caller {
-            list.told.entry(caller).or_default().push((generation, Instant::now()));
+            list.told.entry(caller).or_default().push(Told { generation, opened, at: Instant::now() });
         }
         drop(list);
         self.told.notify_all();
     }
 
-    fn serve_call(&self, mut stream: TcpStream, watch: u64, caller: Option<usize>) -> io::Result<()> {
+    fn serve_call(&self, mut stream: TcpStream, call: Call) -> io::Result<()> {
         let mut lines = BufReader::new(stream.try_clone()?).lines();
         let request = lines.next().transpose()?.unwrap_or_default();
         while lines.next().transpose()?.is_some_and(|l| !l.is_empty()) {}
@@ -179,7 +198,7 @@
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{whole}\r\n",
             whole.len()
         )?;
-        self.written(watch, known, caller);
+        self.written(call, known);
         loop {
             let list = lock(&self.list.0);
             let idle = |l: &mut List| l.generation == known && l.service == Service::Serving;
@@ -204,7 +223,7 @@
                 false => json!({"generation": known, "reset": false, "instances": news}).to_string() + "\n",
             };
             write!(stream, "{:x}\r\n{line}\r\n", line.len())?;
-            self.written(watch, known, caller);
+            self.written(call, known);
         }
     }
 }
