The soak finds a request that was read and closed also where its attempt is recorded later

Whether a client that was closed between requests had been read was asked at its close, by the attempts that were recorded by then. One that reached its db host or the ledger behind the close told that it had been read, and was not found. It is now, once a request.

attempt_tells_that_a_closed_request_was_read_whichever_is_recorded_first fails without it (run so: nothing found where the close came first), and passes now.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -304,6 +304,10 @@
         if let Some((n, open)) = request.attempt_out_beside(&connection) {
             found.push((Rule::TwoAttemptsOut, format!("beside attempt {n}, whose connection was {open}")));
         }
+        // One that comes behind the close was not counted at the close.
+        if request.outcome == Some(Outcome::Crossed) && request.attempts.is_empty() {
+            found.push((Rule::ReadAndClosed, "after its client was closed without an answer".to_owned()));
+        }
         if prompt {
             if let Some(since) = request.left.and_then(|left| at.checked_duration_since(left)) {
                 if since > LEFT_GRACE + slack {
