A process that has left doesn't wait for its log until SIGKILL

Cause: at the end the log's thread was awaited without a bound. One whose reader reads nothing, as where a pipe is full, never ends its write: the process stayed until SIGKILL, and an upgrade with it.

Change: the last line has a tag, and the thread tells when it is written. Who leaves waits for that word instead of the thread's end, and until 0.65 s after the longest deadline at most (SIGKILL: 0.7 s). What is unwritten then is lost, as SIGKILL would lose it. A process that fails, and says so on standard error, waits for its log as before.

--- a/crates/gradeshunt/src/logging.rs
+++ b/crates/gradeshunt/src/logging.rs
@@ -1,32 +1,77 @@
 //! The log: lines on standard error, written by a thread of their own.
 
-use slog::{o, Drain, Logger};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::time::Duration;
+
+use slog::{o, Drain, Logger, OwnedKVList, Record};
 use slog_async::AsyncGuard;
 
 use crate::cli::{LogFormat, LogLevel};
 
 /// Lines of the log that may wait to be written.
 const LINES: usize = 4096;
+/// The tag of a process's last line.
+pub const LAST: &str = "last";
+
+/// Where lines go: a thread writes them.
+pub struct Log {
+    pub logger: Logger,
+    /// Its drop waits for all that is to be written.
+    guard: AsyncGuard,
+    last: Receiver<()>,
+}
+
+impl Log {
+    /// The log of the proxy named so.
+    pub fn open(format: LogFormat, level: LogLevel, proxy: &str) -> Log {
+        // Lines that the log's reader is too slow for are dropped and counted: it must never hold up the loop. One that can't be
+        // written, as on a full disk, is lost: to take that for a fault of the drain would end its thread.
+        let stderr = std::io::stderr();
+        let (written, last) = sync_channel(1);
+        let (drain, guard) = match format {
+            LogFormat::Text => {
+                let plain = slog_term::PlainDecorator::new(stderr);
+                let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
+                let lines = LastLine { lines: format, written };
+                slog_async::Async::new(lines).chan_size(LINES).build_with_guard()
+            }
+            LogFormat::Json => {
+                let lines = LastLine { lines: slog_json::Json::default(stderr).ignore_res(), written };
+                slog_async::Async::new(lines).chan_size(LINES).build_with_guard()
+            }
+        };
+        let most = match level {
+            LogLevel::Info => slog::Level::Info,
+            LogLevel::Debug => slog::Level::Debug,
+        };
+        let logger = Logger::root(drain.filter_level(most).fuse(), o!("proxy" => proxy.to_owned()));
+        Log { logger, guard, last }
+    }
+
+    /// Ends the log of a process that has logged its last line: waits until that is written, but no longer than this for a
+    /// reader who reads nothing. What is not written then is lost, as SIGKILL would lose it.
+    pub fn end(self, wait: Duration) {
+        // Lines are dropped where too many wait, and the last one may be among them.
+        let _ = self.last.recv_timeout(wait);
+        std::mem::forget(self.guard);
+    }
+}
+
+/// Lines, and word of the last one.
+struct LastLine<D> {
+    lines: D,
+    written: SyncSender<()>,
+}
+
+impl<D: Drain> Drain for LastLine<D> {
+    type Ok = D::Ok;
+    type Err = D::Err;
 
-/// The logger of the proxy named so. Lines are written out until the guard is dropped, which waits for the last.
-pub fn logger(format: LogFormat, level: LogLevel, proxy: &str) -> (Logger, AsyncGuard) {
-    // Lines that the log's reader is too slow for are dropped and counted: it must never hold up the loop. One that can't be
-    // written, as on a full disk, is lost: to take that for a fault of the drain would end its thread.
-    let stderr = std::io::stderr();
-    let (drain, guard) = match format {
-        LogFormat::Text => {
-            let plain = slog_term::PlainDecorator::new(stderr);
-            let format = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
-            slog_async::Async::new(format).chan_size(LINES).build_with_guard()
+    fn log(&self, record: &Record, values: &OwnedKVList) -> Result<D::Ok, D::Err> {
+        let done = self.lines.log(record, values);
+        if record.tag() == LAST {
+            let _ = self.written.try_send(());
         }
-        LogFormat::Json => slog_async::Async::new(slog_json::Json::default(stderr).ignore_res())
-            .chan_size(LINES)
-            .build_with_guard(),
-    };
-    let most = match level {
-        LogLevel::Info => slog::Level::Info,
-        LogLevel::Debug => slog::Level::Debug,
-    };
-    let log = Logger::root(drain.filter_level(most).fuse(), o!("proxy" => proxy.to_owned()));
-    (log, guard)
+        done
+    }
 }
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -70,6 +70,8 @@
     connect_timeout: Micros,
     terminating: bool,
     leave: bool,
+    /// When it has to have ended, once it was told to.
+    end_by: Option<Micros>,
 }
 
 impl Proxy {
@@ -149,6 +151,7 @@
             connect_timeout,
             terminating: false,
             leave: false,
+            end_by: None,
         };
         proxy.share_limits();
         proxy.open_placement()?;
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -1,5 +1,7 @@
 //! From the first client served to the last answer: limits shared with another process, the clients' socket, SIGTERM.
 
+use std::time::Duration;
+
 use leadmast::permission::may_hand_over;
 use leadmast::Micros;
 use slog::{info, warn};
@@ -15,6 +17,8 @@
 /// all has its answer, and this process has left, though it be held up for 0.15 s right before.
 const LONGEST_COUNTED: Micros = 3_000_000;
 const LEAVE_AFTER: Micros = 550_000;
+/// Who leaves waits for the log until then, and no longer: it has to have ended before SIGKILL.
+const END_AFTER: Micros = LEAVE_AFTER + 100_000;
 /// So long before it leaves, what is open gets its last answer; and so long before that requests are over that come late.
 const LAST_ANSWERS: Micros = 50_000;
 const LAST_CALL: Micros = 50_000;
@@ -29,14 +33,17 @@
     /// What is open gets its last answer.
     last_answers: Micros,
     leave: Micros,
+    /// It ends, whether its log is written or not.
+    end: Micros,
 }
 
 impl Shutdown {
     /// Of a process that is told to end at `now` and whose classes wait for `longest` at most.
     fn at(now: Micros, longest: Micros) -> Shutdown {
-        let leave = now + longest.min(LONGEST_COUNTED) + LEAVE_AFTER;
+        let over = now + longest.min(LONGEST_COUNTED);
+        let leave = over + LEAVE_AFTER;
         let last_answers = leave - LAST_ANSWERS;
-        Shutdown { last_call: last_answers - LAST_CALL, last_answers, leave }
+        Shutdown { last_call: last_answers - LAST_CALL, last_answers, leave, end: over + END_AFTER }
     }
 }
 
@@ -78,6 +85,12 @@
         }
     }
 
+    /// How long a process that leaves may still wait for its log.
+    pub fn time_left(&self) -> Duration {
+        let left = self.end_by.map_or(0, |end| end - self.core.turn.clock.now());
+        Duration::from_micros(u64::try_from(left).unwrap_or_default())
+    }
+
     /// SIGTERM has come: serves on until all is answered.
     pub(super) fn terminate(&mut self) {
         if std::mem::replace(&mut self.terminating, true) {
@@ -93,7 +106,8 @@
         }
         self.shared.turn_to(Duty::Leaving);
         let now = self.core.turn.now;
-        let Shutdown { last_call, last_answers, leave } = Shutdown::at(now, self.longest);
+        let Shutdown { last_call, last_answers, leave, end } = Shutdown::at(now, self.longest);
+        self.end_by = Some(end);
         self.frontend.set_drain_deadline(last_call);
         self.core.turn.deadlines.set(now + ACCEPT_ON, Due::CloseListener);
         self.core.turn.deadlines.set(last_answers, Due::LastAnswers);
--- a/crates/gradeshunt/src/proxy/lifetime/tests.rs
+++ b/crates/gradeshunt/src/proxy/lifetime/tests.rs
@@ -18,3 +18,13 @@
         assert!(shutdown.last_call < shutdown.last_answers, "{shutdown:?}");
     }
 }
+
+/// Guards the end against a log whose reader reads nothing: who has left waits for it, but not until SIGKILL.
+#[test]
+fn process_that_waits_for_its_log_ends_before_sigkill() {
+    for longest in [0, 1_000_000, LONGEST_COUNTED, 2 * LONGEST_COUNTED] {
+        let shutdown = Shutdown::at(0, longest);
+        assert!(shutdown.leave < shutdown.end, "{shutdown:?}");
+        assert!(shutdown.end < longest.min(LONGEST_COUNTED) + KILL_AFTER, "{shutdown:?}");
+    }
+}
--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use calloop::signals::{Signal, Signals};
 use slog::info;
@@ -9,7 +10,7 @@
 use crate::cli::{self, Arguments, Command, LogFormat, LogLevel};
 use crate::config::Config;
 use crate::cycle::Cycle;
-use crate::logging;
+use crate::logging::{Log, LAST};
 use crate::placement_command;
 use crate::planning;
 use crate::proxy::Proxy;
@@ -20,8 +21,8 @@
 /// The status of `gradeshunt plan` where a loss is not borne.
 const NOT_BORNE: u8 = 3;
 
-/// Turns of the loop until the proxy is done.
-fn turns(mut cycle: Cycle, mut proxy: Proxy) -> Result<(), String> {
+/// Turns of the loop until the proxy is done; gives how long it may still wait for its log.
+fn turns(mut cycle: Cycle, mut proxy: Proxy) -> Result<Duration, String> {
     while !proxy.is_done() {
         let wait = Cycle::wait(&proxy.core);
         cycle.turn(&mut proxy, wait)?;
@@ -29,8 +30,8 @@
             return Err(why);
         }
     }
-    info!(proxy.core.turn.log, "leaving");
-    Ok(())
+    info!(proxy.core.turn.log, #LAST, "leaving");
+    Ok(proxy.time_left())
 }
 
 fn serve(file: Option<PathBuf>, format: LogFormat, level: LogLevel) -> Result<(), String> {
@@ -46,9 +47,11 @@
         ready.push(if reload { Source::Reload } else { Source::Terminate });
     });
     told.map_err(|e| format!("cannot take signals: {e}"))?;
-    let (log, _guard) = logging::logger(format, level, &config.name);
-    let proxy = Proxy::new(config, file, cycle.event_loop(), log)?;
-    turns(cycle, proxy)
+    let log = Log::open(format, level, &config.name);
+    let proxy = Proxy::new(config, file, cycle.event_loop(), log.logger.clone())?;
+    let wait = turns(cycle, proxy)?;
+    log.end(wait);
+    Ok(())
 }
 
 /// Does what the command line asks for; serving ends when the process is told to leave.
