Two tests that fail: copies without a position and of a value leave an attempt out

A second copy of an error that tells no position, and the chain behind a second copy of a value, end an attempt that is at work, and the next one follows on the same connection. Nothing in the answer tells the copy from an answer of its own, so that this needs a decision (not to pool a connection behind an error without a position would end the first).

--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -571,3 +571,42 @@
     let ended = first.read_to_end(&mut rest);
     assert!(rest.len() < LONG, "it was written whole: {ended:?}");
 }
+
+/// Guards against two attempts at once where db hosts tell no positions: a second copy of an error is taken for the next attempt's.
+#[test]
+fn copied_error_without_a_position_leaves_no_attempt_out() {
+    let play = Play::open_with("copied-unpositioned", 600_000, PATIENT_AIM_MS, |_| {});
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+    let mut first = play.accept();
+    let error = [wire::error("XX000", "no"), wire::message(b'Z', b"I")].concat();
+    next_request(&mut first).expect("it is sent");
+    first.write_all(&error).expect("it is open");
+    next_request(&mut first).expect("it is sent again");
+    first.write_all(&error).expect("it is open");
+    let again = next_request(&mut first);
+    assert!(again.is_err(), "the second attempt is out, and here is another: {again:?}");
+}
+
+/// Guards against two attempts at once behind a value that came twice: each request gets the answer of the one before it.
+#[test]
+fn error_behind_a_copied_value_leaves_no_attempt_out() {
+    let play = Play::open_with("copied-value", 600_000, PATIENT_AIM_MS, |_| {});
+    let row = Table { tag: "SELECT 1".to_owned(), ..Table::of(&["data"], &[&["v"]]) };
+    let value = [wire::table(&row), wire::message(b'Z', b"I")].concat();
+    let mut clients = [play.client(), play.client(), play.client()];
+    clients[0].stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+    let mut first = play.accept();
+    next_request(&mut first).expect("it is sent");
+    first.write_all(&value).expect("it is open");
+    clients[0].until_ready().expect("an answer");
+    clients[1].stream().write_all(&request(2, "page-read", 300_000, 0)).expect("it is open");
+    next_request(&mut first).expect("it is sent");
+    first.write_all(&value).expect("it is open");
+    clients[1].until_ready().expect("an answer, which is the copy");
+    clients[2].stream().write_all(&request(3, "page-read", 300_000, 0)).expect("it is open");
+    next_request(&mut first).expect("it is sent");
+    first.write_all(&[refusal("XX000", POSITION), wire::message(b'Z', b"I")].concat()).expect("it is open");
+    let again = next_request(&mut first);
+    assert!(again.is_err(), "request 3 is out, and here is another attempt: {again:?}");
+}
