The soak judges a stale read by whether its connection still stands when it is served

A db host that hangs holds a read that came promptly and from fresh data; its position may stand still meanwhile, and its proxy gives the read up. Once it works again it served the read to nobody, and StaleRead was found: promptness was taken at the arrival, and judged by after the wait.

A read on a connection that stands is judged as before, also where a next request stands unread on it: nothing else reaches a client.

--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -30,9 +30,21 @@
 
 /// Whether a connection stands on its proxy's side, and nothing stands unread on it.
 pub fn is_open(stream: &TcpStream) -> bool {
+    matches!(peek(stream), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+/// Whether its proxy has closed or reset a connection, and nothing stands unread before that: nobody takes an answer on it.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    match peek(stream) {
+        Ok(unread) => unread == 0,
+        Err(e) => e.kind() != ErrorKind::WouldBlock,
+    }
+}
+
+/// How many bytes stand unread, 1 at most.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
     let mut byte = [0_u8; 1];
-    let peeked = rustix::net::recv(stream, &mut byte[..], RecvFlags::PEEK | RecvFlags::DONTWAIT);
-    matches!(peeked.map_err(io::Error::from), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    Ok(rustix::net::recv(stream, &mut byte[..], RecvFlags::PEEK | RecvFlags::DONTWAIT)?.0)
 }
 
 /// For how long a connection still stands on its proxy's side, where it does.
--- a/crates/soak/src/db_host/serving.rs
+++ b/crates/soak/src/db_host/serving.rs
@@ -68,7 +68,7 @@
         let prompt = arrival.prompt;
         let number = self.0.ledger.arrived(arrival);
         self.wait_while(|faults| faults.hangs);
-        let reply = self.work(statement, prompt);
+        let reply = self.work(stream, statement, prompt);
         // Before its proxy can hear of the end, and begin another attempt.
         self.0.ledger.attempt_ended(statement.id, number);
         match reply {
@@ -81,7 +81,7 @@
     }
 
     /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
-    fn work(&self, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
+    fn work(&self, stream: &TcpStream, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
         thread::sleep(WORK);
         let faults = lock(&self.0.state).faults;
         let error = |code: &str, text: &str| wire::error(code, text);
@@ -94,7 +94,8 @@
                 self.execute(statement);
             } else {
                 self.0.reads.fetch_add(1, Ordering::Relaxed);
-                self.0.ledger.served_from(statement, self.0.number, self.position().1, prompt);
+                let age = self.position().1;
+                self.0.ledger.served_from(statement, self.0.number, age, prompt, stream);
             }
             if faults.resets {
                 return None;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -9,7 +9,7 @@
 
 use gradeshunt_stand_ins::discovery::Discovery;
 
-use crate::connection::{is_open, open_for, OpenFor};
+use crate::connection::{has_ended, is_open, open_for, OpenFor};
 use crate::lock;
 use crate::statement::{Class, Statement, READ_BOUND};
 
@@ -357,11 +357,20 @@
         }
     }
 
-    /// A db host is about to serve a read from data of this age.
-    pub fn served_from(&self, statement: &Statement, host: usize, age: Duration, prompt: bool) {
+    /// A db host is about to serve a read from data of this age on this connection.
+    pub fn served_from(
+        &self,
+        statement: &Statement,
+        host: usize,
+        age: Duration,
+        prompt: bool,
+        connection: &TcpStream,
+    ) {
         let at = Instant::now();
         let slack = lock(&self.book).slack_at(at);
-        if prompt && statement.class == Class::Read && age > READ_BOUND + KNOWN_AFTER + slack {
+        let stale = statement.class == Class::Read && age > READ_BOUND + KNOWN_AFTER + slack;
+        // One that its proxy gave up while it was held is served to nobody.
+        if prompt && stale && !has_ended(connection) {
             self.fault(
                 Rule::StaleRead,
                 format!("{statement:?} from data of host {host} that is {age:?} old"),
