A db host that tells twice that it takes no writes is not taken for a copy

Callers saw a write that never ran fail with 58000, as one that may have run, where a primary was being replaced: positions stand still then, and the second 25006 of a db host on a pooled connection equals its first.

A copy whose ReadyForQuery is wanting ends its attempt as an error, not as a reset, so that it makes no db host unhealthy; as one with ReadyForQuery does.

--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -178,7 +178,8 @@
     /// this one is out as long as the connection is open.
     pub(super) fn end_before_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some((member, _, mut job, reply)) = self.take_job(id) else { return };
-        let ending = reply.ending().unwrap_or(Ending::Reset);
+        // A copy is no reply of this attempt, and makes no db host unhealthy.
+        let ending = reply.ending().unwrap_or(Ending::Error);
         match self.servers.get_mut(&id) {
             Some(s) if ending == Ending::Ok && !s.has_more_to_send() => {
                 job.leave_connection(ConnectionEnd::AwaitsReady);
--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -538,6 +538,28 @@
     assert_eq!(answer.outcome(), Outcome::Failed, "{:?}", answer.code());
 }
 
+/// Guards writes while a primary is replaced, when positions stand still: a db host that tells of its own accord once more that it takes
+/// no writes has not copied that. The write has never run, and its client must not be told that it may have.
+#[test]
+fn write_that_was_told_twice_to_go_elsewhere_has_never_run() {
+    let play = Play::open_with("read-only-twice", 600_000, PATIENT_AIM_MS, |_| {});
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "plain-write", 5_000, 0)).expect("it is open");
+    let told = [refusal("25006", POSITION), wire::message(b'Z', b"I")].concat();
+    let host = play.host.try_clone().expect("another handle");
+    std::thread::spawn(move || {
+        while let Ok((server, _)) = host.accept() {
+            let told = told.clone();
+            std::thread::spawn(move || {
+                let mut server = greet(server);
+                while next_request(&mut server).is_ok() && server.write_all(&told).is_ok() {}
+            });
+        }
+    });
+    let answer = client.until_ready().expect("an answer");
+    assert_eq!(answer.outcome(), Outcome::Refused, "{:?}: {}", answer.code(), play.program.log());
+}
+
 /// Guards against statements that run after they were answered: what the system holds of one must not follow its early answer.
 #[test]
 fn short_statement_that_was_answered_before_its_end_does_not_arrive_later() {
