A process that leaves waits for its log until an instant, not for a time that begins later

Found by a review. Change: the instant is worked out, and the wait ends by it.

No test forces the drop to take long.

--- a/crates/gradeshunt/src/logging.rs
+++ b/crates/gradeshunt/src/logging.rs
@@ -1,7 +1,7 @@
 //! The log: lines on standard error, written by a thread of their own.
 
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
-use std::time::Duration;
+use std::time::Instant;
 
 use slog::{o, Drain, Logger, OwnedKVList, Record};
 use slog_async::AsyncGuard;
@@ -48,11 +48,11 @@
         Log { logger, guard, last }
     }
 
-    /// Ends the log of a process that has logged its last line: waits until that is written, but no longer than this for a
-    /// reader who reads nothing. What is not written then is lost, as SIGKILL would lose it.
-    pub fn end(self, wait: Duration) {
+    /// Ends the log of a process that has logged its last line: waits until that is written, but no longer than until then for
+    /// a reader who reads nothing. What is not written by then is lost, as SIGKILL would lose it.
+    pub fn end(self, by: Instant) {
         // Lines are dropped where too many wait, and the last one may be among them.
-        let _ = self.last.recv_timeout(wait);
+        let _ = self.last.recv_timeout(by.saturating_duration_since(Instant::now()));
         std::mem::forget(self.guard);
     }
 }
--- a/crates/gradeshunt/src/run.rs
+++ b/crates/gradeshunt/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::Instant;
 
 use calloop::signals::{Signal, Signals};
 use slog::info;
@@ -21,8 +21,8 @@
 /// The status of `gradeshunt plan` where a loss is not borne.
 const NOT_BORNE: u8 = 3;
 
-/// Turns of the loop until the proxy is done; gives how long it may still wait for its log.
-fn turns(mut cycle: Cycle, mut proxy: Proxy) -> Result<Duration, String> {
+/// Turns of the loop until the proxy is done; gives until when the process may wait for its log.
+fn turns(mut cycle: Cycle, mut proxy: Proxy) -> Result<Instant, String> {
     while !proxy.is_done() {
         let wait = Cycle::wait(&proxy.core);
         cycle.turn(&mut proxy, wait)?;
@@ -31,7 +31,7 @@
         }
     }
     info!(proxy.core.turn.log, #LAST, "leaving");
-    Ok(proxy.time_left())
+    Ok(Instant::now() + proxy.time_left())
 }
 
 fn serve(file: Option<PathBuf>, format: LogFormat, level: LogLevel) -> Result<(), String> {
@@ -49,8 +49,8 @@
     told.map_err(|e| format!("cannot take signals: {e}"))?;
     let log = Log::open(format, level, &config.name);
     let proxy = Proxy::new(config, file, cycle.event_loop(), log.logger.clone())?;
-    let wait = turns(cycle, proxy)?;
-    log.end(wait);
+    let end_by = turns(cycle, proxy)?;
+    log.end(end_by);
     Ok(())
 }
 
