--- a/crates/gradeshunt/src/exchange/state.rs
+++ b/crates/gradeshunt/src/exchange/state.rs
@@ -79,6 +79,7 @@
             answers: VecDeque::new(),
         }
     }
+
     /// When a refused request of this class may come again, where the settings allow to say so.
     pub(super) fn retry_after(&self, class: ClassId) -> Option<Micros> {
         self.retry_after.get(class.0).copied().flatten()
