The test of the close's settling has an aim that outlasts a busy machine

Cause, by the log of the failed runs: the first attempt's early 53300 is worked off 71 and 88 ms behind its request, in a turn without CPU for 95 ms, and the decisions refuse the request 0.4 s later (`never_ran`, one attempt), which they may; so the connection that the test waits for never comes. No attempt was written early. Change: the settings of the test have the aim of 20 s that the tests beside it have. What is checked, and its bound of 2 ms, stay.

--- a/crates/gradeshunt/tests/attempts.rs
+++ b/crates/gradeshunt/tests/attempts.rs
@@ -395,7 +395,7 @@
 fn repeat_is_not_written_before_the_close_of_the_earlier_attempt_has_settled() {
     const SETTLES_IN_US: i64 = 2_000;
     let more_attempts = |config: &mut Value| config["settings"]["allowed"]["attempts"] = json!(9);
-    let play = Play::open_in_shell("settled", 600_000, LONG_AIM_MS, more_attempts, DEBUG_LOG);
+    let play = Play::open_in_shell("settled", 600_000, PATIENT_AIM_MS, more_attempts, DEBUG_LOG);
     let mut client = play.client();
     client.stream().write_all(&request(1, "page-read", 300_000, LONG)).expect("it is open");
     let refusal = wire::message(b'E', b"SERROR\0C53300\0Mbusy\0\0");
