--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -165,9 +165,6 @@
         // An answer may come before its request is written whole: the rest must not follow. A copy's request may be at work yet. The
         // system is asked only behind errors: a value was made from the whole request.
         let is_error = matches!(&stage, Stage::Busy { reply, .. } if reply.error.is_some());
-        // Where positions stand still, as while a primary is replaced, the same db host tells this twice of its own accord: only on a
-        // connection that is not used again can it be no copy.
-        let told_read_only = matches!(&stage, Stage::Busy { reply, .. } if reply.is_read_only());
         let unfinished = copied || !s.outbound.is_empty() || (is_error && s.has_more_to_send());
         let ended = match stage {
             Stage::Starting { by } => {
@@ -197,7 +194,7 @@
         // What comes behind an answer belongs to no request, least of all to the next: a second copy would pass
         // for its value. The answer before it stands; the connection is of no further use.
         let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty());
-        if surplus || told_read_only || self.reuse_denial(turn.now, id).is_some() {
+        if surplus || self.reuse_denial(turn.now, id).is_some() {
             self.close(turn, id);
             return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
         }
--- a/crates/gradeshunt/src/backend/reply.rs
+++ b/crates/gradeshunt/src/backend/reply.rs
@@ -146,11 +146,6 @@
         Ok(())
     }
 
-    /// Whether it tells that its db host takes no writes.
-    pub(super) fn is_read_only(&self) -> bool {
-        self.error.as_deref() == Some(sqlstate::READ_ONLY)
-    }
-
     /// The error that it is, with the position that it tells; `None` where it is none or tells none.
     pub(super) fn told_error(&self) -> Option<(String, f64)> {
         self.error.clone().zip(self.position)
