A value that a db host sends twice is not served to the next request

Callers saw, or would see: the value of another client's request, and its own answer went to the request behind it; where that answer was an error, the third request was sent again while it was at work.

Cause: the next answer on a connection passed for that of the request that has it. No answer names its request, and copies of values were not known at all.

Change: a connection remembers its latest eight answers. One that is the same as one of them, position included, is held back behind an empty query. Answers come in the order of the commands, and db hosts answer an empty query at once: behind the request's own answer EmptyQueryResponse follows alone, behind a copy the own answer comes first and is served. Where the db host answers neither within 0.25 s, nobody gets what may be a copy: its request fails and is not sent again, and what comes on that connection before EmptyQueryResponse is nobody's answer. app_answer_checks counts what was found.

The project's db hosts answer empty queries, as the protocol page has it, without touching their scripts.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -9,6 +9,7 @@
 mod pool;
 mod reading;
 mod reply;
+mod sync_marker;
 #[cfg(test)]
 mod tests;
 
@@ -145,6 +146,9 @@
             Some(Stage::Busy { ready_by: Some(by), .. }) if *by <= turn.now => {
                 self.end_before_ready(turn, exchange, id)
             }
+            Some(Stage::Busy { .. }) if self.is_marker_due(turn.now, id) => {
+                self.marker_due(turn, exchange, id)
+            }
             Some(Stage::Trailing { by }) if *by <= turn.now => self.close(turn, id),
             _ => {}
         }
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -9,6 +9,7 @@
 
 use super::jobs::Job;
 use super::reply::{Reply, Shape};
+use super::sync_marker::SyncMarker;
 use super::Backend;
 use crate::deadlines::Due;
 use crate::exchange::{AttemptId, ConnectionEnd, Exchange};
@@ -84,6 +85,10 @@
     pub(super) sending: Sending,
     /// The latest errors that were answers here, with the positions that they told.
     pub(super) errors: VecDeque<(String, f64)>,
+    /// What tells the latest answers here from others.
+    pub(super) answers: VecDeque<u64>,
+    /// An empty query that is out behind an answer that may be a copy.
+    pub(super) marker: Option<SyncMarker>,
 }
 
 impl Server {
@@ -93,8 +98,9 @@
         reply.told_error().is_some_and(|error| self.errors.contains(&error))
     }
 
-    /// Remembers an answer that is an error, whose second copy may come behind other answers.
+    /// Remembers an answer, whose second copy may come behind other answers.
     fn remember(&mut self, reply: &Reply) {
+        self.remember_answer(reply);
         self.errors.extend(reply.told_error());
         if self.errors.len() > ERRORS_KEPT {
             self.errors.pop_front();
@@ -133,6 +139,8 @@
             stage: Stage::Starting { by },
             sending: Sending::default(),
             errors: VecDeque::new(),
+            answers: VecDeque::new(),
+            marker: None,
         };
         let startup = if is_peer(member) {
             Writer::default().startup(PEER_USER, DATABASE, Some(&self.own_name))
@@ -233,7 +241,7 @@
 
     /// Bytes of an attempt were written: maybe its first, maybe its last.
     fn note_written(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        let Some(s) = self.servers.get_mut(&id) else { return };
+        let Some(s) = self.servers.get_mut(&id).filter(|s| !s.holds_answer()) else { return };
         let Stage::Busy { job: Job::Attempt { id: attempt, trace, .. }, .. } = &mut s.stage else { return };
         if s.outbound.is_empty() {
             trace.written = Some(turn.clock.now());
--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -60,13 +60,14 @@
     }
 
     /// Takes the job from a busy connection, with whether some of the request is still unsent, and what has come of its reply: a second
-    /// copy of an earlier error is none.
+    /// copy of an earlier answer is none, and what may be one neither.
     pub(super) fn take_job(&mut self, id: ServerId) -> Option<(MemberId, bool, Job, Reply)> {
         let s = self.servers.get_mut(&id)?;
         match std::mem::replace(&mut s.stage, Stage::Spent) {
             Stage::Busy { mut job, reply, .. } => {
                 job.leave_connection(ConnectionEnd::Reset);
-                let reply = if s.is_copy(&reply) { Reply::default() } else { reply };
+                let may_be_copy = s.marker.is_some() || s.is_copy(&reply) || s.may_be_copy(&reply);
+                let reply = if may_be_copy { Reply::default() } else { reply };
                 Some((s.member, !s.outbound.is_empty(), job, reply))
             }
             other => {
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -98,7 +98,7 @@
 
     /// Why more of the request of a connection may not be written.
     pub(super) fn write_denial(&self, now: Micros, id: ServerId) -> Option<AttemptDenial> {
-        let s = self.servers.get(&id).filter(|s| !s.outbound.is_empty())?;
+        let s = self.servers.get(&id).filter(|s| !s.outbound.is_empty() && !s.holds_answer())?;
         let Stage::Busy { job: Job::Attempt { until, write_by, .. }, .. } = &s.stage else { return None };
         let host = self.hosts.get(&s.member).map_or(HostStanding::Unknown, Host::standing);
         let Sending { told_until, begun, .. } = s.sending;
@@ -292,6 +292,7 @@
                     {
                         Said::Leaving
                     }
+                    Ending::Error if reply.may_be_copy => Said::Unclear,
                     Ending::Full if reply.error.is_some() => {
                         Said::Refused { retry_after: pg::retry_after(&reply.bytes) }
                     }
--- a/crates/gradeshunt/src/backend/pool.rs
+++ b/crates/gradeshunt/src/backend/pool.rs
@@ -31,7 +31,7 @@
         let Stage::Idle { until, .. } = s.stage else { return None };
         let pooled = PooledConnection {
             expires: until,
-            quiet: s.polled.is_quiet(),
+            quiet: s.is_quiet(),
             current_address: s.addr == host.addr,
             host: host.standing(),
         };
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -4,9 +4,10 @@
 
 use leadmast::{Ending, Micros};
 
-use super::connection::Stage;
+use super::connection::{Server, Stage};
 use super::jobs::Job;
 use super::reply::Shape;
+use super::sync_marker::{take_marked, Marked};
 use super::Backend;
 use crate::deadlines::Due;
 use crate::exchange::{ConnectionEnd, Exchange, Form};
@@ -24,6 +25,20 @@
 /// Reads of one connection in one turn.
 const READS_PER_TURN: usize = 8;
 
+impl Server {
+    /// Nothing more has come for now. Where an answer is whole, its ReadyForQuery is not awaited for long: the client must not wait for
+    /// what is not its answer. What may be a copy is none.
+    fn await_ready(&mut self, turn: &mut Turn, id: ServerId) {
+        let is_doubtful = self.marker.is_some() || self.has_doubtful_answer();
+        if let Stage::Busy { reply, ready_by: ready_by @ None, .. } = &mut self.stage {
+            if reply.ending().is_some() && !is_doubtful {
+                *ready_by = Some(turn.now + READY_GRACE);
+                turn.deadlines.set(turn.now + READY_GRACE, Due::Server(id));
+            }
+        }
+    }
+}
+
 impl Backend {
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         if let Err(why) = self.flush(turn, exchange, id) {
@@ -93,16 +108,19 @@
                 if matches!(s.stage, Stage::Idle { .. }) && !s.inbound.is_empty() {
                     return Err(Malformed("half a message between requests"));
                 }
-                // The client must not wait for what is not its answer.
-                if let Stage::Busy { reply, ready_by: ready_by @ None, .. } = &mut s.stage {
-                    if reply.ending().is_some() {
-                        *ready_by = Some(turn.now + READY_GRACE);
-                        turn.deadlines.set(turn.now + READY_GRACE, Due::Server(id));
-                    }
-                }
+                s.await_ready(turn, id);
                 return Ok(());
             };
             let (tag, size) = (message.tag, message.size);
+            let marked = take_marked(&mut s.marker, &mut s.stage, &message)?;
+            if marked != Marked::Other {
+                s.inbound.consume(size);
+                if let Marked::Ended(found) = marked {
+                    exchange.note_answer_check(turn, s.member, found);
+                    self.connection_ready(turn, exchange, id);
+                }
+                continue;
+            }
             let up = match &mut s.stage {
                 Stage::Starting { .. } => match tag {
                     b'R' if message.body != [0; 4] => return Err(Malformed("it asks for a password")),
@@ -123,7 +141,9 @@
                 Stage::Busy { reply, .. } => reply.take(&message)?,
             };
             s.inbound.consume(size);
-            if up {
+            if up && s.has_doubtful_answer() {
+                self.hold_for_marker(turn, exchange, id);
+            } else if up {
                 self.connection_ready(turn, exchange, id);
             }
         }
--- a/crates/gradeshunt/src/backend/reply.rs
+++ b/crates/gradeshunt/src/backend/reply.rs
@@ -21,6 +21,8 @@
     /// As it was told: Unix time in milliseconds.
     pub(super) position: Option<f64>,
     pub(super) primary: Option<bool>,
+    /// An answer has come that may be a copy of an earlier one, and none of the request's own.
+    pub(super) may_be_copy: bool,
 }
 
 /// How far the one row of an answer has come: anything in another order is none.
@@ -118,6 +120,11 @@
         Ok(false)
     }
 
+    /// Whether nothing of an answer has come.
+    pub(super) fn is_empty(&self) -> bool {
+        self.shape == Shape::Nothing && self.error.is_none()
+    }
+
     /// Whether more of a result waits to be passed on than is held of an answer.
     pub(super) fn is_full(&self) -> bool {
         self.form == Form::Result && self.bytes.len() > pg::WHOLE_ROW
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -306,6 +306,7 @@
     let by_label = [
         ("denials", "reason", &figures.denials),
         ("retries", "after", &figures.retries),
+        ("answer_checks", "found", &figures.answer_checks),
         ("client_closes", "reason", &figures.closes),
     ];
     for (name, label, counts) in by_label.into_iter().filter(|(.., counts)| !counts.is_empty()) {
--- a/crates/gradeshunt/src/exchange.rs
+++ b/crates/gradeshunt/src/exchange.rs
@@ -19,7 +19,7 @@
 mod trace;
 
 pub use self::endings::name;
-pub use self::messages::{Answer, Ask, Body, Call, Ended, Final, Form, Order, Said, ROOM};
+pub use self::messages::{Answer, AnswerCheck, Ask, Body, Call, Ended, Final, Form, Order, Said, ROOM};
 pub use self::state::Exchange;
 pub use self::trace::{AttemptTrace, ConnectionEnd};
 pub use crate::ids::AttemptId;
--- a/crates/gradeshunt/src/exchange/audit.rs
+++ b/crates/gradeshunt/src/exchange/audit.rs
@@ -3,10 +3,11 @@
 
 use leadmast::invariant::{violates_answer_time, violates_drain, Rule, Written};
 use leadmast::permission::AttemptDenial;
-use leadmast::{Effect, Ending, Micros, RequestId};
-use slog::{debug, error};
+use leadmast::{Effect, Ending, MemberId, Micros, RequestId};
+use slog::{debug, error, info, warn};
 
 use super::endings::name;
+use super::messages::AnswerCheck;
 use super::reason::FinalReason;
 use super::state::Exchange;
 use crate::ids::AttemptId;
@@ -84,6 +85,18 @@
             "request" => attempt.request.0);
     }
 
+    /// An answer that might have been a second copy was looked into.
+    pub fn note_answer_check(&mut self, turn: &Turn, member: MemberId, found: AnswerCheck) {
+        *self.figures.answer_checks.entry(found.name()).or_default() += 1;
+        match found {
+            AnswerCheck::Own => {}
+            AnswerCheck::Copy => warn!(turn.log, "a db host sent an answer twice"; "member" => member.0),
+            AnswerCheck::Unknown => {
+                info!(turn.log, "no answer to an empty query behind what may be a copy"; "member" => member.0)
+            }
+        }
+    }
+
     /// An attempt begins; a further one follows `after`.
     pub(super) fn note_retry(&mut self, after: Option<Ending>) {
         if let Some(ending) = after {
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -127,6 +127,7 @@
             Said::Verdict(bytes) | Said::Error(bytes) => {
                 self.finish(turn, id, Final::Failed(Some(bytes)), Some(FinalReason::MayHaveRun))
             }
+            Said::Unclear => self.finish(turn, id, Final::Failed(None), Some(FinalReason::AnswerUnclear)),
             Said::Refused { retry_after } => {
                 self.finish(turn, id, Final::Refused { retry_after }, Some(FinalReason::HomeRefused))
             }
@@ -169,7 +170,10 @@
     ) {
         let Some(placing) = &mut self.placing else { return };
         match (said, ending) {
-            (Said::Answer(_) | Said::Verdict(_) | Said::Error(_) | Said::Refused { .. }, _) => {
+            (
+                Said::Answer(_) | Said::Verdict(_) | Said::Error(_) | Said::Refused { .. } | Said::Unclear,
+                _,
+            ) => {
                 placing.answered(turn.now, out.member, group);
             }
             (Said::Nothing, Ending::Moot | Ending::Cancelled | Ending::Ok | Ending::Error) => {}
--- a/crates/gradeshunt/src/exchange/messages.rs
+++ b/crates/gradeshunt/src/exchange/messages.rs
@@ -137,6 +137,28 @@
     pub trace: AttemptTrace,
 }
 
+/// Whose an answer was that might have been a second copy of an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerCheck {
+    /// That of its request.
+    Own,
+    /// It was a copy, and that of its request followed.
+    Copy,
+    /// The db host did not tell in time.
+    Unknown,
+}
+
+impl AnswerCheck {
+    /// Its name in the log and the figures.
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerCheck::Own => "own",
+            AnswerCheck::Copy => "copy",
+            AnswerCheck::Unknown => "unknown",
+        }
+    }
+}
+
 /// What a db host has said that a client may get to see.
 #[derive(Debug)]
 pub enum Said {
@@ -153,4 +175,6 @@
     },
     /// It ends, and has not read the request.
     Leaving,
+    /// Something that may be the answer to another request; this one may be at work there.
+    Unclear,
 }
--- a/crates/gradeshunt/src/exchange/reason.rs
+++ b/crates/gradeshunt/src/exchange/reason.rs
@@ -17,6 +17,8 @@
     NeverRan,
     /// An attempt may have run.
     MayHaveRun,
+    /// Its only answer may be another request's.
+    AnswerUnclear,
     /// A db host said that the statement itself is wrong.
     Statement,
     /// A value broke off amid its parts.
@@ -40,6 +42,7 @@
             FinalReason::NeverSent => "never_sent",
             FinalReason::NeverRan => "never_ran",
             FinalReason::MayHaveRun => "may_have_run",
+            FinalReason::AnswerUnclear => "answer_unclear",
             FinalReason::Statement => "statement",
             FinalReason::ValueCut => "value_cut",
             FinalReason::Cancelled => "cancelled",
--- a/crates/gradeshunt/src/exchange/server_side.rs
+++ b/crates/gradeshunt/src/exchange/server_side.rs
@@ -69,6 +69,7 @@
             Said::Answer(bytes) => Some((Final::Served(bytes), None)),
             _ if begun => Some((Final::Broken, Some(FinalReason::ValueCut))),
             Said::Verdict(bytes) => Some((Final::Failed(Some(bytes)), Some(FinalReason::Statement))),
+            Said::Unclear => Some((Final::Failed(None), Some(FinalReason::AnswerUnclear))),
             Said::Error(bytes) => {
                 r.error = Some(bytes);
                 None
--- a/crates/gradeshunt/src/figures.rs
+++ b/crates/gradeshunt/src/figures.rs
@@ -41,6 +41,8 @@
     pub retries: BTreeMap<&'static str, u64>,
     /// Requests that were not served, by outcome and reason.
     pub reasons: BTreeMap<(&'static str, &'static str), u64>,
+    /// Answers that might have been second copies, by whose they were.
+    pub answer_checks: BTreeMap<&'static str, u64>,
     /// Clients' connections that were closed from here, by reason.
     pub closes: BTreeMap<&'static str, u64>,
     /// Requests taken and not ended.
--- a/crates/soak/src/db_host/serving.rs
+++ b/crates/soak/src/db_host/serving.rs
@@ -41,6 +41,7 @@
             let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
             let goes_on = match Statement::read(&text) {
                 Some(statement) => self.request(&stream, &statement)?,
+                None if text.is_empty() => self.empty_query(&stream)?,
                 None => self.probe(&stream)?,
             };
             if !goes_on {
@@ -58,6 +59,13 @@
         Ok(true)
     }
 
+    /// An empty query, which does nothing.
+    fn empty_query(&self, mut stream: &TcpStream) -> io::Result<bool> {
+        self.wait_while(|faults| faults.hangs);
+        stream.write_all(&wire::empty_query_answer())?;
+        Ok(true)
+    }
+
     fn request(&self, stream: &Arc<TcpStream>, statement: &Statement) -> io::Result<bool> {
         // Its time is taken before any lock is waited for, and what else is judged with it is asked as of then.
         let mut arrival = Arrival::now(*statement, self.0.number, stream);
--- a/crates/stand-ins/src/postgres/farm.rs
+++ b/crates/stand-ins/src/postgres/farm.rs
@@ -261,6 +261,9 @@
             return Err(());
         }
         let statement = message[HEAD..].strip_suffix(b"\0").ok_or(())?;
+        if statement.is_empty() {
+            return Ok(Some(wire::empty_query_answer()));
+        }
         traffic.last_asked = Some(Instant::now());
         let answer = if statement.starts_with(b"SHOW") {
             traffic.probes += 1;
--- a/crates/stand-ins/src/postgres/host.rs
+++ b/crates/stand-ins/src/postgres/host.rs
@@ -104,7 +104,10 @@
                 return Ok(());
             }
             let statement = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
-            if !self.answer(&mut stream, &statement)? {
+            // It does nothing, and no script speaks of it.
+            if statement.is_empty() {
+                stream.write_all(&wire::empty_query_answer())?;
+            } else if !self.answer(&mut stream, &statement)? {
                 return Ok(());
             }
         }
--- a/crates/stand-ins/src/postgres/wire.rs
+++ b/crates/stand-ins/src/postgres/wire.rs
@@ -32,6 +32,11 @@
     message(b'S', format!("{name}\0{value}\0").as_bytes())
 }
 
+/// The whole answer to an empty query.
+pub fn empty_query_answer() -> Vec<u8> {
+    [message(b'I', &[]), message(b'Z', b"I")].concat()
+}
+
 /// A result of text columns.
 pub fn table(table: &Table) -> Vec<u8> {
     let mut bytes = Vec::new();
