An attempt that was given up is out until its db host has ended its connection

Callers saw, or would see: two attempts of one request out to a db host at once, so that a write may run twice.

Cause: the pause of 2 ms between the close of one attempt's connection and the next attempt orders two events by time alone. A db host that works off the end later than that has two attempts out.

Change: behind a time-out, a spoilt answer or a second copy of an error the proxy ends its sending and awaits the db host's own end, 10 ms at most; then the connection is reset and the pause follows as before. What has not left this machine, what is called off and what nothing can follow is reset at once.

The two tests attempt_that_was_given_up_... fail where the connection is reset at once, as before.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -1,6 +1,7 @@
 //! The server side: connections to db hosts, their pool, attempts and probes.
 
 mod connection;
+mod ending;
 mod failures;
 mod hosts;
 mod jobs;
@@ -150,6 +151,7 @@
                 self.marker_due(turn, exchange, id)
             }
             Some(Stage::Trailing { by }) if *by <= turn.now => self.close(turn, id),
+            Some(Stage::Ending { by, .. }) if *by <= turn.now => self.finish_ending(turn, exchange, id),
             _ => {}
         }
     }
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -7,6 +7,7 @@
 use leadmast::permission::AttemptDenial;
 use leadmast::{Ending, MemberId, Micros};
 
+use super::ending::GivenUp;
 use super::jobs::Job;
 use super::reply::{Reply, Shape};
 use super::sync_marker::SyncMarker;
@@ -49,6 +50,11 @@
         /// By when ReadyForQuery has to follow an answer that is whole.
         ready_by: Option<Micros>,
     },
+    /// Its attempt was given up and its sending is ended; the attempt counts as out until the db host has ended the connection too.
+    Ending {
+        given_up: GivenUp,
+        by: Micros,
+    },
     /// Its job was taken from it; it is reset at once. What the system holds of the request is not delivered any more.
     Spent,
     /// Its job has ended with a whole answer; ReadyForQuery is still to come.
@@ -160,20 +166,22 @@
     /// A connection has come up, or answered: its job ends, and the oldest waiting one gets it, or else the pool.
     pub(super) fn connection_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
+        if matches!(&s.stage, Stage::Busy { reply, .. } if s.is_copy(reply)) {
+            return self.answer_copied(turn, exchange, id);
+        }
         let member = s.member;
         let until = turn.now + (self.connections.idle as f64 * IDLE_SHARE) as Micros;
         let stage = std::mem::replace(&mut s.stage, Stage::Idle { since: turn.now, until });
         turn.deadlines.set(until, Due::Server(id));
         let Some(host) = self.hosts.get_mut(&member) else { return };
         host.idle.push(id);
-        let copied = matches!(&stage, Stage::Busy { reply, .. } if s.is_copy(reply));
         if let Stage::Busy { reply, .. } = &stage {
             s.remember(reply);
         }
-        // An answer may come before its request is written whole: the rest must not follow. A copy's request may be at work yet. The
-        // system is asked only behind errors: a value was made from the whole request.
+        // An answer may come before its request is written whole: the rest must not follow. The system is asked only behind errors: a
+        // value was made from the whole request.
         let is_error = matches!(&stage, Stage::Busy { reply, .. } if reply.error.is_some());
-        let unfinished = copied || !s.outbound.is_empty() || (is_error && s.has_more_to_send());
+        let unfinished = !s.outbound.is_empty() || (is_error && s.has_more_to_send());
         let ended = match stage {
             Stage::Starting { by } => {
                 host.starting -= 1;
@@ -184,7 +192,7 @@
                 turn.deadlines.clear(by, Due::Server(id));
                 None
             }
-            Stage::Idle { .. } | Stage::Spent => None,
+            Stage::Idle { .. } | Stage::Ending { .. } | Stage::Spent => None,
             Stage::Busy { job, reply, .. } => Some((job, reply)),
         };
         if unfinished {
@@ -193,7 +201,6 @@
         if let Some((mut job, reply)) = ended {
             job.leave_connection(if unfinished { ConnectionEnd::Reset } else { ConnectionEnd::Kept });
             let ending = reply.ending().unwrap_or(Ending::Reset);
-            let (ending, reply) = if copied { (Ending::Error, Reply::default()) } else { (ending, reply) };
             self.end(turn, exchange, member, job, ending, reply);
         }
         if unfinished {
--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -4,6 +4,7 @@
 use slog::info;
 
 use super::connection::Stage;
+use super::ending::GivenUp;
 use super::jobs::Job;
 use super::reply::Reply;
 use super::Backend;
@@ -29,11 +30,13 @@
             return self.end(turn, exchange, member, job, ending, reply);
         }
         let Some(s) = self.servers.get(&id) else { return };
-        if let Stage::Starting { .. } = s.stage {
-            info!(turn.log, "db host connection failed"; "member" => s.member.0, "why" => why);
-            self.startup_failed(turn, exchange, id, Ending::ConnectFailed);
-        } else {
-            self.close(turn, id);
+        match s.stage {
+            Stage::Starting { .. } => {
+                info!(turn.log, "db host connection failed"; "member" => s.member.0, "why" => why);
+                self.startup_failed(turn, exchange, id, Ending::ConnectFailed);
+            }
+            Stage::Ending { .. } => self.finish_ending(turn, exchange, id),
+            _ => self.close(turn, id),
         }
     }
 
@@ -50,13 +53,19 @@
             return self.connection_failed(turn, exchange, id, what);
         };
         info!(turn.log, "db host's answer is spoilt"; "member" => member.0, "what" => what);
-        self.close(turn, id);
         let (ending, reply) = match reply.ending() {
             Some(ending) => (ending, reply),
             None if unsent => (Ending::ConnectFailed, Reply::default()),
             None => (Ending::Error, Reply::default()),
         };
-        self.end(turn, exchange, member, job, ending, reply);
+        self.end_with_connection(turn, exchange, id, GivenUp { job, ending, reply });
+    }
+
+    /// A second copy of an earlier error has come in place of an answer. It says nothing of its request, which may be at work yet.
+    pub(super) fn answer_copied(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
+        let Some((member, _, job, reply)) = self.take_job(id) else { return };
+        self.end_with_connection(turn, exchange, id, GivenUp { job, ending: Ending::Error, reply });
+        self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
     }
 
     /// Takes the job from a busy connection, with whether some of the request is still unsent, and what has come of its reply: a second
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -11,6 +11,7 @@
 use slog::{debug, info};
 
 use super::connection::{Sending, Server, Stage, Unwritten};
+use super::ending::GivenUp;
 use super::hosts::Host;
 use super::load_report::report_of;
 use super::reply::Reply;
@@ -256,10 +257,14 @@
             }
             Place::On(id) => {
                 let Some((member, unsent, job, reply)) = self.take_job(id) else { return };
-                self.close(turn, id);
                 // What is whole counts, though ReadyForQuery is still missing.
-                let ending = reply.ending().unwrap_or(if unsent { Ending::Moot } else { ending });
-                self.end(turn, exchange, member, job, ending, reply);
+                let ends = reply.ending().unwrap_or(if unsent { Ending::Moot } else { ending });
+                // Nobody waits for what was called off, and no other attempt follows it.
+                if ending == Ending::Cancelled {
+                    self.close(turn, id);
+                    return self.end(turn, exchange, member, job, ends, reply);
+                }
+                self.end_with_connection(turn, exchange, id, GivenUp { job, ending: ends, reply });
             }
         }
     }
--- a/crates/gradeshunt/src/backend/pool.rs
+++ b/crates/gradeshunt/src/backend/pool.rs
@@ -49,13 +49,15 @@
                     host.starting -= 1;
                     turn.deadlines.clear(by, Due::Server(id));
                 }
-                Stage::Trailing { by } => turn.deadlines.clear(by, Due::Server(id)),
+                Stage::Trailing { by } | Stage::Ending { by, .. } => {
+                    turn.deadlines.clear(by, Due::Server(id))
+                }
                 Stage::Idle { .. } | Stage::Busy { .. } | Stage::Spent => {}
             }
         }
         match s.stage {
             // A close would deliver what the system holds of a request that was given up, whenever its db host reads on.
-            Stage::Spent => s.polled.abort(turn),
+            Stage::Spent | Stage::Ending { .. } => s.polled.abort(turn),
             _ => s.polled.close(turn),
         }
         self.forget_if_gone(s.member);
@@ -88,7 +90,11 @@
     pub fn close_oldest_idle(&mut self, turn: &mut Turn) -> bool {
         let idle = self.servers.iter().filter_map(|(id, s)| match s.stage {
             Stage::Idle { since, .. } => Some((since, *id)),
-            Stage::Starting { .. } | Stage::Busy { .. } | Stage::Spent | Stage::Trailing { .. } => None,
+            Stage::Starting { .. }
+            | Stage::Busy { .. }
+            | Stage::Spent
+            | Stage::Ending { .. }
+            | Stage::Trailing { .. } => None,
         });
         let oldest = idle.min();
         oldest.into_iter().for_each(|(_, id)| self.close(turn, id));
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -87,6 +87,11 @@
                 continue;
             }
             let Some(s) = self.servers.get_mut(&id) else { return Ok(()) };
+            if matches!(s.stage, Stage::Ending { .. }) {
+                // What comes for an attempt that was given up is nobody's.
+                s.inbound.consume(s.inbound.len());
+                return Ok(());
+            }
             if let Stage::Busy { job: Job::Attempt { .. }, reply, .. } = &mut s.stage {
                 if reply.is_full() {
                     return Ok(());
@@ -134,10 +139,12 @@
                     _ => return Err(Malformed("unexpected message during startup")),
                 },
                 Stage::Trailing { .. } if tag == b'Z' => true,
-                Stage::Idle { .. } | Stage::Spent | Stage::Trailing { .. } => match tag {
-                    b'S' | b'N' => false,
-                    _ => return Err(Malformed("unexpected message between requests")),
-                },
+                Stage::Idle { .. } | Stage::Spent | Stage::Ending { .. } | Stage::Trailing { .. } => {
+                    match tag {
+                        b'S' | b'N' => false,
+                        _ => return Err(Malformed("unexpected message between requests")),
+                    }
+                }
                 Stage::Busy { reply, .. } => reply.take(&message)?,
             };
             s.inbound.consume(size);
--- a/crates/gradeshunt/src/backend/tests.rs
+++ b/crates/gradeshunt/src/backend/tests.rs
@@ -1,17 +1,19 @@
 //! Tests of the part named by the folder.
 
-use std::io::Write;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
-use leadmast::{Ending, ListKind, MemberId, Micros, Phase, RequestId};
+use gradeshunt_placement::Source;
+use leadmast::{ClassId, Ending, Entry, GroupId, ListKind, MemberId, Micros, Phase, RequestId, ZoneId};
 
 use super::connection::{Server, Stage};
+use super::ending::HOST_END_TIMEOUT;
 use super::hosts::Listed;
 use super::jobs::unsent_ending;
 use super::Backend;
 use crate::deadlines::Due;
-use crate::exchange::{AttemptId, Body, Exchange, Form, Order};
+use crate::exchange::{AttemptId, Body, Call, Exchange, Form, Order};
 use crate::pg::Writer;
 use crate::turn::{Ready, Turn};
 
@@ -81,6 +83,58 @@
         self.until(|backend| backend.hosts[&MEMBER].idle.len() == 1);
         server
     }
+
+    /// An attempt of a request whose client waits long is out on a pooled connection, where its db host has read it and is silent.
+    fn attempt_out(&mut self) -> (TcpStream, AttemptId) {
+        const LONG_WAIT: Micros = 60_000_000;
+        let mut server = self.pool_connection();
+        let group = GroupId(0);
+        let entry = Entry {
+            member: MEMBER,
+            common: 0,
+            group,
+            zone: ZoneId(0),
+            weight: 1.0,
+            since: None,
+            phase: Phase::Up,
+            leader: true,
+        };
+        self.exchange.members(&mut self.turn, ListKind::Full, vec![entry]);
+        let call = Call {
+            class: ClassId(0),
+            group,
+            key: None,
+            deadline: LONG_WAIT,
+            since_write: None,
+            repeat: false,
+            checked: false,
+            tenant: None,
+            source: Source::Client,
+            body: Body::new(b"SELECT 1".to_vec(), None, Form::Value),
+        };
+        self.exchange.submit(&mut self.turn, call);
+        while let Some(order) = self.exchange.orders.pop_front() {
+            self.backend.carry_out(&mut self.turn, &mut self.exchange, order);
+        }
+        let mut query = Vec::new();
+        while !query.ends_with(b"SELECT 1\0") {
+            let mut bytes = [0; 64];
+            let n = server.read(&mut bytes).expect("it is open");
+            query.extend(&bytes[..n]);
+        }
+        let attempt = *self.backend.attempts.keys().next().expect("it is out");
+        (server, attempt)
+    }
+
+    /// So much time passes.
+    fn pass(&mut self, time: Micros) {
+        self.turn.now += time;
+        while let Some(due) = self.turn.deadlines.pop(self.turn.now) {
+            if let Due::Server(id) = due {
+                self.backend.server_due(&mut self.turn, &mut self.exchange, id);
+            }
+        }
+    }
 }
 
 /// Guards requests of a process that stood still: a connection that has rested for longer than its db host may keep it is not used
@@ -143,3 +197,33 @@
     assert!(play.backend.attempts.is_empty(), "the attempt has ended");
     assert!(play.backend.servers.is_empty(), "its connection is open");
 }
+
+/// Guards against two attempts at once: a db host may work off the end of an attempt's connection later than another connection's bytes.
+/// The attempt counts as out until the db host has ended that connection, too.
+#[test]
+fn attempt_that_was_given_up_is_out_until_its_db_host_has_ended_its_connection() {
+    let mut play = Play::open();
+    let (mut server, attempt) = play.attempt_out();
+    play.backend.give_up(&mut play.turn, &mut play.exchange, attempt, Ending::Timeout);
+    assert_eq!(server.read(&mut [0]).expect("an end, and no reset"), 0);
+    play.pass(HOST_END_TIMEOUT - 1);
+    assert!(play.backend.attempts.contains_key(&attempt), "another attempt may follow");
+    drop(server);
+    play.until(|backend| backend.servers.is_empty());
+    assert!(play.backend.attempts.is_empty(), "its end is known, and it counts as out");
+}
+
+/// Guards repeats at hung db hosts, which show no end: the attempt ends all the same, and its connection is reset.
+#[test]
+fn attempt_that_was_given_up_at_a_silent_db_host_ends_with_a_reset() {
+    let mut play = Play::open();
+    let (mut server, attempt) = play.attempt_out();
+    play.backend.give_up(&mut play.turn, &mut play.exchange, attempt, Ending::Timeout);
+    play.pass(HOST_END_TIMEOUT);
+    assert!(play.backend.attempts.is_empty() && play.backend.servers.is_empty());
+    assert_eq!(server.read(&mut [0]).expect("an end"), 0);
+    let answer = Writer::default().ready().0;
+    while server.write_all(&answer).is_ok() {}
+    let end = server.write_all(&answer).expect_err("it is closed").kind();
+    assert!(matches!(end, ErrorKind::BrokenPipe | ErrorKind::ConnectionReset), "{end:?}");
+}
--- a/crates/gradeshunt/src/exchange/server_side.rs
+++ b/crates/gradeshunt/src/exchange/server_side.rs
@@ -1,7 +1,7 @@
 //! What the server side tells the exchange: parts of long answers, attempts and probes that have ended.
 
 use leadmast::permission::settled_at;
-use leadmast::{Ending, Event, Note, Outcome, Probed};
+use leadmast::{Ending, Event, Micros, Note, Outcome, Probed};
 
 use super::endings::outcome_of;
 use super::messages::{Answer, Ended, Final, Said};
@@ -21,6 +21,11 @@
         r.room
     }
 
+    /// Whether another attempt might follow one that ends at `at`.
+    pub fn may_be_followed(&self, attempt: AttemptId, at: Micros) -> bool {
+        self.requests.get(&attempt.request).is_some_and(|r| !r.over && at < r.deadline)
+    }
+
     /// A part of a long answer. The client has begun to read it: no deadline ends it any more. The module's outcome is
     /// that of the first part: how long a value is says nothing of its db host, and one that is silent to others while
     /// it sends would pass for ill.
