A second copy of an error that tells no position does not end the next attempt

Callers saw, or would see: two attempts of one request at once. Where db hosts tell no positions, a second copy of an error ended the next attempt, which was at work, and another one followed on the same connection.

Cause: that of copied values: the next answer on a connection passed for that of the attempt that has it, and copies of errors were known by their positions alone.

Change: behind an error without a position that is the same as an earlier answer of its connection an empty query goes out, as behind a value, and shows whose it is. Refusals are not looked into: they come in numbers where db hosts are full.

--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -61,7 +61,7 @@
         self.end_with_connection(turn, exchange, id, GivenUp { job, ending, reply });
     }
 
-    /// A second copy of an earlier error has come in place of an answer. It says nothing of its request, which may be at work yet.
+    /// What is or may be a second copy of an earlier error has come in place of an answer. It says nothing of its request, which may be at work yet.
     pub(super) fn answer_copied(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some((member, _, job, reply)) = self.take_job(id) else { return };
         self.end_with_connection(turn, exchange, id, GivenUp { job, ending: Ending::Error, reply });
--- a/crates/gradeshunt/src/backend/sync_marker.rs
+++ b/crates/gradeshunt/src/backend/sync_marker.rs
@@ -89,9 +89,14 @@
 
 impl Server {
     /// Whether an answer is the same as a recent one here, so that it may be a second copy of that. Errors that tell a position are
-    /// known for copies without a marker.
+    /// known for copies without a marker; those that turn a request away are not looked into, for they come in numbers.
     pub(super) fn may_be_copy(&self, reply: &Reply) -> bool {
-        reply.error.is_none() && digest(reply).is_some_and(|digest| self.answers.contains(&digest))
+        let is_looked_into = match reply.ending() {
+            Some(Ending::Ok) => true,
+            Some(Ending::Error) => reply.told_error().is_none(),
+            _ => false,
+        };
+        is_looked_into && digest(reply).is_some_and(|digest| self.answers.contains(&digest))
     }
 
     /// Whether it has an answer now that may be a copy.
@@ -181,17 +186,19 @@
     }
 
     /// The marker is late. What may be another request's value is not served, and its request is not sent again beside one that may be
-    /// at work here: it fails. The connection may be used on: answers before the marker's are nobody's.
+    /// at work here: it fails. The connection may be used on: answers before the marker's are nobody's. Behind what may be another
+    /// request's error that connection is given up, so that the request may be sent again.
     pub(super) fn marker_due(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
-        if let Some(marker) = &mut s.marker {
-            marker.held = None;
-        }
         let (member, by) = (s.member, turn.now);
+        exchange.note_answer_check(turn, member, AnswerCheck::Unknown);
+        let held = s.marker.as_mut().and_then(|marker| marker.held.take());
+        if held.is_some_and(|reply| reply.error.is_some()) {
+            return self.answer_copied(turn, exchange, id);
+        }
         let Stage::Busy { mut job, .. } = std::mem::replace(&mut s.stage, Stage::Trailing { by }) else {
             return;
         };
-        exchange.note_answer_check(turn, member, AnswerCheck::Unknown);
         job.leave_connection(ConnectionEnd::AwaitsReady);
         let reply = Reply { may_be_copy: true, ..Reply::default() };
         self.end(turn, exchange, member, job, Ending::Error, reply);
--- a/crates/gradeshunt/tests/attempts/copied_answers.rs
+++ b/crates/gradeshunt/tests/attempts/copied_answers.rs
@@ -82,3 +82,40 @@
     server.write_all(&late).expect("it is open");
     assert_eq!(third.until_ready().expect("an answer").value().as_deref(), Some("three"));
 }
+
+/// A whole answer that is an error and tells no position.
+fn error_without_position() -> Vec<u8> {
+    [wire::error("XX000", "no"), wire::message(b'Z', b"I")].concat()
+}
+
+/// Opens a play whose request is answered by an error, and its next attempt by the same error.
+fn play_with_an_error_twice(name: &str) -> (Play, Client, TcpStream) {
+    let play = Play::open_with(name, 600_000, PATIENT_AIM_MS, |_| {});
+    let mut client = play.client();
+    client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("it is open");
+    let mut server = play.accept();
+    next_request(&mut server).expect("it is sent");
+    server.write_all(&error_without_position()).expect("it is open");
+    next_request(&mut server).expect("it is sent again");
+    server.write_all(&error_without_position()).expect("it is open");
+    read_marker(&mut server);
+    (play, client, server)
+}
+
+/// Guards against values that are lost, and attempts that are left out: a second copy of an error without a position must not end the next
+/// attempt, whose own answer follows.
+#[test]
+fn error_without_a_position_that_is_copied_does_not_end_the_next_attempt() {
+    let (_play, mut client, mut server) = play_with_an_error_twice("error-copy-then-own");
+    server.write_all(&[value("one"), wire::empty_query_answer()].concat()).expect("it is open");
+    assert_eq!(client.until_ready().expect("an answer").value().as_deref(), Some("one"));
+}
+
+/// Guards against two attempts at once where a db host is silent behind what may be a copied error: its connection ends before the next
+/// attempt.
+#[test]
+fn error_without_a_position_that_may_be_copied_leaves_no_attempt_out() {
+    let (play, _client, mut server) = play_with_an_error_twice("error-own-too-late");
+    assert!(next_request(&mut server).is_err(), "another attempt on the same connection");
+    assert!(play.next_attempt().contains("id=1,"));
+}
