--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,10 +8,10 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
 import standins as s
 
-WRITES = 60
+WRITES = 120
 WORK_S = 0.09
 # Of the writes that a connection gets, these end in an error, all in the same words; the connection is reset behind the last one.
-ERRORS = (2, 3)
+ERRORS = (4, 8)
 
 # The site's figures, with the write's class as one that must never run twice.
 SETTINGS = {
@@ -79,9 +79,10 @@
             return
         answer = s.error_answer("XX000", "internal error") + self.role() + s.READY
         resets = s.TROUBLE and n == ERRORS[-1]
-        stream.send(answer)
         if resets:
-            stream.reset()
+            stream.send_and_reset(answer)
+        else:
+            stream.send(answer)
         self.record.line("db host", self.name, "connection", number, "answers", statement.id, "with XX000")
         if resets:
             self.record.line("db host", self.name, "connection", number, "is reset behind that answer")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 CLIENTS = 8
 WORK_S = (0.09, 0.16)
 # One answer in so many brings a second copy right behind.
-COPIED = 6
+COPIED = 10
 # One fact in so many is a long one, of more than the 64 KiB up to which an answer is buffered whole.
 LONG, LONG_BYTES = 4, 100 * 1024
 # The network cuts an answer here and there, and what follows comes so much later.
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -118,10 +118,14 @@
         except OSError:
             pass
 
-    def reset(self):
-        """Ends the connection with a reset, as that of a process that dies."""
+    def send_and_reset(self, data):
+        """Writes the last bytes and ends the connection with a reset, as that of a process that dies."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.close()
+        try:
+            self.sock.sendall(data)
+            self.sock.close()
+        except OSError as e:
+            raise Closed(str(e))
 
 
 def listen():
