--- a/review/1/case.py
+++ b/review/1/case.py
@@ -5,12 +5,14 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
+sys.path.insert(0, FOLDER)
 import standins as s
 
 WRITES = 120
 WORK_S = 0.09
-# Of the writes that a connection gets, these end in an error, all in the same words; the connection is reset behind the last one.
+# Two sets of four db hosts. One of the eight is failing, the primary of the first set: of the writes that a connection of it gets,
+# these end in an error, all in the same words. With the disruption it resets the connection behind the last one.
+SETS, MEMBERS = 2, 4
 ERRORS = (4, 8)
 
 # The site's figures, with the write's class as one that must never run twice.
@@ -49,9 +51,10 @@
 class Member(s.DbHost):
     """A db host of a set whose answers tell no position, but for writes that went through."""
 
-    def __init__(self, name, record, primary):
-        self.primary, self.runs, self.writes_on = primary, {}, {}
-        super().__init__(name, record)
+    def __init__(self, cell, number, record):
+        self.cell, self.primary, self.failing = cell, number == 1, (cell, number) == (1, 1)
+        self.runs, self.writes_on, self.resets = {}, {}, 0
+        super().__init__("m-%d-%d" % (cell, number), record)
 
     def report(self):
         behind = 0.0 if self.primary else 0.01
@@ -72,7 +75,7 @@
         self.runs.setdefault(statement.id, []).append(number)
         self.record.line("db host", self.name, "connection", number, "RUNS", statement.id)
         n = self.writes_on[number] = self.writes_on.get(number, 0) + 1
-        if n not in ERRORS:
+        if not self.failing or n not in ERRORS:
             position = s.parameter("log_position", "%d" % (s.unix_ms() + 1))
             stream.send(s.row_answer(b"\x9f\x03", "INSERT 0 1") + self.role() + position + s.READY)
             self.record.line("db host", self.name, "connection", number, "answers", statement.id, "with its row")
@@ -85,33 +88,35 @@
             stream.send(answer)
         self.record.line("db host", self.name, "connection", number, "answers", statement.id, "with XX000")
         if resets:
+            self.resets += 1
             self.record.line("db host", self.name, "connection", number, "is reset behind that answer")
             raise s.Closed("reset")
 
 
 def play_case(play):
     record = play.record
-    members = [Member("m-1", record, True), Member("m-2", record, False)]
-    primary = members[0]
-    discovery = s.Discovery([s.instance(m.name, m.addr, 1, "ikeja-room", m.primary) for m in members])
+    members = [Member(cell, number, record) for cell in range(1, SETS + 1) for number in range(1, MEMBERS + 1)]
+    discovery = s.Discovery([s.instance(m.name, m.addr, m.cell, "ikeja-room", m.primary) for m in members])
     addr, _ = play.start_proxy("n0", SETTINGS, discovery)
     client = s.Client(addr)
     answers = {}
     for n in range(WRITES):
         ident = "c1%06x" % n
-        text = ("/* id=%s,c=map-write,d=2500,k=%x,cluster=1 */ INSERT INTO facts (code, data) VALUES ('%016x', '\\x9f03') "
-                "RETURNING data" % (ident, 0x5C0F6E1A + n, 0x7F3A9C21 + n))
+        text = ("/* id=%s,c=map-write,d=2500,k=%x,cluster=%d */ INSERT INTO facts (code, data) VALUES ('%016x', '\\x9f03') "
+                "RETURNING data" % (ident, 0x5C0F6E1A + n, 1 + (n % 4 == 3), 0x7F3A9C21 + n))
         record.line("client sends", ident)
         answers[ident] = client.ask(text, 3.5)
         record.line("client gets", ident, *answers[ident])
     time.sleep(0.5)
-    twice = {ident: runs for ident, runs in primary.runs.items() if len(runs) > 1}
-    for ident, runs in twice.items():
-        record.line("BROKEN", ident, "ran", len(runs), "times, on connections", runs, "its client got", *answers[ident])
+    runs = {ident: runs for m in members for ident, runs in m.runs.items()}
+    twice = {ident: on for ident, on in runs.items() if len(on) > 1}
+    resets = sum(m.resets for m in members)
+    for ident, on in twice.items():
+        record.line("BROKEN", ident, "ran", len(on), "times, on connections", on, "its client got", *answers[ident])
     served = sum(1 for a in answers.values() if a[0] == "served")
-    print(f"{WRITES} writes, {served} served, {len(twice)} ran twice")
-    if not served:
-        raise s.NotRun("no write was served")
+    print(f"{WRITES} writes, {served} served, {len(twice)} ran twice, {resets} resets")
+    if not served or (s.TROUBLE and not resets):
+        raise s.NotRun("no write was served, or no connection reset")
     return s.BROKEN if twice else s.HELD
 
 
--- a/review/lib/standins.py
+++ b/review/1/standins.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases of this review: discovery, db hosts, clients, and the start of the proxy.
+"""Stand-ins of this case: discovery, db hosts, clients, and the start of the proxy.
 
 They are written from the protocol pages and use Python's standard library alone. All addresses are on 127.0.0.1, at ports that
 the system gives.
@@ -7,7 +7,6 @@
 import json
 import os
 import re
-import select
 import shutil
 import signal
 import socket
@@ -102,10 +101,6 @@
         finally:
             self.sock.setblocking(True)
 
-    def has_more_within(self, seconds):
-        """Whether bytes, or the end, have come by then."""
-        return bool(self.buffer) or bool(select.select([self.sock], [], [], seconds)[0])
-
     def send(self, data):
         try:
             self.sock.sendall(data)
@@ -200,8 +195,8 @@
                 number, self.next = self.next, self.next + 1
             thread(self.connection, Stream(sock), number)
 
-    # A connection that has been idle so long is closed; none is where this is None.
-    idle_s = None
+    # Whether a connection is closed behind a load report, as a db host may.
+    closes_behind_reports = False
 
     def come_up(self, number):
         """Takes the time that this connection needs to come up."""
@@ -212,8 +207,6 @@
             self.come_up(number)
             stream.send(message(b"R", struct.pack("!I", 0)) + READY)
             while True:
-                if self.idle_s is not None and not stream.has_more_within(self.idle_s):
-                    break
                 tag, body = stream.message()
                 if tag == b"X":
                     break
@@ -228,6 +221,8 @@
                     stream.send(row_answer(b"1", "SELECT 1") + READY)
                 elif text == "SHOW pressure":
                     stream.send(row_answer(self.report().encode(), "SHOW") + READY)
+                    if self.closes_behind_reports:
+                        break
                 else:
                     statement = Statement(text)
                     if statement.known:
@@ -406,6 +401,11 @@
         self.record.line("proxy", name, "is ready")
         return addr, process
 
+    def check_alive(self):
+        """A proxy that has ended by itself answers nothing: the case says nothing then."""
+        if any(process.poll() is not None for process in self.processes):
+            raise NotRun("a proxy has ended by itself")
+
     def end(self):
         for process in self.processes:
             if process.poll() is None:
@@ -430,6 +430,7 @@
     signal.alarm(110)
     try:
         result = play_case(play)
+        play.check_alive()
     except Exception as e:
         if not isinstance(e, NotRun):
             traceback.print_exc()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
+sys.path.insert(0, FOLDER)
 import standins as s
 
 PLAY_S = 25.0
