Ask the attempt, not its connection's buffer, whether it was written

Cause: take_job told "the request is unsent" by a non-empty buffer of the connection. Behind an answer that equals an earlier one the proxy writes an empty query of its own there. Where the db host had reset the connection that write failed, and the attempt, written and answered, ended as connect_failed, which counts as proof that it never ran. The audit went by the same ending.

Change: a job records when its last byte was handed to the system, and each path asks that: breaks, spoilt answers, time-outs, what is called off, what may be written, early answers. The audit judges repeats by what was written and what the db host said. The log tells "written" in place of "unsent".

Why it works: what the proxy writes for itself comes behind the request, and no path can take it for the request any more.

Tests, all seen to fail before: reset_behind_answer (2; the unsafe write was sent again, the keyed one behind its window), written_attempts (4: breaks and spoilt answers ended as connect_failed, time-outs as moot, an unwritten empty query was denied), repeat_of_an_unsafe_write_that_was_written_whole (0 counted, 1 due).

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -89,7 +89,7 @@
             // One at a time: the one that is out answers for both.
             Order::Probe(member) if self.probes.contains_key(&member) => {}
             Order::Probe(member) => {
-                self.begin(turn, exchange, member, Job::Probe { since: turn.now });
+                self.begin(turn, exchange, member, Job::Probe { since: turn.now, written: None });
             }
             Order::Resume(id) => {
                 if let Some((_, Place::On(server))) = self.attempts.get(&id).copied() {
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -119,6 +119,14 @@
         !self.outbound.is_empty() || self.polled.holds_unsent()
     }
 
+    /// Whether some of its job has not left this machine.
+    pub(super) fn holds_unsent_job(&self) -> bool {
+        match &self.stage {
+            Stage::Busy { job, .. } => !job.is_written() || self.polled.holds_unsent(),
+            _ => false,
+        }
+    }
+
     /// Whether a long row is being passed on.
     pub(super) fn is_passing(&self) -> bool {
         match &self.stage {
@@ -246,19 +254,24 @@
         }
     }
 
-    /// Bytes of an attempt were written: maybe its first, maybe its last.
+    /// Bytes of a job were written: maybe its first, maybe its last. What is written behind its last is the proxy's own.
     fn note_written(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        let Some(s) = self.servers.get_mut(&id).filter(|s| !s.holds_answer()) else { return };
-        let Stage::Busy { job: Job::Attempt { id: attempt, trace, .. }, .. } = &mut s.stage else { return };
-        if s.outbound.is_empty() {
-            trace.written = Some(turn.clock.now());
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        let Stage::Busy { job, .. } = &mut s.stage else { return };
+        if job.is_written() {
+            return;
+        }
+        let is_last = s.outbound.is_empty();
+        if is_last {
+            job.note_written(turn.clock.now());
         }
+        let Job::Attempt { id: attempt, .. } = *job else { return };
         if !std::mem::replace(&mut s.sending.begun, true) {
             let closed = self.hosts.get(&s.member).and_then(|host| host.closed_since);
-            exchange.begun_at_host(turn, *attempt, closed);
+            exchange.begun_at_host(turn, attempt, closed);
         }
-        if s.outbound.is_empty() {
-            let (attempt, Sending { told, told_until, .. }) = (*attempt, s.sending);
+        if is_last {
+            let Sending { told, told_until, .. } = s.sending;
             exchange.dispatched(turn, attempt, told);
             self.look_by(turn, attempt, told_until);
         }
--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -22,10 +22,11 @@
         id: ServerId,
         why: &str,
     ) {
-        if let Some((member, unsent, job, reply)) = self.take_job(id) {
-            info!(turn.log, "db host connection broke"; "member" => member.0, "why" => why, "unsent" => unsent);
+        if let Some((member, job, reply)) = self.take_job(id) {
+            info!(turn.log, "db host connection broke"; "member" => member.0, "why" => why,
+                "written" => job.is_written());
             self.close(turn, id);
-            let broken = if unsent { Ending::ConnectFailed } else { Ending::Reset };
+            let broken = job.ending_without_answer(Ending::Reset, Ending::ConnectFailed);
             let ending = reply.ending().unwrap_or(broken);
             return self.end(turn, exchange, member, job, ending, reply);
         }
@@ -49,35 +50,34 @@
         id: ServerId,
         what: &str,
     ) {
-        let Some((member, unsent, job, reply)) = self.take_job(id) else {
+        let Some((member, job, reply)) = self.take_job(id) else {
             return self.connection_failed(turn, exchange, id, what);
         };
         info!(turn.log, "db host's answer is spoilt"; "member" => member.0, "what" => what);
         let (ending, reply) = match reply.ending() {
             Some(ending) => (ending, reply),
-            None if unsent => (Ending::ConnectFailed, Reply::default()),
-            None => (Ending::Error, Reply::default()),
+            None => (job.ending_without_answer(Ending::Error, Ending::ConnectFailed), Reply::default()),
         };
         self.end_with_connection(turn, exchange, id, GivenUp { job, ending, reply });
     }
 
     /// What is or may be a second copy of an earlier error has come in place of an answer. It says nothing of its request, which may be at work yet.
     pub(super) fn answer_copied(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        let Some((member, _, job, reply)) = self.take_job(id) else { return };
+        let Some((member, job, reply)) = self.take_job(id) else { return };
         self.end_with_connection(turn, exchange, id, GivenUp { job, ending: Ending::Error, reply });
         self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
     }
 
-    /// Takes the job from a busy connection, with whether some of the request is still unsent, and what has come of its reply: a second
-    /// copy of an earlier answer is none, and what may be one neither.
-    pub(super) fn take_job(&mut self, id: ServerId) -> Option<(MemberId, bool, Job, Reply)> {
+    /// Takes the job from a busy connection, with what has come of its reply: a second copy of an earlier answer is none, and what may
+    /// be one neither.
+    pub(super) fn take_job(&mut self, id: ServerId) -> Option<(MemberId, Job, Reply)> {
         let s = self.servers.get_mut(&id)?;
         match std::mem::replace(&mut s.stage, Stage::Spent) {
             Stage::Busy { mut job, reply, .. } => {
                 job.leave_connection(ConnectionEnd::Reset);
                 let may_be_copy = s.marker.is_some() || s.is_copy(&reply) || s.may_be_copy(&reply);
                 let reply = if may_be_copy { Reply::default() } else { reply };
-                Some((s.member, !s.outbound.is_empty(), job, reply))
+                Some((s.member, job, reply))
             }
             other => {
                 s.stage = other;
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -40,10 +40,38 @@
     },
     Probe {
         since: Micros,
+        /// When its last byte was handed to the system.
+        written: Option<Micros>,
     },
 }
 
 impl Job {
+    /// Notes that its last byte was handed to the system.
+    pub(super) fn note_written(&mut self, at: Micros) {
+        match self {
+            Job::Attempt { trace, .. } => trace.written = Some(at),
+            Job::Probe { written, .. } => *written = Some(at),
+        }
+    }
+
+    /// Whether its last byte was handed to the system: until then its db host can't have run it, from then on it may have. The buffer of
+    /// its connection tells neither, for the proxy writes messages of its own there.
+    pub(super) fn is_written(&self) -> bool {
+        match self {
+            Job::Attempt { trace, .. } => trace.written.is_some(),
+            Job::Probe { written, .. } => written.is_some(),
+        }
+    }
+
+    /// How it ends where it was written; before, nothing of it can have run, and it ends as `unwritten`.
+    pub(super) fn ending_without_answer(&self, written: Ending, unwritten: Ending) -> Ending {
+        if self.is_written() {
+            written
+        } else {
+            unwritten
+        }
+    }
+
     /// It ends, and this becomes of its connection.
     pub(super) fn leave_connection(&mut self, end: ConnectionEnd) {
         if let Job::Attempt { trace, .. } = self {
@@ -69,7 +97,7 @@
                 turn.deadlines.set(*write_by, Due::Attempt(*id));
                 self.attempts.insert(*id, (*write_by, Place::Waiting(member)));
             }
-            Job::Probe { since } => {
+            Job::Probe { since, .. } => {
                 let until = since + self.connections.connect_timeout;
                 turn.deadlines.set(until, Due::Probe(member));
                 self.probes.insert(member, (until, Place::Waiting(member)));
@@ -99,8 +127,12 @@
 
     /// Why more of the request of a connection may not be written.
     pub(super) fn write_denial(&self, now: Micros, id: ServerId) -> Option<AttemptDenial> {
-        let s = self.servers.get(&id).filter(|s| !s.outbound.is_empty() && !s.holds_answer())?;
-        let Stage::Busy { job: Job::Attempt { until, write_by, .. }, .. } = &s.stage else { return None };
+        let s = self.servers.get(&id)?;
+        let Stage::Busy { job, .. } = &s.stage else { return None };
+        let Job::Attempt { until, write_by, .. } = job else { return None };
+        if job.is_written() {
+            return None;
+        }
         let host = self.hosts.get(&s.member).map_or(HostStanding::Unknown, Host::standing);
         let Sending { told_until, begun, .. } = s.sending;
         may_write(now, &WriteFacts { until: *until, write_by: *write_by, told_until, begun, host }).err()
@@ -132,7 +164,7 @@
         match why {
             Unwritten::Broken(e) => self.connection_failed(turn, exchange, id, &e.to_string()),
             Unwritten::Denied(denial) => {
-                let Some((member, _, job, _)) = self.take_job(id) else { return };
+                let Some((member, job, _)) = self.take_job(id) else { return };
                 info!(turn.log, "attempt not written to its end"; "member" => member.0, "why" => denial.name());
                 self.close(turn, id);
                 self.end_denied(turn, exchange, member, job, denial);
@@ -199,7 +231,7 @@
     pub(super) fn is_unsent(&self, id: AttemptId) -> bool {
         match self.attempts.get(&id) {
             Some((_, Place::Waiting(_))) => true,
-            Some((_, Place::On(server))) => self.servers.get(server).is_some_and(Server::has_more_to_send),
+            Some((_, Place::On(server))) => self.servers.get(server).is_some_and(Server::holds_unsent_job),
             None => false,
         }
     }
@@ -256,9 +288,9 @@
                 self.end(turn, exchange, member, job, ending, Reply::default());
             }
             Place::On(id) => {
-                let Some((member, unsent, job, reply)) = self.take_job(id) else { return };
+                let Some((member, job, reply)) = self.take_job(id) else { return };
                 // What is whole counts, though ReadyForQuery is still missing.
-                let ends = reply.ending().unwrap_or(if unsent { Ending::Moot } else { ending });
+                let ends = reply.ending().unwrap_or(job.ending_without_answer(ending, Ending::Moot));
                 // Nobody waits for what was called off, and no other attempt follows it.
                 if ending == Ending::Cancelled {
                     self.close(turn, id);
@@ -308,7 +340,7 @@
                 self.tell_unshown(turn, exchange, member);
                 exchange.ended(turn, Ended { attempt: id, ending, note, said, trace: *trace });
             }
-            Job::Probe { since } => {
+            Job::Probe { since, .. } => {
                 if let Some((until, _)) = self.probes.remove(&member) {
                     turn.deadlines.clear(until, Due::Probe(member));
                 }
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -204,7 +204,7 @@
     /// unless that came before the whole request was sent. Behind an error it is closed: another attempt may follow, and to its db host
     /// this one is out as long as the connection is open.
     pub(super) fn end_before_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        let Some((member, _, mut job, reply)) = self.take_job(id) else { return };
+        let Some((member, mut job, reply)) = self.take_job(id) else { return };
         // A copy is no reply of this attempt, and makes no db host unhealthy.
         let ending = reply.ending().unwrap_or(Ending::Error);
         match self.servers.get_mut(&id) {
--- a/crates/gradeshunt/src/backend/sync_marker.rs
+++ b/crates/gradeshunt/src/backend/sync_marker.rs
@@ -116,11 +116,6 @@
     pub(super) fn is_quiet(&self) -> bool {
         self.polled.is_quiet() || (self.marker.is_some() && !self.polled.has_hung_up())
     }
-
-    /// Whether a request's answer is held back behind a marker: what is written then is the marker's.
-    pub(super) fn holds_answer(&self) -> bool {
-        self.marker.as_ref().is_some_and(SyncMarker::holds_answer)
-    }
 }
 
 /// Takes a message of a connection, whose marker may be out.
@@ -154,7 +149,7 @@
     pub(super) fn hold_for_marker(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         let Stage::Busy { job, reply, ready_by } = &mut s.stage else { return };
-        if !s.outbound.is_empty() {
+        if !job.is_written() {
             return self.answer_malformed(turn, exchange, id, "an answer before its request");
         }
         let fresh = || Reply { form: reply.form, ..Reply::default() };
--- a/crates/gradeshunt/src/backend/tests.rs
+++ b/crates/gradeshunt/src/backend/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the part named by the folder.
 
+mod written_attempts;
+
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -36,6 +38,8 @@
 }
 
 const MEMBER: MemberId = MemberId(0);
+/// The wait of a request whose client waits long.
+const LONG_WAIT: Micros = 60_000_000;
 
 /// A load report, as a db host answers a probe.
 fn report() -> Vec<u8> {
@@ -86,7 +90,6 @@
 
     /// An attempt of a request whose client waits long is out on a pooled connection, where its db host has read it and is silent.
     fn attempt_out(&mut self) -> (TcpStream, AttemptId) {
-        const LONG_WAIT: Micros = 60_000_000;
         let mut server = self.pool_connection();
         let group = GroupId(0);
         let entry = Entry {
@@ -113,6 +116,12 @@
             body: Body::new(b"SELECT 1".to_vec(), None, Form::Value),
         };
         self.exchange.submit(&mut self.turn, call);
+        let attempt = self.next_attempt_out(&mut server);
+        (server, attempt)
+    }
+
+    /// The attempt that was ordered is written, and its db host reads it.
+    fn next_attempt_out(&mut self, server: &mut TcpStream) -> AttemptId {
         while let Some(order) = self.exchange.orders.pop_front() {
             self.backend.carry_out(&mut self.turn, &mut self.exchange, order);
         }
@@ -122,8 +131,7 @@
             let n = server.read(&mut bytes).expect("it is open");
             query.extend(&bytes[..n]);
         }
-        let attempt = *self.backend.attempts.keys().next().expect("it is out");
-        (server, attempt)
+        *self.backend.attempts.keys().next().expect("it is out")
     }
 
     /// So much time passes.
--- a/crates/gradeshunt/src/exchange/audit.rs
+++ b/crates/gradeshunt/src/exchange/audit.rs
@@ -31,7 +31,7 @@
         if attempt.is_forward() {
             return;
         }
-        let repeat_until = r.doubt_since.and_then(|since| match r.effect {
+        let repeat_until = r.may_have_run_since().and_then(|since| match r.effect {
             Effect::Safe => None,
             Effect::Unsafe => Some(None),
             Effect::Keyed { window, .. } => Some(Some(since + window)),
--- a/crates/gradeshunt/src/exchange/request.rs
+++ b/crates/gradeshunt/src/exchange/request.rs
@@ -127,6 +127,13 @@
         u32::from(other) + self.ended_attempts.iter().filter(open).count() as u32
     }
 
+    /// When the first of its attempts began that may have run, also by what was written of each and what its db host said of it: an
+    /// ending that was told by mistake hides nothing.
+    pub(super) fn may_have_run_since(&self) -> Option<Micros> {
+        let in_doubt = self.ended_attempts.iter().filter(|ended| ended.may_have_run());
+        in_doubt.map(|ended| ended.since).chain(self.doubt_since).min()
+    }
+
     /// Why it gets no answer of a db host's, where the decisions give it up.
     pub(super) fn given_up_because(&self) -> FinalReason {
         match (self.sends, self.doubt_since) {
--- a/crates/gradeshunt/src/exchange/tests.rs
+++ b/crates/gradeshunt/src/exchange/tests.rs
@@ -31,16 +31,29 @@
     }
 }
 
+impl Exchange {
+    /// How attempts have ended so far, by name.
+    pub(crate) fn endings(&self) -> Vec<(&'static str, u32)> {
+        self.tally.endings.iter().map(|(name, count)| (*name, *count)).collect()
+    }
+}
+
 impl Play {
     fn open() -> Play {
+        Play::open_with(None)
+    }
+
+    /// Opens one whose write has another effect than its class.
+    fn open_with(effect: Option<Effect>) -> Play {
         let poll = calloop::EventLoop::<Ready>::try_new().expect("a poll");
         let mut turn = Turn::new(poll.handle(), slog::Logger::root(slog::Discard, slog::o!()));
         turn.now = turn.clock.now();
         let config = std::fs::read_to_string("../../examples/config.json").expect("the example");
         let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
-        let settings = leadmast::settings::read(&config["settings"]).expect("settings").settings;
+        let mut settings = leadmast::settings::read(&config["settings"]).expect("settings").settings;
         let keyed = |class: &Class| matches!(class.effect, Effect::Keyed { .. });
         let class = settings.classes.iter().position(keyed).expect("a write that may be repeated");
+        settings.classes[class].effect = effect.unwrap_or(settings.classes[class].effect);
         let mut exchange = Exchange::new(settings, Vec::new(), 7, turn.now);
         exchange.members(&mut turn, ListKind::Full, vec![entry(0), entry(1)]);
         let call = Call {
@@ -73,6 +86,31 @@
     }
 }
 
+/// How many repeats are counted that must not be, where the first attempt of an unsafe write was handed over whole or not, and has ended
+/// so.
+fn repeats_counted(is_written: bool, ending: Ending) -> u64 {
+    let mut play = Play::open_with(Some(Effect::Unsafe));
+    let written = is_written.then_some(play.turn.now);
+    let trace = AttemptTrace { written, ..AttemptTrace::default() };
+    let ended = Ended { attempt: play.first, ending, note: None, said: Said::Nothing, trace };
+    play.exchange.ended(&mut play.turn, ended);
+    play.turn.now += DEADLINE / 2;
+    play.exchange.timer(&mut play.turn, TimerTag(0));
+    let repeat = AttemptId { number: play.first.number + 1, ..play.first };
+    play.exchange.dispatched(&play.turn, repeat, None);
+    play.exchange.figures().violations.of(Rule::Repeat)
+}
+
+/// Guards the process's own count against writes that run twice: it judges by what was written and what the db host said, and not by the
+/// ending that the repeat followed.
+#[test]
+fn repeat_of_an_unsafe_write_that_was_written_whole_is_counted_whatever_its_ending() {
+    assert_eq!(repeats_counted(true, Ending::ConnectFailed), 1);
+    assert_eq!(repeats_counted(true, Ending::Moot), 1);
+    assert_eq!(repeats_counted(true, Ending::Full), 0, "its db host has turned it away");
+    assert_eq!(repeats_counted(false, Ending::ConnectFailed), 0, "it was not written whole");
+}
+
 /// The next attempt that the server side is to start.
 fn next_start(exchange: &mut Exchange) -> Option<AttemptId> {
     std::iter::from_fn(|| exchange.orders.pop_front()).find_map(|order| match order {
--- a/crates/gradeshunt/src/exchange/trace.rs
+++ b/crates/gradeshunt/src/exchange/trace.rs
@@ -38,3 +38,11 @@
     pub(super) ending: Ending,
     pub(super) trace: AttemptTrace,
 }
+
+impl EndedAttempt {
+    /// Whether it was handed over whole, and its db host has not turned it away.
+    pub(super) fn may_have_run(&self) -> bool {
+        let was_turned_away = matches!(self.ending, Ending::Full | Ending::Miss);
+        self.trace.written.is_some() && !was_turned_away
+    }
+}
--- a/crates/gradeshunt/tests/attempts/main.rs
+++ b/crates/gradeshunt/tests/attempts/main.rs
@@ -2,6 +2,7 @@
 
 mod copied_answers;
 mod played_host;
+mod reset_behind_answer;
 
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
--- a/crates/gradeshunt/tests/attempts/played_host.rs
+++ b/crates/gradeshunt/tests/attempts/played_host.rs
@@ -1,8 +1,9 @@
 //! The only db host of a real process, played by the test, and what it reads and answers.
 
-use std::io::{self, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::Path;
+use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
 use gradeshunt_stand_ins::postgres::client::Client;
@@ -92,16 +93,23 @@
 
     /// The next attempt on any further connection: probes may take some of them. The last that a test asks of its db host.
     pub fn next_attempt(&self) -> String {
+        let attempt = self.further_attempts().recv_timeout(PATIENCE).expect("an attempt");
+        attempt.unwrap_or_else(|e| panic!("no attempt: {e:?}: {}", self.program.log()))
+    }
+
+    /// The first attempt of each further connection, as they come. The last that a test asks of its db host.
+    pub fn further_attempts(&self) -> Receiver<Result<String, ErrorKind>> {
         let host = self.host.try_clone().expect("another handle");
         let (found, attempts) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             while let Ok((server, _)) = host.accept() {
                 let found = found.clone();
-                std::thread::spawn(move || found.send(next_request(&mut greet(server))));
+                std::thread::spawn(move || {
+                    found.send(next_request(&mut greet(server)).map_err(|e| e.kind()))
+                });
             }
         });
-        let attempt = attempts.recv_timeout(PATIENCE).expect("an attempt");
-        attempt.unwrap_or_else(|e| panic!("no attempt: {e}: {}", self.program.log()))
+        attempts
     }
 }
 
