Put an empty query before each request that follows another on its connection

One second copy that got through put its connection out of step, and each later answer there went to the next client.

Cause: a copy was known by likeness to what its connection remembers. An answer whose ReadyForQuery came over 3 ms late was not remembered, nor one passed on in parts, nor a refusal without a position.

Change: such a request begins with an empty query, in the same write. What comes before EmptyQueryResponse is nobody's and is read over (discard.rs). Other proxies are left out: they refuse empty queries in standby. The longest statement is 6 bytes shorter, so that both fit the connection's buffer.

Why it works: db hosts answer in the order in which they read, and a copy was written before the empty query was read.

Tests: late_copies in attempts (6) and one in backend fail before: foreign value served (late, long, the next ones, the longest statement, the load report), a cut copy served, and a second copy of a refusal took a waiting write for refused. The played db hosts of attempts and exchanges took empty queries for load probes or answered none; by the protocol page they are answered at once, so they do that now, in order, and one test leaves that of a db host at work for later.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -1,6 +1,7 @@
 //! The server side: connections to db hosts, their pool, attempts and probes.
 
 mod connection;
+mod discard;
 mod ending;
 mod failures;
 mod hosts;
--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -93,7 +93,9 @@
     pub(super) errors: VecDeque<(String, f64)>,
     /// What tells the latest answers here from others.
     pub(super) answers: VecDeque<u64>,
-    /// An empty query that is out behind an answer that may be a copy.
+    /// A request or a probe was written here.
+    pub(super) has_carried_request: bool,
+    /// An empty query that is out.
     pub(super) marker: Option<SyncMarker>,
 }
 
@@ -154,6 +156,7 @@
             sending: Sending::default(),
             errors: VecDeque::new(),
             answers: VecDeque::new(),
+            has_carried_request: false,
             marker: None,
         };
         let startup = if is_peer(member) {
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -19,7 +19,7 @@
 use crate::deadlines::Due;
 use crate::exchange::{name, AttemptId, AttemptTrace, Body, ConnectionEnd, Ended, Exchange, Form, Said};
 use crate::ids::ServerId;
-use crate::pg::{self, sqlstate, Writer};
+use crate::pg::{self, sqlstate};
 use crate::placing::is_peer;
 use crate::turn::Turn;
 
@@ -178,6 +178,7 @@
             exchange.violated(turn, Rule::ExpiredConnection, None);
         }
         let mut sending = Sending::default();
+        let begin = s.begin_request();
         let pushed = match &mut job {
             Job::Attempt { id: attempt, body, until, write_by, trace, .. } => {
                 (trace.connection, trace.leased) = (Some(id), Some(turn.now));
@@ -198,8 +199,8 @@
                 }
                 let wait = told_ms.to_string();
                 let query = match after {
-                    Some(after) => Writer::default().query(&[before, wait.as_bytes(), after]),
-                    None => Writer::default().query(&[before]),
+                    Some(after) => begin.query(&[before, wait.as_bytes(), after]),
+                    None => begin.query(&[before]),
                 };
                 s.outbound.push(&query.0)
             }
@@ -207,7 +208,7 @@
                 if let Some(p) = self.probes.get_mut(&s.member) {
                     p.1 = Place::On(id);
                 }
-                s.outbound.push(&Writer::default().query(&[b"SHOW pressure"]).0)
+                s.outbound.push(&begin.query(&[b"SHOW pressure"]).0)
             }
         };
         let form = match &job {
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -5,19 +5,20 @@
 use leadmast::{Ending, Micros};
 
 use super::connection::{Server, Stage};
+use super::discard::Discarded;
 use super::jobs::Job;
 use super::reply::Shape;
 use super::sync_marker::{take_marked, Marked};
 use super::Backend;
 use crate::deadlines::Due;
-use crate::exchange::{ConnectionEnd, Exchange, Form};
+use crate::exchange::{AnswerCheck, ConnectionEnd, Exchange, Form};
 use crate::ids::ServerId;
 use crate::pg::{self, Malformed};
 use crate::ring::Moved;
 use crate::turn::{Source, Turn};
 
 /// How long ReadyForQuery may take behind a whole answer. What a db host tells of itself may come in between.
-const READY_GRACE: Micros = 3_000;
+pub(super) const READY_GRACE: Micros = 3_000;
 /// How long ReadyForQuery may take until the connection is given up.
 const READY_TIMEOUT: Micros = 500_000;
 /// How much of a long answer is read at a time.
@@ -92,6 +93,11 @@
                 s.inbound.consume(s.inbound.len());
                 return Ok(());
             }
+            if let Some(marker) = &mut s.marker {
+                if marker.discard(&mut s.inbound)? == Discarded::AllThatCame {
+                    return Ok(());
+                }
+            }
             if let Stage::Busy { job: Job::Attempt { .. }, reply, .. } = &mut s.stage {
                 if reply.is_full() {
                     return Ok(());
@@ -120,9 +126,13 @@
             let marked = take_marked(&mut s.marker, &mut s.stage, &message)?;
             if marked != Marked::Other {
                 s.inbound.consume(size);
-                if let Marked::Ended(found) = marked {
-                    exchange.note_answer_check(turn, s.member, found);
-                    self.connection_ready(turn, exchange, id);
+                match marked {
+                    Marked::Ended(found) => {
+                        exchange.note_answer_check(turn, s.member, found);
+                        self.connection_ready(turn, exchange, id);
+                    }
+                    Marked::Discarded => exchange.note_answer_check(turn, s.member, AnswerCheck::Copy),
+                    Marked::Taken | Marked::Other => {}
                 }
                 continue;
             }
--- a/crates/gradeshunt/src/backend/sync_marker.rs
+++ b/crates/gradeshunt/src/backend/sync_marker.rs
@@ -1,6 +1,8 @@
-//! Answers that may be second copies of earlier ones: an empty query behind such an answer shows whose it is.
+//! Empty queries between requests: the order of answers shows which of them belong to no request.
 //!
-//! No answer names its request. But answers come in the order of the commands, and db hosts answer an empty query at once: behind the
+//! No answer names its request. But answers come in the order of the commands, and db hosts answer an empty query at once. So each request
+//! that follows another one on a connection has an empty query before it: what comes before EmptyQueryResponse, such as a second copy of an
+//! earlier answer, is nobody's. An answer that is the same as an earlier one all the same has an empty query behind it: behind the
 //! request's own answer EmptyQueryResponse follows alone, behind a copy the request's own answer comes before it.
 
 use std::collections::hash_map::DefaultHasher;
@@ -10,6 +12,7 @@
 use slog::debug;
 
 use super::connection::{Server, Stage, Unwritten};
+use super::discard::{Discard, Discarded};
 use super::jobs::Job;
 use super::reply::Reply;
 use super::Backend;
@@ -17,6 +20,8 @@
 use crate::exchange::{AnswerCheck, ConnectionEnd, Exchange};
 use crate::ids::ServerId;
 use crate::pg::{Malformed, Message, Writer};
+use crate::placing::is_peer;
+use crate::ring::Ring;
 use crate::turn::Turn;
 
 /// Answers that a connection remembers: a second copy that comes behind more than these is not known for one.
@@ -24,27 +29,69 @@
 /// How long an answer is held back for its marker. A request's own answer comes within its work, a marker at once.
 const MARKER_TIMEOUT: Micros = 250_000;
 
-/// An empty query that is out behind an answer that may be a copy.
+/// An empty query that is out.
 #[derive(Debug)]
 pub(super) struct SyncMarker {
-    /// The latest answer to the request that waits for the marker; `None` once that request has ended without it.
-    held: Option<Reply>,
-    /// Until when that answer is held back.
+    place: MarkerPlace,
+    /// EmptyQueryResponse has come; ReadyForQuery is still to come.
+    answered: bool,
+}
+
+/// Where an empty query stands among the requests of its connection.
+#[derive(Debug)]
+enum MarkerPlace {
+    /// Before the next request: what comes before its answer is nobody's.
+    BeforeRequest(Discard),
+    /// Behind an answer that may be a copy, whose request waits for it.
+    BehindAnswer(Box<HeldAnswer>),
+}
+
+/// An answer that may be a copy, and what comes behind it.
+#[derive(Debug)]
+struct HeldAnswer {
+    /// The latest answer to its request.
+    held: Reply,
+    /// Until when that is held back.
     by: Micros,
     /// An answer that comes before the marker's: the one that was held back for it was a copy.
     before: Reply,
     /// Such an answer has come whole.
     overtaken: bool,
-    /// EmptyQueryResponse has come; ReadyForQuery is still to come.
-    answered: bool,
 }
 
 impl SyncMarker {
-    /// Whether a request waits for it.
-    pub(super) fn holds_answer(&self) -> bool {
-        self.held.is_some()
+    /// An empty query before the next request.
+    pub(super) fn before_request() -> SyncMarker {
+        SyncMarker { place: MarkerPlace::BeforeRequest(Discard::default()), answered: false }
+    }
+
+    /// Reads over what is nobody's.
+    pub(super) fn discard(&mut self, inbound: &mut Ring) -> Result<Discarded, Malformed> {
+        match &mut self.place {
+            MarkerPlace::BeforeRequest(discard) if !self.answered => discard.take(inbound),
+            _ => Ok(Discarded::UpToMarker),
+        }
+    }
+
+    /// Until when a request waits for it.
+    fn holds_until(&self) -> Option<Micros> {
+        match &self.place {
+            MarkerPlace::BehindAnswer(held) => Some(held.by),
+            MarkerPlace::BeforeRequest(_) => None,
+        }
+    }
+
+    /// Its request waits no longer: what comes before its answer is nobody's from now on.
+    fn give_up_held(&mut self) -> Option<Reply> {
+        let place = MarkerPlace::BeforeRequest(Discard::default());
+        match std::mem::replace(&mut self.place, place) {
+            MarkerPlace::BehindAnswer(held) => Some(held.held),
+            MarkerPlace::BeforeRequest(_) => None,
+        }
     }
+}
 
+impl HeldAnswer {
     /// Takes a message of an answer that comes before the marker's. One such answer belongs to the request before the marker.
     fn take_before(&mut self, message: &Message) -> Result<(), Malformed> {
         if self.overtaken {
@@ -58,19 +105,20 @@
         }
         if self.before.take(message)? {
             self.overtaken = true;
-            let own_answer = std::mem::take(&mut self.before);
-            self.held = self.held.take().map(|_| own_answer);
+            self.held = std::mem::take(&mut self.before);
         }
         Ok(())
     }
 }
 
-/// What a message is on a connection whose marker is out.
+/// What a message is on a connection whose marker may be out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Marked {
     /// One that waits for no further step.
     Taken,
-    /// The end of the marker: the request that waits for it has its own answer now.
+    /// The end of a marker before a request: a second copy of an earlier answer came before it.
+    Discarded,
+    /// The end of a marker behind an answer: the request that waits for it has its own answer now.
     Ended(AnswerCheck),
     /// No marker is out.
     Other,
@@ -112,6 +160,18 @@
         }
     }
 
+    /// What the next request begins with: a marker, unless it is the first one here, since a second copy of an earlier answer may be under
+    /// way. A marker that is out already does as well, for it was written behind that answer. Other proxies answer once, and an empty
+    /// query may be refused there.
+    pub(super) fn begin_request(&mut self) -> Writer {
+        let is_first = !std::mem::replace(&mut self.has_carried_request, true);
+        if is_first || self.marker.is_some() || is_peer(self.member) {
+            return Writer::default();
+        }
+        self.marker = Some(SyncMarker::before_request());
+        Writer::default().query(&[b""])
+    }
+
     /// Whether nothing stands unread but what belongs before its marker or to that.
     pub(super) fn is_quiet(&self) -> bool {
         self.polled.is_quiet() || (self.marker.is_some() && !self.polled.has_hung_up())
@@ -124,24 +184,33 @@
     stage: &mut Stage,
     message: &Message,
 ) -> Result<Marked, Malformed> {
-    let Some(out) = marker else { return Ok(Marked::Other) };
-    match message.tag {
-        b'I' if out.before.is_empty() && !out.answered => out.answered = true,
-        b'Z' if out.answered => {
-            let found = if out.overtaken { AnswerCheck::Copy } else { AnswerCheck::Own };
-            let held = marker.take().and_then(|marker| marker.held);
-            let (Some(held), Stage::Busy { reply, .. }) = (held, stage) else { return Ok(Marked::Taken) };
-            *reply = held;
-            return Ok(Marked::Ended(found));
-        }
+    let Some(SyncMarker { place, answered }) = marker else { return Ok(Marked::Other) };
+    match (message.tag, place) {
+        (b'Z', _) if *answered => return Ok(end_marker(marker, stage)),
         // What a db host tells of itself, as behind any answer.
-        b'S' | b'N' | b'A' if out.answered => {}
-        _ if out.answered => return Err(Malformed("more than an empty query's answer")),
-        _ => out.take_before(message)?,
+        (b'S' | b'N' | b'A', _) if *answered => {}
+        (_, _) if *answered => return Err(Malformed("more than an empty query's answer")),
+        (b'I', MarkerPlace::BeforeRequest(_)) => *answered = true,
+        (b'I', MarkerPlace::BehindAnswer(held)) if held.before.is_empty() => *answered = true,
+        (_, MarkerPlace::BehindAnswer(held)) => held.take_before(message)?,
+        (_, MarkerPlace::BeforeRequest(_)) => return Err(Malformed("no empty query's answer")),
     }
     Ok(Marked::Taken)
 }
 
+/// A marker's answer has come whole.
+fn end_marker(marker: &mut Option<SyncMarker>, stage: &mut Stage) -> Marked {
+    match (marker.take().map(|marker| marker.place), stage) {
+        (Some(MarkerPlace::BehindAnswer(held)), Stage::Busy { reply, .. }) => {
+            let found = if held.overtaken { AnswerCheck::Copy } else { AnswerCheck::Own };
+            *reply = held.held;
+            Marked::Ended(found)
+        }
+        (Some(MarkerPlace::BeforeRequest(discard)), _) if discard.has_answer() => Marked::Discarded,
+        _ => Marked::Taken,
+    }
+}
+
 impl Backend {
     /// Writes a marker behind an answer that may be a copy, and holds that back until the marker is answered; a load report is taken as
     /// it is, for an old one is none the worse. Behind an answer that came before its request was sent there can be no marker: it is
@@ -155,10 +224,15 @@
         let fresh = || Reply { form: reply.form, ..Reply::default() };
         let (before, next) = (fresh(), fresh());
         let is_probe = matches!(job, Job::Probe { .. });
-        let held = (!is_probe).then(|| std::mem::replace(reply, next));
         *ready_by = None;
         let by = turn.now + MARKER_TIMEOUT;
-        s.marker = Some(SyncMarker { held, by, before, overtaken: false, answered: false });
+        let place = if is_probe {
+            MarkerPlace::BeforeRequest(Discard::default())
+        } else {
+            let held = std::mem::replace(reply, next);
+            MarkerPlace::BehindAnswer(Box::new(HeldAnswer { held, by, before, overtaken: false }))
+        };
+        s.marker = Some(SyncMarker { place, answered: false });
         debug!(turn.log, "answer held back: it may be a copy"; "member" => s.member.0);
         turn.deadlines.set(by, Due::Server(id));
         let pushed = s.outbound.push(&Writer::default().query(&[b""]).0);
@@ -177,7 +251,7 @@
     /// Whether an answer has been held back for long enough.
     pub(super) fn is_marker_due(&self, now: Micros, id: ServerId) -> bool {
         let marker = self.servers.get(&id).and_then(|s| s.marker.as_ref());
-        marker.is_some_and(|marker| marker.holds_answer() && marker.by <= now)
+        marker.and_then(SyncMarker::holds_until).is_some_and(|by| by <= now)
     }
 
     /// The marker is late. What may be another request's value is not served, and its request is not sent again beside one that may be
@@ -187,7 +261,7 @@
         let Some(s) = self.servers.get_mut(&id) else { return };
         let (member, by) = (s.member, turn.now);
         exchange.note_answer_check(turn, member, AnswerCheck::Unknown);
-        let held = s.marker.as_mut().and_then(|marker| marker.held.take());
+        let held = s.marker.as_mut().and_then(SyncMarker::give_up_held);
         if held.is_some_and(|reply| reply.error.is_some()) {
             return self.answer_copied(turn, exchange, id);
         }
--- a/crates/gradeshunt/src/backend/tests.rs
+++ b/crates/gradeshunt/src/backend/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the part named by the folder.
 
+mod late_copies;
 mod written_attempts;
 
 use std::io::{ErrorKind, Read, Write};
@@ -48,6 +49,11 @@
     writer.message(b'C', &[b"SHOW\0"]).ready().0
 }
 
+/// The answer to an empty query, which stands before each request that follows another one on a connection.
+fn empty_query_answer() -> Vec<u8> {
+    Writer::default().message(b'I', &[]).ready().0
+}
+
 impl Play {
     fn open() -> Play {
         let poll = calloop::EventLoop::<Ready>::try_new().expect("a poll");
@@ -91,6 +97,12 @@
     /// An attempt of a request whose client waits long is out on a pooled connection, where its db host has read it and is silent.
     fn attempt_out(&mut self) -> (TcpStream, AttemptId) {
         let mut server = self.pool_connection();
+        let attempt = self.attempt_out_on(&mut server);
+        (server, attempt)
+    }
+
+    /// The same, on this pooled connection.
+    fn attempt_out_on(&mut self, server: &mut TcpStream) -> AttemptId {
         let group = GroupId(0);
         let entry = Entry {
             member: MEMBER,
@@ -116,12 +128,6 @@
             body: Body::new(b"SELECT 1".to_vec(), None, Form::Value),
         };
         self.exchange.submit(&mut self.turn, call);
-        let attempt = self.next_attempt_out(&mut server);
-        (server, attempt)
-    }
-
-    /// The attempt that was ordered is written, and its db host reads it.
-    fn next_attempt_out(&mut self, server: &mut TcpStream) -> AttemptId {
         while let Some(order) = self.exchange.orders.pop_front() {
             self.backend.carry_out(&mut self.turn, &mut self.exchange, order);
         }
@@ -172,7 +178,7 @@
     let listed = Listed { id: "s".to_owned(), member: MEMBER, addr, phase: Phase::Up };
     play.backend.list(&mut play.turn, &mut play.exchange, ListKind::Full, &[listed]);
     assert_eq!(play.backend.servers.len(), 1);
-    server.write_all(&report()).expect("it is open");
+    server.write_all(&[empty_query_answer(), report()].concat()).expect("it is open");
     play.until(|backend| backend.probes.is_empty());
     assert_eq!(play.backend.lease(&mut play.turn, MEMBER), None);
     assert!(play.backend.servers.is_empty(), "it is closed");
@@ -189,9 +195,8 @@
     let until = play.turn.clock.now() + PATIENCE;
     let order = Order::Start { attempt, member: MEMBER, body, until, write_by: until };
     play.backend.carry_out(&mut play.turn, &mut play.exchange, order);
-    server
-        .write_all(&Writer::default().message(b'E', &[b"SERROR\0CXX000\0Mbroken\0\0"]).0)
-        .expect("it is open");
+    let error = Writer::default().message(b'E', &[b"SERROR\0CXX000\0Mbroken\0\0"]).0;
+    server.write_all(&[empty_query_answer(), error].concat()).expect("it is open");
     let awaits_ready = |s: &Server| matches!(s.stage, Stage::Busy { ready_by: Some(_), .. });
     play.until(|backend| backend.servers.values().any(awaits_ready));
     server.write_all(&Writer::default().ready().0).expect("it is open");
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -6,11 +6,13 @@
 
 use crate::ring::LARGEST;
 
-/// Longest message taken, its length field included; a ring holds one and its type byte.
-pub const LONGEST_MESSAGE: usize = LARGEST - 1;
+/// The whole of an empty query.
+pub const EMPTY_QUERY_SIZE: usize = 6;
+/// Longest message taken, its length field included; a ring holds one with its type byte and an empty query before it.
+pub const LONGEST_MESSAGE: usize = LARGEST - EMPTY_QUERY_SIZE - 1;
 /// Longest row that is taken whole before any of it is passed on, and longest one at all, with their framing.
 pub const WHOLE_ROW: usize = 64 * 1024 + 64;
-const LONGEST_ROW: usize = 4 * 1024 * 1024 + 64;
+pub const LONGEST_ROW: usize = 4 * 1024 * 1024 + 64;
 /// Longest answer that is taken whole, with what stands around its row.
 pub const LONGEST_ANSWER: usize = 96 * 1024;
 /// Longest startup packet, as in PostgreSQL.
@@ -19,6 +21,9 @@
 /// Longest id taken: those of open requests are kept.
 const LONGEST_ID: usize = 64;
 
+/// A message's type byte and length field.
+const HEADER: usize = 5;
+
 const PROTOCOL_3: u32 = 3 << 16;
 const CANCEL_REQUEST: u32 = (1234 << 16) | 5678;
 const SSL_REQUEST: u32 = (1234 << 16) | 5679;
@@ -117,16 +122,26 @@
 /// Reads a message of one of the kinds in `tags`; `None` until it is whole. Noise is known by its first bytes:
 /// nobody waits for as much as its length field claims.
 pub fn message<'a>(bytes: &'a [u8], tags: &[u8]) -> Result<Option<Message<'a>>, Malformed> {
+    let Some((tag, size)) = header_up_to(bytes, tags, LONGEST_MESSAGE)? else { return Ok(None) };
+    Ok(bytes.get(HEADER..size).map(|body| Message { tag, body, size }))
+}
+
+/// The type and the size of a message of one of the kinds in `tags`, which may be a long row; `None` until they have come.
+pub fn header(bytes: &[u8], tags: &[u8]) -> Result<Option<(u8, usize)>, Malformed> {
+    header_up_to(bytes, tags, LONGEST_ROW)
+}
+
+fn header_up_to(bytes: &[u8], tags: &[u8], longest: usize) -> Result<Option<(u8, usize)>, Malformed> {
     let Some(tag) = bytes.first() else { return Ok(None) };
     if !tags.contains(tag) {
         return Err(Malformed("invalid message type"));
     }
     let Some(length) = be32(bytes, 1) else { return Ok(None) };
     let size = length as usize + 1;
-    if !(5..=LONGEST_MESSAGE).contains(&size) {
+    if !(HEADER..=longest).contains(&size) {
         return Err(Malformed("invalid message length"));
     }
-    Ok(bytes.get(5..size).map(|body| Message { tag: *tag, body, size }))
+    Ok(Some((*tag, size)))
 }
 
 /// The size of a DataRow of one column that is longer than [`WHOLE_ROW`], once its header has come; `None` where it
--- a/crates/gradeshunt/src/ring.rs
+++ b/crates/gradeshunt/src/ring.rs
@@ -9,7 +9,7 @@
 
 /// A ring starts at this size,
 pub const SMALL: usize = 2 * 1024;
-/// and grows up to this one: the longest message, and what stands before it.
+/// and grows up to this one: the longest message, and an empty query before it.
 pub const LARGEST: usize = 256 * 1024;
 
 /// How often a call is made for which the system lacks memory, before its connection counts as broken.
--- a/crates/gradeshunt/tests/attempts/main.rs
+++ b/crates/gradeshunt/tests/attempts/main.rs
@@ -1,6 +1,7 @@
 //! Attempts whose writing or start takes long: the test plays the only db host of a real process, and forces each order by bytes.
 
 mod copied_answers;
+mod late_copies;
 mod played_host;
 mod reset_behind_answer;
 
@@ -448,7 +449,8 @@
     first.write_all(&value).expect("it is open");
     clients[1].until_ready().expect("an answer, which is the copy");
     clients[2].stream().write_all(&request(3, "page-read", 300_000, 0)).expect("it is open");
-    next_request(&mut first).expect("it is sent");
+    // The db host is at work on the second one yet, and answers the empty query behind that later.
+    read_request(&mut first).expect("it is sent");
     first.write_all(&[refusal("XX000", POSITION), wire::message(b'Z', b"I")].concat()).expect("it is open");
     let again = next_request(&mut first);
     assert!(again.is_err(), "request 3 is out, and here is another attempt: {again:?}");
--- a/crates/gradeshunt/tests/attempts/played_host.rs
+++ b/crates/gradeshunt/tests/attempts/played_host.rs
@@ -159,12 +159,26 @@
 
 /// Reads whole messages until one of a client's request comes, and answers what the proxy asks for itself.
 pub fn next_request(server: &mut TcpStream) -> io::Result<String> {
+    let (markers, text) = read_request(server)?;
+    server.write_all(&wire::empty_query_answer().repeat(markers))?;
+    Ok(text)
+}
+
+/// The same, but empty queries right before the request are left to be answered; how many there are. Behind another request they are
+/// answered when that is, and no sooner.
+pub fn read_request(server: &mut TcpStream) -> io::Result<(usize, String)> {
+    let mut markers = 0;
     loop {
         let (tag, body) = wire::read(server)?;
         let text = String::from_utf8_lossy(&body).into_owned();
         if tag == b'Q' && text.contains("id=") {
-            return Ok(text);
+            return Ok((markers, text));
+        }
+        if body == [0] {
+            markers += 1;
+            continue;
         }
+        server.write_all(&wire::empty_query_answer().repeat(std::mem::take(&mut markers)))?;
         answer_probe(server)?;
     }
 }
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -21,6 +21,7 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 
+use gradeshunt_stand_ins::postgres::wire;
 use serde_json::{json, Value};
 
 /// Which deployment's settings the program gets. docs/deployments.md tells how they differ.
@@ -367,10 +368,23 @@
     bytes
 }
 
-/// Reads up to what a file names, and writes it as the files do.
-fn listen_until(mut peer: &TcpStream, what: &str) -> String {
-    let mut take = |n: usize| {
-        let mut bytes = vec![0; n];
+/// Whether more stands unread: an empty query before a request comes with it.
+fn has_more(peer: &TcpStream) -> bool {
+    peer.set_nonblocking(true).expect("it can be set");
+    let seen = peer.peek(&mut [0]);
+    peer.set_nonblocking(false).expect("it can be set");
+    seen.is_ok_and(|bytes| bytes > 0)
+}
+
+fn answer_empty_query(mut peer: &TcpStream) {
+    peer.write_all(&wire::empty_query_answer()).expect("the program takes it");
+}
+
+/// Reads up to what a file names, and writes it as the files do. Empty queries before requests are answered as db hosts do, and no file
+/// speaks of them.
+fn listen_until(peer: &TcpStream, what: &str) -> String {
+    let take = |n: usize| {
+        let (mut peer, mut bytes) = (peer, vec![0; n]);
         peer.read_exact(&mut bytes).map(|()| bytes)
     };
     let show = |kind: &str, body: &[u8]| format!("  {kind}|{}\n", body.escape_ascii());
@@ -379,7 +393,7 @@
         "end" => {
             let mut rest = Vec::new();
             // A reset ends it as well as a close.
-            let end = peer.read_to_end(&mut rest);
+            let end = (&mut { peer }).read_to_end(&mut rest);
             assert!(!end.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock), "no end comes");
             let key = rest.windows(5).position(|bytes| bytes == b"K\0\0\0\x0c");
             key.into_iter().for_each(|at| rest[at + 9..at + 13].fill(0));
@@ -406,6 +420,10 @@
                 if head[0] == b'K' {
                     body[4..].fill(0);
                 }
+                if head[0] == b'Q' && body == [0] && has_more(peer) {
+                    answer_empty_query(peer);
+                    continue;
+                }
                 let kind = char::from(head[0]).to_string();
                 heard += &show(&kind, &body);
                 if kind == tag {
