Ask again for the age of data once a read's connection is there

Cause: whether a replica is recent enough was asked when a read was to go there, and not again when its connection had come up, up to 250 ms later.

Evidence: two tests that differ in how late the connection is, by the bound and by a microsecond more: the program before wrote both reads.

Change: a request that has waited for a connection is written only if what is known by then of its db host's data allows that (Balancer::data_denial, permission::may_read); else its attempt ends as one that never ran, and the decisions choose anew. The same question covers reads that only the primary may serve, at a db host that has ceased to be one.

Why it works: it asks at the same moment and of the same state as the decision that follows a denial, so no read goes to a replica that is known to be too far behind, and none that has caught up is lost.

Tests, seen to fail without the question: read_whose_replica_is_too_far_behind and read_whose_db_host_is_no_primary (both were written).

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -225,8 +225,13 @@
             return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
         }
         while let Some(job) = self.hosts.get_mut(&member).and_then(|h| h.waiting.pop_front()) {
-            // Events are worked off before deadlines: its own may have passed while the connection came up.
-            if let Some(denial) = self.job_denial(turn.now, member, &job) {
+            // Events are worked off before deadlines: its own may have passed while the connection came up, and its db host's data may be
+            // too old by now.
+            let data_denial = match &job {
+                Job::Attempt { id, .. } => exchange.data_denial(turn.now, *id),
+                Job::Probe { .. } => None,
+            };
+            if let Some(denial) = self.job_denial(turn.now, member, &job).or(data_denial) {
                 self.end_denied(turn, exchange, member, job, denial);
                 continue;
             }
--- a/crates/gradeshunt/src/backend/tests.rs
+++ b/crates/gradeshunt/src/backend/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the part named by the folder.
 
+mod late_connections;
 mod late_copies;
 mod written_attempts;
 
@@ -54,13 +55,49 @@
     Writer::default().message(b'I', &[]).ready().0
 }
 
+/// The db host as discovery lists it.
+fn entry(group: GroupId, leader: bool) -> Entry {
+    Entry {
+        member: MEMBER,
+        common: 0,
+        group,
+        zone: ZoneId(0),
+        weight: 1.0,
+        since: None,
+        phase: Phase::Up,
+        leader,
+    }
+}
+
+/// A request of a client that waits long.
+fn call(class: ClassId, group: GroupId) -> Call {
+    Call {
+        class,
+        group,
+        key: None,
+        deadline: LONG_WAIT,
+        since_write: None,
+        repeat: false,
+        checked: false,
+        tenant: None,
+        source: Source::Client,
+        body: Body::new(b"SELECT 1".to_vec(), None, Form::Value),
+    }
+}
+
 impl Play {
     fn open() -> Play {
+        Play::open_with(|_| {})
+    }
+
+    /// Opens one whose configuration is edited.
+    fn open_with(edit: impl Fn(&mut serde_json::Value)) -> Play {
         let poll = calloop::EventLoop::<Ready>::try_new().expect("a poll");
         let mut turn = Turn::new(poll.handle(), slog::Logger::root(slog::Discard, slog::o!()));
         turn.now = 0;
         let config = std::fs::read_to_string("../../examples/config.json").expect("the example");
-        let config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+        let mut config: serde_json::Value = serde_json::from_str(&config).expect("JSON");
+        edit(&mut config);
         let facts = leadmast::settings::read(&config["settings"]).expect("settings");
         let mut exchange = Exchange::new(facts.settings.clone(), Vec::new(), 7, 0);
         let mut backend = Backend::new(facts.connections, &facts.names);
@@ -104,30 +141,8 @@
     /// The same, on this pooled connection.
     fn attempt_out_on(&mut self, server: &mut TcpStream) -> AttemptId {
         let group = GroupId(0);
-        let entry = Entry {
-            member: MEMBER,
-            common: 0,
-            group,
-            zone: ZoneId(0),
-            weight: 1.0,
-            since: None,
-            phase: Phase::Up,
-            leader: true,
-        };
-        self.exchange.members(&mut self.turn, ListKind::Full, vec![entry]);
-        let call = Call {
-            class: ClassId(0),
-            group,
-            key: None,
-            deadline: LONG_WAIT,
-            since_write: None,
-            repeat: false,
-            checked: false,
-            tenant: None,
-            source: Source::Client,
-            body: Body::new(b"SELECT 1".to_vec(), None, Form::Value),
-        };
-        self.exchange.submit(&mut self.turn, call);
+        self.exchange.members(&mut self.turn, ListKind::Full, vec![entry(group, true)]);
+        self.exchange.submit(&mut self.turn, call(ClassId(0), group));
         while let Some(order) = self.exchange.orders.pop_front() {
             self.backend.carry_out(&mut self.turn, &mut self.exchange, order);
         }
--- a/src/permission/attempt.rs
+++ b/src/permission/attempt.rs
@@ -101,11 +101,13 @@
     HostHeldOut,
     /// Its db host was never listed.
     HostUnknown,
+    /// What its db host is known to have is older than its class allows.
+    DataTooOld,
 }
 
 impl AttemptDenial {
     /// All of them, for figures.
-    pub const ALL: [AttemptDenial; 14] = [
+    pub const ALL: [AttemptDenial; 15] = [
         AttemptDenial::Answered,
         AttemptDenial::ClientLeft,
         AttemptDenial::DeadlinePassed,
@@ -120,6 +122,7 @@
         AttemptDenial::HostGone,
         AttemptDenial::HostHeldOut,
         AttemptDenial::HostUnknown,
+        AttemptDenial::DataTooOld,
     ];
 
     /// Its name in the log and the figures.
@@ -139,6 +142,7 @@
             AttemptDenial::HostGone => "host_gone",
             AttemptDenial::HostHeldOut => "host_held_out",
             AttemptDenial::HostUnknown => "host_unknown",
+            AttemptDenial::DataTooOld => "data_too_old",
         }
     }
 }
@@ -283,3 +287,15 @@
         HostStanding::Unknown => Err(AttemptDenial::HostUnknown),
     }
 }
+
+/// Whether a read may be sent to a replica that is known to have reached a position, where it has to have reached `need`; `None` where
+/// only the primary will do.
+///
+/// # Errors
+/// Why not.
+pub fn may_read(position: Micros, need: Option<Micros>) -> Result<(), AttemptDenial> {
+    match need {
+        Some(need) if position >= need => Ok(()),
+        _ => Err(AttemptDenial::DataTooOld),
+    }
+}
