Look into an error that is told twice before it is taken for a copy

Cause: an error that told the same position as an earlier one of its connection was dropped as a second copy by that likeness alone. Positions stand still then, and the db host's own second 25006 was dropped.

Change: such an error is held back for an empty query, as other answers that are the same as an earlier one. Without an answer to that in 0.25 s its connection is given up, as before; without ReadyForQuery it is nobody's at once, as before.

Why it works: the order of answers tells whose it is, and second copies that come right behind an answer can't get here any more (the empty query before a request).

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -100,9 +100,9 @@
 }
 
 impl Server {
-    /// Whether a reply is a second copy of an error that was an answer here before. It tells nothing of its request: that may be at work
-    /// there yet, and is sent again. Positions move on, so one that stands still between two errors is a copy's.
-    pub(super) fn is_copy(&self, reply: &Reply) -> bool {
+    /// Whether a reply is the same as an error that was an answer here before. Positions move on as a rule, so one that stands still between
+    /// two errors may be a copy's, which tells nothing of its request.
+    pub(super) fn repeats_error(&self, reply: &Reply) -> bool {
         reply.told_error().is_some_and(|error| self.errors.contains(&error))
     }
 
@@ -177,9 +177,6 @@
     /// A connection has come up, or answered: its job ends, and the oldest waiting one gets it, or else the pool.
     pub(super) fn connection_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
-        if matches!(&s.stage, Stage::Busy { reply, .. } if s.is_copy(reply)) {
-            return self.answer_copied(turn, exchange, id);
-        }
         let member = s.member;
         let until = turn.now + (self.connections.idle as f64 * IDLE_SHARE) as Micros;
         let stage = std::mem::replace(&mut s.stage, Stage::Idle { since: turn.now, until });
--- a/crates/gradeshunt/src/backend/failures.rs
+++ b/crates/gradeshunt/src/backend/failures.rs
@@ -75,7 +75,7 @@
         match std::mem::replace(&mut s.stage, Stage::Spent) {
             Stage::Busy { mut job, reply, .. } => {
                 job.leave_connection(ConnectionEnd::Reset);
-                let may_be_copy = s.marker.is_some() || s.is_copy(&reply) || s.may_be_copy(&reply);
+                let may_be_copy = s.marker.is_some() || s.repeats_error(&reply) || s.may_be_copy(&reply);
                 let reply = if may_be_copy { Reply::default() } else { reply };
                 Some((s.member, job, reply))
             }
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -158,7 +158,7 @@
                 Stage::Busy { reply, .. } => reply.take(&message)?,
             };
             s.inbound.consume(size);
-            if up && s.has_doubtful_answer() {
+            if up && s.must_hold_answer() {
                 self.hold_for_marker(turn, exchange, id);
             } else if up {
                 self.connection_ready(turn, exchange, id);
--- a/crates/gradeshunt/src/backend/sync_marker.rs
+++ b/crates/gradeshunt/src/backend/sync_marker.rs
@@ -136,8 +136,8 @@
 }
 
 impl Server {
-    /// Whether an answer is the same as a recent one here, so that it may be a second copy of that. Errors that tell a position are
-    /// known for copies without a marker; those that turn a request away are not looked into, for they come in numbers.
+    /// Whether an answer is the same as a recent one here, so that it may be a second copy of that, also before its end: errors that tell a
+    /// position are looked into once they are whole, and others that turn a request away are not, for they come in numbers.
     pub(super) fn may_be_copy(&self, reply: &Reply) -> bool {
         let is_looked_into = match reply.ending() {
             Some(Ending::Ok) => true,
@@ -152,6 +152,12 @@
         matches!(&self.stage, Stage::Busy { reply, .. } if self.may_be_copy(reply))
     }
 
+    /// Whether its whole answer is to be held back for a marker.
+    pub(super) fn must_hold_answer(&self) -> bool {
+        let repeats_error = matches!(&self.stage, Stage::Busy { reply, .. } if self.repeats_error(reply));
+        repeats_error || self.has_doubtful_answer()
+    }
+
     /// Remembers an answer, whose second copy may come behind other answers.
     pub(super) fn remember_answer(&mut self, reply: &Reply) {
         self.answers.extend(digest(reply));
