Split connection_ready into its decisions

It took seven decisions in one function. Each has a name now: into the pool, a rest that must not follow, of use for another request, the oldest waiting job, why that may not be written. No behaviour changes; a connection that is gone counts as of no use. attempts 35, exchanges 89 and the library's 88 tests pass.

--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -176,59 +176,72 @@
 
     /// A connection has come up, or answered: its job ends, and the oldest waiting one gets it, or else the pool.
     pub(super) fn connection_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
-        let Some(s) = self.servers.get_mut(&id) else { return };
+        let Some((member, former)) = self.make_idle(turn, id) else { return };
+        let has_rest = self.has_rest_of_request(id, &former);
+        if has_rest {
+            self.reset(turn, id);
+        }
+        if let Stage::Busy { mut job, reply, .. } = former {
+            job.leave_connection(if has_rest { ConnectionEnd::Reset } else { ConnectionEnd::Kept });
+            let ending = reply.ending().unwrap_or(Ending::Reset);
+            self.end(turn, exchange, member, job, ending, reply);
+        }
+        if has_rest || !self.keep_if_reusable(turn, id) {
+            return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
+        }
+        self.write_oldest_waiting(turn, exchange, member, id);
+    }
+
+    /// Takes a connection into the pool; its db host, and its stage until now.
+    fn make_idle(&mut self, turn: &mut Turn, id: ServerId) -> Option<(MemberId, Stage)> {
+        let s = self.servers.get_mut(&id)?;
         let member = s.member;
         let until = turn.now + (self.connections.idle as f64 * IDLE_SHARE) as Micros;
-        let stage = std::mem::replace(&mut s.stage, Stage::Idle { since: turn.now, until });
+        let former = std::mem::replace(&mut s.stage, Stage::Idle { since: turn.now, until });
         turn.deadlines.set(until, Due::Server(id));
-        let Some(host) = self.hosts.get_mut(&member) else { return };
+        let host = self.hosts.get_mut(&member)?;
         host.idle.push(id);
-        if let Stage::Busy { reply, .. } = &stage {
-            s.remember(reply);
-        }
-        // An answer may come before its request is written whole: the rest must not follow. The system is asked only behind errors: a
-        // value was made from the whole request.
-        let is_error = matches!(&stage, Stage::Busy { reply, .. } if reply.error.is_some());
-        let unfinished = !s.outbound.is_empty() || (is_error && s.has_more_to_send());
-        let ended = match stage {
+        match &former {
             Stage::Starting { by } => {
                 host.starting -= 1;
-                turn.deadlines.clear(by, Due::Server(id));
-                None
+                turn.deadlines.clear(*by, Due::Server(id));
             }
-            Stage::Trailing { by } => {
-                turn.deadlines.clear(by, Due::Server(id));
-                None
-            }
-            Stage::Idle { .. } | Stage::Ending { .. } | Stage::Spent => None,
-            Stage::Busy { job, reply, .. } => Some((job, reply)),
-        };
-        if unfinished {
-            self.reset(turn, id);
-        }
-        if let Some((mut job, reply)) = ended {
-            job.leave_connection(if unfinished { ConnectionEnd::Reset } else { ConnectionEnd::Kept });
-            let ending = reply.ending().unwrap_or(Ending::Reset);
-            self.end(turn, exchange, member, job, ending, reply);
+            Stage::Trailing { by } => turn.deadlines.clear(*by, Due::Server(id)),
+            Stage::Busy { reply, .. } => s.remember(reply),
+            Stage::Idle { .. } | Stage::Ending { .. } | Stage::Spent => {}
         }
-        if unfinished {
-            return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
-        }
-        // What comes behind an answer belongs to no request, least of all to the next: a second copy would pass
-        // for its value. The answer before it stands; the connection is of no further use.
-        let surplus = self.servers.get(&id).is_some_and(|s| !s.inbound.is_empty());
-        if surplus || self.reuse_denial(turn.now, id).is_some() {
+        Some((member, former))
+    }
+
+    /// Whether bytes written before would follow on a connection that is used again. An answer may come before its request is written
+    /// whole: the rest must not follow. The system is asked only behind errors: a value was made from the whole request.
+    fn has_rest_of_request(&self, id: ServerId, former: &Stage) -> bool {
+        let is_error = matches!(former, Stage::Busy { reply, .. } if reply.error.is_some());
+        let holds_rest = |s: &Server| !s.outbound.is_empty() || (is_error && s.has_more_to_send());
+        self.servers.get(&id).is_some_and(holds_rest)
+    }
+
+    /// Closes a connection that may not carry another request; whether it may. What comes behind an answer belongs to no request, least of
+    /// all to the next. The answer before it stands; the connection is of no further use.
+    fn keep_if_reusable(&mut self, turn: &mut Turn, id: ServerId) -> bool {
+        let has_surplus = self.servers.get(&id).is_none_or(|s| !s.inbound.is_empty());
+        if has_surplus || self.reuse_denial(turn.now, id).is_some() {
             self.close(turn, id);
-            return self.fail_surplus_job(turn, exchange, member, Ending::ConnectFailed);
+            return false;
         }
+        true
+    }
+
+    /// The oldest job that waits for a connection gets this one, if it may still be written.
+    fn write_oldest_waiting(
+        &mut self,
+        turn: &mut Turn,
+        exchange: &mut Exchange,
+        member: MemberId,
+        id: ServerId,
+    ) {
         while let Some(job) = self.hosts.get_mut(&member).and_then(|h| h.waiting.pop_front()) {
-            // Events are worked off before deadlines: its own may have passed while the connection came up, and its db host's data may be
-            // too old by now.
-            let data_denial = match &job {
-                Job::Attempt { id, .. } => exchange.data_denial(turn.now, *id),
-                Job::Probe { .. } => None,
-            };
-            if let Some(denial) = self.job_denial(turn.now, member, &job).or(data_denial) {
+            if let Some(denial) = self.waited_job_denial(turn, exchange, member, &job) {
                 self.end_denied(turn, exchange, member, job, denial);
                 continue;
             }
@@ -237,6 +250,22 @@
         }
     }
 
+    /// Why a job that has waited for a connection may not be written to it. Events are worked off before deadlines: its own may have passed
+    /// while the connection came up, and its db host's data may be too old by now.
+    fn waited_job_denial(
+        &self,
+        turn: &Turn,
+        exchange: &Exchange,
+        member: MemberId,
+        job: &Job,
+    ) -> Option<AttemptDenial> {
+        let data_denial = || match job {
+            Job::Attempt { id, .. } => exchange.data_denial(turn.now, *id),
+            Job::Probe { .. } => None,
+        };
+        self.job_denial(turn.now, member, job).or_else(data_denial)
+    }
+
     /// Writes what is to be written, as far as the connection takes it and the rules permit it at that moment.
     pub(super) fn flush(
         &mut self,
