Soak: a request behind an empty query arrives at a db host that hangs

The soak's db host waited for the end of its hang at an empty query, before it read the request behind it, and judged the time told as of then.

Change: a hung db host reads on where more has come, and answers empty queries and request in order when the hang ends, no sooner. The test hung_db_host failed before ("it has not arrived").

--- a/crates/soak/src/connection.rs
+++ b/crates/soak/src/connection.rs
@@ -41,6 +41,11 @@
     }
 }
 
+/// Whether bytes stand unread.
+pub fn has_unread(stream: &TcpStream) -> bool {
+    peek(stream).is_ok_and(|unread| unread > 0)
+}
+
 /// How many bytes stand unread, 1 at most.
 fn peek(stream: &TcpStream) -> io::Result<usize> {
     let mut byte = [0_u8; 1];
--- a/crates/soak/src/db_host/serving.rs
+++ b/crates/soak/src/db_host/serving.rs
@@ -11,6 +11,7 @@
 use gradeshunt_stand_ins::script::Table;
 
 use super::{DbHost, DbHostFaults, KEY_WINDOW};
+use crate::connection::has_unread;
 use crate::ledger::Arrival;
 use crate::lock;
 use crate::statement::{Class, Statement};
@@ -32,6 +33,8 @@
         self.wait_while(|faults| faults.stops_reading);
         wire::read_startup(&mut &*stream)?;
         (&*stream).write_all(&[wire::message(b'R', &[0; 4]), wire::message(b'Z', b"I")].concat())?;
+        // Empty queries that were read and stand before what comes next.
+        let mut unanswered = 0;
         loop {
             self.wait_while(|faults| faults.stops_reading);
             let (tag, body) = wire::read(&mut &*stream)?;
@@ -39,10 +42,16 @@
                 return Ok(());
             }
             let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
+            // A db host that hangs has what has come all the same.
+            if text.is_empty() && self.hangs() && has_unread(&stream) {
+                unanswered += 1;
+                continue;
+            }
+            let before = std::mem::take(&mut unanswered);
             let goes_on = match Statement::read(&text) {
-                Some(statement) => self.request(&stream, &statement)?,
-                None if text.is_empty() => self.empty_query(&stream)?,
-                None => self.probe(&stream)?,
+                Some(statement) => self.request(&stream, &statement, before)?,
+                None if text.is_empty() => self.answer_empty_queries(&stream, before + 1)?,
+                None => self.probe(&stream, before)?,
             };
             if !goes_on {
                 return Ok(());
@@ -50,23 +59,33 @@
         }
     }
 
-    /// A load report.
-    fn probe(&self, mut stream: &TcpStream) -> io::Result<bool> {
-        self.wait_while(|faults| faults.hangs);
+    fn hangs(&self) -> bool {
+        lock(&self.0.state).faults.hangs
+    }
+
+    /// A load report, behind so many empty queries.
+    fn probe(&self, mut stream: &TcpStream, empty_queries: usize) -> io::Result<bool> {
+        self.answer_empty_queries(stream, empty_queries)?;
         let report = format!("x0={:.3},x1={}", self.position().0 / 1000.0, u8::from(self.0.primary));
         let row = Table { tag: "SHOW".to_owned(), ..Table::of(&["pressure"], &[&[&report]]) };
         stream.write_all(&[wire::table(&row), wire::message(b'Z', b"I")].concat())?;
         Ok(true)
     }
 
-    /// An empty query, which does nothing.
-    fn empty_query(&self, mut stream: &TcpStream) -> io::Result<bool> {
+    /// Answers so many empty queries, which do nothing, once it hangs no longer.
+    fn answer_empty_queries(&self, mut stream: &TcpStream, empty_queries: usize) -> io::Result<bool> {
         self.wait_while(|faults| faults.hangs);
-        stream.write_all(&wire::empty_query_answer())?;
+        stream.write_all(&wire::empty_query_answer().repeat(empty_queries))?;
         Ok(true)
     }
 
-    fn request(&self, stream: &Arc<TcpStream>, statement: &Statement) -> io::Result<bool> {
+    /// A request, behind so many empty queries.
+    fn request(
+        &self,
+        stream: &Arc<TcpStream>,
+        statement: &Statement,
+        empty_queries: usize,
+    ) -> io::Result<bool> {
         // Its time is taken before any lock is waited for, and what else is judged with it is asked as of then.
         let mut arrival = Arrival::now(*statement, self.0.number, stream);
         (arrival.drains_since, arrival.prompt) = {
@@ -75,7 +94,8 @@
         };
         let prompt = arrival.prompt;
         let number = self.0.ledger.arrived(arrival);
-        self.wait_while(|faults| faults.hangs);
+        // Where that fails its proxy has given up the connection, and the work is done all the same.
+        let _ = self.answer_empty_queries(stream, empty_queries);
         let reply = self.work(stream, statement, prompt);
         // Before its proxy can hear of the end, and begin another attempt.
         self.0.ledger.attempt_ended(statement.id, number);
