--- a/crates/gradeshunt/src/backend/connection.rs
+++ b/crates/gradeshunt/src/backend/connection.rs
@@ -241,7 +241,8 @@
         id: ServerId,
     ) {
         while let Some(job) = self.hosts.get_mut(&member).and_then(|h| h.waiting.pop_front()) {
-            if let Some(denial) = self.waited_job_denial(turn, exchange, member, &job) {
+            // Events are worked off before deadlines: its own may have passed while the connection came up.
+            if let Some(denial) = self.job_denial(turn.now, member, &job) {
                 self.end_denied(turn, exchange, member, job, denial);
                 continue;
             }
@@ -250,22 +251,6 @@
         }
     }
 
-    /// Why a job that has waited for a connection may not be written to it. Events are worked off before deadlines: its own may have passed
-    /// while the connection came up, and its db host's data may be too old by now.
-    fn waited_job_denial(
-        &self,
-        turn: &Turn,
-        exchange: &Exchange,
-        member: MemberId,
-        job: &Job,
-    ) -> Option<AttemptDenial> {
-        let data_denial = || match job {
-            Job::Attempt { id, .. } => exchange.data_denial(turn.now, *id),
-            Job::Probe { .. } => None,
-        };
-        self.job_denial(turn.now, member, job).or_else(data_denial)
-    }
-
     /// Writes what is to be written, as far as the connection takes it and the rules permit it at that moment.
     pub(super) fn flush(
         &mut self,
--- a/crates/gradeshunt/src/exchange/server_side.rs
+++ b/crates/gradeshunt/src/exchange/server_side.rs
@@ -1,6 +1,6 @@
 //! What the server side tells the exchange: parts of long answers, attempts and probes that have ended.
 
-use leadmast::permission::{settled_at, AttemptDenial};
+use leadmast::permission::settled_at;
 use leadmast::{Ending, Event, Micros, Note, Outcome, Probed};
 
 use super::endings::outcome_of;
@@ -21,16 +21,6 @@
         r.room
     }
 
-    /// Why an attempt that has waited for a connection may not be written to that, for all that is known of its db host's data. What a
-    /// request that was sent on may see is looked at by the proxy that has it.
-    pub fn data_denial(&self, now: Micros, attempt: AttemptId) -> Option<AttemptDenial> {
-        if attempt.is_forward() {
-            return None;
-        }
-        let out = self.requests.get(&attempt.request)?.out.as_ref()?;
-        self.balancer.data_denial(now, attempt.request, out.member)
-    }
-
     /// Whether another attempt might follow one that ends at `at`.
     pub fn may_be_followed(&self, attempt: AttemptId, at: Micros) -> bool {
         self.requests.get(&attempt.request).is_some_and(|r| !r.over && at < r.deadline)
--- a/src/balance/candidates.rs
+++ b/src/balance/candidates.rs
@@ -2,8 +2,7 @@
 
 use super::member::Member;
 use super::{Balancer, Request, DECAY_US, ERROR_SHARE_LIMIT, FOREVER, LAG_FADES_IN, NEVER};
-use crate::interface::{ClassId, GroupId, MemberId, Micros, ReadLevel, Report, RequestId};
-use crate::permission::{may_read, AttemptDenial};
+use crate::interface::{ClassId, GroupId, MemberId, Micros, ReadLevel, Report};
 
 impl Balancer {
     /// The report that an answer to a question of that time brought, if it did.
@@ -74,24 +73,6 @@
         found
     }
 
-    /// Why a request that was to go to a member may not be sent there by now, for all that is known of its data: it has waited for a
-    /// connection since that was decided.
-    pub fn data_denial(&self, now: Micros, request: RequestId, member: MemberId) -> Option<AttemptDenial> {
-        let (r, m) = (self.requests.get(&request)?, self.members.get(&member)?);
-        // A write is turned away by a member that has no primary's role.
-        let is_write = self.settings.classes[r.class.0].read == ReadLevel::Write;
-        let is_primary = self.groups.get(&r.group).and_then(|g| g.primary) == Some(member);
-        let is_checked_there = r.checked && self.settings.behind.slack().is_some();
-        if is_write || is_primary {
-            return None;
-        }
-        let need = self.need(now, r);
-        if need.is_some() && is_checked_there {
-            return None;
-        }
-        may_read(m.position, need).err()
-    }
-
     pub(super) fn replicas(&self, group: GroupId, fit: impl Fn(&Member) -> bool) -> Vec<MemberId> {
         let Some(g) = self.groups.get(&group) else { return Vec::new() };
         let fits = |id: &&MemberId| self.members.get(id).is_some_and(|m| m.usable() && fit(m));
--- a/src/permission/attempt.rs
+++ b/src/permission/attempt.rs
@@ -101,13 +101,11 @@
     HostHeldOut,
     /// Its db host was never listed.
     HostUnknown,
-    /// What its db host is known to have is older than its class allows.
-    DataTooOld,
 }
 
 impl AttemptDenial {
     /// All of them, for figures.
-    pub const ALL: [AttemptDenial; 15] = [
+    pub const ALL: [AttemptDenial; 14] = [
         AttemptDenial::Answered,
         AttemptDenial::ClientLeft,
         AttemptDenial::DeadlinePassed,
@@ -122,7 +120,6 @@
         AttemptDenial::HostGone,
         AttemptDenial::HostHeldOut,
         AttemptDenial::HostUnknown,
-        AttemptDenial::DataTooOld,
     ];
 
     /// Its name in the log and the figures.
@@ -142,7 +139,6 @@
             AttemptDenial::HostGone => "host_gone",
             AttemptDenial::HostHeldOut => "host_held_out",
             AttemptDenial::HostUnknown => "host_unknown",
-            AttemptDenial::DataTooOld => "data_too_old",
         }
     }
 }
@@ -287,15 +283,3 @@
         HostStanding::Unknown => Err(AttemptDenial::HostUnknown),
     }
 }
-
-/// Whether a read may be sent to a replica that is known to have reached a position, where it has to have reached `need`; `None` where
-/// only the primary will do.
-///
-/// # Errors
-/// Why not.
-pub fn may_read(position: Micros, need: Option<Micros>) -> Result<(), AttemptDenial> {
-    match need {
-        Some(need) if position >= need => Ok(()),
-        _ => Err(AttemptDenial::DataTooOld),
-    }
-}
--- a/src/permission/mod.rs
+++ b/src/permission/mod.rs
@@ -11,8 +11,8 @@
 mod process;
 
 pub use attempt::{
-    may_begin, may_begin_at, may_read, may_repeat, may_write, repeat_by, settled_at, time_to_tell,
-    AttemptDenial, AttemptLimits, Doubt, HostStanding, RequestFacts, Telling, WriteFacts,
+    may_begin, may_begin_at, may_repeat, may_write, repeat_by, settled_at, time_to_tell, AttemptDenial,
+    AttemptLimits, Doubt, HostStanding, RequestFacts, Telling, WriteFacts,
 };
 pub use connection::{
     may_close, may_reuse, ClientFacts, ClientStage, CloseDenial, PooledConnection, ReuseDenial,
