Loop statistics: time by kind of work, and the number of different sources in a turn

The report's logs can't tell whether the many client events of a turn are of the same connections, nor what the timers of the decisions did: time counts for the source that began it, whatever that sets off.

--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use calloop::EventLoop;
+use leadmast::Micros;
 use slog::info;
 
 use crate::control_core::Core;
 use crate::deadlines::DeadlineKind;
 use crate::transient::retry_while_transient;
 use crate::turn::{EventSource, ReadySources};
+use crate::work_times::WorkTimes;
 
 /// The handlers of ready sources and expired deadlines.
 pub trait Handlers {
@@ -68,25 +70,28 @@
         sources.sort_by_key(|source| source_order(*source));
         for source in sources {
             handlers.on_event(source);
-            record_processed(handlers.core(), source.name());
+            let now = advance(handlers.core());
+            handlers.core().loop_stats.record_event(source, now);
         }
         loop {
             let turn = &mut handlers.core().turn;
             let Some(due) = turn.deadlines.pop_expired(turn.now) else { break };
             handlers.on_deadline(due);
-            record_processed(handlers.core(), due.name());
+            let now = advance(handlers.core());
+            handlers.core().loop_stats.record(due.name(), now);
         }
         let core = handlers.core();
-        core.loop_stats.end(&core.turn.log);
+        core.loop_stats.end(&core.turn.log, &core.turn.work);
         Ok(())
     }
 
     /// Updates the clock and the turn's times, and returns the sources to process.
-    fn begin_turn(&mut self, core: &mut Core, next_deadline: Option<leadmast::Micros>) -> Vec<EventSource> {
+    fn begin_turn(&mut self, core: &mut Core, next_deadline: Option<Micros>) -> Vec<EventSource> {
         if core.turn.clock.observe() {
             info!(core.turn.log, "the wall clock was stepped"; "ms" => core.turn.clock.candidate_step() / 1000);
         }
         core.turn.now = core.turn.clock.now();
+        core.turn.work = WorkTimes::new(core.turn.now);
         core.loop_stats.begin(core.turn.now, next_deadline);
         core.turn.unread_for = core.loop_stats.time_unread();
         let unfinished = std::mem::take(&mut core.turn.unfinished);
@@ -119,15 +124,15 @@
     }
 }
 
-/// Records that a source or deadline of this kind is processed, and advances the turn's time. Without this,
-/// requests at the end of a long turn would send their db hosts a remaining wait that includes time the turn
-/// has already used. Whatever is processed next has been waiting since before the turn, so `unread_for` grows
-/// by the same amount.
-fn record_processed(core: &mut Core, name: &'static str) {
+/// Advances the turn's time once a source or deadline is processed, and returns it. Without this, requests at
+/// the end of a long turn would send their db hosts a remaining wait that includes time the turn has already
+/// used. Whatever is processed next has been waiting since before the turn, so `unread_for` grows by the same
+/// amount.
+fn advance(core: &mut Core) -> Micros {
     let now = core.turn.clock.now();
-    core.loop_stats.record_source(name, now);
     core.turn.unread_for += now - core.turn.now;
     core.turn.now = now;
+    now
 }
 
 #[cfg(test)]
--- a/crates/gradeshunt/src/exchange/decisions.rs
+++ b/crates/gradeshunt/src/exchange/decisions.rs
@@ -14,6 +14,7 @@
 use crate::ids::AttemptId;
 use crate::site_loss;
 use crate::turn::Turn;
+use crate::work_times::Work;
 
 impl Exchange {
     /// An operator holds a db host out, or readmits it.
@@ -50,7 +51,9 @@
                 }
                 event => debug!(turn.log, "event"; "is" => ?event),
             }
+            let interrupted = turn.work.begin(Work::Decisions, turn.clock.now());
             self.balancer.handle(turn.now, event, &mut actions);
+            turn.work.end(interrupted, turn.clock.now());
             for action in actions.drain(..) {
                 debug!(turn.log, "action"; "is" => ?action);
                 self.apply(turn, action);
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -40,6 +40,7 @@
 mod transient;
 mod turn;
 mod unix_time;
+mod work_times;
 
 pub use cli::Arguments;
 pub use config::{Config, ConfigError};
--- a/crates/gradeshunt/src/loop_stats.rs
+++ b/crates/gradeshunt/src/loop_stats.rs
@@ -2,13 +2,15 @@
 //! nothing else is served, so a long one is logged together with what it was spent on and the system's
 //! statistics.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt::Write as _;
 
 use leadmast::Micros;
 use slog::{info, warn, Logger};
 
 use crate::proc_stats::{ProcStats, Sample};
+use crate::turn::EventSource;
+use crate::work_times::{Work, WorkTimes};
 
 /// A turn that takes longer is logged.
 const SLOW_TURN: Micros = 50_000;
@@ -50,6 +52,8 @@
     late: Micros,
     /// What the turn was spent on: each kind of source, its time, and its number of events.
     parts: Vec<(&'static str, Micros, u32)>,
+    /// Number of different sources that were processed.
+    sources: usize,
 }
 
 /// Statistics of the turns.
@@ -62,11 +66,14 @@
     /// How long the previous turn took.
     previous_took: Micros,
     spent: BTreeMap<&'static str, (Micros, u32)>,
+    /// The sources that the turn has processed.
+    sources: HashSet<EventSource>,
     turns: u64,
     slow_turns: u64,
     longest_turn: LongestTimes,
     latest_wake: LongestTimes,
     by_source: BTreeMap<&'static str, LongestTimes>,
+    by_work: BTreeMap<Work, LongestTimes>,
 }
 
 impl LoopStats {
@@ -80,11 +87,13 @@
             late: 0,
             previous_took: 0,
             spent: BTreeMap::new(),
+            sources: HashSet::new(),
             turns: 0,
             slow_turns: 0,
             longest_turn: LongestTimes::default(),
             latest_wake: LongestTimes::default(),
             by_source: BTreeMap::new(),
+            by_work: BTreeMap::new(),
         }
     }
 
@@ -105,28 +114,39 @@
         Some(self.late.max(self.previous_took)).filter(|t| *t > MIN_UNREAD).unwrap_or(0)
     }
 
-    /// Records that an event of this source, or a deadline, has been handled.
-    pub fn record_source(&mut self, name: &'static str, now: Micros) {
+    /// Records that an event of this source has been handled.
+    pub fn record_event(&mut self, source: EventSource, now: Micros) {
+        self.sources.insert(source);
+        self.record(source.name(), now);
+    }
+
+    /// Records that an event or a deadline of this kind has been handled.
+    pub fn record(&mut self, name: &'static str, now: Micros) {
         let (took, times) = self.spent.entry(name).or_default();
         *took += now - self.last_event;
         *times += 1;
         self.last_event = now;
     }
 
-    /// Ends the turn, and logs it if it was long or late.
-    pub fn end(&mut self, log: &Logger) {
+    /// Ends the turn, and logs it if it was long or late. `work` is what the turn's time went to, by kind of
+    /// work.
+    pub fn end(&mut self, log: &Logger, work: &WorkTimes) {
         let turn = self.record_turn();
+        for (kind, took, _) in work.by_kind() {
+            self.by_work.entry(kind).or_default().add(took);
+        }
         if turn.took <= SLOW_TURN && turn.late <= SLOW_TURN {
             return;
         }
         let now = self.proc_stats.sample();
         let since = now.since(self.last_sample.1);
         self.last_sample = (self.last_event, now);
-        let parts: Vec<_> =
-            turn.parts.iter().map(|(name, took, n)| format!("{name}={}ms/{n}", took / 1000)).collect();
+        let part = |name: &str, took: Micros, n: u32| format!("{name}={}ms/{n}", took / 1000);
+        let parts: Vec<_> = turn.parts.iter().map(|(name, took, n)| part(name, *took, *n)).collect();
+        let work: Vec<_> = work.by_kind().map(|(kind, took, n)| part(kind.name(), took, n)).collect();
         let what = if turn.took > SLOW_TURN { "a turn took long" } else { "the loop woke late" };
         warn!(log, "{}", what; "ms" => turn.took / 1000, "late_ms" => turn.late / 1000, "spent" => parts.join(","),
-            "cpu_ms" => since.ran / 1000, "without_cpu_ms" => since.waited / 1000, "major_faults" => since.major_faults,
+            "work" => work.join(","), "sources" => turn.sources, "cpu_ms" => since.ran / 1000, "without_cpu_ms" => since.waited / 1000, "major_faults" => since.major_faults,
             "stolen_ms" => since.stolen / 1000);
     }
 
@@ -142,7 +162,9 @@
         self.slow_turns += u64::from(took > SLOW_TURN);
         self.longest_turn.add(took);
         self.latest_wake.add(self.late);
-        TurnRecord { took, late: self.late, parts }
+        let sources = self.sources.len();
+        self.sources.clear();
+        TurnRecord { took, late: self.late, parts, sources }
     }
 
     /// Logs a summary, and begins a new interval.
@@ -153,6 +175,7 @@
         self.longest_turn.start_interval();
         self.latest_wake.start_interval();
         self.by_source.values_mut().for_each(LongestTimes::start_interval);
+        self.by_work.values_mut().for_each(LongestTimes::start_interval);
     }
 
     /// Returns the statistics as text: times in microseconds, the longest of the last 10 to 20 s and since
@@ -171,6 +194,9 @@
         for (name, longest) in &self.by_source {
             gauge("longest_source", &format!("source=\"{name}\","), longest);
         }
+        for (kind, longest) in &self.by_work {
+            gauge("longest_work", &format!("work=\"{}\",", kind.name()), longest);
+        }
         text
     }
 }
--- a/crates/gradeshunt/src/loop_stats/tests.rs
+++ b/crates/gradeshunt/src/loop_stats/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the loop's statistics.
 
 use super::*;
+use crate::ids::SessionId;
 
 /// Guards the causes given for a long turn: the source that took most is named first, and lateness due to the
 /// previous turn is not counted.
@@ -8,12 +9,14 @@
 fn turn_record_names_the_time_per_source() {
     let mut loop_stats = LoopStats::new(0);
     loop_stats.begin(1_000, Some(900));
-    loop_stats.record_source("client", 3_000);
-    loop_stats.record_source("db host", 63_000);
-    loop_stats.record_source("client", 64_000);
+    let client = EventSource::Session(SessionId(1));
+    loop_stats.record_event(client, 3_000);
+    loop_stats.record("db host", 63_000);
+    loop_stats.record_event(client, 64_000);
     let turn = loop_stats.record_turn();
     assert_eq!((turn.took, turn.late), (63_000, 100));
     assert_eq!(turn.parts, [("db host", 60_000, 1), ("client", 3_000, 2)]);
+    assert_eq!(turn.sources, 1, "one client was processed twice");
     loop_stats.begin(64_500, Some(2_000));
     assert_eq!(
         loop_stats.record_turn().late,
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -16,9 +16,10 @@
 use crate::deadlines::Deadlines;
 use crate::ids::{CallId, CallerId, ServerId, SessionId};
 use crate::ring::retry_interrupted;
+use crate::work_times::WorkTimes;
 
 /// An event source.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum EventSource {
     /// The clients' listening socket.
     Listener,
@@ -73,19 +74,23 @@
     pub log: Logger,
     /// Sources with more work than one turn allows; they are processed first in the next turn.
     pub unfinished: Vec<EventSource>,
+    /// What this turn's time goes to.
+    pub work: WorkTimes,
     handle: LoopHandle<'static, ReadySources>,
 }
 
 impl Turn {
     pub fn new(handle: LoopHandle<'static, ReadySources>, log: Logger) -> Self {
         let clock = Clock::start();
+        let now = clock.now();
         Turn {
-            now: clock.now(),
+            now,
             unread_for: 0,
             clock,
             deadlines: Deadlines::default(),
             log,
             unfinished: Vec::new(),
+            work: WorkTimes::new(now),
             handle,
         }
     }
