One entry for each event source among those that wait for a share of a turn

Cause: a source with work left was put on the list for the next turn from up to three places in one call (reads used up, messages used up, a ring that had been full), and by the poll once more. Each entry got a whole share of reads and messages and put the source on the list again, so entries doubled from turn to turn.

Mend: the list is a queue of its own module that holds a source once, with the time since which its work waits; phases (operators, discovery, clients, others) replace the sort of a turn's sources. The number of shares in a turn is bounded by the number of sources, so doubling can't come back by another place that defers. That time also replaces the turn's guess at how long bytes may have been unread: a source that waits for several turns tells its own.

Pipelined reads and unknown sets still fail: another cause.

--- a/crates/gradeshunt/src/backend/ending.rs
+++ b/crates/gradeshunt/src/backend/ending.rs
@@ -61,7 +61,7 @@
             turn.deadlines.set(by, DeadlineKind::Server(id));
             // The db host's end may already have been signalled without having been read; it is not signalled
             // again.
-            turn.unfinished.push(EventSource::Server(id));
+            turn.defer(EventSource::Server(id));
         } else {
             self.finish_abandoned(turn, exchange, id);
         }
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -76,7 +76,7 @@
                 return self.connection_failed(turn, exchange, id, &why);
             }
         }
-        turn.unfinished.push(EventSource::Server(id));
+        turn.defer(EventSource::Server(id));
     }
 
     /// Handles the complete messages that have arrived.
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -149,7 +149,7 @@
                 },
             }
         }
-        turn.unfinished.push(EventSource::Control);
+        turn.defer(EventSource::Control);
     }
 
     /// Starts to serve an accepted connection; if there are too many, closes another one first.
--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -10,6 +10,7 @@
 
 use crate::control_core::Core;
 use crate::deadlines::DeadlineKind;
+use crate::ready_queue::Phase;
 use crate::transient::retry_while_transient;
 use crate::turn::{EventSource, ReadySources};
 use crate::work_times::WorkTimes;
@@ -53,12 +54,12 @@
     pub fn wait(core: &Core) -> Option<Duration> {
         let next_deadline = core.turn.deadlines.earliest();
         let wait = next_deadline.map(|at| (at - core.turn.clock.now()).max(0));
-        let wait = if core.turn.unfinished.is_empty() { wait } else { Some(0) };
+        let wait = if core.turn.ready.is_empty() { wait } else { Some(0) };
         wait.map(|t| Duration::from_micros(t as u64))
     }
 
-    /// Runs one turn: waits up to `wait` for sources, then processes all that are ready and all expired
-    /// deadlines.
+    /// Runs one turn: waits up to `wait` for sources, then gives each source that is ready one share, and
+    /// processes all expired deadlines.
     ///
     /// # Errors
     ///
@@ -66,15 +67,14 @@
     pub fn run_turn(&mut self, handlers: &mut impl Handlers, wait: Option<Duration>) -> Result<(), String> {
         let next_deadline = handlers.core().turn.deadlines.earliest();
         self.event_loop.dispatch(wait, &mut self.ready).map_err(|e| format!("cannot poll: {e}"))?;
-        let mut sources = self.begin_turn(handlers.core(), next_deadline);
-        sources.sort_by_key(|source| source_order(*source));
-        for source in sources {
-            handlers.on_event(source);
-            let now = advance(handlers.core());
-            handlers.core().loop_stats.record_event(source, now);
+        self.begin_turn(handlers.core(), next_deadline);
+        let input_since = handlers.core().turn.now - handlers.core().turn.unread_for;
+        for phase in Phase::ALL {
+            run_phase(handlers, phase);
         }
         loop {
             let turn = &mut handlers.core().turn;
+            turn.unread_for = turn.now - input_since;
             let Some(due) = turn.deadlines.pop_expired(turn.now) else { break };
             handlers.on_deadline(due);
             let now = advance(handlers.core());
@@ -85,17 +85,19 @@
         Ok(())
     }
 
-    /// Updates the clock and the turn's times, and returns the sources to process.
-    fn begin_turn(&mut self, core: &mut Core, next_deadline: Option<Micros>) -> Vec<EventSource> {
+    /// Updates the clock and the turn's times, and queues the sources that the poll has reported.
+    fn begin_turn(&mut self, core: &mut Core, next_deadline: Option<Micros>) {
         if core.turn.clock.observe() {
             info!(core.turn.log, "the wall clock was stepped"; "ms" => core.turn.clock.candidate_step() / 1000);
         }
-        core.turn.now = core.turn.clock.now();
-        core.turn.work = WorkTimes::new(core.turn.now);
-        core.loop_stats.begin(core.turn.now, next_deadline);
-        core.turn.unread_for = core.loop_stats.time_unread();
-        let unfinished = std::mem::take(&mut core.turn.unfinished);
-        unfinished.into_iter().chain(self.ready.drain(..)).collect()
+        let turn = &mut core.turn;
+        turn.now = turn.clock.now();
+        turn.work = WorkTimes::new(turn.now);
+        core.loop_stats.begin(turn.now, next_deadline);
+        turn.unread_for = core.loop_stats.time_unread();
+        for source in self.ready.drain(..) {
+            turn.ready.push(source, turn.now - turn.unread_for);
+        }
     }
 }
 
@@ -106,33 +108,24 @@
     }
 }
 
-/// Returns the position of a source in the order of a turn, 0 first. Operators' calls come first because they
-/// are few and must be answered under any load. Discovery comes next, so that no request goes to a db host
-/// that starts to drain in the same turn. Clients come before db hosts, so that the request of a client that
-/// has disconnected is not written to a db host connection that is established in the same turn.
-fn source_order(source: EventSource) -> u8 {
-    match source {
-        EventSource::Control | EventSource::Caller(_) => 0,
-        EventSource::Call(_) => 1,
-        EventSource::Session(_) => 2,
-        EventSource::Listener
-        | EventSource::PeerListener
-        | EventSource::Server(_)
-        | EventSource::Terminate
-        | EventSource::Reload
-        | EventSource::FileTask => 3,
+/// Gives one share to each source that waits in a phase. What is put back meanwhile waits for the next turn.
+fn run_phase(handlers: &mut impl Handlers, phase: Phase) {
+    for _ in 0..handlers.core().turn.ready.len(phase) {
+        let turn = &mut handlers.core().turn;
+        let Some((source, since)) = turn.ready.pop(phase) else { return };
+        turn.unread_for = turn.now - since;
+        handlers.on_event(source);
+        let now = advance(handlers.core());
+        handlers.core().loop_stats.record_event(source, now);
     }
 }
 
 /// Advances the turn's time once a source or deadline is processed, and returns it. Without this, requests at
 /// the end of a long turn would send their db hosts a remaining wait that includes time the turn has already
-/// used. Whatever is processed next has been waiting since before the turn, so `unread_for` grows by the same
-/// amount.
+/// used.
 fn advance(core: &mut Core) -> Micros {
-    let now = core.turn.clock.now();
-    core.turn.unread_for += now - core.turn.now;
-    core.turn.now = now;
-    now
+    core.turn.now = core.turn.clock.now();
+    core.turn.now
 }
 
 #[cfg(test)]
--- a/crates/gradeshunt/src/cycle/tests.rs
+++ b/crates/gradeshunt/src/cycle/tests.rs
@@ -51,8 +51,9 @@
     let mut cycle = ProxyLoop::open().expect("a poll");
     let core = Core::new(&mut config, cycle.event_loop(), Logger::root(Discard, o!())).expect("a core");
     let mut handlers = Slow { core, behind: None, arrived: None };
-    handlers.core.turn.unfinished = vec![EventSource::Control, EventSource::FileTask];
     let began = handlers.core.turn.clock.now();
+    handlers.core.turn.now = began;
+    [EventSource::Control, EventSource::FileTask].map(|source| handlers.core.turn.defer(source));
     cycle.run_turn(&mut handlers, Some(Duration::ZERO)).expect("a turn");
     assert!(handlers.behind.is_some_and(|behind| behind < LONG_PROCESSING), "{:?}", handlers.behind);
     assert!(
--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -264,7 +264,7 @@
                     "entries" => updates[before..].iter().map(|n| n.entries.len()).sum::<usize>());
             }
         }
-        turn.unfinished.push(EventSource::Call(id));
+        turn.defer(EventSource::Call(id));
     }
 
     /// Takes the received part of an answer, which may be split anywhere.
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -41,7 +41,7 @@
     pub fn listen_for_clients(&mut self, turn: &mut Turn, listener: TcpListener) -> io::Result<()> {
         self.listener = Some(Polled::new(turn, listener, EventSource::Listener)?);
         // The poll is edge-triggered and does not report connections that arrived before the registration.
-        turn.unfinished.push(EventSource::Listener);
+        turn.defer(EventSource::Listener);
         Ok(())
     }
 
@@ -51,21 +51,21 @@
         if let Some(former) = self.peer_listener.replace(polled) {
             former.close(turn);
         }
-        turn.unfinished.push(EventSource::PeerListener);
+        turn.defer(EventSource::PeerListener);
         Ok(())
     }
 
     /// Accepts connections of clients.
     pub fn accept(&mut self, turn: &mut Turn) {
         if self.accept_from(turn, Source::Client) == Backlog::More {
-            turn.unfinished.push(EventSource::Listener);
+            turn.defer(EventSource::Listener);
         }
     }
 
     /// Accepts connections of other proxies.
     pub fn accept_peers(&mut self, turn: &mut Turn) {
         if self.accept_from(turn, Source::Proxy) == Backlog::More {
-            turn.unfinished.push(EventSource::PeerListener);
+            turn.defer(EventSource::PeerListener);
         }
     }
 
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -36,7 +36,7 @@
                 break;
             }
             if n == MESSAGES_PER_TURN {
-                turn.unfinished.push(EventSource::Session(id));
+                turn.defer(EventSource::Session(id));
                 break;
             }
             let processed = match s.stage {
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -120,7 +120,7 @@
             }
             if n == READS_PER_TURN {
                 s.inbound.record_unread(&s.polled.socket, arrived);
-                turn.unfinished.push(EventSource::Session(id));
+                turn.defer(EventSource::Session(id));
                 break;
             }
             full = s.inbound.is_full();
@@ -159,7 +159,7 @@
         // While the ring was full the socket was not read until it would block, and the edge-triggered poll
         // reports readiness only once.
         if full && self.sessions.get(&id).is_some_and(|s| !s.inbound.is_full()) {
-            turn.unfinished.push(EventSource::Session(id));
+            turn.defer(EventSource::Session(id));
         }
     }
 
@@ -174,7 +174,7 @@
                 Err(_) => {
                     // The connection is broken. The session is closed when it is next processed.
                     s.disconnected = true;
-                    return turn.unfinished.push(EventSource::Session(id));
+                    return turn.defer(EventSource::Session(id));
                 }
             }
         }
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -12,6 +12,7 @@
 use crate::exchange::{AnswerForm, Body, Exchange, FinalAnswer, IncomingRequest};
 use crate::ids::SessionId;
 use crate::pg::{Writer, MAX_BUFFERED_ANSWER};
+use crate::ready_queue::Phase;
 use crate::ring::MAX_RING_SIZE;
 use crate::turn::{ReadySources, Turn};
 
@@ -214,7 +215,7 @@
                 // left.
                 assert!(matches!(last, FinalAnswer::Refused { .. }), "{last:?}");
                 self.frontend.answer(&mut self.turn, &mut self.exchange, request, last);
-            } else if self.turn.unfinished.pop().is_some() {
+            } else if self.turn.ready.pop(Phase::Clients).is_some() {
                 self.frontend.ready(&mut self.turn, &mut self.exchange, self.id);
             } else {
                 return self.exchange.figures().expired_unsent;
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -30,6 +30,7 @@
 mod position;
 mod proc_stats;
 mod proxy;
+mod ready_queue;
 mod resumed;
 mod ring;
 mod routing;
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::deadlines::Deadlines;
 use crate::ids::{CallId, CallerId, ServerId, SessionId};
+use crate::ready_queue::ReadyQueue;
 use crate::ring::retry_interrupted;
 use crate::work_times::WorkTimes;
 
@@ -66,14 +67,14 @@
 pub struct Turn {
     /// The time at which the source or deadline in progress started.
     pub now: Micros,
-    /// How long bytes that are read now may have been waiting in the socket while the loop was busy or had no
-    /// CPU.
+    /// How long the work of the source in progress may have been waiting, such as bytes in its socket, while
+    /// the loop was busy or had no CPU.
     pub unread_for: Micros,
     pub clock: Clock,
     pub deadlines: Deadlines,
     pub log: Logger,
-    /// Sources with more work than one turn allows; they are processed first in the next turn.
-    pub unfinished: Vec<EventSource>,
+    /// Sources that wait for their share of a turn.
+    pub ready: ReadyQueue,
     /// What this turn's time goes to.
     pub work: WorkTimes,
     handle: LoopHandle<'static, ReadySources>,
@@ -89,12 +90,18 @@
             clock,
             deadlines: Deadlines::default(),
             log,
-            unfinished: Vec::new(),
+            ready: ReadyQueue::default(),
             work: WorkTimes::new(now),
             handle,
         }
     }
 
+    /// Has a source processed in the next turn, or in a later phase of this one: it has more work than a share
+    /// allows, or work that the poll does not report.
+    pub fn defer(&mut self, source: EventSource) {
+        self.ready.push(source, self.now);
+    }
+
     /// Registers a socket with the poll, edge-triggered: a part must use a ready socket until it would block.
     fn register<S: AsFd + 'static>(
         &self,
