An answered client's next request waits for the client's next share of a turn

Cause: Frontend::answer went on to read and submit the client's next request in the same call. Where that is answered at once (its time is over, it is refused), the answer does the same, and so on: one timer of the decisions ran through all that the client had sent and went on sending.

Mend: answer puts the session into the queue. A session has one request at a time, so that a turn submits one request for each session at most.

flood_of_pipelined_reads_… and flood_of_unknown_sets_… failed before and pass; all 12 floods pass together in 6 s, with no turn over 50 ms of a processor in a build without optimization. cargo test -p gradeshunt without the listed tests: all pass.

--- a/crates/gradeshunt/src/cycle/tests.rs
+++ b/crates/gradeshunt/src/cycle/tests.rs
@@ -53,7 +53,9 @@
     let mut handlers = Slow { core, behind: None, arrived: None };
     let began = handlers.core.turn.clock.now();
     handlers.core.turn.now = began;
-    [EventSource::Control, EventSource::FileTask].map(|source| handlers.core.turn.defer(source));
+    for source in [EventSource::Control, EventSource::FileTask] {
+        handlers.core.turn.defer(source);
+    }
     cycle.run_turn(&mut handlers, Some(Duration::ZERO)).expect("a turn");
     assert!(handlers.behind.is_some_and(|behind| behind < LONG_PROCESSING), "{:?}", handlers.behind);
     assert!(
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -9,7 +9,7 @@
 use crate::exchange::{Exchange, FinalAnswer};
 use crate::ids::SessionId;
 use crate::pg::{sqlstate, Writer};
-use crate::turn::Turn;
+use crate::turn::{EventSource, Turn};
 
 impl Frontend {
     /// Passes one part of a long answer on to the client.
@@ -84,8 +84,9 @@
         }
         // Flush before reading: a client that sends Terminate right behind its request still gets its answer.
         self.flush(turn, id);
-        // Bytes that the client sent in the meantime may still be unread in the socket.
-        self.ready(turn, exchange, id);
+        // The next request, which may still be unread in the socket, waits for the client's next share: a
+        // request that is answered at once would be followed by all that the client has sent.
+        turn.defer(EventSource::Session(id));
     }
 
     /// Forgets a finished request and frees its id; returns the session that waited for it.
