Bound a turn of the event loop by time, phase by phase

A deadline that sets another one for now kept a turn going as long as a handler took longer than the clock's step.

Mend: a phase gives no further share after 5 ms, deadlines end after 10 ms, each after the first; the rest comes first in the next turn. Deadlines are taken up to the time at which they began, so that one that is set meanwhile waits. So db hosts and deadlines get their turn whatever clients send: 25 ms and the last share of each phase.

--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -15,6 +15,11 @@
 use crate::turn::{EventSource, ReadySources};
 use crate::work_times::WorkTimes;
 
+/// After this time no further source of a phase gets its share in a turn; the rest comes first in the next one.
+const PHASE_TIME: Micros = 5_000;
+/// After this time no further expired deadline is processed in a turn.
+const DEADLINES_TIME: Micros = 10_000;
+
 /// The handlers of ready sources and expired deadlines.
 pub trait Handlers {
     /// The control part, which has the deadlines.
@@ -59,7 +64,7 @@
     }
 
     /// Runs one turn: waits up to `wait` for sources, then gives each source that is ready one share, and
-    /// processes all expired deadlines.
+    /// processes the deadlines that have expired. What a turn has no time for comes first in the next one.
     ///
     /// # Errors
     ///
@@ -72,14 +77,7 @@
         for phase in Phase::ALL {
             run_phase(handlers, phase);
         }
-        loop {
-            let turn = &mut handlers.core().turn;
-            turn.unread_for = turn.now - input_since;
-            let Some(due) = turn.deadlines.pop_expired(turn.now) else { break };
-            handlers.on_deadline(due);
-            let now = advance(handlers.core());
-            handlers.core().loop_stats.record(due.name(), now);
-        }
+        run_deadlines(handlers, input_since);
         let core = handlers.core();
         core.loop_stats.end(&core.turn.log, &core.turn.work);
         Ok(())
@@ -108,10 +106,15 @@
     }
 }
 
-/// Gives one share to each source that waits in a phase. What is put back meanwhile waits for the next turn.
+/// Gives one share to each source that waits in a phase, as far as there is time, and to the first in any
+/// case. What is put back meanwhile waits for the next turn.
 fn run_phase(handlers: &mut impl Handlers, phase: Phase) {
+    let began = handlers.core().turn.now;
     for _ in 0..handlers.core().turn.ready.len(phase) {
         let turn = &mut handlers.core().turn;
+        if turn.now - began > PHASE_TIME {
+            return;
+        }
         let Some((source, since)) = turn.ready.pop(phase) else { return };
         turn.unread_for = turn.now - since;
         handlers.on_event(source);
@@ -120,6 +123,23 @@
     }
 }
 
+/// Processes the deadlines that have expired by now, as far as there is time, and the first in any case.
+/// Deadlines that are set meanwhile wait for the next turn, however early they are.
+fn run_deadlines(handlers: &mut impl Handlers, input_since: Micros) {
+    let began = handlers.core().turn.now;
+    loop {
+        let turn = &mut handlers.core().turn;
+        turn.unread_for = turn.now - input_since;
+        if turn.now - began > DEADLINES_TIME {
+            return;
+        }
+        let Some(due) = turn.deadlines.pop_expired(began) else { return };
+        handlers.on_deadline(due);
+        let now = advance(handlers.core());
+        handlers.core().loop_stats.record(due.name(), now);
+    }
+}
+
 /// Advances the turn's time once a source or deadline is processed, and returns it. Without this, requests at
 /// the end of a long turn would send their db hosts a remaining wait that includes time the turn has already
 /// used.
