A long answer is passed on in shares, however fast its client reads

Seen by a new test: beside clients that read results of 30 MB as fast as their db hosts send them, each turn took 114 to 128 ms, and would take as long as the result is.

Cause: once the client's side has room again, the rest was read from the db host in the same call, which passed on more, and so on: one event of a db host led to 1,369 commands and as many parts in one turn (work=db host commands=75ms/1369, answers= 40ms/1371, spent db host=117ms/1).

Mend: Resume puts the connection into the queue; a share begins with what has arrived. Reading once is a function of its own.

result_that_is_read_as_fast_as_it_is_sent_… failed before by its bound of 50 ms of a processor and passes. changes_without_end_from_discovery_… passed before as well: the test's thread writes slower than the process reads. attempts, exchanges, plain pass. The floods' tests have a fixture of their own now.

--- a/crates/gradeshunt/src/backend.rs
+++ b/crates/gradeshunt/src/backend.rs
@@ -27,8 +27,7 @@
 use crate::deadlines::DeadlineKind;
 use crate::exchange::{AttemptId, BackendCommand, Exchange};
 use crate::ids::ServerId;
-use crate::pg::Malformed;
-use crate::turn::Turn;
+use crate::turn::{EventSource, Turn};
 
 /// A long answer is given up after this time without progress.
 const STALL_TIMEOUT: Micros = 5_000_000;
@@ -93,11 +92,10 @@
                 self.begin_job(turn, exchange, member, Job::Probe { since: turn.now, written: None });
             }
             BackendCommand::Resume(id) => {
-                if let Some((_, JobPlace::On(server))) = self.attempts.get(&id).copied() {
-                    match self.handle_messages(turn, exchange, server) {
-                        Ok(()) => self.handle_socket_ready(turn, exchange, server),
-                        Err(Malformed(what)) => self.answer_malformed(turn, exchange, server, what),
-                    }
+                // In a share of its own: a client that reads as fast as its db host sends would have the whole
+                // answer passed on at once.
+                if let Some((_, JobPlace::On(server))) = self.attempts.get(&id) {
+                    turn.defer(EventSource::Server(*server));
                 }
             }
             BackendCommand::Cancel(id) => self.give_up(turn, exchange, id, Ending::Cancelled),
--- a/crates/gradeshunt/src/backend/reading.rs
+++ b/crates/gradeshunt/src/backend/reading.rs
@@ -43,42 +43,56 @@
 }
 
 impl Backend {
+    /// Writes to a connection and reads from it, as far as its share of a turn allows.
     pub fn handle_socket_ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) {
         if let Err(why) = self.flush(turn, exchange, id) {
             return self.write_failed(turn, exchange, id, why);
         }
-        for _ in 0..MAX_READS_PER_TURN {
-            let Some(s) = self.connections.get_mut(&id) else { return };
-            if s.is_streaming() {
-                // What the frontend cannot take yet is left in the db host's connection;
-                // `BackendCommand::Resume` follows.
-                if s.inbound.len() >= READ_SIZE {
-                    return;
-                }
-                s.inbound.reserve(READ_SIZE);
-            }
-            let moved = s.inbound.read_from(&s.polled.socket);
-            let end = match moved {
-                Ok(Transfer::Blocked) => return,
-                Ok(Transfer::Bytes(_)) => None,
-                Ok(Transfer::End) => Some("closed by the db host".to_owned()),
-                Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
-                Err(e) => Some(e.to_string()),
-            };
+        // What has arrived of a long answer may be passed on now, if its client has read what came before.
+        if self.connections.get(&id).is_some_and(HostConnection::is_streaming) {
             if let Err(Malformed(what)) = self.handle_messages(turn, exchange, id) {
                 return self.answer_malformed(turn, exchange, id, what);
             }
-            if let Some(why) = end {
-                // Reading meets the end again once the frontend has taken the data before it.
-                if self.connections.get(&id).is_some_and(|s| s.is_streaming() && !s.inbound.is_empty()) {
-                    return;
-                }
-                return self.connection_failed(turn, exchange, id, &why);
+        }
+        for _ in 0..MAX_READS_PER_TURN {
+            if !self.read_once(turn, exchange, id) {
+                return;
             }
         }
         turn.defer(EventSource::Server(id));
     }
 
+    /// Reads once from a connection and handles what has arrived. Returns whether more may be read now.
+    fn read_once(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: ServerId) -> bool {
+        let Some(s) = self.connections.get_mut(&id) else { return false };
+        if s.is_streaming() {
+            // What the frontend cannot take yet is left in the db host's connection; `BackendCommand::Resume`
+            // follows.
+            if s.inbound.len() >= READ_SIZE {
+                return false;
+            }
+            s.inbound.reserve(READ_SIZE);
+        }
+        let end = match s.inbound.read_from(&s.polled.socket) {
+            Ok(Transfer::Blocked) => return false,
+            Ok(Transfer::Bytes(_)) => None,
+            Ok(Transfer::End) => Some("closed by the db host".to_owned()),
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => return false,
+            Err(e) => Some(e.to_string()),
+        };
+        if let Err(Malformed(what)) = self.handle_messages(turn, exchange, id) {
+            self.answer_malformed(turn, exchange, id, what);
+            return false;
+        }
+        let Some(why) = end else { return true };
+        // Reading meets the end again once the frontend has taken the data before it.
+        let has_rest = |s: &HostConnection| s.is_streaming() && !s.inbound.is_empty();
+        if !self.connections.get(&id).is_some_and(has_rest) {
+            self.connection_failed(turn, exchange, id, &why);
+        }
+        false
+    }
+
     /// Handles the complete messages that have arrived.
     pub(super) fn handle_messages(
         &mut self,
--- /dev/null
+++ b/crates/gradeshunt/tests/floods/main.rs
@@ -0,0 +1,6 @@
+//! Peers that send at full speed, beside clients that send one request at a time and are owed their answers
+//! in time.
+
+mod fixture;
+mod messages;
+mod other_peers;
