Bound what an operator's connection is read in a turn

Seen by a new test: four threads that write behind one operator's call without end held up the event loop for 172 and 1,823 ms in one event (spent: operators=1822ms/1); four clients beside it lost 3 answers of 3, the longest 2.0 s.

Cause: Control::ready read until the socket would block, which it does not while bytes come as fast as they are passed over.

Mend: 8 reads in a turn, as for clients and db hosts; the rest waits for the caller's next share. By reading, and mended with it: behind each answer the sending side was shut down again at each wake-up, and each shutdown wakes the poll.

--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -25,6 +25,8 @@
 const LINGER: Micros = 500_000;
 /// Pause after a failed accept.
 const ACCEPT_RETRY: Micros = 20_000;
+/// Maximum number of reads of one connection in one turn.
+const READS_PER_TURN: usize = 8;
 
 /// A command of an operator.
 #[derive(Debug, PartialEq, Eq)]
@@ -97,6 +99,9 @@
     Executing,
     /// The response is written or buffered; further input is discarded until the caller closes.
     Answered,
+    /// The response is written and the sending side is shut down, which happens only once, because each
+    /// shutdown wakes the poll.
+    Lingering,
 }
 
 /// An operator's connection.
@@ -158,7 +163,7 @@
             // Closes the oldest connection that is answered or has nothing unread; if there is none, the
             // oldest one.
             let may_make_room = |c: &Caller| match c.stage {
-                Stage::Answered => true,
+                Stage::Answered | Stage::Lingering => true,
                 Stage::Executing => false,
                 Stage::Receiving => c.polled.is_quiet(),
             };
@@ -180,10 +185,10 @@
         Ok(())
     }
 
-    /// Reads and writes as far as possible. Returns a complete call once; the proxy carries it out and
-    /// then calls [`Control::respond`].
+    /// Reads and writes as far as its share of a turn allows. Returns a complete call once; the proxy carries
+    /// it out and then calls [`Control::respond`].
     pub fn ready(&mut self, turn: &mut Turn, id: CallerId) -> Option<Command> {
-        loop {
+        for _ in 0..READS_PER_TURN {
             let c = self.callers.get_mut(&id)?;
             let moved =
                 c.outbound.write_to(&c.polled.socket).and_then(|_| c.inbound.read_from(&c.polled.socket));
@@ -191,18 +196,26 @@
                 (Ok(Transfer::Blocked), Stage::Answered) if c.outbound.is_empty() => {
                     // An immediate close could reset the connection and destroy what the caller has yet to
                     // read.
+                    c.stage = Stage::Lingering;
                     let _ = c.polled.socket.shutdown(Shutdown::Write);
                     return None;
                 }
                 (Ok(Transfer::Blocked), _) => return None,
-                (Ok(Transfer::Bytes(n)), Stage::Answered | Stage::Executing) => c.inbound.consume(n),
+                (Ok(Transfer::Bytes(n)), Stage::Answered | Stage::Executing | Stage::Lingering) => {
+                    c.inbound.consume(n)
+                }
                 (Ok(Transfer::Bytes(_)), Stage::Receiving) => match parse_call(c.inbound.bytes()) {
                     Ok(None) => {}
                     Ok(Some(command)) => {
                         (c.stage, c.inbound) = (Stage::Executing, Ring::default());
+                        // More may be unread, and the edge-triggered poll reports it only once.
+                        turn.defer(EventSource::Caller(id));
                         return Some(command);
                     }
-                    Err(response) => self.respond(turn, id, &response),
+                    Err(response) => {
+                        self.respond(turn, id, &response);
+                        return None;
+                    }
                 },
                 // A caller that has shut down its sending side still waits for the response.
                 (Ok(Transfer::End), Stage::Executing) => return None,
@@ -212,6 +225,8 @@
                 }
             }
         }
+        turn.defer(EventSource::Caller(id));
+        None
     }
 
     /// Writes the response to a call.
@@ -219,10 +234,12 @@
         let Some(c) = self.callers.get_mut(&id) else { return };
         (c.stage, c.inbound) = (Stage::Answered, Ring::default());
         let _ = c.outbound.push(&response.bytes());
+        // An error is met again in the caller's next share.
+        let _ = c.outbound.write_to(&c.polled.socket);
         turn.deadlines.clear(c.due, DeadlineKind::Caller(id));
         c.due = turn.now + LINGER;
         turn.deadlines.set(c.due, DeadlineKind::Caller(id));
-        self.ready(turn, id);
+        turn.defer(EventSource::Caller(id));
     }
 
     /// Handles an expired deadline: the call did not arrive or was not carried out in time, or the caller did
@@ -234,7 +251,7 @@
                 warn!(turn.log, "an operator's call was not carried out in time, but may still be");
                 self.respond(turn, id, &Response::new(504, "not carried out in time, but may be yet\n"));
             }
-            Some(Stage::Answered) => self.close(turn, id),
+            Some(Stage::Answered | Stage::Lingering) => self.close(turn, id),
             None => {}
         }
     }
--- a/crates/gradeshunt/tests/floods/other_peers.rs
+++ b/crates/gradeshunt/tests/floods/other_peers.rs
@@ -1,4 +1,4 @@
-//! Db hosts and discovery that send at full speed.
+//! Operators, db hosts and discovery that send at full speed.
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -14,6 +14,8 @@
 const FLOOD: Duration = Duration::from_secs(2);
 /// Rows of a long result.
 const ROWS: usize = 1_000;
+/// Threads that write to one connection.
+const WRITERS: usize = 4;
 
 /// Writes the same bytes until the time is over or the connection ends.
 fn write_at_full_speed(stream: &mut TcpStream, bytes: &[u8]) {
@@ -21,6 +23,28 @@
     while began.elapsed() < FLOOD && stream.write_all(bytes).is_ok() {}
 }
 
+/// Guards the event loop against an operator's call behind which bytes come without end.
+#[test]
+fn bytes_behind_an_operators_call_delay_no_client() {
+    let mut fixture = Fixture::open("operator");
+    let control = fixture.process.control;
+    fixture.assert_in_time_beside(|| {
+        let began = Instant::now();
+        while began.elapsed() < FLOOD {
+            let Ok(mut stream) = TcpStream::connect(control) else { continue };
+            let called = stream.write_all(b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n");
+            called.expect("the operators' address takes calls");
+            // Several threads, so that the process can't read faster than they write.
+            thread::scope(|scope| {
+                for _ in 0..WRITERS {
+                    let mut stream = stream.try_clone().expect("a descriptor");
+                    scope.spawn(move || write_at_full_speed(&mut stream, &[b'x'; 64 * 1024]));
+                }
+            });
+        }
+    });
+}
+
 /// Guards the event loop against a result without end that its db host sends as fast as its client reads.
 #[test]
 fn result_that_is_read_as_fast_as_it_is_sent_delays_no_client() {
