At SIGTERM, accept what waits and close who rests in shares of a turn

Mend: one call accepts one share, and is repeated in the next turn while more wait; the clients are put into the queue.

In standby as well.

--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -10,10 +10,9 @@
 use super::session::{Session, Stage};
 use super::{Frontend, ServiceState};
 use crate::deadlines::DeadlineKind;
-use crate::exchange::Exchange;
 use crate::ids::SessionId;
 use crate::pg::Writer;
-use crate::turn::Turn;
+use crate::turn::{EventSource, Turn};
 
 /// How long a client may take to send its first request before it is among the first to be evicted.
 pub(super) const FIRST_REQUEST_LIMIT: Micros = 2_100_000;
@@ -34,20 +33,19 @@
 
 impl Frontend {
     /// Enters or leaves standby; in standby, clients are closed between requests.
-    pub fn set_standby(&mut self, turn: &mut Turn, exchange: &mut Exchange, standby: bool) {
+    pub fn set_standby(&mut self, turn: &mut Turn, standby: bool) {
         match self.service {
             ServiceState::Closing => {}
-            _ if standby => self.start_draining(turn, exchange, ServiceState::Standby),
+            _ if standby => self.start_draining(turn, ServiceState::Standby),
             _ => self.service = ServiceState::Running,
         }
     }
 
-    /// Enters a draining state and closes every client that is between requests.
-    pub(super) fn start_draining(&mut self, turn: &mut Turn, exchange: &mut Exchange, service: ServiceState) {
+    /// Enters a draining state. Every client gets a share of a turn, in which it is closed if it is between
+    /// requests.
+    pub(super) fn start_draining(&mut self, turn: &mut Turn, service: ServiceState) {
         self.service = service;
-        for id in self.sessions.keys().copied().collect::<Vec<_>>() {
-            self.ready(turn, exchange, id);
-        }
+        self.sessions.keys().for_each(|id| turn.defer(EventSource::Session(*id)));
     }
 
     /// While the proxy drains, closes a client that has nothing unread and nothing unanswered. A client that
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -12,7 +12,6 @@
 use super::{Frontend, ServiceState};
 use crate::accept_failure::AcceptFailure;
 use crate::deadlines::DeadlineKind;
-use crate::exchange::Exchange;
 use crate::ids::SessionId;
 use crate::inbound::InputBuffer;
 use crate::pg::{sqlstate, Writer};
@@ -154,27 +153,20 @@
     /// Stops accepting after SIGTERM and starts to close clients between requests. If another process has
     /// taken over (`has_successor`), connections in the backlog are left to it; the two share the socket, so
     /// it must not be shut down.
-    pub fn close_listener(&mut self, turn: &mut Turn, exchange: &mut Exchange, has_successor: bool) {
+    pub fn close_listener(&mut self, turn: &mut Turn, has_successor: bool) {
         // Without a successor, connections that the kernel has already accepted are still served.
-        let backlog = std::iter::repeat_with(|| {
-            if has_successor {
-                Backlog::Empty
-            } else {
-                self.accept_from(turn, Source::Client)
-            }
-        })
-        .find(|b| *b != Backlog::More);
-        if backlog == Some(Backlog::Failed) {
+        let backlog = if has_successor { Backlog::Empty } else { self.accept_from(turn, Source::Client) };
+        match backlog {
+            Backlog::More => turn.deadlines.set(turn.now, DeadlineKind::CloseListener),
             // Closing the socket would reset the waiting connections. Clients that disconnect make room for
             // them, so the close is retried later.
-            turn.deadlines.set(turn.now + ACCEPT_RETRY, DeadlineKind::CloseListener);
-        } else if let Some(listener) = self.listener.take() {
-            listener.close(turn);
+            Backlog::Failed => turn.deadlines.set(turn.now + ACCEPT_RETRY, DeadlineKind::CloseListener),
+            Backlog::Empty => self.listener.take().into_iter().for_each(|listener| listener.close(turn)),
         }
         // Other proxies treat a refused connection as a home that is gone, and use the next one.
         if let Some(listener) = self.peer_listener.take() {
             listener.close(turn);
         }
-        self.start_draining(turn, exchange, ServiceState::Closing);
+        self.start_draining(turn, ServiceState::Closing);
     }
 }
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -14,7 +14,7 @@
 use crate::pg::{Writer, MAX_BUFFERED_ANSWER};
 use crate::ready_queue::Phase;
 use crate::ring::MAX_RING_SIZE;
-use crate::turn::{ReadySources, Turn};
+use crate::turn::{EventSource, ReadySources, Turn};
 
 /// Slow clients are not evicted early when many clients are open: they may take 2 s to send a request, and
 /// clients that already had an answer are evicted first.
@@ -334,3 +334,23 @@
     let due = pipeline.frontend.sessions[&pipeline.id].deadline.expect("the session has a deadline");
     assert_eq!(due, STOPPED + super::session::MESSAGE_TIMEOUT);
 }
+
+/// Guards the event loop at SIGTERM: connections that wait to be accepted and clients that are open are taken
+/// in shares, not in one call.
+#[test]
+fn sigterm_spreads_waiting_connections_and_open_clients_over_turns() {
+    const WAITING: usize = 200;
+    let (mut frontend, mut turn, _client, id, _poll) = frontend_with_one_client();
+    frontend.set_limits(&mut turn, 2 * WAITING, 1 << 20);
+    let listener = crate::turn::listening_socket(([127, 0, 0, 1], 0).into()).expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    frontend.listen_for_clients(&mut turn, listener).expect("the listener is registered");
+    let waiting: Vec<_> = (0..WAITING).map(|_| TcpStream::connect(addr).expect("a connection")).collect();
+    frontend.close_listener(&mut turn, false);
+    assert!(frontend.sessions.len() <= 1 + WAITING / 2, "{} sessions in one call", frontend.sessions.len());
+    assert_eq!(turn.ready.pop(Phase::Clients).map(|(source, _)| source), Some(EventSource::Session(id)));
+    for _ in 0..WAITING {
+        frontend.close_listener(&mut turn, false);
+    }
+    assert_eq!((frontend.sessions.len(), frontend.may_accept()), (1 + waiting.len(), false));
+}
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -312,7 +312,7 @@
             }
             DeadlineKind::SharedFolderTimeout => self.begin(),
             DeadlineKind::ScanIdleClients => self.frontend.close_idle_clients(turn),
-            DeadlineKind::CloseListener => self.frontend.close_listener(turn, exchange, false),
+            DeadlineKind::CloseListener => self.frontend.close_listener(turn, false),
             DeadlineKind::DiscoveryTimeout if self.frontend.has_hosts => self.serve(),
             DeadlineKind::DiscoveryTimeout => {
                 turn.deadlines.set(turn.now + SHARED_STATE_POLL_INTERVAL, DeadlineKind::DiscoveryTimeout)
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -92,7 +92,7 @@
     /// successor's.
     pub(super) fn hand_over(&mut self) {
         if may_hand_over(self.is_terminating, self.shared.has_successor()).is_ok() {
-            self.frontend.close_listener(&mut self.core.turn, &mut self.core.exchange, true);
+            self.frontend.close_listener(&mut self.core.turn, true);
         }
     }
 
--- a/crates/gradeshunt/src/proxy/operators.rs
+++ b/crates/gradeshunt/src/proxy/operators.rs
@@ -52,7 +52,7 @@
             control::Command::Standby | control::Command::Active => {
                 let standby = command == control::Command::Standby;
                 info!(turn.log, "standby switched by an operator"; "standby" => standby);
-                self.frontend.set_standby(turn, exchange, standby);
+                self.frontend.set_standby(turn, standby);
                 Response::new(200, if standby { "sending clients away\n" } else { "serving\n" })
             }
             control::Command::HoldOut(id) => return self.hold_out(caller, &id, true),
