Judge the processor time of each turn: app_violations{rule="turn_time"}

A turn of the event loop may use 50 ms of a processor, beside what a list of db hosts needs; more is counted and logged as a violation, by processor time, so that a busy machine isn't blamed on the program. Lists from discovery are applied before more is read, and taken from a queue: each was removed from the front of a vector, which is quadratic in small changes (by reading).

--- a/crates/gradeshunt/src/control_core.rs
+++ b/crates/gradeshunt/src/control_core.rs
@@ -2,6 +2,7 @@
 //! that passes between them. It has no sockets of clients or db hosts; the parts that have them carry out the
 //! [`Step`]s that it returns.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use calloop::EventLoop;
@@ -16,6 +17,7 @@
 use crate::loop_stats::LoopStats;
 use crate::placing::PlacementRouter;
 use crate::turn::{EventSource, ReadySources, Turn};
+use crate::work_times::Work;
 
 /// The control part of a proxy.
 pub struct Core {
@@ -25,8 +27,10 @@
     pub(crate) loop_stats: LoopStats,
     /// The list of db hosts from the configuration, until [`Core::start`].
     configured_list: Option<ListUpdate>,
-    /// Lists and changes from discovery that the decision module has not processed yet.
-    pending_updates: Vec<ListUpdate>,
+    /// Lists and changes that discovery's client has delivered since the last step.
+    new_updates: Vec<ListUpdate>,
+    /// Lists and changes that the decision module has not processed yet.
+    pending_updates: VecDeque<ListUpdate>,
 }
 
 /// Work for the parts that have sockets.
@@ -39,6 +43,17 @@
     Answer(RequestId, Answer),
 }
 
+impl Step {
+    /// The kind of work that carrying it out counts as.
+    pub(crate) fn kind_of_work(&self) -> Work {
+        match self {
+            Step::List(_) => Work::Lists,
+            Step::Order(_) => Work::HostCommands,
+            Step::Answer(..) => Work::Answers,
+        }
+    }
+}
+
 /// A list of db hosts, or a change to it, that the decision module has processed.
 pub struct List {
     pub(crate) kind: ListKind,
@@ -94,20 +109,28 @@
         exchange.sites = config.sites.take();
         exchange.placing = placing;
         let loop_stats = LoopStats::new(turn.now);
-        Ok(Core { turn, exchange, discovery, loop_stats, configured_list, pending_updates: Vec::new() })
+        Ok(Core {
+            turn,
+            exchange,
+            discovery,
+            loop_stats,
+            configured_list,
+            new_updates: Vec::new(),
+            pending_updates: VecDeque::new(),
+        })
     }
 
     /// Applies the list of db hosts from the configuration and starts to watch discovery.
     pub fn start(&mut self) {
         // The configured list may be outdated, so it is applied before anything from discovery.
         self.pending_updates.extend(self.configured_list.take());
-        self.discovery.start(&mut self.turn, &mut self.pending_updates);
+        self.discovery.start(&mut self.turn, &mut self.new_updates);
     }
 
     /// Processes a source that has become ready. Returns false if the source belongs to another part.
     pub fn process_event(&mut self, source: EventSource) -> bool {
         let EventSource::Call(id) = source else { return false };
-        self.discovery.ready(&mut self.turn, id, &mut self.pending_updates);
+        self.discovery.ready(&mut self.turn, id, &mut self.new_updates);
         true
     }
 
@@ -117,8 +140,8 @@
             DeadlineKind::Module(tag) => self.exchange.timer_due(&mut self.turn, tag),
             DeadlineKind::Overdue(id) => self.exchange.answer_overdue(&mut self.turn, id),
             DeadlineKind::ForwardAgain(id) => self.exchange.forward_due(&mut self.turn, id),
-            DeadlineKind::Call(id) => self.discovery.call_due(&mut self.turn, id, &mut self.pending_updates),
-            DeadlineKind::ReopenWatch => self.discovery.reopen_due(&mut self.turn, &mut self.pending_updates),
+            DeadlineKind::Call(id) => self.discovery.call_due(&mut self.turn, id, &mut self.new_updates),
+            DeadlineKind::ReopenWatch => self.discovery.reopen_due(&mut self.turn, &mut self.new_updates),
             _ => return false,
         }
         true
@@ -126,7 +149,7 @@
 
     /// Changes discovery's address or the time for which discovery may be silent.
     pub(crate) fn set_discovery(&mut self, to: SocketAddr, silence: Micros) {
-        self.discovery.move_to(&mut self.turn, to, silence, &mut self.pending_updates);
+        self.discovery.move_to(&mut self.turn, to, silence, &mut self.new_updates);
     }
 
     /// Passes queued data between the parts of the core until there is work for another part, or none is
@@ -135,9 +158,9 @@
         loop {
             // The decision module processes a change of the list before the connection pool does, and before
             // any further request is sent.
+            self.pending_updates.extend(self.new_updates.drain(..));
             self.pending_updates.extend(self.discovery.corrected_starts(&self.turn.clock));
-            if !self.pending_updates.is_empty() {
-                let update = self.pending_updates.remove(0);
+            if let Some(update) = self.pending_updates.pop_front() {
                 return Some(Step::List(self.apply_list(update)));
             }
             if let Some(order) = self.exchange.backend_commands.pop_front() {
@@ -147,7 +170,7 @@
                 return Some(Step::Answer(request, answer));
             }
             let ask = self.exchange.discovery_calls.pop_front()?;
-            self.discovery.ask(&mut self.turn, ask, &mut self.pending_updates);
+            self.discovery.ask(&mut self.turn, ask, &mut self.new_updates);
         }
     }
 
@@ -157,7 +180,9 @@
         for what in &why {
             warn!(self.turn.log, "unreadable entry in the list of db hosts"; "what" => what, "of" => unreadable);
         }
+        let interrupted = self.turn.work.begin(Work::Lists, self.turn.clock.now());
         self.exchange.update_members(&mut self.turn, kind, entries);
+        self.turn.work.end(interrupted, self.turn.clock.now());
         List { kind, listed }
     }
 }
--- a/crates/gradeshunt/src/cycle.rs
+++ b/crates/gradeshunt/src/cycle.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use calloop::EventLoop;
+use leadmast::invariant::{violates_turn_time, Rule};
 use leadmast::Micros;
 use slog::info;
 
@@ -13,7 +14,7 @@
 use crate::ready_queue::Phase;
 use crate::transient::retry_while_transient;
 use crate::turn::{EventSource, ReadySources};
-use crate::work_times::WorkTimes;
+use crate::work_times::{Work, WorkTimes};
 
 /// After this time no further source of a phase gets its share in a turn; the rest comes first in the next one.
 const PHASE_TIME: Micros = 5_000;
@@ -78,8 +79,7 @@
             run_phase(handlers, phase);
         }
         run_deadlines(handlers, input_since);
-        let core = handlers.core();
-        core.loop_stats.end(&core.turn.log, &core.turn.work);
+        end_turn(handlers.core());
         Ok(())
     }
 
@@ -106,6 +106,14 @@
     }
 }
 
+/// Updates the statistics, and judges how much processor time the turn has used.
+fn end_turn(core: &mut Core) {
+    let processor_time = core.loop_stats.end(&core.turn.log, &core.turn.work);
+    if violates_turn_time(processor_time, core.turn.work.has_begun(Work::Lists)) {
+        core.exchange.record_violation(&core.turn, Rule::TurnTime, None);
+    }
+}
+
 /// Gives one share to each source that waits in a phase, as far as there is time, and to the first in any
 /// case. What is put back meanwhile waits for the next turn.
 fn run_phase(handlers: &mut impl Handlers, phase: Phase) {
--- a/crates/gradeshunt/src/discovery/mod.rs
+++ b/crates/gradeshunt/src/discovery/mod.rs
@@ -262,6 +262,8 @@
                 self.end_former(turn, id);
                 info!(turn.log, "list of db hosts"; "generation" => self.reader.generation(),
                     "entries" => updates[before..].iter().map(|n| n.entries.len()).sum::<usize>());
+                // What a read has delivered is applied before more is read: it may be many small changes.
+                break;
             }
         }
         turn.defer(EventSource::Call(id));
--- a/crates/gradeshunt/src/loop_stats.rs
+++ b/crates/gradeshunt/src/loop_stats.rs
@@ -134,17 +134,22 @@
     }
 
     /// Ends the turn, and logs it if it was long or late. `work` is what the turn's time went to, by kind of
-    /// work.
-    pub fn end(&mut self, log: &Logger, work: &WorkTimes) {
+    /// work. Returns the processor time that the turn has used.
+    pub fn end(&mut self, log: &Logger, work: &WorkTimes) -> Micros {
         let turn = self.record_turn();
         let cpu_used = proc_stats::thread_cpu_time();
-        self.longest_turn_cpu.add(cpu_used - std::mem::replace(&mut self.cpu_used, cpu_used));
+        let turn_cpu = cpu_used - std::mem::replace(&mut self.cpu_used, cpu_used);
+        self.longest_turn_cpu.add(turn_cpu);
         for (kind, took, _) in work.by_kind() {
             self.by_work.entry(kind).or_default().add(took);
         }
-        if turn.took <= SLOW_TURN && turn.late <= SLOW_TURN {
-            return;
+        if turn.took > SLOW_TURN || turn.late > SLOW_TURN {
+            self.log_turn(log, &turn, work);
         }
+        turn_cpu
+    }
+
+    fn log_turn(&mut self, log: &Logger, turn: &TurnRecord, work: &WorkTimes) {
         let now = self.proc_stats.sample();
         let since = now.since(self.last_sample.1);
         self.last_sample = (self.last_event, now);
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -27,7 +27,6 @@
 use crate::shared::{self, SharedState};
 use crate::transient::retry_while_transient;
 use crate::turn::{self, EventSource, ReadySources};
-use crate::work_times::Work;
 
 const SUMMARY_INTERVAL: Micros = 10_000_000;
 /// Interval at which the state shared with other processes of this proxy is read.
@@ -213,7 +212,7 @@
     /// Carries out a step of the control core that needs sockets.
     fn carry_out_step(&mut self, step: Step) {
         let Core { turn, exchange, .. } = &mut self.core;
-        let interrupted = turn.work.begin(kind_of_work(&step), turn.clock.now());
+        let interrupted = turn.work.begin(step.kind_of_work(), turn.clock.now());
         match step {
             Step::List(list) => self.apply_list(&list),
             Step::Order(order) => self.backend.execute(turn, exchange, order),
@@ -331,14 +330,5 @@
     }
 }
 
-/// The kind of work that a step counts as.
-fn kind_of_work(step: &Step) -> Work {
-    match step {
-        Step::List(_) => Work::Lists,
-        Step::Order(_) => Work::HostCommands,
-        Step::Answer(..) => Work::Answers,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gradeshunt/src/work_times.rs
+++ b/crates/gradeshunt/src/work_times.rs
@@ -71,6 +71,11 @@
         std::mem::replace(&mut self.current, to)
     }
 
+    /// Whether work of a kind has begun.
+    pub fn has_begun(&self, work: Work) -> bool {
+        self.times[work as usize].1 > 0
+    }
+
     /// The kinds that took time, each with its time and how often it began.
     pub fn by_kind(&self) -> impl Iterator<Item = (Work, Micros, u32)> + '_ {
         let all = Work::ALL.into_iter().zip(self.times);
