--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -18,10 +18,15 @@
 pub const MAX_BUFFERED_ANSWER: usize = 96 * 1024;
 /// Maximum size of a startup packet, as in PostgreSQL.
 const MAX_STARTUP_SIZE: usize = 10_000;
+/// The parameters of a startup packet that are used. A packet may hold thousands of others.
+const STARTUP_PARAMETERS: [&[u8]; 3] = [b"user", b"database", b"application_name"];
 
 /// Maximum length of a request id, which bounds the memory for the ids of requests in progress.
 const MAX_ID_LENGTH: usize = 64;
 
+/// Maximum number of names in a routing comment, which bounds the time for parsing it.
+const MAX_ROUTING_FIELDS: usize = 256;
+
 /// Size of a message's type byte and length field.
 const HEADER_SIZE: usize = 5;
 
@@ -64,7 +69,8 @@
 /// The first packet of a connection; it has no type byte.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Startup {
-    /// Start of a session: the requested minor version, the requested `_pq_.` options, and all parameters.
+    /// Start of a session: the requested minor version, the requested `_pq_.` options, and the parameters that
+    /// are used.
     Session { minor: u16, options: Vec<String>, parameters: Vec<(String, String)> },
     /// A request for TLS or GSSAPI encryption.
     Encryption,
@@ -108,7 +114,9 @@
             let mut parts = list.split(|b| *b == 0);
             let mut parameters = Vec::new();
             while let (Some(name), Some(value)) = (parts.next(), parts.next()) {
-                parameters.push((text(name), text(value)));
+                if STARTUP_PARAMETERS.contains(&name) {
+                    parameters.push((text(name), text(value)));
+                }
             }
             Startup::Session { minor: (v & 0xffff) as u16, options, parameters }
         }
@@ -343,7 +351,10 @@
     let mut at = start + 2;
     let (mut id, mut has_key, mut class, mut wait) = (None, false, None, None);
     let (mut repeat, mut cluster, mut after, mut tenant) = (false, None, None, None);
-    for pair in inner.split(',') {
+    for (n, pair) in inner.split(',').enumerate() {
+        if n >= MAX_ROUTING_FIELDS {
+            return Err(format!("the routing comment has more than {MAX_ROUTING_FIELDS} names"));
+        }
         let from = at + (pair.len() - pair.trim_start().len());
         at += pair.len() + 1;
         let (name, value) =
