Tests of db hosts that write a long answer or read a statement slowly

A value of 300 kB that comes in pieces of 10 kB, 100 ms apart, for 3 s: passed on whole. Statements of 250 kB (safe and unsafe) and 20 kB that the db host reads by 1,000 bytes each 100 ms: answered within the wait and 0.5 s. Not tried: a value that pauses for over 5 s, and SIGTERM amid a long value: it is broken off when the last answers are due, which the client can see.

--- a/crates/gradeshunt/tests/attempts/main.rs
+++ b/crates/gradeshunt/tests/attempts/main.rs
@@ -5,6 +5,7 @@
 mod late_copies;
 mod played_host;
 mod reset_behind_answer;
+mod slow_hosts;
 
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
