An id that comes again after its client left does not run a second time

Cause: an id was taken only while its client waited. The client's leaving freed it, the attempt that was out went on, and the id passed for a new request: a second attempt arrived at the db host (id=7 twice, unsafe and keyed), for reads beside the first one.

Mend: the id of a request with an attempt that was written whole stays taken behind its client's leaving, for writes 60 s, for reads as long as an attempt may be out (the rule is permission::id_retired_until). Ids are a module of their own (request_ids).

--- a/crates/gradeshunt/src/exchange/client_side.rs
+++ b/crates/gradeshunt/src/exchange/client_side.rs
@@ -1,8 +1,8 @@
 //! Events from the frontend: new requests, clients that disconnect or cancel, and how much of an answer they
 //! have read.
 
-use leadmast::permission::may_accept;
-use leadmast::{Arrival, Effect, Event, RequestId};
+use leadmast::permission::{id_retired_until, may_accept};
+use leadmast::{Arrival, Effect, Event, Micros, RequestId};
 
 use super::messages::{BackendCommand, FinalAnswer, IncomingRequest, ANSWER_BUFFER_SIZE};
 use super::reason::FinalReason;
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Until when no other request may have the id of this one, if its client leaves now.
+    pub fn id_retired_until(&self, turn: &Turn, id: RequestId) -> Option<Micros> {
+        let r = self.requests.get(&id)?;
+        id_retired_until(turn.now, r.effect, r.any_attempt_written, r.deadline)
+    }
+
     /// The client has cancelled a request and waits for the confirmation. An answer that has begun is still
     /// sent to its end.
     pub fn cancel(&mut self, turn: &mut Turn, id: RequestId) {
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -6,13 +6,14 @@
 mod listener;
 mod messages;
 mod peers;
+mod request_ids;
 mod session;
 mod statements;
 #[cfg(test)]
 mod tests;
 
 use std::collections::hash_map::RandomState;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -20,6 +21,7 @@
 use leadmast::settings::Names;
 use leadmast::{Micros, RequestId, Settings};
 
+use self::request_ids::RequestIds;
 use self::session::Session;
 use crate::exchange::ANSWER_BUFFER_SIZE;
 use crate::ids::SessionId;
@@ -72,8 +74,8 @@
     owners: HashMap<RequestId, RequestOwner>,
     /// Hashes session ids into the secret keys that cancel requests must present.
     secret_hasher: RandomState,
-    /// The ids of requests in progress, as clients gave them.
-    open_ids: HashSet<Rc<str>>,
+    /// The ids that new requests may not have.
+    ids: RequestIds,
     next_session: u64,
     service: ServiceState,
     /// After SIGTERM: the time by which every accepted request is answered.
@@ -105,7 +107,7 @@
             sessions: BTreeMap::new(),
             owners: HashMap::new(),
             secret_hasher: RandomState::new(),
-            open_ids: HashSet::new(),
+            ids: RequestIds::default(),
             next_session: 0,
             service: ServiceState::Running,
             drain_deadline: None,
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -90,9 +90,18 @@
     }
 
     /// Forgets a finished request and frees its id; returns the session that waited for it.
-    pub(super) fn release_request(&mut self, request: RequestId) -> Option<SessionId> {
+    fn release_request(&mut self, request: RequestId) -> Option<SessionId> {
         let owner = self.owners.remove(&request)?;
-        self.open_ids.remove(&owner.id);
+        self.ids.end(&owner.id);
         Some(owner.session)
     }
+
+    /// Forgets a request whose client has left. Its id stays taken if the request may have run.
+    pub(super) fn release_departed(&mut self, turn: &Turn, exchange: &Exchange, request: RequestId) {
+        let Some(owner) = self.owners.remove(&request) else { return };
+        self.ids.end(&owner.id);
+        if let Some(until) = exchange.id_retired_until(turn, request) {
+            self.ids.retire(owner.id, until);
+        }
+    }
 }
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -172,7 +172,7 @@
                 Ok(QueryOutcome::Request(call, name)) => {
                     let request = exchange.submit(turn, *call);
                     debug!(turn.log, "request taken"; "session" => id.0, "id" => &*name, "request" => request.0);
-                    self.open_ids.insert(Rc::clone(&name));
+                    self.ids.begin(Rc::clone(&name));
                     self.owners.insert(request, RequestOwner { session: id, id: name });
                     if let Some(s) = self.sessions.get_mut(&id) {
                         s.stage = Stage::Waiting(request);
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -215,7 +215,7 @@
         });
         self.check_abandoned(turn, exchange, id);
         if let Some(request) = waiting {
-            self.release_request(request);
+            self.release_departed(turn, exchange, request);
             exchange.client_gone(turn, request);
         }
         self.close(turn, id);
--- a/crates/gradeshunt/src/frontend/statements.rs
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -72,10 +72,7 @@
             }
         }
         let (read, effect) = (self.settings.classes[class.0].read, self.settings.classes[class.0].effect);
-        // Another client waits for the answer of this id and must not be mixed up with this one.
-        if self.open_ids.contains(routing.id) {
-            return Err("the id is that of an open request".to_owned());
-        }
+        self.ids.check(routing.id, turn.now).map_err(|denial| denial.text().to_owned())?;
         if matches!(effect, Effect::Keyed { .. }) && !routing.has_key {
             return Err(format!("a request of class {:?} needs a key k", routing.class));
         }
--- a/crates/gradeshunt/tests/attempts/main.rs
+++ b/crates/gradeshunt/tests/attempts/main.rs
@@ -2,6 +2,7 @@
 //! each order of events by the bytes that it reads and writes.
 
 mod copied_answers;
+mod departed_clients;
 mod late_copies;
 mod played_host;
 mod reset_behind_answer;
--- a/crates/gradeshunt/tests/attempts/played_host.rs
+++ b/crates/gradeshunt/tests/attempts/played_host.rs
@@ -101,6 +101,19 @@
         complete_startup(server)
     }
 
+    /// Serves a first request, and returns the db host's connection that carried it.
+    pub fn accept_with_request(&self) -> TcpStream {
+        let mut client = self.client();
+        client.stream().write_all(&request(1, "page-read", 300_000, 0)).expect("the connection is open");
+        let mut server = self.accept();
+        next_request(&mut server).expect("a request arrives");
+        let row = Table::of(&["data"], &[&["v"]]);
+        let role = wire::parameter("replication_role", "primary");
+        server.write_all(&[wire::table(&row), role, wire::message(b'Z', b"I")].concat()).expect("it is open");
+        assert_eq!(client.until_ready().expect("an answer").code(), None);
+        server
+    }
+
     /// Returns the next attempt on any further connection, some of which may carry probes instead. No other
     /// method of the db host may be used afterwards.
     pub fn next_attempt(&self) -> String {
--- a/src/permission/mod.rs
+++ b/src/permission/mod.rs
@@ -20,6 +20,6 @@
     may_close, may_reuse, ClientStage, ClientState, CloseDenial, PooledConnection, ReuseDenial,
 };
 pub use process::{
-    may_accept, may_apply_list, may_exit, may_hand_over, AcceptDenial, ExitDenial, HandOverDenial,
-    ListDenial, ListVersions, ProcessState,
+    id_retired_until, may_accept, may_apply_list, may_exit, may_hand_over, AcceptDenial, ExitDenial,
+    HandOverDenial, ListDenial, ListVersions, ProcessState,
 };
--- a/src/permission/process.rs
+++ b/src/permission/process.rs
@@ -1,7 +1,7 @@
-//! Rules on the process: whether it may accept a request, hand its listening socket over, exit, and apply a
-//! member list.
+//! Rules on the process: whether it may accept a request and its id, hand its listening socket over, exit, and
+//! apply a member list.
 
-use crate::interface::Micros;
+use crate::interface::{Effect, Micros};
 
 /// Why a request is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -22,6 +22,25 @@
     }
 }
 
+/// How long the id of a request with effects stays taken after its client has left: far longer than any client
+/// goes on sending a request that crossed the end of a connection.
+const ID_RETIRED_FOR: Micros = 60_000_000;
+
+/// Returns until when no new request may have the id of a request whose client leaves at `now`, or `None` if
+/// the id is free at once. `attempt_written` says that an attempt was written completely, so that the request
+/// may have executed. A request that may be executed more than once must still not be out twice.
+pub fn id_retired_until(
+    now: Micros,
+    effect: Effect,
+    attempt_written: bool,
+    deadline: Micros,
+) -> Option<Micros> {
+    attempt_written.then_some(match effect {
+        Effect::Safe => deadline,
+        Effect::Keyed { .. } | Effect::Unsafe => now + ID_RETIRED_FOR,
+    })
+}
+
 /// Why the clients' listening socket may not be left to another process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HandOverDenial {
