Look for a client's end behind what is left unread before a request is submitted

Cause: a share of a turn ends with 8 reads or a full buffer, and the end of the connection was only seen by the read that meets it; the request before it was submitted.

Mend: where a share leaves bytes unread, the system is asked whether the end has come. requests_before_an_end_beyond_one_share_are_not_submitted failed before and passes.

Not mended: where the client has sent more than the buffer and the sockets hold, the end is still at the client's own system when the first request is submitted.

--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -109,7 +109,7 @@
 
     /// Reads from a session whose socket is ready, and processes what was read.
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
-        let mut full = false;
+        let (mut full, mut drained) = (false, false);
         let waited = self.sessions.get_mut(&id).and_then(|s| s.backlogged_since.take());
         let arrived = waited.unwrap_or(turn.now - turn.unread_for);
         for n in 0..=READS_PER_TURN {
@@ -148,13 +148,20 @@
                     s.inbound.record_unread(&s.polled.socket, arrived);
                     break;
                 }
-                Ok(Transfer::Blocked) => break,
+                Ok(Transfer::Blocked) => {
+                    drained = true;
+                    break;
+                }
                 Ok(Transfer::End) | Err(_) => {
                     s.disconnected = true;
                     break;
                 }
             }
         }
+        // The end of the connection may stand behind what is still unread.
+        if let Some(s) = self.sessions.get_mut(&id).filter(|_| !drained) {
+            s.disconnected |= s.polled.has_hung_up();
+        }
         self.process_messages(turn, exchange, id);
         // While the ring was full the socket was not read until it would block, and the edge-triggered poll
         // reports readiness only once.
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -354,3 +354,30 @@
     }
     assert_eq!((frontend.sessions.len(), frontend.may_accept()), (1 + waiting.len(), false));
 }
+
+/// Guards against requests that are submitted although the end of their client's connection has arrived, behind
+/// more bytes than a share of a turn reads.
+#[test]
+fn requests_before_an_end_beyond_one_share_are_not_submitted() {
+    const RECEIVE_BUFFER: usize = 400 * 1024;
+    const REQUESTS: usize = 14;
+    const REQUEST_SIZE: usize = 20_000;
+    let (mut frontend, mut turn, mut client, id, _poll) = frontend_with_one_client();
+    let mut exchange = Exchange::new(frontend.settings.clone(), Vec::new(), 7, 0);
+    let socket = std::rc::Rc::clone(&frontend.sessions[&id].polled.socket);
+    socket2::SockRef::from(&*socket).set_recv_buffer_size(RECEIVE_BUFFER).expect("the size can be set");
+    let mut bytes = Writer::default().startup("portal", "crm", None).0;
+    for number in 0..REQUESTS {
+        let mut query = read_query(number, 1_000);
+        query.splice(query.len() - 1..query.len() - 1, vec![b' '; REQUEST_SIZE - query.len()]);
+        let length = (query.len() as u32 - 1).to_be_bytes();
+        query[1..5].copy_from_slice(&length);
+        bytes.extend(query);
+    }
+    assert!(bytes.len() > MAX_RING_SIZE);
+    client.write_all(&bytes).expect("the connection is open");
+    client.shutdown(Shutdown::Write).expect("the connection is open");
+    while !frontend.sessions[&id].polled.has_hung_up() {}
+    frontend.ready(&mut turn, &mut exchange, id);
+    assert!(frontend.sessions.is_empty() && exchange.is_idle(), "a request was submitted");
+}
--- a/crates/gradeshunt/tests/attempts/departed_clients.rs
+++ b/crates/gradeshunt/tests/attempts/departed_clients.rs
@@ -1,7 +1,36 @@
-//! Clients that leave: an id that comes again does not run twice.
+//! Clients that leave: what they have sent is not sent on, and an id that comes again does not run twice.
+
+use std::net::Shutdown;
+use std::time::Duration;
 
 use super::*;
 
+/// Pipelined requests of this number and size are more than the proxy reads of a client in one turn.
+const PIPELINED: usize = 20;
+const REQUEST_SIZE: usize = 20_000;
+
+/// Guards against requests that are sent on although their client had closed before any of them was read.
+#[test]
+fn requests_of_a_client_that_closed_with_much_unread_are_not_sent() {
+    let fixture = Fixture::open("closed-unread", 1_000);
+    let mut host = fixture.accept_with_request();
+    let mut client = fixture.client();
+    fixture.program.stop();
+    let requests: Vec<u8> =
+        (10..10 + PIPELINED).flat_map(|id| request(id, "page-read", 300_000, REQUEST_SIZE)).collect();
+    let mut stream = client.stream().try_clone().expect("a descriptor");
+    let writes = std::thread::spawn(move || stream.write_all(&requests));
+    // What does not fit into the sockets' buffers stays with the client's system, behind which the end comes.
+    std::thread::sleep(Duration::from_millis(100));
+    client.stream().shutdown(Shutdown::Both).expect("the connection is open");
+    let _ = writes.join().expect("the client wrote");
+    fixture.program.signal("-CONT");
+    let mut next = fixture.client();
+    next.stream().write_all(&request(2, "page-read", 300_000, 0)).expect("the connection is open");
+    let arrived = next_request(&mut host).expect("a request arrives");
+    assert!(arrived.contains("id=2,"), "{}", &arrived[..80]);
+}
+
 /// A write that its db host has read and not answered, whose client has left.
 fn leave_with_write_out(fixture: &Fixture, host: &mut TcpStream, class: &str) {
     let mut client = fixture.client();
