Soak: floods, slow clients, slow db hosts, memory, and deadlines drawn by the seed

New kinds: Flood (twelve forms, two clients at full speed before each of a third of the processes), SlowClients (60 before each: large statements written slowly or stopped half way, startup messages of 2,400 parameters, answers not read) and SlowHost (answers written in pieces).

In earlier trials of the kinds the test was wrong twice: ids of floods collided with the soak's (f0 is 240 in hexadecimal), and a proxy counted as crowded no longer than the trouble was to last.

The slow clients of tests/slow_peers are the stand-ins' now.

--- a/crates/gradeshunt/tests/slow_peers/slow_clients.rs
+++ b/crates/gradeshunt/tests/slow_peers/slow_clients.rs
@@ -1,13 +1,11 @@
 //! Hundreds of clients that are slow: the process stays within its memory, and others get their answers.
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use gradeshunt_stand_ins::postgres::wire;
 use gradeshunt_stand_ins::script::{Act, Rule, Table};
+use gradeshunt_stand_ins::slow_clients::{Behavior, SlowClients};
 use serde_json::json;
 
 use super::fixture::Fixture;
@@ -20,74 +18,18 @@
 const FEW_CLIENTS: usize = 60;
 const MEMORY_MB: u64 = 48;
 const SOCKETS: u32 = 384;
-/// Pause between two rounds over all slow clients.
+/// Pause between two looks at the memory.
 const PAUSE: Duration = Duration::from_millis(10);
 /// Size of a large statement, and of a long value.
 const LARGE_STATEMENT: usize = 240 * 1024;
 const LONG_VALUE: usize = 4 * 1024 * 1024;
 
-/// A slow client: what it has yet to write, and how fast it writes and reads.
-struct SlowClient {
-    stream: TcpStream,
-    unwritten: Vec<u8>,
-    bytes_written_at_once: usize,
-    bytes_read_at_once: usize,
-}
-
-/// How slow clients behave.
-#[derive(Clone)]
-struct Behavior {
-    clients: usize,
-    /// What a connection writes.
-    bytes: Vec<u8>,
-    bytes_written_at_once: usize,
-    bytes_read_at_once: usize,
-}
-
-impl SlowClient {
-    fn connect(addr: SocketAddr, behavior: &Behavior) -> Option<SlowClient> {
-        let stream = TcpStream::connect(addr).ok()?;
-        stream.set_nonblocking(true).ok()?;
-        let Behavior { bytes, bytes_written_at_once, bytes_read_at_once, .. } = behavior.clone();
-        Some(SlowClient { stream, unwritten: bytes, bytes_written_at_once, bytes_read_at_once })
-    }
-
-    /// Writes and reads a little; false once the connection has ended.
-    fn go_on(&mut self) -> bool {
-        let n = self.unwritten.len().min(self.bytes_written_at_once);
-        let wrote = if n == 0 { Ok(0) } else { self.stream.write(&self.unwritten[..n]) };
-        match wrote {
-            Ok(n) => drop(self.unwritten.drain(..n)),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
-        let mut piece = vec![0; self.bytes_read_at_once];
-        match self.stream.read(&mut piece) {
-            Ok(n) => n > 0 || piece.is_empty(),
-            Err(e) => e.kind() == ErrorKind::WouldBlock,
-        }
-    }
-}
-
-/// Keeps up slow clients until told to stop.
-fn run_slow_clients(addr: SocketAddr, behavior: &Behavior, ends: &AtomicBool) {
-    let mut clients: Vec<SlowClient> = Vec::new();
-    while !ends.load(Ordering::Relaxed) {
-        clients.retain_mut(SlowClient::go_on);
-        while clients.len() < behavior.clients {
-            let Some(client) = SlowClient::connect(addr, behavior) else { break };
-            clients.push(client);
-        }
-        thread::sleep(PAUSE);
-    }
-}
-
 fn startup() -> Vec<u8> {
     wire::startup(&[("user", "portal"), ("database", "crm")])
 }
 
 /// Asserts that the process stays within its memory beside slow clients, and that others get their answers.
-fn assert_bounded_beside(name: &str, behavior: &Behavior) {
+fn assert_bounded_beside(name: &str, behavior: Behavior) {
     let mut fixture = Fixture::open_with(name, |config, _| {
         config["limits"]["memory_mb"] = json!(MEMORY_MB);
         config["limits"]["sockets"] = json!(SOCKETS);
@@ -100,18 +42,13 @@
     let (addr, id) = (fixture.addr(), fixture.process.id());
     let mut peak = 0;
     fixture.assert_in_time_beside(|| {
-        let ends = AtomicBool::new(false);
-        thread::scope(|scope| {
-            scope.spawn(|| run_slow_clients(addr, behavior, &ends));
-            let began = Instant::now();
-            while began.elapsed() < DURATION {
-                peak = peak.max(resident_bytes(id));
-                thread::sleep(PAUSE);
-            }
-            ends.store(true, Ordering::Relaxed);
-        });
+        let _clients = SlowClients::begin(addr, behavior);
+        let began = Instant::now();
+        while began.elapsed() < DURATION {
+            peak = peak.max(resident_bytes(id));
+            thread::sleep(PAUSE);
+        }
     });
-    eprintln!("{name}: peak {} kB", peak / 1024);
     assert!(peak <= MEMORY_MB << 20, "{} kB resident, {MEMORY_MB} MB allowed", peak / 1024);
 }
 
@@ -134,7 +71,7 @@
     let bytes = [startup(), wire::query(&statement)].concat();
     let behavior =
         Behavior { clients: CLIENTS, bytes, bytes_written_at_once: 1_000, bytes_read_at_once: 1_000 };
-    assert_bounded_beside("write-slowly", &behavior);
+    assert_bounded_beside("write-slowly", behavior);
 }
 
 /// Guards memory and other clients against clients that stop half way through a large statement.
@@ -149,7 +86,7 @@
         bytes_written_at_once: LARGE_STATEMENT,
         bytes_read_at_once: 1_000,
     };
-    assert_bounded_beside("stop-amid", &behavior);
+    assert_bounded_beside("stop-amid", behavior);
 }
 
 /// Guards memory and other clients against startup messages of very many short parameters.
@@ -162,7 +99,7 @@
         bytes_written_at_once: 10_000,
         bytes_read_at_once: 1_000,
     };
-    assert_bounded_beside("parameters", &behavior);
+    assert_bounded_beside("parameters", behavior);
 }
 
 /// Guards memory and other clients against startup messages of very many short protocol options.
@@ -175,7 +112,7 @@
         bytes_written_at_once: 10_000,
         bytes_read_at_once: 1_000,
     };
-    assert_bounded_beside("options", &behavior);
+    assert_bounded_beside("options", behavior);
 }
 
 /// Guards memory and other clients against routing comments of very many short fields.
@@ -191,7 +128,7 @@
         bytes_written_at_once: LARGE_STATEMENT,
         bytes_read_at_once: 1_000,
     };
-    assert_bounded_beside("fields", &behavior);
+    assert_bounded_beside("fields", behavior);
 }
 
 /// Guards memory and other clients against clients that read long values slowly.
@@ -201,7 +138,7 @@
     let bytes = [startup(), statements].concat();
     let behavior =
         Behavior { clients: CLIENTS, bytes, bytes_written_at_once: 10_000, bytes_read_at_once: 2_000 };
-    assert_bounded_beside("read-slowly", &behavior);
+    assert_bounded_beside("read-slowly", behavior);
 }
 
 /// Guards memory and other clients against clients that read nothing of what they have asked for.
@@ -211,5 +148,5 @@
     let bytes = [startup(), errors, wire::query(&long_read("n"))].concat();
     let behavior =
         Behavior { clients: CLIENTS, bytes, bytes_written_at_once: LARGE_STATEMENT, bytes_read_at_once: 0 };
-    assert_bounded_beside("read-nothing", &behavior);
+    assert_bounded_beside("read-nothing", behavior);
 }
--- a/crates/gradeshunt/tests/stepped_clocks.rs
+++ b/crates/gradeshunt/tests/stepped_clocks.rs
@@ -15,6 +15,9 @@
 use gradeshunt_stand_ins::standalone::{own_address, Standalone, Start};
 use serde_json::json;
 
+/// The longest that a client of the site waits.
+const LONGEST_WAIT: Duration = Duration::from_secs(1);
+
 /// Time limit of each wait; only a failing test reaches it.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of reads that are counted together, and how many of them may go to the primary.
@@ -53,7 +56,7 @@
 
     /// Starts a process whose own wall clock is off by `ms`.
     fn open_with_clock_offset(name: &str, ms: i64) -> Fixture {
-        let site = Site::open(&Arc::new(Ledger::default()), 1).expect("the site starts");
+        let site = Site::open(&Arc::new(Ledger::default()), 1, LONGEST_WAIT).expect("the site starts");
         site.hosts[2].freeze_behind(LAG);
         let shim = Shim::build(&scratch(&format!("{name}-shim"))).expect("a C compiler builds the shim");
         let control = FaultControl::create(&shim, &scratch(&format!("{name}-control")))
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -12,7 +12,7 @@
 
 use crate::fleet::Proxy;
 use crate::ledger::{Ledger, Outcome, Rule};
-use crate::site::{LONGEST_WAIT, SETS};
+use crate::site::SETS;
 use crate::statement::{Class, Statement};
 
 /// A final answer is waited for so much longer than the request's time: what has not come by then never does.
@@ -64,6 +64,7 @@
     pub behavior: Arc<ClientBehavior>,
     pub ends: Arc<AtomicBool>,
     pub rng: Rng,
+    pub longest_wait: Duration,
     /// Others crowd its proxy, which may then close whoever rests or has just come, unread.
     pub is_crowded: bool,
 }
@@ -143,7 +144,7 @@
             7..=8 => Class::KeyedWrite,
             _ => Class::PlainWrite,
         };
-        let wait = self.rng.u64(SHORTEST_WAIT.as_millis() as u64..=LONGEST_WAIT.as_millis() as u64);
+        let wait = self.rng.u64(SHORTEST_WAIT.as_millis() as u64..=self.longest_wait.as_millis() as u64);
         let set = self.rng.usize(1..=SETS);
         self.ledger.asked(self.proxy.number, class, Duration::from_millis(wait), set, behind)
     }
@@ -183,7 +184,7 @@
                     Outcome::Crossed
                 }
                 // In a crowd, whether it was read first is left to the ledger, which knows of attempts, and to the process's own count.
-                Reply::Ended(_) if self.is_crowded => Outcome::Crossed,
+                Reply::Ended(_) if self.is_crowded || self.proxy.is_crowded() => Outcome::Crossed,
                 Reply::Ended(why) => {
                     self.ledger.note(
                         statement.id,
--- a/crates/soak/src/crowd.rs
+++ b/crates/soak/src/crowd.rs
@@ -12,7 +12,7 @@
 
 use crate::fleet::Proxy;
 use crate::ledger::Ledger;
-use crate::site::{LONGEST_WAIT, SETS};
+use crate::site::SETS;
 use crate::statement::Class;
 
 /// Pace at which closed connections are replaced.
@@ -28,6 +28,7 @@
     pub ledger: Arc<Ledger>,
     pub ends: Arc<AtomicBool>,
     pub rng: Rng,
+    pub longest_wait: Duration,
     /// Connections that it holds open.
     pub size: usize,
 }
@@ -52,7 +53,7 @@
         let mut bytes = wire::startup(&[("user", "portal"), ("database", "crm")]);
         if self.rng.u32(0..SILENT) > 0 {
             let set = self.rng.usize(1..=SETS);
-            let statement = self.ledger.asked(self.proxy.number, Class::Read, LONGEST_WAIT, set, 0);
+            let statement = self.ledger.asked(self.proxy.number, Class::Read, self.longest_wait, set, 0);
             bytes.extend(wire::query(&statement.text()));
         }
         connection.write_all(&bytes).ok()?;
--- a/crates/soak/src/db_host.rs
+++ b/crates/soak/src/db_host.rs
@@ -54,6 +54,8 @@
     pub errs: bool,
     /// It works, and closes the connection in place of an answer.
     pub resets: bool,
+    /// It writes its answers in pieces, with pauses between them.
+    pub writes_slowly: bool,
 }
 
 /// A position that stands still.
--- a/crates/soak/src/db_host/serving.rs
+++ b/crates/soak/src/db_host/serving.rs
@@ -18,6 +18,9 @@
 
 /// How long a request is worked on.
 const WORK: Duration = Duration::from_millis(2);
+/// Bytes of an answer that are written at a time, and the pause before each piece where that goes slowly.
+const PIECE: usize = 40;
+const PIECE_PAUSE: Duration = Duration::from_millis(30);
 
 impl DbHost {
     fn wait_while(&self, has_fault: impl Fn(&DbHostFaults) -> bool) {
@@ -100,7 +103,7 @@
         // Before its proxy can hear of the end, and begin another attempt.
         self.0.ledger.attempt_ended(statement.id, number);
         match reply {
-            Some(reply) => (&**stream).write_all(&reply).map(|()| true),
+            Some(reply) => self.write_reply(stream, &reply).map(|()| true),
             None => {
                 let _ = socket2::SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
                 Ok(false)
@@ -108,6 +111,17 @@
         }
     }
 
+    /// Writes an answer, in pieces where it does so slowly.
+    fn write_reply(&self, mut stream: &TcpStream, reply: &[u8]) -> io::Result<()> {
+        for piece in reply.chunks(PIECE) {
+            if lock(&self.0.state).faults.writes_slowly {
+                thread::sleep(PIECE_PAUSE);
+            }
+            stream.write_all(piece)?;
+        }
+        Ok(())
+    }
+
     /// Works on a request, and gives its answer; `None` where its connection is reset in place of one.
     fn work(&self, stream: &TcpStream, statement: &Statement, prompt: bool) -> Option<Vec<u8>> {
         thread::sleep(WORK);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -14,7 +14,7 @@
 use crate::ledger::{Ledger, Rule};
 use crate::lock;
 use crate::shim::{FaultControl, Knob, Shim};
-use crate::site::{Site, LONGEST_WAIT};
+use crate::site::{Site, MEMORY_MB};
 
 /// New connections come for this long after SIGTERM.
 const CONNECTS_AFTER_TERM: Duration = Duration::from_millis(300);
@@ -65,6 +65,9 @@
     /// Held while the process is ended and another one started.
     lifecycle: Mutex<()>,
     availability: Mutex<Availability>,
+    longest_wait: Duration,
+    /// Further clients may leave no room for those that rest until then.
+    crowded_until: Mutex<Option<Instant>>,
     ledger: Arc<Ledger>,
 }
 
@@ -79,6 +82,7 @@
         folder: &Path,
         shim: &Shim,
         environment: &[(String, String)],
+        longest_wait: Duration,
         ledger: &Arc<Ledger>,
     ) -> io::Result<Proxy> {
         let mut platform = Platform::new(program, folder, false)?;
@@ -95,6 +99,8 @@
             pid: AtomicU32::new(0),
             lifecycle: Mutex::new(()),
             availability: Mutex::default(),
+            longest_wait,
+            crowded_until: Mutex::default(),
             ledger: Arc::clone(ledger),
         })
     }
@@ -103,6 +109,28 @@
         *lock(&self.availability)
     }
 
+    /// Further clients come for this long.
+    pub fn crowd_for(&self, time: Duration) {
+        let until = Instant::now() + time;
+        let mut crowded = lock(&self.crowded_until);
+        *crowded = (*crowded).max(Some(until));
+    }
+
+    /// Whether further clients may leave no room for those that rest.
+    pub fn is_crowded(&self) -> bool {
+        lock(&self.crowded_until).is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Sees whether the process holds more memory than it may.
+    pub fn judge_memory(&self) {
+        let held = lock(&self.process);
+        let Some(bytes) = held.as_ref().and_then(|process| process.memory().ok()) else { return };
+        if bytes > u64::from(MEMORY_MB) << 20 {
+            let text = format!("proxy {} holds {} kB of {MEMORY_MB} MB", self.number, bytes / 1024);
+            self.ledger.fault(Rule::Memory, text);
+        }
+    }
+
     /// Writes the configuration that the next start and the next reload read.
     ///
     /// # Errors
@@ -178,7 +206,7 @@
         for signal in SIGNALS_AT_THE_END {
             process.signal(signal)?;
         }
-        let ended = process.exits_or_stands(LONGEST_WAIT + KILL_AFTER)?;
+        let ended = process.exits_or_stands(self.longest_wait + KILL_AFTER)?;
         self.pid.store(0, Ordering::Relaxed);
         lock(&self.availability).open = false;
         match ended {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -74,6 +74,8 @@
     Process,
     /// A process has counted violations itself.
     OwnCount,
+    /// A process holds more memory than it may.
+    Memory,
 }
 
 /// An attempt as it arrives at a db host: what is known of it before the ledger is held.
--- a/crates/soak/src/play.rs
+++ b/crates/soak/src/play.rs
@@ -17,7 +17,7 @@
 use crate::ledger::{Ledger, Summary};
 use crate::lock;
 use crate::shim::{Knob, Shim};
-use crate::site::{Site, LONGEST_WAIT};
+use crate::site::{self, Site};
 use crate::trouble::{Kind, Scene, Trouble};
 
 /// Troubles that are under way at a time.
@@ -154,7 +154,8 @@
     let _ = std::fs::remove_dir_all(&options.folder);
     let shim = Shim::build(&options.folder.join("shim"))?;
     let ledger = Arc::new(Ledger::default());
-    let site = Site::open(&ledger, options.proxies)?;
+    let longest_wait = site::longest_wait(options.seed);
+    let site = Site::open(&ledger, options.proxies, longest_wait)?;
     let proxies = open_fleet(options, &shim, &site, &ledger)?;
     let behavior = Arc::new(ClientBehavior::usual());
     let ends = Arc::new(AtomicBool::new(false));
@@ -169,6 +170,7 @@
                 behavior: Arc::clone(&behavior),
                 ends: Arc::clone(&ends),
                 rng: rng.fork(),
+                longest_wait,
                 is_crowded: options.crowd > 0,
             };
             thread::spawn(move || client.run())
@@ -201,9 +203,9 @@
         lanes.into_iter().chain([joined(watch)]).collect::<io::Result<()>>()
     });
     told?;
-    thread::sleep(LONGEST_WAIT);
+    thread::sleep(longest_wait);
     ends.store(true, Ordering::Relaxed);
-    let last = Instant::now() + LONGEST_WAIT + LAST_ANSWERS;
+    let last = Instant::now() + longest_wait + LAST_ANSWERS;
     for client in clients.into_iter().chain(crowds) {
         while !client.is_finished() && Instant::now() < last {
             thread::sleep(LOOK / 10);
@@ -232,6 +234,7 @@
             ledger: Arc::clone(ledger),
             ends: Arc::clone(ends),
             rng: Rng::with_seed(options.seed ^ proxy.number as u64),
+            longest_wait: site::longest_wait(options.seed),
             size: options.crowd,
         };
         thread::spawn(move || crowd.run())
@@ -252,7 +255,15 @@
     let mut proxies = Vec::new();
     for number in 0..options.proxies {
         let folder = options.folder.join(format!("n{number}"));
-        let proxy = Proxy::new(number, &options.program, &folder, shim, &options.environment, ledger)?;
+        let proxy = Proxy::new(
+            number,
+            &options.program,
+            &folder,
+            shim,
+            &options.environment,
+            site.longest_wait,
+            ledger,
+        )?;
         proxy.configure(site, options.proxies, 0)?;
         proxies.push(Arc::new(proxy));
     }
@@ -331,6 +342,7 @@
     while !over.load(Ordering::Relaxed) {
         for proxy in proxies {
             proxy.keep_alive()?;
+            proxy.judge_memory();
         }
         thread::sleep(LOOK);
     }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -15,11 +15,14 @@
 /// Sets of a site, and db hosts of each; the first of a set is its primary.
 pub const SETS: usize = 4;
 const HOSTS: usize = 3;
-/// The longest that a client waits, and within which answers are wanted.
-pub const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+/// The longest that a client waits, of which a seed draws one, and the time within which answers are wanted.
+const LONGEST_WAITS: [Duration; 3] =
+    [Duration::from_millis(1_000), Duration::from_millis(300), Duration::from_millis(2_000)];
 const AIM_MS: f64 = 100.0;
 /// Descriptors of a process.
 const SOCKETS: u32 = 256;
+/// Memory that a process may use, in megabytes.
+pub const MEMORY_MB: u32 = 48;
 /// How long a process hears nothing before it takes a watch for broken, in milliseconds.
 const WATCH_SILENCE_MS: u64 = 3_000;
 
@@ -30,15 +33,23 @@
     /// Where each proxy can call discovery: all of it is the same service.
     addresses: Vec<[SocketAddr; 2]>,
     pub wall: WallClock,
+    /// The longest that a client waits.
+    pub longest_wait: Duration,
     plan: Plan,
 }
 
+/// The longest that a client of a seed's play waits.
+pub fn longest_wait(seed: u64) -> Duration {
+    LONGEST_WAITS[(seed % LONGEST_WAITS.len() as u64) as usize]
+}
+
 impl Site {
-    /// Opens a site for so many proxies, whose db hosts write into this ledger.
+    /// Opens a site for so many proxies, whose db hosts write into this ledger; clients wait for `longest_wait`
+    /// at most.
     ///
     /// # Errors
     /// Those of sockets.
-    pub fn open(ledger: &Arc<Ledger>, proxies: usize) -> io::Result<Site> {
+    pub fn open(ledger: &Arc<Ledger>, proxies: usize, longest_wait: Duration) -> io::Result<Site> {
         let shared = Shared { wall: WallClock::default(), ledger: Arc::clone(ledger) };
         let (mut hosts, mut entries) = (Vec::new(), Vec::new());
         for set in 1..=SETS {
@@ -55,13 +66,14 @@
         let both = |proxy| Ok([discovery.open_for(proxy)?, discovery.open_for(proxy)?]);
         let addresses = (0..proxies).map(both).collect::<io::Result<_>>()?;
         let plan = Plan {
-            deadline: LONGEST_WAIT.as_secs_f64() * 1000.0,
+            deadline: longest_wait.as_secs_f64() * 1000.0,
             aim: AIM_MS,
             window: KEY_WINDOW,
             sockets: SOCKETS,
+            memory: MEMORY_MB,
             ..Plan::default()
         };
-        Ok(Site { hosts, discovery, addresses, wall: shared.wall, plan })
+        Ok(Site { hosts, discovery, addresses, wall: shared.wall, longest_wait, plan })
     }
 
     /// How discovery names a db host.
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -6,6 +6,9 @@
 
 use fastrand::Rng;
 use gradeshunt_stand_ins::discovery::Service;
+use gradeshunt_stand_ins::flood::{Flood, Form};
+use gradeshunt_stand_ins::postgres::wire;
+use gradeshunt_stand_ins::slow_clients::{Behavior, SlowClients};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -25,6 +28,12 @@
 const STEPS_MS: [i64; 8] = [-3_600_000, -10_000, -1_500, -300, 300, 1_500, 10_000, 3_600_000];
 const NANOSECONDS: i64 = 1_000_000;
 
+/// Clients of a flood, for each proxy that it affects, and slow clients for each.
+const FLOODING_CLIENTS: u64 = 2;
+const SLOW_CLIENTS: usize = 60;
+/// So long after further clients have come and gone, a proxy may still close whoever rests.
+const CROWD_LASTS: Duration = Duration::from_secs(3);
+
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Kind {
@@ -74,11 +83,17 @@
     LeavingClients,
     /// Many clients stop amid a request, rest, or send several at once.
     BadClients,
+    /// Clients send one kind of message, or open connections, at full speed.
+    Flood,
+    /// Many clients write or read slowly, or stop.
+    SlowClients,
+    /// A db host writes its answers slowly.
+    SlowHost,
 }
 
 impl Kind {
     /// All of them.
-    pub const ALL: [Kind; 23] = [
+    pub const ALL: [Kind; 26] = [
         Kind::InterruptedCalls,
         Kind::InterruptedSignals,
         Kind::FailingCalls,
@@ -102,6 +117,9 @@
         Kind::DownDiscovery,
         Kind::LeavingClients,
         Kind::BadClients,
+        Kind::Flood,
+        Kind::SlowClients,
+        Kind::SlowHost,
     ];
 }
 
@@ -208,6 +226,16 @@
                 }
                 Ok(())
             }
+            Kind::Flood => {
+                let form = Form::ALL[trouble.form % Form::ALL.len()];
+                self.crowd_out(trouble, |proxy| Flood::begin(proxy.addr, form, FLOODING_CLIENTS));
+                Ok(())
+            }
+            Kind::SlowClients => {
+                let behavior = slow_behavior(trouble.form);
+                self.crowd_out(trouble, |proxy| SlowClients::begin(proxy.addr, behavior.clone()));
+                Ok(())
+            }
             Kind::Restarts => self.restart(trouble, |proxy| proxy.terminate()),
             Kind::Kills => self.restart(trouble, |proxy| {
                 proxy.kill();
@@ -220,6 +248,17 @@
         }
     }
 
+    /// Lets further clients come to some proxies, which may then close whoever rests or has just come.
+    fn crowd_out<T>(&self, trouble: &Trouble, begin: impl Fn(&Proxy) -> T) {
+        let affected: Vec<_> = trouble.proxies.iter().map(|n| &self.proxies[*n]).collect();
+        affected.iter().for_each(|proxy| proxy.crowd_for(trouble.lasts + CROWD_LASTS));
+        let clients: Vec<T> = affected.iter().map(|proxy| begin(proxy)).collect();
+        std::thread::sleep(trouble.lasts);
+        drop(clients);
+        // Their threads may have taken longer to end.
+        affected.iter().for_each(|proxy| proxy.crowd_for(CROWD_LASTS));
+    }
+
     /// Ends processes, all at once, and starts them again.
     fn restart(&self, trouble: &Trouble, end: impl Fn(&Proxy) -> io::Result<()> + Sync) -> io::Result<()> {
         std::thread::scope(|scope| {
@@ -263,6 +302,11 @@
                 wait();
                 host.set_faults(|faults| (faults.errs, faults.full) = (false, false));
             }
+            Kind::SlowHost => {
+                host.set_faults(|faults| faults.writes_slowly = true);
+                wait();
+                host.set_faults(|faults| faults.writes_slowly = false);
+            }
             Kind::CutHost => {
                 host.cut();
                 wait();
@@ -305,6 +349,22 @@
     }
 }
 
+/// How slow clients behave, in one of four forms.
+fn slow_behavior(form: usize) -> Behavior {
+    const LARGE: usize = 200 * 1024;
+    const SLOWLY: usize = 1_000;
+    let startup = wire::startup(&[("user", "portal"), ("database", "crm")]);
+    let large = [startup.clone(), wire::query(&"x".repeat(LARGE))].concat();
+    let unread = [startup, wire::query("SELECT 1").repeat(10_000)].concat();
+    let (bytes, bytes_written_at_once, bytes_read_at_once) = match form % 4 {
+        0 => (large, SLOWLY, SLOWLY),
+        1 => (large[..LARGE].to_vec(), LARGE, SLOWLY),
+        2 => (wire::startup(&vec![("a", "b"); 2_400]), LARGE, SLOWLY),
+        _ => (unread, LARGE, 0),
+    };
+    Behavior { clients: SLOW_CLIENTS, bytes, bytes_written_at_once, bytes_read_at_once }
+}
+
 /// What a trouble of system calls sets.
 fn knobs(trouble: &Trouble) -> Vec<(Knob, i64)> {
     let pick = |errors: &[i64]| errors[trouble.form % errors.len()];
--- a/crates/stand-ins/src/flood.rs
+++ b/crates/stand-ins/src/flood.rs
@@ -82,7 +82,7 @@
         let read = |class: &str, set: u32| {
             let code = format!("{number:x}");
             wire::query(&format!(
-                "/* id=f{code},c={class},d={WAIT_MS},cluster={set} */ SELECT data FROM facts WHERE code = '{code}'"
+                "/* id=flood-{code},c={class},d={WAIT_MS},cluster={set} */ SELECT data FROM facts WHERE code = '{code}'"
             ))
         };
         Some(match self {
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod script;
 pub mod set;
 pub mod site;
+pub mod slow_clients;
 pub mod standalone;
 pub mod toy;
 pub mod upgrade;
