Limit the log lines that a client can cause to ten of a kind a second

Mend: ten lines of a kind a second; the next one tells how many were suppressed. Counters by a name that a client chose: looked for, none; metrics have the names of the settings or of the code, and shapes of statements a cache of fixed size.

--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -14,6 +14,7 @@
 use crate::deadlines::DeadlineKind;
 use crate::ids::SessionId;
 use crate::inbound::InputBuffer;
+use crate::log_limit::ClientLine;
 use crate::pg::{sqlstate, Writer};
 use crate::ring::Ring;
 use crate::routing::Origin;
@@ -149,7 +150,10 @@
         self.sessions.insert(id, session);
         self.set_deadline(turn, id, Some(turn.now + MESSAGE_TIMEOUT));
         if full {
-            warn!(turn.log, "too many clients, turning one away"; "clients" => self.sessions.len());
+            if let Some(suppressed) = turn.log_limit.admit(ClientLine::TooManyClients, turn.now) {
+                warn!(turn.log, "too many clients, turning one away"; "suppressed" => suppressed,
+                    "clients" => self.sessions.len());
+            }
             let error =
                 Writer::default().error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "too many clients", None);
             self.close_with(turn, id, error, CloseReason::TooManyClients);
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -11,6 +11,7 @@
 use super::{Frontend, RequestOwner, MAX_UNREAD_BYTES};
 use crate::exchange::Exchange;
 use crate::ids::SessionId;
+use crate::log_limit::ClientLine;
 use crate::pg::{self, sqlstate, Malformed, Startup, Writer};
 use crate::routing::Origin;
 use crate::turn::{EventSource, Turn};
@@ -48,7 +49,10 @@
                 Ok(true) => {}
                 Ok(false) => break,
                 Err(Malformed(what)) => {
-                    info!(turn.log, "client broke the protocol"; "session" => id.0, "what" => what);
+                    if let Some(suppressed) = turn.log_limit.admit(ClientLine::ProtocolViolation, turn.now) {
+                        info!(turn.log, "client broke the protocol"; "suppressed" => suppressed,
+                            "session" => id.0, "what" => what);
+                    }
                     let error = Writer::default().error("FATAL", sqlstate::PROTOCOL_VIOLATION, what, None);
                     self.close_with(turn, id, error, CloseReason::ProtocolViolation);
                 }
--- a/crates/gradeshunt/src/frontend/peers.rs
+++ b/crates/gradeshunt/src/frontend/peers.rs
@@ -7,6 +7,7 @@
 use super::closing::CloseReason;
 use super::{Frontend, ServiceState};
 use crate::ids::SessionId;
+use crate::log_limit::ClientLine;
 use crate::pg::{sqlstate, Writer};
 use crate::placing::PEER_USER;
 use crate::turn::Turn;
@@ -29,7 +30,10 @@
         let name = &session.origin.application_name;
         let known = session.origin.user == PEER_USER && self.peer_names.contains(name);
         let (code, what) = if !known {
-            warn!(turn.log, "refused a connection at the address for other proxies: not one of them"; "name" => name);
+            if let Some(suppressed) = turn.log_limit.admit(ClientLine::PeerNotAdmitted, turn.now) {
+                warn!(turn.log, "refused a connection at the address for other proxies: not one of them";
+                    "suppressed" => suppressed, "name" => name);
+            }
             (sqlstate::INVALID_AUTHORIZATION, "this address is for the proxies of this group")
         } else if self.service != ServiceState::Running {
             (sqlstate::CANNOT_CONNECT_NOW, "the proxy takes no more requests here")
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -11,6 +11,7 @@
 use crate::exchange::Exchange;
 use crate::ids::SessionId;
 use crate::inbound::InputBuffer;
+use crate::log_limit::ClientLine;
 use crate::memory;
 use crate::pg::{sqlstate, Writer};
 use crate::ring::{Ring, Transfer, INITIAL_RING_SIZE};
@@ -133,7 +134,11 @@
                         && !waiting
                         && memory::total_buffered() > self.max_buffered
                     {
-                        warn!(turn.log, "too much in buffers, turning a client away"; "bytes" => memory::total_buffered());
+                        if let Some(suppressed) = turn.log_limit.admit(ClientLine::TooMuchBuffered, turn.now)
+                        {
+                            warn!(turn.log, "too much in buffers, turning a client away";
+                                "suppressed" => suppressed, "bytes" => memory::total_buffered());
+                        }
                         let w = Writer::default();
                         let error = w.error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "out of memory", None);
                         return self.close_with(turn, id, error, CloseReason::OutOfMemory);
--- a/crates/gradeshunt/src/lib.rs
+++ b/crates/gradeshunt/src/lib.rs
@@ -19,6 +19,7 @@
 mod frontend;
 mod ids;
 mod inbound;
+mod log_limit;
 mod logging;
 mod loop_stats;
 mod memory;
--- a/crates/gradeshunt/src/turn.rs
+++ b/crates/gradeshunt/src/turn.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::deadlines::Deadlines;
 use crate::ids::{CallId, CallerId, ServerId, SessionId};
+use crate::log_limit::LogLimit;
 use crate::ready_queue::ReadyQueue;
 use crate::ring::retry_interrupted;
 use crate::work_times::WorkTimes;
@@ -77,6 +78,8 @@
     pub ready: ReadyQueue,
     /// What this turn's time goes to.
     pub work: WorkTimes,
+    /// Limits the log lines that clients can cause.
+    pub log_limit: LogLimit,
     handle: LoopHandle<'static, ReadySources>,
 }
 
@@ -92,6 +95,7 @@
             log,
             ready: ReadyQueue::default(),
             work: WorkTimes::new(now),
+            log_limit: LogLimit::default(),
             handle,
         }
     }
