--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -84,12 +84,26 @@
         self.source == gradeshunt_placement::Source::Proxy
     }
 
+    /// Whether the session buffers a large request that is not in progress yet.
+    fn adds_large_request(&self) -> bool {
+        self.inbound.len() > INITIAL_RING_SIZE && !matches!(self.stage, Stage::Waiting(_))
+    }
+
     /// Whether the session's last message is being written or already is.
     pub(super) fn is_closing(&self) -> bool {
         matches!(self.stage, Stage::Closing | Stage::Lingering)
     }
 }
 
+/// What became of the reads of one share.
+#[derive(Clone, Copy, Debug, Default)]
+struct InputRead {
+    /// Whether the socket had nothing more to read.
+    drained: bool,
+    /// Whether the ring was full before the last read.
+    was_full: bool,
+}
+
 impl Frontend {
     /// Handles an expired deadline of a session: the client took too long to send a message, or to close.
     pub fn session_due(&mut self, turn: &mut Turn, id: SessionId) {
@@ -110,69 +124,68 @@
 
     /// Reads from a session whose socket is ready, and processes what was read.
     pub fn ready(&mut self, turn: &mut Turn, exchange: &mut Exchange, id: SessionId) {
-        let (mut full, mut drained) = (false, false);
-        let waited = self.sessions.get_mut(&id).and_then(|s| s.backlogged_since.take());
+        let Some(input) = self.read_input(turn, id) else { return };
+        // The end of the connection may stand behind what is still unread.
+        if let Some(s) = self.sessions.get_mut(&id).filter(|_| !input.drained) {
+            s.disconnected |= s.polled.has_hung_up();
+        }
+        self.process_messages(turn, exchange, id);
+        // While the ring was full the socket was not read until it would block, and the edge-triggered poll
+        // reports readiness only once.
+        if input.was_full && self.sessions.get(&id).is_some_and(|s| !s.inbound.is_full()) {
+            turn.defer(EventSource::Session(id));
+        }
+    }
+
+    /// Reads what a session's share of a turn allows. Returns `None` if the session is closed or turned away.
+    fn read_input(&mut self, turn: &mut Turn, id: SessionId) -> Option<InputRead> {
+        let waited = self.sessions.get_mut(&id)?.backlogged_since.take();
         let arrived = waited.unwrap_or(turn.now - turn.unread_for);
-        for n in 0..=READS_PER_TURN {
-            let Some(s) = self.sessions.get_mut(&id) else { return };
+        let mut input = InputRead::default();
+        for _ in 0..READS_PER_TURN {
+            let s = self.sessions.get_mut(&id)?;
             if s.is_closing() && s.leaves_unread {
-                s.disconnected |= s.polled.has_hung_up();
-                break;
-            }
-            if n == READS_PER_TURN {
-                s.inbound.record_unread(&s.polled.socket, arrived);
-                turn.defer(EventSource::Session(id));
-                break;
+                return Some(input);
             }
-            full = s.inbound.is_full();
+            input.was_full = s.inbound.is_full();
             match s.inbound.read_from(&s.polled.socket, arrived) {
                 Ok(Transfer::Bytes(_)) if s.is_closing() => s.inbound.clear(),
-                Ok(Transfer::Bytes(_)) => {
-                    // Refusing one large request is better than having the process killed for its memory use.
-                    let waiting = matches!(s.stage, Stage::Waiting(_));
-                    if s.inbound.len() > INITIAL_RING_SIZE
-                        && !waiting
-                        && memory::total_buffered() > self.max_buffered
-                    {
-                        if let Some(suppressed) = turn.log_limit.admit(ClientLine::TooMuchBuffered, turn.now)
-                        {
-                            warn!(turn.log, "too much in buffers, turning a client away";
-                                "suppressed" => suppressed, "bytes" => memory::total_buffered());
-                        }
-                        let w = Writer::default();
-                        let error = w.error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "out of memory", None);
-                        return self.close_with(turn, id, error, CloseReason::OutOfMemory);
-                    }
-                }
-                // A full ring prevents the read that would show the end of the connection.
-                Ok(Transfer::Blocked) if s.inbound.is_full() && s.polled.has_hung_up() => {
-                    s.disconnected = true;
-                    break;
+                Ok(Transfer::Bytes(_))
+                    if s.adds_large_request() && memory::total_buffered() > self.max_buffered =>
+                {
+                    self.turn_away_for_memory(turn, id);
+                    return None;
                 }
+                Ok(Transfer::Bytes(_)) => {}
                 Ok(Transfer::Blocked) if s.inbound.is_full() => {
                     s.inbound.record_unread(&s.polled.socket, arrived);
-                    break;
+                    return Some(input);
                 }
                 Ok(Transfer::Blocked) => {
-                    drained = true;
-                    break;
+                    input.drained = true;
+                    return Some(input);
                 }
                 Ok(Transfer::End) | Err(_) => {
                     s.disconnected = true;
-                    break;
+                    return Some(input);
                 }
             }
         }
-        // The end of the connection may stand behind what is still unread.
-        if let Some(s) = self.sessions.get_mut(&id).filter(|_| !drained) {
-            s.disconnected |= s.polled.has_hung_up();
-        }
-        self.process_messages(turn, exchange, id);
-        // While the ring was full the socket was not read until it would block, and the edge-triggered poll
-        // reports readiness only once.
-        if full && self.sessions.get(&id).is_some_and(|s| !s.inbound.is_full()) {
-            turn.defer(EventSource::Session(id));
+        let s = self.sessions.get_mut(&id)?;
+        s.inbound.record_unread(&s.polled.socket, arrived);
+        turn.defer(EventSource::Session(id));
+        Some(input)
+    }
+
+    /// Closes a client that is sending a large request: refusing it is better than having the process killed
+    /// for its memory use.
+    fn turn_away_for_memory(&mut self, turn: &mut Turn, id: SessionId) {
+        if let Some(suppressed) = turn.log_limit.admit(ClientLine::TooMuchBuffered, turn.now) {
+            warn!(turn.log, "too much in buffers, turning a client away"; "suppressed" => suppressed,
+                "bytes" => memory::total_buffered());
         }
+        let error = Writer::default().error("FATAL", sqlstate::TOO_MANY_CONNECTIONS, "out of memory", None);
+        self.close_with(turn, id, error, CloseReason::OutOfMemory);
     }
 
     /// Writes buffered output until the socket would block.
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -188,7 +188,12 @@
                 Reply::Ended(why) => {
                     self.ledger.note(
                         statement.id,
-                        format!("{why}; {:?}; {}", self.proxy.availability(), self.proxy.log_tail()),
+                        format!(
+                            "{why}; {:?}; {}; {}",
+                            self.proxy.availability(),
+                            self.proxy.crowd_text(),
+                            self.proxy.log_tail()
+                        ),
                     );
                     Outcome::Closed
                 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -121,6 +121,18 @@
         lock(&self.crowded_until).is_some_and(|until| Instant::now() < until)
     }
 
+    /// How long ago further clients stopped to count, and why the process has closed clients.
+    pub fn crowd_text(&self) -> String {
+        let ago = lock(&self.crowded_until).map(|until| until.elapsed());
+        let held = lock(&self.process);
+        let metrics = held.as_ref().and_then(|process| process.call("GET", "/status/metrics").ok());
+        let closes = metrics.map(|(_, text)| {
+            let lines = text.lines().filter(|line| line.starts_with("app_client_closes{"));
+            lines.collect::<Vec<_>>().join(", ")
+        });
+        format!("crowd over for {ago:?}, closes: {closes:?}")
+    }
+
     /// Sees whether the process holds more memory than it may.
     pub fn judge_memory(&self) {
         let held = lock(&self.process);
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -28,8 +28,10 @@
 const STEPS_MS: [i64; 8] = [-3_600_000, -10_000, -1_500, -300, 300, 1_500, 10_000, 3_600_000];
 const NANOSECONDS: i64 = 1_000_000;
 
-/// Clients of a flood, for each proxy that it affects, and slow clients for each.
+/// Proxies that a flood affects at most, and its clients for each: a processor for every one of them.
+const FLOODED_PROXIES: usize = 2;
 const FLOODING_CLIENTS: u64 = 2;
+/// Slow clients for each proxy.
 const SLOW_CLIENTS: usize = 60;
 /// So long after further clients have come and gone, a proxy may still close whoever rests.
 const CROWD_LASTS: Duration = Duration::from_secs(3);
@@ -228,12 +230,15 @@
             }
             Kind::Flood => {
                 let form = Form::ALL[trouble.form % Form::ALL.len()];
-                self.crowd_out(trouble, |proxy| Flood::begin(proxy.addr, form, FLOODING_CLIENTS));
+                let flooded = FLOODED_PROXIES.min(trouble.proxies.len());
+                let begin = |proxy: &Proxy| Flood::begin(proxy.addr, form, FLOODING_CLIENTS);
+                self.crowd_out(trouble.lasts, &trouble.proxies[..flooded], begin);
                 Ok(())
             }
             Kind::SlowClients => {
                 let behavior = slow_behavior(trouble.form);
-                self.crowd_out(trouble, |proxy| SlowClients::begin(proxy.addr, behavior.clone()));
+                let begin = |proxy: &Proxy| SlowClients::begin(proxy.addr, behavior.clone());
+                self.crowd_out(trouble.lasts, &trouble.proxies, begin);
                 Ok(())
             }
             Kind::Restarts => self.restart(trouble, |proxy| proxy.terminate()),
@@ -249,11 +254,11 @@
     }
 
     /// Lets further clients come to some proxies, which may then close whoever rests or has just come.
-    fn crowd_out<T>(&self, trouble: &Trouble, begin: impl Fn(&Proxy) -> T) {
-        let affected: Vec<_> = trouble.proxies.iter().map(|n| &self.proxies[*n]).collect();
-        affected.iter().for_each(|proxy| proxy.crowd_for(trouble.lasts + CROWD_LASTS));
+    fn crowd_out<T>(&self, lasts: Duration, proxies: &[usize], begin: impl Fn(&Proxy) -> T) {
+        let affected: Vec<_> = proxies.iter().map(|n| &self.proxies[*n]).collect();
+        affected.iter().for_each(|proxy| proxy.crowd_for(lasts + CROWD_LASTS));
         let clients: Vec<T> = affected.iter().map(|proxy| begin(proxy)).collect();
-        std::thread::sleep(trouble.lasts);
+        std::thread::sleep(lasts);
         drop(clients);
         // Their threads may have taken longer to end.
         affected.iter().for_each(|proxy| proxy.crowd_for(CROWD_LASTS));
