--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -26,6 +26,8 @@
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// One that has not ended by then is waited for so long more, to tell of it; it is late all the same.
 const ENDS_LATER: Duration = Duration::from_millis(1_000);
+/// So long after further clients have gone, a client that has rested meanwhile may find its connection closed.
+const CROWD_LASTS: Duration = Duration::from_secs(3);
 /// Pace of the looks at a process that starts.
 const LOOK: Duration = Duration::from_millis(5);
 
@@ -53,6 +55,13 @@
     }
 }
 
+/// Further clients that come to a proxy.
+#[derive(Default)]
+struct Crowds {
+    under_way: usize,
+    last_ended: Option<Instant>,
+}
+
 /// One proxy of the fleet, whichever process plays it.
 pub struct Proxy {
     pub number: usize,
@@ -66,8 +75,7 @@
     lifecycle: Mutex<()>,
     availability: Mutex<Availability>,
     longest_wait: Duration,
-    /// Further clients may leave no room for those that rest until then.
-    crowded_until: Mutex<Option<Instant>>,
+    crowds: Mutex<Crowds>,
     ledger: Arc<Ledger>,
 }
 
@@ -100,7 +108,7 @@
             lifecycle: Mutex::new(()),
             availability: Mutex::default(),
             longest_wait,
-            crowded_until: Mutex::default(),
+            crowds: Mutex::default(),
             ledger: Arc::clone(ledger),
         })
     }
@@ -109,28 +117,34 @@
         *lock(&self.availability)
     }
 
-    /// Further clients come for this long.
-    pub fn crowd_for(&self, time: Duration) {
-        let until = Instant::now() + time;
-        let mut crowded = lock(&self.crowded_until);
-        *crowded = (*crowded).max(Some(until));
+    /// Further clients come.
+    pub fn crowd_begins(&self) {
+        lock(&self.crowds).under_way += 1;
+    }
+
+    /// Those that came have gone.
+    pub fn crowd_ended(&self) {
+        let mut crowds = lock(&self.crowds);
+        crowds.under_way -= 1;
+        crowds.last_ended = Some(Instant::now());
     }
 
-    /// Whether further clients may leave no room for those that rest.
+    /// Whether further clients leave no room for those that rest, or did a moment ago.
     pub fn is_crowded(&self) -> bool {
-        lock(&self.crowded_until).is_some_and(|until| Instant::now() < until)
+        let crowds = lock(&self.crowds);
+        crowds.under_way > 0 || crowds.last_ended.is_some_and(|at| at.elapsed() < CROWD_LASTS)
     }
 
-    /// How long ago further clients stopped to count, and why the process has closed clients.
+    /// How long ago the last further clients had gone, and why the process has closed clients.
     pub fn crowd_text(&self) -> String {
-        let ago = lock(&self.crowded_until).map(|until| until.elapsed());
+        let ago = lock(&self.crowds).last_ended.map(|at| at.elapsed());
         let held = lock(&self.process);
         let metrics = held.as_ref().and_then(|process| process.call("GET", "/status/metrics").ok());
         let closes = metrics.map(|(_, text)| {
             let lines = text.lines().filter(|line| line.starts_with("app_client_closes{"));
             lines.collect::<Vec<_>>().join(", ")
         });
-        format!("crowd over for {ago:?}, closes: {closes:?}")
+        format!("last crowd ended {ago:?} ago, closes: {closes:?}")
     }
 
     /// Sees whether the process holds more memory than it may.
--- a/crates/soak/src/trouble.rs
+++ b/crates/soak/src/trouble.rs
@@ -33,8 +33,6 @@
 const FLOODING_CLIENTS: u64 = 2;
 /// Slow clients for each proxy.
 const SLOW_CLIENTS: usize = 60;
-/// So long after further clients have come and gone, a proxy may still close whoever rests.
-const CROWD_LASTS: Duration = Duration::from_secs(3);
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -256,12 +254,11 @@
     /// Lets further clients come to some proxies, which may then close whoever rests or has just come.
     fn crowd_out<T>(&self, lasts: Duration, proxies: &[usize], begin: impl Fn(&Proxy) -> T) {
         let affected: Vec<_> = proxies.iter().map(|n| &self.proxies[*n]).collect();
-        affected.iter().for_each(|proxy| proxy.crowd_for(lasts + CROWD_LASTS));
+        affected.iter().for_each(|proxy| proxy.crowd_begins());
         let clients: Vec<T> = affected.iter().map(|proxy| begin(proxy)).collect();
         std::thread::sleep(lasts);
         drop(clients);
-        // Their threads may have taken longer to end.
-        affected.iter().for_each(|proxy| proxy.crowd_for(CROWD_LASTS));
+        affected.iter().for_each(|proxy| proxy.crowd_ended());
     }
 
     /// Ends processes, all at once, and starts them again.
