--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/bash
+# Builds the stand-ins that the cases 6 to 10 start. They need the compiler alone: no package, no network.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+rustc --edition 2021 -O -A warnings -o target/review-2/rig review/stand-ins-2/main.rs
--- /dev/null
+++ b/review/stand-ins-2/main.rs
@@ -0,0 +1,35 @@
+//! The stand-ins of the second review: `rig CASE ROOT RECORD` plays one case against the project's own program.
+
+mod common;
+mod explained;
+mod homes;
+mod stale;
+mod standby;
+
+use std::path::PathBuf;
+
+use common::{finish, guard, open_record, CANNOT_RUN};
+
+fn main() {
+    let given: Vec<String> = std::env::args().collect();
+    let [_, case, root, record] = &given[..] else {
+        eprintln!("rig CASE ROOT RECORD");
+        std::process::exit(CANNOT_RUN);
+    };
+    open_record(&PathBuf::from(record));
+    guard(110);
+    std::panic::set_hook(Box::new(|why| {
+        common::record_both(format!("the stand-ins failed: {why}"));
+        finish(CANNOT_RUN);
+    }));
+    let root = PathBuf::from(root);
+    let code = match case.as_str() {
+        "stale" => stale::play(&root),
+        "explained" => explained::play(&root),
+        "standby" => standby::play(&root),
+        "twice" => homes::twice(&root),
+        "refused" => homes::refused(&root),
+        _ => CANNOT_RUN,
+    };
+    finish(code);
+}
