--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::SeqCst};
+use std::sync::atomic::{AtomicU64, Ordering::SeqCst};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -80,7 +80,13 @@
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 pub fn signal(pid: u32, signal: &str) {
-    let _ = Command::new("kill").args([&format!("-{signal}"), &pid.to_string()]).stderr(Stdio::null()).status();
+    let _ =
+        Command::new("kill").args([&format!("-{signal}"), &pid.to_string()]).stderr(Stdio::null()).status();
+}
+
+/// Notes a process that has to end with this one.
+pub fn note_child(pid: u32) {
+    CHILDREN.lock().unwrap().push(pid);
 }
 
 /// Ends every process that was started, then this one.
@@ -118,7 +124,7 @@
 }
 
 /// The `run` command of the deploy file.
-fn run_command(root: &Path) -> String {
+pub fn run_command(root: &Path) -> String {
     let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).expect("deploy/balancer.toml");
     let line = deploy.lines().find(|l| l.starts_with("run")).expect("run");
     let command = line.split('"').nth(1).expect("a command").to_owned();
@@ -173,11 +179,6 @@
         finish(CANNOT_RUN);
     }
 
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|s| s.is_some())
-    }
-
     /// An operator's call. Returns the whole response.
     pub fn call(&self, method: &str, path: &str) -> String {
         let Ok(mut s) = TcpStream::connect(self.control) else { return String::new() };
@@ -409,44 +410,20 @@
 
 pub struct Host {
     pub address: SocketAddr,
-    down: Arc<AtomicBool>,
-    streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Host {
     pub fn start(number: usize, behaviour: Arc<dyn Behaviour>) -> Host {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a db host");
         let address = listener.local_addr().unwrap();
-        let (down, streams) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
-        let host = Host { address, down: Arc::clone(&down), streams: Arc::clone(&streams) };
-        listener.set_nonblocking(true).unwrap();
         thread::spawn(move || {
-            while !down.load(SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
-                    sleep_ms(1);
-                    continue;
-                };
-                let _ = (stream.set_nonblocking(false), stream.set_nodelay(true));
-                if let Ok(copy) = stream.try_clone() {
-                    streams.lock().unwrap().push(copy);
-                }
+            for stream in listener.incoming().flatten() {
+                let _ = stream.set_nodelay(true);
                 let behaviour = Arc::clone(&behaviour);
-                thread::spawn(move || {
-                    let end = stream.try_clone();
-                    serve(number, &*behaviour, stream);
-                    let _ = end.map(|s| s.shutdown(Shutdown::Both));
-                });
+                thread::spawn(move || serve(number, &*behaviour, stream));
             }
         });
-        host
-    }
-
-    /// The process dies: its connections end, and new ones are refused.
-    pub fn kill(&self) {
-        self.down.store(true, SeqCst);
-        for stream in self.streams.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        Host { address }
     }
 }
 
@@ -475,7 +452,8 @@
         let mut answer = if bare.is_empty() {
             message(b'I', &[])
         } else if bare == "SHOW pressure" {
-            let (at, primary) = (behaviour.position(host).floor() / 1e3, u8::from(behaviour.is_primary(host)));
+            let (at, primary) =
+                (behaviour.position(host).floor() / 1e3, u8::from(behaviour.is_primary(host)));
             let report = format!("x0={at:.3},x1={primary},depth=0");
             [row(report.as_bytes()), message(b'C', b"SHOW\0")].concat()
         } else if bare.starts_with("SELECT 1") && bare.len() == 8 {
@@ -513,32 +491,25 @@
 
 pub struct Discovery {
     pub address: SocketAddr,
-    list: Arc<Mutex<(u64, Vec<String>)>>,
 }
 
 impl Discovery {
+    /// Serves this list, which does not change.
     pub fn start(entries: Vec<String>) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").expect("discovery");
         let address = listener.local_addr().unwrap();
-        let list = Arc::new(Mutex::new((1, entries)));
-        let discovery = Discovery { address, list: Arc::clone(&list) };
+        let list = format!("{{\"generation\":1,\"reset\":true,\"instances\":[{}]}}\n", entries.join(","));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let list = Arc::clone(&list);
+                let list = list.clone();
                 thread::spawn(move || answer_call(stream, &list));
             }
         });
-        discovery
-    }
-
-    /// Replaces the list; watches are told the whole of it.
-    pub fn replace(&self, entries: Vec<String>) {
-        let mut list = self.list.lock().unwrap();
-        *list = (list.0 + 1, entries);
+        Discovery { address }
     }
 }
 
-fn answer_call(mut stream: TcpStream, list: &Mutex<(u64, Vec<String>)>) -> Option<()> {
+fn answer_call(mut stream: TcpStream, list: &str) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut call = Vec::new();
     let mut byte = [0];
@@ -548,33 +519,31 @@
         }
         call.push(byte[0]);
     }
-    let text = |(generation, entries): &(u64, Vec<String>)| {
-        format!("{{\"generation\":{generation},\"reset\":true,\"instances\":[{}]}}\n", entries.join(","))
-    };
-    let whole = text(&list.lock().unwrap());
     if !String::from_utf8_lossy(&call).contains("stream=1") {
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", whole.len());
-        return stream.write_all((head + &whole).as_bytes()).ok();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", list.len());
+        return stream.write_all((head + list).as_bytes()).ok();
     }
     let chunk = |line: &str| format!("{:x}\r\n{line}\r\n", line.len());
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
-    let (mut told, mut wrote) = (0, Instant::now());
+    stream.write_all(chunk(list).as_bytes()).ok()?;
     loop {
-        let now = list.lock().unwrap().clone();
-        if now.0 > told {
-            stream.write_all(chunk(&text(&now)).as_bytes()).ok()?;
-            (told, wrote) = (now.0, Instant::now());
-        } else if wrote.elapsed() >= Duration::from_secs(2) {
-            stream.write_all(chunk("\n").as_bytes()).ok()?;
-            wrote = Instant::now();
-        }
-        sleep_ms(10);
+        sleep_ms(2000);
+        stream.write_all(chunk("\n").as_bytes()).ok()?;
     }
 }
 
 // ---- Settings of the deployments ----
 
-fn class(name: &str, slo: u64, deadline: u64, worth: f64, late: f64, repeat: &str, group: &str, ttl: u64) -> String {
+fn class(
+    name: &str,
+    slo: u64,
+    deadline: u64,
+    worth: f64,
+    late: f64,
+    repeat: &str,
+    group: &str,
+    ttl: u64,
+) -> String {
     format!(
         "{{\"name\":\"{name}\",\"slo\":{slo}.0,\"deadline\":{deadline}.0,\"worth\":{worth:.1},\"lateWorth\":{late:.1},\
          \"repeat\":\"{repeat}\",\"group\":\"{group}\",\"keyTtl\":{ttl}.0,\"stream\":false}}"
@@ -588,7 +557,8 @@
         class("own-read", 600, 2000, 1.0, 0.0, "pure", "all", 5000),
         class("tally-write", 600, 3000, 3.0, 0.3, "token", "cell", 2000),
     ];
-    let (mut levels, mut bounds) = ("\"lag_bound\",\"causal\",\"mutate\"".to_owned(), "200.0,0.0,0.0".to_owned());
+    let (mut levels, mut bounds) =
+        ("\"lag_bound\",\"causal\",\"mutate\"".to_owned(), "200.0,0.0,0.0".to_owned());
     if plain {
         classes.push(class("plain-write", 600, 3000, 3.0, 0.3, "side_effect", "all", 0));
         levels += ",\"mutate\"";
--- a/review/stand-ins-2/explained.rs
+++ b/review/stand-ins-2/explained.rs
@@ -103,7 +103,8 @@
     let mut refused = 0;
     for n in 0..60 {
         let code = format!("row-{n}");
-        let sql = format!("EXPLAIN (\"analyze\", \"costs\") INSERT INTO facts (code, data) VALUES ('{code}', 'x')");
+        let sql =
+            format!("EXPLAIN (\"analyze\", \"costs\") INSERT INTO facts (code, data) VALUES ('{code}', 'x')");
         record(format!("client sends: {sql}"));
         let answer = client.query(&sql, 4000);
         record(format!("client got {} for {code}", answer.name()));
@@ -133,5 +134,9 @@
     if rows.len() < 20 {
         return CANNOT_RUN;
     }
-    if twice.is_empty() && refused == 0 { HELD } else { BROKEN }
+    if twice.is_empty() && refused == 0 {
+        HELD
+    } else {
+        BROKEN
+    }
 }
--- a/review/stand-ins-2/homes.rs
+++ b/review/stand-ins-2/homes.rs
@@ -134,7 +134,8 @@
     );
     let file = folder().join("placement.textproto");
     std::fs::write(&file, text).unwrap();
-    let told = Command::new(root.join("target/release/gradeshunt")).arg("placement").arg(&file).output().unwrap();
+    let told =
+        Command::new(root.join("target/release/gradeshunt")).arg("placement").arg(&file).output().unwrap();
     let told = String::from_utf8_lossy(&told.stdout).into_owned();
     record(&told);
     let line = told.lines().find(|l| l.trim().starts_with("set 1 part 1 of 1:")).expect("homes of set 1");
@@ -154,7 +155,13 @@
 }
 
 /// A client's writes, one after the other: key and answer of each.
-fn write_on(listen: SocketAddr, mut random: Random, pause_ms: f64, least_wait: f64, over: &AtomicBool) -> Vec<(String, Answer)> {
+fn write_on(
+    listen: SocketAddr,
+    mut random: Random,
+    pause_ms: f64,
+    least_wait: f64,
+    over: &AtomicBool,
+) -> Vec<(String, Answer)> {
     let mut answers = Vec::new();
     let Some(mut client) = Client::connect(listen) else { return answers };
     while !over.load(SeqCst) {
@@ -258,7 +265,11 @@
     if served < 50 || took < 20.0 {
         return CANNOT_RUN;
     }
-    if broken(twice.len(), told_wrongly.len()) { BROKEN } else { HELD }
+    if broken(twice.len(), told_wrongly.len()) {
+        BROKEN
+    } else {
+        HELD
+    }
 }
 
 pub fn refused(root: &Path) -> i32 {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -3,8 +3,8 @@
 mod common;
 mod explained;
 mod homes;
-mod stale;
 mod standby;
+mod upgrade;
 
 use std::path::PathBuf;
 
@@ -24,9 +24,9 @@
     }));
     let root = PathBuf::from(root);
     let code = match case.as_str() {
-        "stale" => stale::play(&root),
         "explained" => explained::play(&root),
         "standby" => standby::play(&root),
+        "upgrade" => upgrade::play(&root),
         "twice" => homes::twice(&root),
         "refused" => homes::refused(&root),
         _ => CANNOT_RUN,
--- a/review/stand-ins-2/standby.rs
+++ b/review/stand-ins-2/standby.rs
@@ -35,19 +35,29 @@
 
 /// Reads with `DEPTH` commands under way: a further one is sent when an answer has come. Ends with its connection. `latest`: when
 /// it sent the latest request that was answered, in ms since `start`; 0 once the connection has ended.
-fn ask_on(proxy: &Proxy, start: Instant, number: usize, over: Arc<AtomicBool>, latest: Arc<AtomicU64>) -> thread::JoinHandle<()> {
+fn ask_on(
+    proxy: &Proxy,
+    start: Instant,
+    number: usize,
+    over: Arc<AtomicBool>,
+    latest: Arc<AtomicU64>,
+) -> thread::JoinHandle<()> {
     let listen = proxy.listen;
     thread::spawn(move || {
         let Some(mut client) = Client::connect(listen) else { return };
         let mut sent = std::collections::VecDeque::new();
-        let mut send = |client: &mut Client, sent: &mut std::collections::VecDeque<(String, u64)>| {
+        let send = |client: &mut Client, sent: &mut std::collections::VecDeque<(String, u64)>| {
             let id = new_id();
-            let sql = format!("/* id={id},c=page-read,d=1200,cluster=1 */ SELECT data FROM facts WHERE code = '{id}'");
+            let sql = format!(
+                "/* id={id},c=page-read,d=1200,cluster=1 */ SELECT data FROM facts WHERE code = '{id}'"
+            );
             record(format!("client {number} sends {id}"));
             sent.push_back((id, start.elapsed().as_millis() as u64));
             client.send(&sql)
         };
-        (0..DEPTH).for_each(|_| drop(send(&mut client, &mut sent)));
+        (0..DEPTH).for_each(|_| {
+            send(&mut client, &mut sent);
+        });
         while !over.load(SeqCst) {
             let answer = client.answer(3000);
             let Some((id, at)) = sent.pop_front() else { break };
@@ -73,8 +83,11 @@
     proxy.wait_ready();
     let (start, over) = (Instant::now(), Arc::new(AtomicBool::new(false)));
     let latest: Vec<_> = (0..4).map(|_| Arc::new(AtomicU64::new(0))).collect();
-    let clients: Vec<_> =
-        latest.iter().enumerate().map(|(n, l)| ask_on(&proxy, start, n, Arc::clone(&over), Arc::clone(l))).collect();
+    let clients: Vec<_> = latest
+        .iter()
+        .enumerate()
+        .map(|(n, l)| ask_on(&proxy, start, n, Arc::clone(&over), Arc::clone(l)))
+        .collect();
     sleep_ms(4000);
     let working = latest.iter().filter(|l| l.load(SeqCst) > 0).count();
     let called = start.elapsed().as_millis() as u64;
@@ -89,7 +102,10 @@
         let at = latest.load(SeqCst);
         // A request of the last 2 s before the look, answered on a connection that is still open.
         if at > called + 2000 {
-            record(format!("client {number} is still served: a request sent {} ms after the call has its answer", at - called));
+            record(format!(
+                "client {number} is still served: a request sent {} ms after the call has its answer",
+                at - called
+            ));
             held += 1;
         }
     }
@@ -100,11 +116,17 @@
     record(format!("the front's empty query gets: {front}"));
     over.store(true, SeqCst);
     sleep_ms(300);
-    record_both(format!("{working} clients were served before; {held} are held 4.5 s later; the front hears {front}"));
+    record_both(format!(
+        "{working} clients were served before; {held} are held 4.5 s later; the front hears {front}"
+    ));
     drop(clients);
     if working < 4 {
         return CANNOT_RUN;
     }
     // Without the call nobody has to be sent away.
-    if trouble() && held > 0 { BROKEN } else { HELD }
+    if trouble() && held > 0 {
+        BROKEN
+    } else {
+        HELD
+    }
 }
