Standby: end the reading of clients that always have a further command under way

Cause: a draining proxy closed a client only at a moment with nothing in progress, read in part, unread or unwritten, and went on reading until it met one. Such a client has none. After SIGTERM the exit ended it, in standby nothing.

Change: 1 s after the call (2.3 s for a client that has not asked yet; after SIGTERM from the last answers on) no further message of a client is begun. The rest of a message that was read in part is read, whatever was read is answered, and then the connection is closed, with what follows left in the socket for its client to send again. The rule is DrainingClient in src/permission; it follows from times alone, so /active reads on. It holds as well for messages that are no requests, startups, clients that read no answers, and slow readers, whose last answer the close must not cut. SIGTERM no longer ends a standby, whose front then heard yes again.

Why it works: what is not read can't keep a client, and what was read is bounded: by then, by its deadline, or 3.5 s after the call if it came late.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod closing;
+mod draining;
 mod eviction;
 mod listener;
 mod messages;
@@ -21,6 +22,7 @@
 use leadmast::settings::Names;
 use leadmast::{Micros, RequestId, Settings};
 
+use self::draining::Drain;
 use self::request_ids::RequestIds;
 use self::session::Session;
 use crate::exchange::ANSWER_BUFFER_SIZE;
@@ -47,16 +49,6 @@
     id: Rc<str>,
 }
 
-/// Whether the proxy serves clients or drains.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ServiceState {
-    Running,
-    /// An operator drains the proxy: requests are still served, and clients are closed between requests.
-    Standby,
-    /// The proxy drains after SIGTERM; it does not return to another state.
-    Closing,
-}
-
 /// The client side.
 pub struct Frontend {
     listener: Option<Polled<TcpListener>>,
@@ -77,9 +69,7 @@
     /// The ids that new requests may not have.
     ids: RequestIds,
     next_session: u64,
-    service: ServiceState,
-    /// After SIGTERM: the time by which every accepted request is answered.
-    drain_deadline: Option<Micros>,
+    drain: Drain,
     /// Clients closed to make room since the last summary, counted by eviction rank.
     evictions_by_rank: [u32; 6],
     /// Client connections that the proxy closed since its start, by reason.
@@ -109,8 +99,7 @@
             secret_hasher: RandomState::new(),
             ids: RequestIds::default(),
             next_session: 0,
-            service: ServiceState::Running,
-            drain_deadline: None,
+            drain: Drain::default(),
             evictions_by_rank: [0; 6],
             close_counts: BTreeMap::new(),
             has_hosts: false,
@@ -139,15 +128,9 @@
         while self.sessions.len() > max_clients && self.evict_one(turn) {}
     }
 
-    /// Bounds the deadline of every request by `at`. After SIGTERM the platform kills the process when its
-    /// grace period ends, so no request may be held longer.
-    pub fn set_drain_deadline(&mut self, at: Micros) {
-        self.drain_deadline = Some(at);
-    }
-
     /// Whether clients are accepted, or may be accepted again later.
     pub fn may_accept(&self) -> bool {
-        self.service != ServiceState::Closing || self.listener.is_some() || self.peer_listener.is_some()
+        !self.drain.is_closing || self.listener.is_some() || self.peer_listener.is_some()
     }
 
     /// Whether any client or other proxy is connected.
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -84,6 +84,8 @@
         }
         // Flush before reading: a client that sends Terminate right behind its request still gets its answer.
         self.flush(turn, id);
+        // Between an answer and the next read is the moment at which the fewest requests cross a close.
+        self.close_if_draining(turn, id);
         // The next request, which may still be unread in the socket, waits for the client's next share: a
         // request that is answered at once would be followed by all that the client has sent.
         turn.defer(EventSource::Session(id));
--- a/crates/gradeshunt/src/frontend/closing.rs
+++ b/crates/gradeshunt/src/frontend/closing.rs
@@ -84,6 +84,7 @@
             bytes_unread: !self.polled.is_quiet(),
             answer_unwritten: !self.outbound.is_empty(),
             awaiting_first_request: may_ask_yet,
+            reading_ended: false,
         }
     }
 }
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -1,18 +1,16 @@
-//! Chooses the clients that are closed between requests: to make room, because they are idle among many, or
-//! because the proxy drains.
+//! Chooses the clients that are closed between requests to make room, or because they are idle among many.
 
 use leadmast::permission::{may_close, ClientState};
 use leadmast::Micros;
 use slog::info;
 
 use super::closing::CloseReason;
-use super::peers::stopping_error;
 use super::session::{Session, Stage};
-use super::{Frontend, ServiceState};
+use super::Frontend;
 use crate::deadlines::DeadlineKind;
 use crate::ids::SessionId;
 use crate::pg::Writer;
-use crate::turn::{EventSource, Turn};
+use crate::turn::Turn;
 
 /// How long a client may take to send its first request before it is among the first to be evicted.
 pub(super) const FIRST_REQUEST_LIMIT: Micros = 2_100_000;
@@ -28,42 +26,8 @@
 const IDLE_SCAN_INTERVAL: Micros = 50_000;
 /// How long a client may be idle while more than two fifths of the maximum are open.
 const CROWDED_IDLE_LIMIT: Micros = 100_000;
-/// How long a draining proxy waits for the first request of a new client.
-const FIRST_REQUEST_GRACE: Micros = 2_300_000;
 
 impl Frontend {
-    /// Enters or leaves standby; in standby, clients are closed between requests.
-    pub fn set_standby(&mut self, turn: &mut Turn, standby: bool) {
-        match self.service {
-            ServiceState::Closing => {}
-            _ if standby => self.start_draining(turn, ServiceState::Standby),
-            _ => self.service = ServiceState::Running,
-        }
-    }
-
-    /// Enters a draining state. Every client gets a share of a turn, in which it is closed if it is between
-    /// requests.
-    pub(super) fn start_draining(&mut self, turn: &mut Turn, service: ServiceState) {
-        self.service = service;
-        self.sessions.keys().for_each(|id| turn.defer(EventSource::Session(*id)));
-    }
-
-    /// While the proxy drains, closes a client that has nothing unread and nothing unanswered. A client that
-    /// has sent no request yet is given [`FIRST_REQUEST_GRACE`], because its request is usually in transit.
-    pub(super) fn close_if_draining(&mut self, turn: &mut Turn, id: SessionId) {
-        let Some(s) = self.sessions.get(&id) else { return };
-        if self.service == ServiceState::Running || s.is_closing() {
-            return;
-        }
-        let within_grace = turn.now - s.last_active <= FIRST_REQUEST_GRACE
-            && self.drain_deadline.is_none_or(|at| turn.now < at);
-        // No grace for other proxies: they resend a request that crosses the close to another proxy.
-        if may_close(&s.close_facts(within_grace && !s.is_peer())).is_ok() {
-            let last = if s.is_peer() { stopping_error() } else { Writer::default() };
-            self.close_with(turn, id, last, CloseReason::Draining);
-        }
-    }
-
     /// Logs how many clients were closed to make room since the last summary, by kind.
     pub fn log_summary(&mut self, turn: &Turn) {
         let [closing, mute, idle, slow, fresh, between] = std::mem::take(&mut self.evictions_by_rank);
@@ -76,14 +40,8 @@
     /// clients are open, none is closed, so that a person at a prompt keeps the connection.
     pub fn close_idle_clients(&mut self, turn: &mut Turn) {
         turn.deadlines.set(turn.now + IDLE_SCAN_INTERVAL, DeadlineKind::ScanIdleClients);
-        if self.service != ServiceState::Running {
-            return self
-                .sessions
-                .keys()
-                .copied()
-                .collect::<Vec<_>>()
-                .into_iter()
-                .for_each(|id| self.close_if_draining(turn, id));
+        if self.drain.is_active() {
+            return self.close_drained_clients(turn);
         }
         let open = self.sessions.values().filter(|s| !s.is_closing()).count();
         if open <= self.max_clients / 8 {
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -9,7 +9,7 @@
 
 use super::closing::CloseReason;
 use super::session::{Session, Stage, MESSAGE_TIMEOUT};
-use super::{Frontend, ServiceState};
+use super::Frontend;
 use crate::accept_failure::AcceptFailure;
 use crate::deadlines::DeadlineKind;
 use crate::ids::SessionId;
@@ -140,7 +140,9 @@
             skips_until_sync: false,
             disconnected: false,
             has_sent_query: false,
+            accepted_at: turn.now,
             last_active: turn.now,
+            delivery_until: None,
             backlogged_since: self.backlog_since[usize::from(source == Source::Proxy)],
             deadline: None,
             origin: Origin::default(),
@@ -178,6 +180,6 @@
         if let Some(listener) = self.peer_listener.take() {
             listener.close(turn);
         }
-        self.start_draining(turn, ServiceState::Closing);
+        self.start_closing(turn);
     }
 }
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -3,10 +3,11 @@
 use std::hash::BuildHasher;
 use std::rc::Rc;
 
+use leadmast::Micros;
 use slog::{debug, info};
 
 use super::closing::CloseReason;
-use super::session::{Stage, MESSAGE_TIMEOUT};
+use super::session::{Stage, CLOSE_STALL_TIMEOUT, MESSAGE_TIMEOUT};
 use super::statements::QueryOutcome;
 use super::{Frontend, RequestOwner, MAX_UNREAD_BYTES};
 use crate::exchange::Exchange;
@@ -58,24 +59,32 @@
                 }
             }
         }
-        self.flush(turn, id);
+        let moved = self.flush(turn, id);
         self.report_unread_bytes(exchange, id, 0);
-        self.set_message_deadline(turn, id);
+        self.set_message_deadline(turn, id, moved);
         self.close_if_draining(turn, id);
     }
 
     /// Sets the deadline for the rest of an incomplete message. Each message has one deadline, which further
-    /// bytes do not extend.
-    fn set_message_deadline(&mut self, turn: &mut Turn, id: SessionId) {
+    /// bytes do not extend. `moved` says that the client has just received something.
+    fn set_message_deadline(&mut self, turn: &mut Turn, id: SessionId, moved: bool) {
         let Some(s) = self.sessions.get(&id) else { return };
-        let incomplete_since = match s.stage {
+        let is_stalled = s.outbound.len() > MAX_UNREAD_BYTES;
+        let due = match s.stage {
             Stage::Startup | Stage::Closing | Stage::Lingering => return,
-            Stage::Ready => s.inbound.first_arrival().filter(|_| s.outbound.len() <= MAX_UNREAD_BYTES),
+            Stage::Ready if is_stalled && self.drain.has_ended_reading(s, turn.now) => {
+                s.deadline.filter(|_| !moved).or(Some(turn.now + CLOSE_STALL_TIMEOUT))
+            }
+            Stage::Ready if is_stalled => None,
+            // The time counts from the message's first byte, however long the message waited behind a request
+            // in progress.
+            Stage::Ready => {
+                let due = s.inbound.first_arrival().map(|arrived| arrived + MESSAGE_TIMEOUT);
+                due.map(|due| due.min(self.drain.of(s).message_due_at().unwrap_or(Micros::MAX)))
+            }
             Stage::Waiting(_) => None,
         };
-        // The time counts from the message's first byte, however long the message waited behind a request in
-        // progress.
-        self.set_deadline(turn, id, incomplete_since.map(|arrived| arrived + MESSAGE_TIMEOUT));
+        self.set_deadline(turn, id, due);
     }
 
     /// Processes the startup packet, if it is complete. Returns whether to continue with the next message.
--- a/crates/gradeshunt/src/frontend/peers.rs
+++ b/crates/gradeshunt/src/frontend/peers.rs
@@ -5,7 +5,7 @@
 use slog::warn;
 
 use super::closing::CloseReason;
-use super::{Frontend, ServiceState};
+use super::Frontend;
 use crate::ids::SessionId;
 use crate::log_limit::ClientLine;
 use crate::pg::{sqlstate, Writer};
@@ -35,7 +35,7 @@
                     "suppressed" => suppressed, "name" => name);
             }
             (sqlstate::INVALID_AUTHORIZATION, "this address is for the proxies of this group")
-        } else if self.service != ServiceState::Running {
+        } else if self.drain.is_active() {
             (sqlstate::CANNOT_CONNECT_NOW, "the proxy takes no more requests here")
         } else {
             return true;
--- a/crates/gradeshunt/src/frontend/session.rs
+++ b/crates/gradeshunt/src/frontend/session.rs
@@ -28,6 +28,11 @@
 /// destroy what the client has yet to read.
 pub(super) const LINGER: Micros = 1_000_000;
 
+/// How long at most the end of the last message may wait in the system for a client that is slow to receive it,
+/// and how often that is looked at.
+pub(super) const MAX_DELIVERY_TIME: Micros = 10_000_000;
+pub(super) const DELIVERY_CHECK_INTERVAL: Micros = 50_000;
+
 /// How long the last message of a closing connection may make no progress while the client does not read.
 pub(super) const CLOSE_STALL_TIMEOUT: Micros = 5_000_000;
 
@@ -63,11 +68,15 @@
     pub(super) disconnected: bool,
     /// Whether the client has sent a query.
     pub(super) has_sent_query: bool,
+    /// When the session was accepted.
+    pub(super) accepted_at: Micros,
     /// When the session was accepted, last received a message or last got an answer.
     pub(super) last_active: Micros,
     /// The time since which the connection, and what the client sent on it, may have waited in the listen
     /// backlog. Taken at the first read.
     pub(super) backlogged_since: Option<Micros>,
+    /// Once the last message is written: the time until which the system may take to send it.
+    pub(super) delivery_until: Option<Micros>,
     /// When the session's deadline expires, if one is set.
     pub(super) deadline: Option<Micros>,
     /// The user, database and application of the startup message.
@@ -102,6 +111,8 @@
     drained: bool,
     /// Whether the ring was full before the last read.
     was_full: bool,
+    /// Whether no further message is begun, because the proxy drains.
+    withheld: bool,
 }
 
 impl Frontend {
@@ -110,8 +121,10 @@
         let Some(s) = self.sessions.get(&id).filter(|s| s.deadline.is_some_and(|due| due <= turn.now)) else {
             return;
         };
-        if s.is_closing() {
-            return self.close(turn, id);
+        match s.stage {
+            Stage::Closing if s.outbound.is_empty() => return self.finish_writing(turn, id),
+            Stage::Closing | Stage::Lingering => return self.close(turn, id),
+            Stage::Startup | Stage::Ready | Stage::Waiting(_) => {}
         }
         let (code, what) = (sqlstate::PROTOCOL_VIOLATION, "no whole message in time");
         self.close_with(
@@ -135,6 +148,10 @@
         if input.was_full && self.sessions.get(&id).is_some_and(|s| !s.inbound.is_full()) {
             turn.defer(EventSource::Session(id));
         }
+        // A message that was read in part has become the first one, and its rest may be read now.
+        if input.withheld && self.sessions.get_mut(&id).is_some_and(|s| s.missing_bytes() > 0) {
+            turn.defer(EventSource::Session(id));
+        }
     }
 
     /// Reads what a session's share of a turn allows. Returns `None` if the session is closed or turned away.
@@ -143,12 +160,18 @@
         let arrived = waited.unwrap_or(turn.now - turn.unread_for);
         let mut input = InputRead::default();
         for _ in 0..READS_PER_TURN {
+            let limit = self.read_limit(turn.now, id);
             let s = self.sessions.get_mut(&id)?;
             if s.is_closing() && s.leaves_unread {
                 return Some(input);
             }
+            let Some(limit) = limit else {
+                s.inbound.record_unread(&s.polled.socket, arrived);
+                input.withheld = true;
+                return Some(input);
+            };
             input.was_full = s.inbound.is_full();
-            match s.inbound.read_from(&s.polled.socket, arrived) {
+            match s.inbound.read_at_most(&s.polled.socket, limit, arrived) {
                 Ok(Transfer::Bytes(_)) if s.is_closing() => s.inbound.clear(),
                 Ok(Transfer::Bytes(_))
                     if s.adds_large_request() && memory::total_buffered() > self.max_buffered =>
@@ -188,9 +211,9 @@
         self.close_with(turn, id, error, CloseReason::OutOfMemory);
     }
 
-    /// Writes buffered output until the socket would block.
-    pub(super) fn flush(&mut self, turn: &mut Turn, id: SessionId) {
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+    /// Writes buffered output until the socket would block. Returns whether any was written.
+    pub(super) fn flush(&mut self, turn: &mut Turn, id: SessionId) -> bool {
+        let Some(s) = self.sessions.get_mut(&id) else { return false };
         let mut moved = false;
         loop {
             match s.outbound.write_to(&s.polled.socket) {
@@ -199,23 +222,36 @@
                 Err(_) => {
                     // The connection is broken. The session is closed when it is next processed.
                     s.disconnected = true;
-                    return turn.defer(EventSource::Session(id));
+                    turn.defer(EventSource::Session(id));
+                    return moved;
                 }
             }
         }
         match s.stage {
-            // The client may still be sending; an immediate close would reset the connection and destroy what
-            // the client has yet to read.
-            Stage::Closing if s.outbound.is_empty() => {
-                s.stage = Stage::Lingering;
-                let _ = s.polled.socket.shutdown(Shutdown::Write);
-                self.set_deadline(turn, id, Some(turn.now + LINGER));
+            Stage::Closing if s.outbound.is_empty() && s.delivery_until.is_none() => {
+                self.finish_writing(turn, id)
             }
             // Each progress extends the deadline, so that a slow client that keeps reading gets the whole
             // message.
             Stage::Closing if moved => self.set_deadline(turn, id, Some(turn.now + CLOSE_STALL_TIMEOUT)),
             _ => {}
         }
+        moved
+    }
+
+    /// Shuts down the sending side of a connection whose last message is written. The client may still be
+    /// sending, and a close over unread bytes resets the connection: where they are left unread, the shutdown
+    /// waits until the system has sent everything, since it would discard the rest.
+    fn finish_writing(&mut self, turn: &mut Turn, id: SessionId) {
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let until = *s.delivery_until.get_or_insert(turn.now + MAX_DELIVERY_TIME);
+        let resets = s.leaves_unread && !s.polled.is_quiet();
+        if resets && turn.now < until && s.polled.has_unsent_bytes() {
+            return self.set_deadline(turn, id, Some(turn.now + DELIVERY_CHECK_INTERVAL));
+        }
+        s.stage = Stage::Lingering;
+        let _ = s.polled.socket.shutdown(Shutdown::Write);
+        self.set_deadline(turn, id, Some(turn.now + LINGER));
     }
 
     /// Writes the last message of a connection and closes the connection once the client has had time to read
--- a/crates/gradeshunt/src/frontend/statements.rs
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -7,7 +7,7 @@
 use leadmast::{Effect, GroupId, Micros, ReadLevel};
 use slog::debug;
 
-use super::{Frontend, ServiceState};
+use super::Frontend;
 use crate::exchange::{AnswerForm, Body, IncomingRequest};
 use crate::ids::SessionId;
 use crate::pg::{self, sqlstate, Writer};
@@ -34,10 +34,12 @@
         let w = Writer::default();
         let statement = std::str::from_utf8(&text).map_err(|_| "the statement is not UTF-8")?;
         let trimmed = statement.trim().trim_end_matches(';').trim();
-        let unavailable = match self.service {
-            _ if !self.has_hosts => Some("no db host is known yet"),
-            ServiceState::Running | ServiceState::Closing => None,
-            ServiceState::Standby => Some("the proxy is in standby"),
+        let unavailable = if !self.has_hosts {
+            Some("no db host is known yet")
+        } else if self.drain.is_in_standby() {
+            Some("the proxy is in standby")
+        } else {
+            None
         };
         if let (true, Some(why)) = (trimmed.is_empty(), unavailable) {
             let error = w.error("ERROR", sqlstate::CANNOT_CONNECT_NOW, why, None);
@@ -83,7 +85,7 @@
         let since_write = after.map(|ms| (turn.now - turn.clock.latest_at_unix_ms(ms as f64)).max(1));
         // The class's deadline bounds the wait that the client asks for.
         let wait = (Micros::from(routing.wait_ms) * 1000).min(self.settings.classes[class.0].deadline);
-        let deadline = self.deadline(arrived, wait);
+        let deadline = self.deadline(session, arrived, wait);
         let id = Rc::from(routing.id);
         let (repeat, wait_span) = (routing.repeat, routing.wait_span);
         let tenant = routing.tenant.and_then(|t| self.names.tenant(t));
@@ -137,7 +139,7 @@
             Body::new(text, None, AnswerForm::Result)
         };
         let key = Some(fnv(&format!("session {}", session.0)));
-        let deadline = self.deadline(arrived, wait);
+        let deadline = self.deadline(session, arrived, wait);
         let (tenant, source) = (None, Source::Client);
         let (repeat, checked) = (false, false);
         let call = IncomingRequest {
@@ -157,8 +159,9 @@
 
     /// Returns the deadline of a request whose last byte arrived at `arrived`. The wait counts from that
     /// arrival, however long the request then queued behind others.
-    fn deadline(&self, arrived: Micros, wait: Micros) -> Micros {
-        (arrived + wait).min(self.drain_deadline.unwrap_or(Micros::MAX))
+    fn deadline(&self, session: SessionId, arrived: Micros, wait: Micros) -> Micros {
+        let due = self.sessions.get(&session).and_then(|s| self.drain.of(s).answer_due_at(arrived));
+        (arrived + wait).min(due.unwrap_or(Micros::MAX))
     }
 }
 
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -46,7 +46,7 @@
 }
 
 /// Sets up a client side with one client on a real connection; the test sets the clock.
-fn frontend_with_one_client(
+pub(super) fn frontend_with_one_client(
 ) -> (Frontend, Turn, TcpStream, SessionId, calloop::EventLoop<'static, ReadySources>) {
     let poll = calloop::EventLoop::<ReadySources>::try_new().expect("a poll");
     let mut turn = Turn::new(poll.handle(), slog::Logger::root(slog::Discard, slog::o!()));
@@ -166,7 +166,7 @@
 }
 
 /// The bytes of a read query that waits `wait_ms` at most.
-fn read_query(number: usize, wait_ms: u32) -> Vec<u8> {
+pub(super) fn read_query(number: usize, wait_ms: u32) -> Vec<u8> {
     let statement = format!(
         "/* id={number},c=page-read,d={wait_ms},cluster=1 */ SELECT data FROM facts WHERE code = '{number:x}'"
     );
@@ -174,28 +174,34 @@
 }
 
 /// A client whose first request is in progress, so that everything it sends next queues behind that request.
-struct Pipeline {
-    frontend: Frontend,
-    turn: Turn,
-    exchange: Exchange,
-    client: TcpStream,
-    id: SessionId,
+pub(super) struct Pipeline {
+    pub(super) frontend: Frontend,
+    pub(super) turn: Turn,
+    pub(super) exchange: Exchange,
+    pub(super) client: TcpStream,
+    pub(super) id: SessionId,
     _poll: calloop::EventLoop<'static, ReadySources>,
 }
 
 impl Pipeline {
-    fn begin() -> Pipeline {
+    pub(super) fn begin() -> Pipeline {
+        let mut pipeline = Pipeline::without_request();
+        pipeline.send(0, &read_query(0, 1_200));
+        assert!(matches!(pipeline.frontend.sessions[&pipeline.id].stage, Stage::Waiting(RequestId(0))));
+        pipeline
+    }
+
+    /// A client that has sent its startup packet alone.
+    pub(super) fn without_request() -> Pipeline {
         let (frontend, turn, client, id, poll) = frontend_with_one_client();
         let exchange = Exchange::new(frontend.settings.clone(), Vec::new(), 7, 0);
         let mut pipeline = Pipeline { frontend, turn, exchange, client, id, _poll: poll };
         pipeline.send(0, &Writer::default().startup("portal", "crm", None).0);
-        pipeline.send(0, &read_query(0, 1_200));
-        assert!(matches!(pipeline.frontend.sessions[&id].stage, Stage::Waiting(RequestId(0))));
         pipeline
     }
 
     /// Sends bytes, which the client side reads at time `at`.
-    fn send(&mut self, at: Micros, bytes: &[u8]) {
+    pub(super) fn send(&mut self, at: Micros, bytes: &[u8]) {
         use std::io::Write;
         self.turn.now = at;
         self.client.write_all(bytes).expect("the connection is open");
@@ -205,9 +211,20 @@
 
     /// Answers the first request at `at` and processes the requests behind it. Returns how many of those had
     /// expired.
-    fn count_expired(&mut self, at: Micros) -> u64 {
+    pub(super) fn count_expired(&mut self, at: Micros) -> u64 {
+        self.answer_first(at);
+        self.exchange.figures().expired_unsent
+    }
+
+    /// Answers the first request at `at` and processes the requests behind it.
+    pub(super) fn answer_first(&mut self, at: Micros) {
         self.turn.now = at;
         self.frontend.answer(&mut self.turn, &mut self.exchange, RequestId(0), FinalAnswer::Failed(None));
+        self.settle();
+    }
+
+    /// Processes answers and deferred work until none is left.
+    pub(super) fn settle(&mut self) {
         loop {
             if let Some((request, answer)) = self.exchange.answers.pop_front() {
                 let crate::exchange::Answer::Final(last) = answer else { panic!("a part of an answer") };
@@ -218,7 +235,7 @@
             } else if self.turn.ready.pop(Phase::Clients).is_some() {
                 self.frontend.ready(&mut self.turn, &mut self.exchange, self.id);
             } else {
-                return self.exchange.figures().expired_unsent;
+                return;
             }
         }
     }
@@ -308,7 +325,7 @@
 }
 
 /// A request whose wait ends at `deadline`.
-fn call_with_deadline(deadline: Micros) -> IncomingRequest {
+pub(super) fn call_with_deadline(deadline: Micros) -> IncomingRequest {
     IncomingRequest {
         class: leadmast::ClassId(0),
         group: GroupId(1),
--- a/crates/gradeshunt/src/inbound.rs
+++ b/crates/gradeshunt/src/inbound.rs
@@ -113,14 +113,14 @@
         self.ring.bytes()
     }
 
-    /// Reads once from the socket. The bytes count as arrived at `at`, or earlier if
+    /// Reads once from the socket, `limit` bytes at most. The bytes count as arrived at `at`, or earlier if
     /// [`InputBuffer::record_unread`] saw them.
     ///
     /// # Errors
     ///
     /// Errors of the socket, except that it would block.
-    pub fn read_from(&mut self, socket: &TcpStream, at: Micros) -> io::Result<Transfer> {
-        let moved = self.ring.read_from(socket)?;
+    pub fn read_at_most(&mut self, socket: &TcpStream, limit: usize, at: Micros) -> io::Result<Transfer> {
+        let moved = self.ring.read_at_most(socket, limit)?;
         if let Transfer::Bytes(_) = moved {
             let end = self.arrivals.consumed + self.ring.len() as u64;
             self.arrivals.record(end, at);
--- a/crates/gradeshunt/src/inbound/tests.rs
+++ b/crates/gradeshunt/src/inbound/tests.rs
@@ -21,7 +21,7 @@
     client.write_all(bytes).expect("the connection is open");
     let expected = inbound.len() + bytes.len();
     while inbound.len() < expected {
-        inbound.read_from(server, at).expect("the connection is open");
+        inbound.read_at_most(server, usize::MAX, at).expect("the connection is open");
     }
 }
 
@@ -57,7 +57,7 @@
     while unread() < 3 {}
     assert_eq!(inbound.consume(MAX_RING_SIZE), Some(5));
     while inbound.len() < 3 {
-        inbound.read_from(&server, 700).expect("the connection is open");
+        inbound.read_at_most(&server, usize::MAX, 700).expect("the connection is open");
     }
     assert_eq!(inbound.consume(2), Some(100), "they arrived while the ring was full");
     assert_eq!(inbound.consume(1), Some(700), "it was not seen before it was read");
--- a/crates/gradeshunt/src/pg.rs
+++ b/crates/gradeshunt/src/pg.rs
@@ -29,6 +29,8 @@
 
 /// Size of a message's type byte and length field.
 const HEADER_SIZE: usize = 5;
+/// Size of the length field of a startup packet.
+const STARTUP_LENGTH_SIZE: usize = 4;
 
 const PROTOCOL_3: u32 = 3 << 16;
 const CANCEL_REQUEST: u32 = (1234 << 16) | 5678;
@@ -136,6 +138,31 @@
     Ok(bytes.get(HEADER_SIZE..size).map(|body| Message { tag, body, size }))
 }
 
+/// Returns how many bytes complete the first message, which has begun: those of its header until that is
+/// complete, and then all others. Returns 0 if it has not begun, is complete or is invalid.
+pub fn missing_from_message(bytes: &[u8], tags: &[u8]) -> usize {
+    if bytes.is_empty() {
+        return 0;
+    }
+    match parse_header_up_to(bytes, tags, MAX_MESSAGE_SIZE) {
+        Ok(Some((_, size))) => size.saturating_sub(bytes.len()),
+        Ok(None) => HEADER_SIZE.saturating_sub(bytes.len()),
+        Err(Malformed(_)) => 0,
+    }
+}
+
+/// Like [`missing_from_message`], for a startup packet.
+pub fn missing_from_startup(bytes: &[u8]) -> usize {
+    if bytes.is_empty() {
+        return 0;
+    }
+    match be32(bytes, 0).map(|size| size as usize) {
+        None => STARTUP_LENGTH_SIZE.saturating_sub(bytes.len()),
+        Some(size) if size <= MAX_STARTUP_SIZE => size.saturating_sub(bytes.len()),
+        Some(_) => 0,
+    }
+}
+
 /// Returns the type and size of a message of one of the types in `tags`, which may be a long row; `None`
 /// until its header is complete.
 pub fn parse_header(bytes: &[u8], tags: &[u8]) -> Result<Option<(u8, usize)>, Malformed> {
--- a/crates/gradeshunt/src/proxy/lifetime.rs
+++ b/crates/gradeshunt/src/proxy/lifetime.rs
@@ -21,19 +21,19 @@
 const LEAVE_AFTER: Micros = 550_000;
 /// A process that leaves waits for its log until then and no longer: it must have ended before SIGKILL.
 const END_AFTER: Micros = LEAVE_AFTER + 100_000;
-/// Open requests get their last answer this long before the process leaves. Requests that arrive in the
-/// `LAST_READ_BEFORE_ANSWERS` before that are not read any more.
+/// Open requests get their last answer this long before the process leaves, and nothing is read after that.
+/// Requests that arrive in the `LATEST_DEADLINE_BEFORE_ANSWERS` before that are refused at once.
 const LAST_ANSWERS_BEFORE_LEAVING: Micros = 50_000;
-const LAST_READ_BEFORE_ANSWERS: Micros = 50_000;
+const LATEST_DEADLINE_BEFORE_ANSWERS: Micros = 50_000;
 /// Descriptors reserved for the log, the poll, the signals, discovery and files.
 const RESERVED_SOCKETS: usize = 24;
 
 /// Times of the steps by which a process ends after SIGTERM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ShutdownTimes {
-    /// Requests that arrive later are not read.
-    last_read: Micros,
-    /// Open requests get their last answer.
+    /// The latest deadline of a request; one that arrives later is refused.
+    latest_deadline: Micros,
+    /// Open requests get their last answer, and no further ones are read.
     last_answers: Micros,
     leave: Micros,
     /// The process ends, whether its log is written or not.
@@ -48,7 +48,7 @@
         let leave = over + LEAVE_AFTER;
         let last_answers = leave - LAST_ANSWERS_BEFORE_LEAVING;
         ShutdownTimes {
-            last_read: last_answers - LAST_READ_BEFORE_ANSWERS,
+            latest_deadline: last_answers - LATEST_DEADLINE_BEFORE_ANSWERS,
             last_answers,
             leave,
             end: over + END_AFTER,
@@ -118,10 +118,11 @@
         }
         self.shared.change_state(ProcessState::Leaving);
         let now = self.core.turn.now;
-        let ShutdownTimes { last_read, last_answers, leave, end } =
+        let ShutdownTimes { latest_deadline, last_answers, leave, end } =
             ShutdownTimes::at(now, self.longest_deadline);
         self.end_by = Some(end);
-        self.frontend.set_drain_deadline(last_read);
+        self.frontend.set_drain_deadline(latest_deadline);
+        self.frontend.set_last_read(last_answers);
         self.core.turn.deadlines.set(now + ACCEPT_AFTER_SIGTERM, DeadlineKind::CloseListener);
         self.core.turn.deadlines.set(last_answers, DeadlineKind::LastAnswers);
         self.core.turn.deadlines.set(leave, DeadlineKind::Exit);
--- a/crates/gradeshunt/src/proxy/lifetime/tests.rs
+++ b/crates/gradeshunt/src/proxy/lifetime/tests.rs
@@ -16,7 +16,7 @@
         let shutdown = ShutdownTimes::at(0, longest);
         assert!(shutdown.last_answers + MAX_PAUSE < killed_at, "{shutdown:?}");
         assert!(shutdown.leave + MAX_PAUSE <= killed_at, "{shutdown:?}");
-        assert!(shutdown.last_read < shutdown.last_answers, "{shutdown:?}");
+        assert!(shutdown.latest_deadline < shutdown.last_answers, "{shutdown:?}");
     }
 }
 
--- a/crates/gradeshunt/src/ring.rs
+++ b/crates/gradeshunt/src/ring.rs
@@ -90,15 +90,22 @@
     }
 
     /// Reads once from the socket into the free space.
-    pub fn read_from(&mut self, mut socket: &TcpStream) -> io::Result<Transfer> {
-        if self.is_full() {
+    pub fn read_from(&mut self, socket: &TcpStream) -> io::Result<Transfer> {
+        self.read_at_most(socket, MAX_RING_SIZE)
+    }
+
+    /// Reads once from the socket into the free space, `limit` bytes at most.
+    pub fn read_at_most(&mut self, mut socket: &TcpStream, limit: usize) -> io::Result<Transfer> {
+        if self.is_full() || limit == 0 {
             return Ok(Transfer::Blocked);
         }
         if self.len == self.buf.len() {
             self.grow(self.len + 1);
         }
         let (first, second) = self.free_space();
-        let mut parts = [IoSliceMut::new(first), IoSliceMut::new(second)];
+        let in_first = first.len().min(limit);
+        let in_second = second.len().min(limit - in_first);
+        let mut parts = [IoSliceMut::new(&mut first[..in_first]), IoSliceMut::new(&mut second[..in_second])];
         match retry_interrupted(|| socket.read_vectored(&mut parts)) {
             Ok(0) => Ok(Transfer::End),
             Ok(n) => {
--- a/crates/gradeshunt/tests/exchanges.rs
+++ b/crates/gradeshunt/tests/exchanges.rs
@@ -540,6 +540,7 @@
     control
     held_out
     standby
+    standby_pipelined
     upgrade
     long_value
     half_message
@@ -583,6 +584,7 @@
     control
     held_out
     standby
+    standby_pipelined
     upgrade
     long_value
     half_message
--- a/src/permission/connection.rs
+++ b/src/permission/connection.rs
@@ -1,4 +1,5 @@
-//! Rules on connections: whether a pooled one may be reused, and whether a client's connection may be closed.
+//! Rules on connections: whether a pooled one may be reused, whether a client's connection may be closed, and
+//! until when it is read and its requests are answered while the proxy drains.
 
 use super::HostState;
 use crate::interface::Micros;
@@ -88,6 +89,8 @@
     pub answer_unwritten: bool,
     /// Whether the first request may still arrive and the client is given time for it.
     pub awaiting_first_request: bool,
+    /// Whether the proxy drains and begins no further message of this client: what is unread stays unread.
+    pub reading_ended: bool,
 }
 
 /// Why the proxy may not close a client's connection.
@@ -107,8 +110,23 @@
     AlreadyClosing,
 }
 
+impl CloseDenial {
+    /// The reason's name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseDenial::RequestInProgress => "request_in_progress",
+            CloseDenial::MessagePartlyRead => "message_partly_read",
+            CloseDenial::BytesUnread => "bytes_unread",
+            CloseDenial::AnswerUnwritten => "answer_unwritten",
+            CloseDenial::AwaitingFirstRequest => "awaiting_first_request",
+            CloseDenial::AlreadyClosing => "already_closing",
+        }
+    }
+}
+
 /// Checks whether a client's connection may be closed now: it must be between requests, with nothing
-/// partially read, unread or unwritten.
+/// partially read, unread or unwritten. Once reading has ended, only what was read counts: the client sends
+/// what was not read again on another connection, and what is unwritten is written before the close.
 ///
 /// # Errors
 /// Returns why it may not.
@@ -125,6 +143,8 @@
     }
     if client.message_partly_read {
         Err(CloseDenial::MessagePartlyRead)
+    } else if client.reading_ended {
+        Ok(())
     } else if client.answer_unwritten {
         Err(CloseDenial::AnswerUnwritten)
     } else if client.bytes_unread {
@@ -133,3 +153,62 @@
         Ok(())
     }
 }
+
+/// How long after the beginning of a drain a client that has sent a request may begin further ones. Until then
+/// its connection is closed only when nothing is unread, so that few requests cross the close.
+const FURTHER_REQUESTS_PERIOD: Micros = 1_000_000;
+/// How long after the beginning of a drain a client's first request may begin.
+const FIRST_REQUEST_PERIOD: Micros = 2_300_000;
+/// A request that arrives later than this after the beginning of a drain has to be answered by
+/// [`DRAIN_LIMIT`].
+const LATE_REQUEST_AGE: Micros = 1_500_000;
+/// How long after the beginning of a drain a message that began in time may take, and a late request. The
+/// operators look for requests of the last 2 s once 4 s have passed.
+const DRAIN_LIMIT: Micros = 3_500_000;
+
+/// What decides until when a client's connection is read while the proxy drains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainingClient {
+    /// When the connection was accepted.
+    pub accepted_at: Micros,
+    /// Whether the client has sent a request.
+    pub has_sent_request: bool,
+    /// When an operator put the proxy into standby.
+    pub standby_since: Option<Micros>,
+    /// After SIGTERM: the latest deadline of a request. One that arrives later is refused at once.
+    pub latest_deadline: Option<Micros>,
+    /// After SIGTERM: the time from which no further message is begun.
+    pub last_read: Option<Micros>,
+}
+
+impl DrainingClient {
+    /// When the drain of a proxy in standby began for this connection.
+    fn standby_begins_at(&self) -> Option<Micros> {
+        self.standby_since.map(|since| since.max(self.accepted_at))
+    }
+
+    /// The time from which no further message of the connection is begun, if the proxy drains.
+    pub fn reading_ends_at(&self) -> Option<Micros> {
+        let period = if self.has_sent_request { FURTHER_REQUESTS_PERIOD } else { FIRST_REQUEST_PERIOD };
+        let in_standby = self.standby_begins_at().map(|begin| begin + period);
+        in_standby.into_iter().chain(self.last_read).min()
+    }
+
+    /// The time by which a message that has begun must be complete, if the proxy is in standby.
+    pub fn message_due_at(&self) -> Option<Micros> {
+        self.standby_begins_at().map(|begin| begin + DRAIN_LIMIT)
+    }
+
+    /// The time by which a request whose last byte arrived at `arrived` must be answered, if the proxy drains.
+    pub fn answer_due_at(&self, arrived: Micros) -> Option<Micros> {
+        let begin = self.standby_begins_at().filter(|begin| arrived > begin + LATE_REQUEST_AGE);
+        let in_standby = begin.map(|begin| begin + DRAIN_LIMIT);
+        in_standby.into_iter().chain(self.latest_deadline).min()
+    }
+
+    /// Whether the client is given time at `now` for its first request, which may be in transit.
+    pub fn awaits_first_request(&self, now: Micros) -> bool {
+        let in_time = now - self.accepted_at < FIRST_REQUEST_PERIOD;
+        !self.has_sent_request && in_time && self.latest_deadline.is_none_or(|at| now < at)
+    }
+}
--- a/src/permission/mod.rs
+++ b/src/permission/mod.rs
@@ -17,7 +17,8 @@
     AttemptDenial, AttemptLimits, HostState, PossibleExecution, RemainingTime, RequestState, WriteState,
 };
 pub use connection::{
-    may_close, may_reuse, ClientStage, ClientState, CloseDenial, PooledConnection, ReuseDenial,
+    may_close, may_reuse, ClientStage, ClientState, CloseDenial, DrainingClient, PooledConnection,
+    ReuseDenial,
 };
 pub use process::{
     id_retired_until, may_accept, may_apply_list, may_exit, may_hand_over, AcceptDenial, ExitDenial,
--- a/tests/permission.rs
+++ b/tests/permission.rs
@@ -149,6 +149,7 @@
         bytes_unread: false,
         answer_unwritten: false,
         awaiting_first_request: false,
+        reading_ended: false,
     };
     assert_eq!(may_close(&between), Ok(()));
     let denied = [
@@ -226,3 +227,55 @@
     assert!(!violates_drain(9_000_000, None, 250_000));
     assert!(violates_answer_time(1_500_001, 1_000_000) && !violates_answer_time(1_500_000, 1_000_000));
 }
+
+/// Guards against clients that a draining proxy never sends away because something of theirs is always unread
+/// or unwritten: once reading has ended, only what was read keeps a client.
+#[test]
+fn client_that_is_not_read_any_more_is_closed_once_what_was_read_is_answered() {
+    let busy = ClientState {
+        stage: ClientStage::Between,
+        message_partly_read: false,
+        bytes_unread: true,
+        answer_unwritten: true,
+        awaiting_first_request: false,
+        reading_ended: true,
+    };
+    assert_eq!(may_close(&busy), Ok(()));
+    assert_eq!(may_close(&ClientState { stage: ClientStage::New, ..busy }), Ok(()));
+    let denied = [
+        (ClientState { stage: ClientStage::Waiting, ..busy }, CloseDenial::RequestInProgress),
+        (ClientState { stage: ClientStage::Lingering, ..busy }, CloseDenial::BytesUnread),
+        (ClientState { message_partly_read: true, ..busy }, CloseDenial::MessagePartlyRead),
+    ];
+    denied.into_iter().for_each(|(facts, denial)| assert_eq!(may_close(&facts), Err(denial)));
+}
+
+/// The operators look for idle clients and for requests of the last 2 s once 4 s of a standby have passed.
+#[test]
+fn drain_ends_reading_and_bounds_what_comes_late() {
+    let running = DrainingClient {
+        accepted_at: 5,
+        has_sent_request: true,
+        standby_since: None,
+        latest_deadline: None,
+        last_read: None,
+    };
+    assert_eq!((running.reading_ends_at(), running.message_due_at()), (None, None));
+    assert_eq!(running.answer_due_at(Micros::MAX), None);
+    let standby = DrainingClient { standby_since: Some(100), ..running };
+    assert_eq!(standby.reading_ends_at(), Some(1_000_100));
+    let new = DrainingClient { has_sent_request: false, ..standby };
+    assert_eq!(new.reading_ends_at(), Some(2_300_100));
+    assert!(new.awaits_first_request(2_300_004) && !new.awaits_first_request(2_300_005));
+    assert!(!standby.awaits_first_request(6), "it has sent a request");
+    let later = DrainingClient { accepted_at: 1_000, ..new };
+    assert_eq!(later.reading_ends_at(), Some(2_301_000), "a connection that came later has its own time");
+    assert_eq!(standby.message_due_at(), Some(3_500_100));
+    assert_eq!(standby.answer_due_at(1_500_100), None);
+    assert_eq!(standby.answer_due_at(1_500_101), Some(3_500_100));
+    let both = DrainingClient { latest_deadline: Some(900_000), last_read: Some(950_000), ..standby };
+    assert_eq!(both.reading_ends_at(), Some(950_000));
+    assert_eq!(both.answer_due_at(0), Some(900_000));
+    let terminating = DrainingClient { standby_since: None, ..both };
+    assert_eq!((terminating.reading_ends_at(), terminating.message_due_at()), (Some(950_000), None));
+}
