Client connections: state, reading and closing are modules of their own

Now `session` is the state and the facts that decide on a close, `input` reads, `closing` writes the last message and closes, and `close_reason` has the reasons. None of them uses one that uses it.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -1,9 +1,11 @@
 //! The client side: the listeners and the sessions of clients and of other proxies.
 
 mod answers;
+mod close_reason;
 mod closing;
 mod draining;
 mod eviction;
+mod input;
 mod listener;
 mod messages;
 mod peers;
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -3,7 +3,7 @@
 use leadmast::invariant::Rule;
 use leadmast::RequestId;
 
-use super::closing::CloseReason;
+use super::close_reason::CloseReason;
 use super::session::{Session, Stage};
 use super::Frontend;
 use crate::exchange::{Exchange, FinalAnswer};
--- a/crates/gradeshunt/src/frontend/draining.rs
+++ b/crates/gradeshunt/src/frontend/draining.rs
@@ -16,7 +16,7 @@
 use leadmast::Micros;
 use slog::debug;
 
-use super::closing::CloseReason;
+use super::close_reason::CloseReason;
 use super::peers::stopping_error;
 use super::session::{Session, Stage};
 use super::Frontend;
--- a/crates/gradeshunt/src/frontend/eviction.rs
+++ b/crates/gradeshunt/src/frontend/eviction.rs
@@ -4,7 +4,7 @@
 use leadmast::Micros;
 use slog::info;
 
-use super::closing::CloseReason;
+use super::close_reason::CloseReason;
 use super::session::{Session, Stage};
 use super::Frontend;
 use crate::deadlines::DeadlineKind;
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -7,7 +7,7 @@
 use leadmast::Micros;
 use slog::warn;
 
-use super::closing::CloseReason;
+use super::close_reason::CloseReason;
 use super::session::{Session, Stage, MESSAGE_TIMEOUT};
 use super::Frontend;
 use crate::accept_failure::AcceptFailure;
--- a/crates/gradeshunt/src/frontend/messages.rs
+++ b/crates/gradeshunt/src/frontend/messages.rs
@@ -6,7 +6,7 @@
 use leadmast::Micros;
 use slog::{debug, info};
 
-use super::closing::CloseReason;
+use super::close_reason::CloseReason;
 use super::session::{Stage, CLOSE_STALL_TIMEOUT, MESSAGE_TIMEOUT};
 use super::statements::QueryOutcome;
 use super::{Frontend, RequestOwner, MAX_UNREAD_BYTES};
--- a/crates/gradeshunt/src/frontend/peers.rs
+++ b/crates/gradeshunt/src/frontend/peers.rs
@@ -4,7 +4,7 @@
 
 use slog::warn;
 
-use super::closing::CloseReason;
+use super::close_reason::CloseReason;
 use super::Frontend;
 use crate::ids::SessionId;
 use crate::log_limit::ClientLine;
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -5,7 +5,7 @@
 
 use leadmast::{GroupId, Micros, RequestId};
 
-use super::closing::CloseReason;
+use super::close_reason::CloseReason;
 use super::eviction::{eviction_rank, FIRST_REQUEST_LIMIT, RECENT_ACTIVITY};
 use super::session::{Stage, CLOSE_STALL_TIMEOUT, LINGER};
 use super::Frontend;
