Classing: the judges by tokens and by tree stand in modules of their own

Cause: verdict.rs held the verdict, both judges and the bounds on size, and `judge` had six jobs in one function.

Change: `tokens.rs` and `tree.rs` are the two judges, `objection.rs` is what they say, `size.rs` has the bounds on the statements that are judged; `judge` in verdict.rs asks them one after the other. No verdict changes.

--- a/crates/classing/src/lib.rs
+++ b/crates/classing/src/lib.rs
@@ -8,7 +8,11 @@
 pub mod catalogue;
 mod explain;
 pub mod lexer;
+mod objection;
 pub mod shape;
+mod size;
+mod tokens;
+mod tree;
 pub mod verdict;
 
 use std::rc::Rc;
