A function called like a column of a parameter is no read

Cause: `(expression).name` counts as a call of `name`, and so does `a[1].name`, but `$1.name`, which PostgreSQL's grammar takes for the same (PARAM opt_indirection), did not. Calls behind PLACING, BOTH, LEADING, TRAILING, DEFAULT and ASYMMETRIC were taken for aliases by the tokens; the tree alone saw them.

Change: a parameter before the dot counts like a bracket, and these words stand before an operand.

--- a/crates/classing/src/catalogue.rs
+++ b/crates/classing/src/catalogue.rs
@@ -111,6 +111,7 @@
 /// would be an alias with its columns.
 const BEFORE_OPERANDS: &str =
     "at escape first next zone name passing variadic by rows range groups last nulls uescape to ilike overlaps ref version \
+    asymmetric both default leading placing trailing \
     returning path content document value values key absent ordinality without with over of no off language";
 
 const TYPES: &str = "text varchar character char bpchar name bool boolean smallint int2 integer int int4 bigint int8 decimal \
--- a/crates/classing/src/tokens.rs
+++ b/crates/classing/src/tokens.rs
@@ -141,7 +141,7 @@
         }
         if dotted && matches!(p.kind, Kind::Word | Kind::Quoted) {
             let behind = i.checked_sub(2).and_then(|at| pieces.get(at));
-            if behind.is_some_and(|b| b.is(")") || b.is("]")) {
+            if behind.is_some_and(|b| b.is(")") || b.is("]") || b.kind == Kind::Parameter) {
                 return Some(format!("({}) may be a call of a function", p.text));
             }
             if catalogue.is_writing(&p.text) {
--- a/crates/classing/tests/spellings.rs
+++ b/crates/classing/tests/spellings.rs
@@ -223,3 +223,18 @@
     }
     assert_no_reads(&statements);
 }
+
+/// Guards against calls of functions that are written like columns of a parameter, and behind DISTINCT ON.
+#[test]
+fn calls_in_unusual_places_are_no_reads() {
+    let statements = [
+        "SELECT $1.record_vote",
+        "SELECT $1.\"record_vote\" FROM t",
+        "SELECT a FROM t WHERE b = $1.record_vote",
+        "SELECT DISTINCT ON (a) record_vote(a) FROM t",
+        "SELECT overlay(a PLACING record_vote(a) FROM 1) FROM t",
+        "SELECT trim(LEADING record_vote(a) FROM b) FROM t",
+        "SELECT a FROM t WHERE a BETWEEN ASYMMETRIC record_vote(a) AND 2",
+    ];
+    assert_no_reads(&statements.map(str::to_owned));
+}
