An identifier with an escape character of its own can't be lexed

Cause: `U&"..."` was refused only where a backslash stands in it. With UESCAPE another character escapes, so that two identifiers that differ in that character had one shape and one verdict. None was called a read: the parser refuses the string behind UESCAPE. The verdict hung on the parser alone.

Change: the lexer looks at the word behind such an identifier, and refuses it before UESCAPE. A statement without `U&"` is lexed as before.

Measured: `identifier_with_an_escape_character_of_its_own_has_no_shape` fails on the code before and passes now.

--- a/crates/classing/src/lexer.rs
+++ b/crates/classing/src/lexer.rs
@@ -137,7 +137,7 @@
                 self.at += 2;
                 let token = self.quoted()?;
                 // What it spells depends on an escape character that may follow it.
-                return if token.text.contains(&b'\\') {
+                return if token.text.contains(&b'\\') || self.uescape_follows()? {
                     self.error("an escaped identifier")
                 } else {
                     Ok(Some(token))
@@ -173,6 +173,14 @@
         Ok(Some(Token { kind, text: &self.bytes[start..self.at] }))
     }
 
+    /// Whether the next word is UESCAPE, which names the escape character of the identifier before it.
+    fn uescape_follows(&self) -> Result<bool, Unlexable> {
+        let mut ahead = self.clone();
+        ahead.skip()?;
+        let word = self.bytes[ahead.at..].get(..UESCAPE.len());
+        Ok(word.is_some_and(|word| word.eq_ignore_ascii_case(UESCAPE)))
+    }
+
     /// Passes over space and comments.
     #[inline]
     fn skip(&mut self) -> Result<(), Unlexable> {
@@ -382,6 +390,9 @@
     }
 }
 
+/// The key word behind an escaped identifier or string that names its escape character.
+const UESCAPE: &[u8] = b"uescape";
+
 /// What may stand in a name behind its first byte.
 const NAME: [bool; 256] = {
     let mut table = [false; 256];
--- a/crates/classing/tests/spellings.rs
+++ b/crates/classing/tests/spellings.rs
@@ -238,3 +238,18 @@
     ];
     assert_no_reads(&statements.map(str::to_owned));
 }
+
+/// Guards the cache of shapes: the escape character of an identifier is a literal, which is no part of a shape.
+#[test]
+fn identifier_with_an_escape_character_of_its_own_has_no_shape() {
+    let mut classer = classer();
+    let statements = [
+        "SELECT a FROM U&\"!0074\" UESCAPE '!'",
+        "SELECT a FROM U&\"!0074\" UESCAPE '?'",
+        "SELECT a FROM u&\"t\" -- escaped\n /* as */ uescape '!'",
+    ];
+    for statement in statements {
+        let told = classer.class(statement);
+        assert_eq!((told.verdict.access, told.shape), (Access::Unknown, None), "{statement}");
+    }
+}
