A read that a db host refuses as a write is no longer repeated like a read

A standby refused it with 25006, and it went on to the primary as a read, to be repeated at will behind a reset.

Cause: 25006 was a miss like 72000, a replica that is too far behind. That the answer refutes the class was used nowhere: neither for the request, nor for the next statement of its shape.

Change: the db host's reply has a value of its own (HostReply::ReadOnly). From that answer on a request of a reading class has the effect of one that must not run twice, in the exchange and in the balancer (Outcome::rejected_as_write), its session has written, and the classer keeps its shape as a write: in the cache, and among 1,024 refuted shapes that are looked up on a miss of the cache only and outlast new rules. Classes for writes keep their effect. Counted in app_reads_refused_as_writes and app_refuted_shapes, and logged.

Measured: `a_read_that_a_standby_refused_as_a_write_is_not_repeated` fails on the code before (the client is told 53300 although the primary ran the statement) and passes now, as do the tests of leadmast, classing and plain.

--- a/crates/classing/src/lib.rs
+++ b/crates/classing/src/lib.rs
@@ -9,6 +9,7 @@
 mod explain;
 pub mod lexer;
 mod objection;
+mod refuted;
 pub mod shape;
 mod size;
 mod tokens;
@@ -24,6 +25,7 @@
 pub use verdict::{Access, Verdict};
 
 use lexer::Unlexable;
+use refuted::RefutedReads;
 
 /// What is told of one statement.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,12 +41,18 @@
     key: Key,
     catalogue: Catalogue,
     cache: Cache<Rc<Verdict>>,
+    refuted: RefutedReads,
 }
 
 impl Classer {
     /// Remembers shapes in so many bytes. `key` is this process's own, from a source that nobody can guess.
     pub fn new(key: Key, catalogue: Catalogue, bytes: usize) -> Self {
-        Classer { key, catalogue, cache: Cache::new(bytes) }
+        Classer { key, catalogue, cache: Cache::new(bytes), refuted: RefutedReads::default() }
+    }
+
+    /// Classes by another catalogue from now on. Reads that were refuted stay refuted.
+    pub fn with_catalogue(self, catalogue: Catalogue, bytes: usize) -> Self {
+        Classer { catalogue, cache: Cache::new(bytes), ..self }
     }
 
     /// Classes a statement.
@@ -56,10 +64,35 @@
         if let Some(verdict) = self.cache.get(&shape) {
             return Told { shape: Some(shape), verdict: Rc::clone(verdict) };
         }
-        let verdict = Rc::new(self.judge(statement));
+        let mut verdict = self.judge(statement);
+        if self.refuted.contains(&shape) {
+            verdict.refute_read();
+        }
+        Told { shape: Some(shape), verdict: self.remember(shape, verdict) }
+    }
+
+    fn remember(&mut self, shape: Shape, verdict: Verdict) -> Rc<Verdict> {
         let size = size_of::<Verdict>() + 2 * size_of::<usize>() + verdict.held();
+        let verdict = Rc::new(verdict);
         self.cache.insert(shape, Rc::clone(&verdict), size);
-        Told { shape: Some(shape), verdict }
+        verdict
+    }
+
+    /// A db host has refused a statement as a write. If it counts as a read, all statements of its shape count
+    /// as writes from now on.
+    pub fn refute_read(&mut self, statement: &str) {
+        let Ok(shape) = shape(self.key, statement.as_bytes()) else { return };
+        let mut verdict = self.judge(statement);
+        if verdict.access == Access::Read {
+            self.refuted.insert(shape);
+            verdict.refute_read();
+            self.remember(shape, verdict);
+        }
+    }
+
+    /// How many shapes count as writes because a db host refused them.
+    pub fn refuted_reads(&self) -> usize {
+        self.refuted.len()
     }
 
     /// Judges a statement without remembering it.
--- a/crates/classing/src/verdict.rs
+++ b/crates/classing/src/verdict.rs
@@ -87,6 +87,13 @@
         Verdict { access, why: why.to_owned(), ..self }
     }
 
+    /// Turns a read into a write: a db host has refused the statement as one.
+    pub(crate) fn refute_read(&mut self) {
+        if self.access == Access::Read {
+            (self.access, self.why) = (Access::Write, "a db host refused it as a write".to_owned());
+        }
+    }
+
     /// Bytes that it holds, beside its own size.
     pub fn held(&self) -> usize {
         let lists = self.tables.iter().chain(&self.functions);
--- a/crates/classing/tests/spellings.rs
+++ b/crates/classing/tests/spellings.rs
@@ -253,3 +253,25 @@
         assert_eq!((told.verdict.access, told.shape), (Access::Unknown, None), "{statement}");
     }
 }
+
+/// Guards against a slip of the judges that stays one: a db host refused the statement as a write.
+#[test]
+fn refuted_read_counts_as_a_write_in_all_statements_of_its_shape() {
+    let mut classer = classer();
+    let access = |classer: &mut Classer, statement: &str| classer.class(statement).verdict.access;
+    assert_eq!(access(&mut classer, "SELECT abs(1)"), Access::Read);
+    classer.refute_read("/* id=1 */ select abs(2)");
+    classer.refute_read("SELECT abs(3)");
+    classer.refute_read("DELETE FROM t");
+    assert_eq!(classer.refuted_reads(), 1);
+    for statement in ["SELECT abs(1)", "select ABS( 5 ) -- x"] {
+        assert_eq!(access(&mut classer, statement), Access::Write, "{statement}");
+    }
+    assert_eq!(access(&mut classer, "SELECT abs(a) FROM t"), Access::Read, "another shape");
+    let mut classer = classer.with_catalogue(Catalogue::default(), SHAPE_CACHE_BYTES);
+    assert_eq!(access(&mut classer, "SELECT abs(1)"), Access::Write, "by a new catalogue");
+    // More shapes than are remembered: the oldest is forgotten, and nothing grows.
+    (0..2000).for_each(|n| classer.refute_read(&format!("SELECT a{n} FROM t")));
+    assert_eq!(classer.refuted_reads(), 1024);
+    assert_eq!(access(&mut classer, "SELECT a1999 FROM t"), Access::Write);
+}
--- a/crates/gradeshunt/src/backend/jobs.rs
+++ b/crates/gradeshunt/src/backend/jobs.rs
@@ -371,6 +371,9 @@
                     Ending::Full if reply.error.is_some() => {
                         HostReply::Refused { retry_after: pg::parse_retry_after(&reply.bytes) }
                     }
+                    Ending::Miss if reply.error.as_deref() == Some(sqlstate::READ_ONLY) => {
+                        HostReply::ReadOnly
+                    }
                     // A malformed answer is not passed on: its error message may be incomplete, and the
                     // client would get no usable answer.
                     Ending::Error if reply.error.is_some() => HostReply::Error(reply.bytes),
--- a/crates/gradeshunt/src/control.rs
+++ b/crates/gradeshunt/src/control.rs
@@ -367,6 +367,11 @@
     for (name, kind, n) in totals {
         let _ = writeln!(text, "# TYPE app_{name} {kind}\napp_{name} {n}");
     }
+    let refused = metrics.reads_refused_as_writes;
+    if refused > 0 {
+        let name = "app_reads_refused_as_writes";
+        let _ = writeln!(text, "# TYPE {name} counter\n{name} {refused}");
+    }
     text
 }
 
--- a/crates/gradeshunt/src/exchange/endings.rs
+++ b/crates/gradeshunt/src/exchange/endings.rs
@@ -8,7 +8,8 @@
 pub(super) fn immediate_outcome(attempt: AttemptId, member: MemberId, ending: Ending) -> Outcome {
     let AttemptId { request, number: attempt } = attempt;
     let (last, elapsed, note, report, settled_at) = (false, 0, None, None, None);
-    Outcome { request, attempt, member, ending, last, elapsed, note, report, settled_at }
+    let rejected_as_write = false;
+    Outcome { request, attempt, member, ending, last, elapsed, note, report, settled_at, rejected_as_write }
 }
 
 /// An ending's name in the log.
--- a/crates/gradeshunt/src/exchange/forwarding.rs
+++ b/crates/gradeshunt/src/exchange/forwarding.rs
@@ -157,12 +157,12 @@
                 FinalAnswer::Refused { retry_after },
                 Some(FinalReason::HomeRefused),
             ),
-            HostReply::Nothing | HostReply::ShuttingDown
+            HostReply::Nothing | HostReply::ReadOnly | HostReply::ShuttingDown
                 if !may_have_run || self.may_repeat(turn.now, id, again_at) =>
             {
                 self.forward_at(turn, id, *forward, again_at);
             }
-            HostReply::Nothing | HostReply::ShuttingDown => {
+            HostReply::Nothing | HostReply::ReadOnly | HostReply::ShuttingDown => {
                 self.give_final_answer(turn, id, FinalAnswer::Failed(None), Some(FinalReason::MayHaveRun))
             }
         }
@@ -210,7 +210,7 @@
                 placing.record_answer(turn.now, active.member, group);
             }
             (HostReply::Nothing, Ending::Moot | Ending::Cancelled | Ending::Ok | Ending::Error) => {}
-            (HostReply::ShuttingDown, _) | (HostReply::Nothing, _) => {
+            (HostReply::ShuttingDown | HostReply::ReadOnly | HostReply::Nothing, _) => {
                 if placing.record_failure(turn.now, active.member) {
                     let name = placing.name(active.member).map(str::to_owned);
                     warn!(turn.log, "home proxy is unavailable"; "ending" => endings::ending_name(ending), "name" => name);
--- a/crates/gradeshunt/src/exchange/messages.rs
+++ b/crates/gradeshunt/src/exchange/messages.rs
@@ -40,6 +40,11 @@
         Body { bytes, wait_range: wait_at, form, held }
     }
 
+    /// The statement.
+    pub fn statement(&self) -> &[u8] {
+        &self.bytes
+    }
+
     /// The length in bytes.
     pub fn len(&self) -> usize {
         self.bytes.len()
@@ -83,6 +88,9 @@
 pub enum Answer {
     /// A part of a long answer; more follows.
     Part(Vec<u8>),
+    /// A db host has refused the request's statement as a write, though its class is for reads. The answer
+    /// follows, unless the client has left.
+    Writes(Rc<Body>),
     Final(FinalAnswer),
 }
 
@@ -176,6 +184,8 @@
     },
     /// The proxy that received the request is shutting down and has not read it.
     ShuttingDown,
+    /// The db host refused the request as a write, because it is read-only.
+    ReadOnly,
     /// A reply that may answer another request; this request may still be running on the db host.
     PossibleDuplicate,
 }
--- a/crates/gradeshunt/src/exchange/server_side.rs
+++ b/crates/gradeshunt/src/exchange/server_side.rs
@@ -1,7 +1,10 @@
 //! Events from the backend: parts of long answers, and attempts and probes that have ended.
 
+use std::rc::Rc;
+
 use leadmast::permission::settled_at;
-use leadmast::{Ending, Event, Micros, Note, Outcome, Probed};
+use leadmast::{Ending, Event, Micros, Note, Outcome, Probed, RequestId};
+use slog::warn;
 
 use super::endings::immediate_outcome;
 use super::messages::{Answer, AttemptEnd, FinalAnswer, HostReply};
@@ -10,6 +13,7 @@
 use super::trace::{ConnectionEnd, EndedAttempt};
 use crate::deadlines::DeadlineKind;
 use crate::ids::AttemptId;
+use crate::log_limit::ClientLine;
 use crate::site_loss;
 use crate::turn::Turn;
 
@@ -77,6 +81,11 @@
         if !ending.never_ran() {
             r.outcome_unknown_since.get_or_insert(active.begun_at);
         }
+        let rejected_as_write = matches!(host_reply, HostReply::ReadOnly);
+        if rejected_as_write {
+            self.count_as_write(turn, id);
+        }
+        let Some(r) = self.requests.get_mut(&id) else { return };
         let (over, begun) = (r.is_over, r.answer_begun);
         let answer = match host_reply {
             HostReply::Answer(bytes) => Some((FinalAnswer::Served(bytes), None)),
@@ -91,7 +100,10 @@
                 r.last_error = Some(bytes);
                 None
             }
-            HostReply::Nothing | HostReply::Refused { .. } | HostReply::ShuttingDown => None,
+            HostReply::Nothing
+            | HostReply::ReadOnly
+            | HostReply::Refused { .. }
+            | HostReply::ShuttingDown => None,
         };
         let last = over || answer.is_some();
         let interrupted = matches!(answer, Some((FinalAnswer::Interrupted, _)));
@@ -109,7 +121,23 @@
         let ending = if verdict { Ending::Cancelled } else { ending };
         let elapsed = turn.now - active.begun_at;
         let outcome = immediate_outcome(AttemptId { request: id, number }, active.member, ending);
-        self.report_outcome(turn, Outcome { last, elapsed, note, settled_at, ..outcome });
+        self.report_outcome(turn, Outcome { last, elapsed, note, settled_at, rejected_as_write, ..outcome });
+    }
+
+    /// A db host has refused a request as a write. If its class is for reads, the class is wrong, and the request
+    /// is not repeated once an attempt may have run.
+    fn count_as_write(&mut self, turn: &mut Turn, id: RequestId) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        let effect = self.effects_once_refused_as_writes.get(r.class.0).copied().unwrap_or_default();
+        if std::mem::replace(&mut r.effect, effect) == effect {
+            return;
+        }
+        self.figures.reads_refused_as_writes += 1;
+        if let Some(suppressed) = turn.log_limit.admit(ClientLine::ReadRefusedAsWrite, turn.now) {
+            warn!(turn.log, "db host refused a read as a write"; "request" => id.0, "class" => r.class.0,
+                "suppressed" => suppressed);
+        }
+        self.answers.push_back((id, Answer::Writes(Rc::clone(&r.body))));
     }
 
     /// A probe has ended.
--- a/crates/gradeshunt/src/exchange/state.rs
+++ b/crates/gradeshunt/src/exchange/state.rs
@@ -5,7 +5,7 @@
 
 use gradeshunt_sites::proxy::Sites;
 use leadmast::permission::AttemptLimits;
-use leadmast::{Action, Balancer, ClassId, Effect, Event, Micros, RequestId, Settings};
+use leadmast::{Action, Balancer, Class, ClassId, Effect, Event, Micros, RequestId, Settings};
 
 use super::messages::{Answer, BackendCommand, DiscoveryCall};
 use super::request::Request;
@@ -38,6 +38,8 @@
     pub(super) forward_time: Micros,
     /// Indexed by class.
     pub(super) effects: Vec<Effect>,
+    /// The effect of a request that a db host has refused as a write; indexed by class.
+    pub(super) effects_once_refused_as_writes: Vec<Effect>,
     /// Indexed by class.
     pub(super) retry_after: Vec<Option<Micros>>,
     /// Commands for the backend.
@@ -69,6 +71,11 @@
             placing: None,
             forward_time: settings.tick,
             effects: settings.classes.iter().map(|c| c.effect).collect(),
+            effects_once_refused_as_writes: settings
+                .classes
+                .iter()
+                .map(Class::effect_once_rejected_as_write)
+                .collect(),
             retry_after: settings.classes.iter().map(|c| site_loss::retry_after(&settings, c)).collect(),
             balancer: Balancer::new(settings, seed, now),
             requests: BTreeMap::new(),
--- a/crates/gradeshunt/src/figures.rs
+++ b/crates/gradeshunt/src/figures.rs
@@ -36,6 +36,8 @@
     /// Requests refused because their wait had ended by the time they were read, behind others on their
     /// connection.
     pub expired_unsent: u64,
+    /// Requests of classes that change nothing which a db host refused as writes.
+    pub reads_refused_as_writes: u64,
     /// Violations of invariants, by rule: a correct program counts none.
     pub violations: Violations,
     /// Attempts that were not begun or not written, by reason.
--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -114,7 +114,11 @@
     pub fn set_rules(&mut self, rules: Option<Rules>) {
         use std::hash::BuildHasher;
         let secret = || RandomState::new().hash_one(0_u8);
-        self.router = rules.map(|rules| Router::new(rules, Key(secret(), secret())));
+        self.router = match (self.router.take(), rules) {
+            (Some(router), Some(rules)) => Some(router.with_rules(rules)),
+            (None, Some(rules)) => Some(Router::new(rules, Key(secret(), secret()))),
+            (_, None) => None,
+        };
     }
 
     /// Returns the counters of plain statements in the text exposition format, or `None` without rules.
--- a/crates/gradeshunt/src/frontend/answers.rs
+++ b/crates/gradeshunt/src/frontend/answers.rs
@@ -37,6 +37,18 @@
         }
     }
 
+    /// A db host has refused a statement as a write, though its class is for reads: statements of its shape
+    /// count as writes from now on.
+    pub fn record_write(&mut self, request: RequestId, statement: &[u8]) {
+        if let (Some(router), Ok(statement)) = (&mut self.router, std::str::from_utf8(statement)) {
+            router.refute_read(statement);
+        }
+        let session = self.owners.get(&request).and_then(|owner| self.sessions.get_mut(&owner.session));
+        if let Some(session) = session {
+            session.may_write = true;
+        }
+    }
+
     /// Writes the final answer of a request and makes the session ready for its next request.
     pub fn answer(
         &mut self,
--- a/crates/gradeshunt/src/log_limit.rs
+++ b/crates/gradeshunt/src/log_limit.rs
@@ -14,10 +14,11 @@
     TooManyClients,
     TooMuchBuffered,
     PeerNotAdmitted,
+    ReadRefusedAsWrite,
 }
 
 /// Number of kinds.
-const KINDS: usize = 4;
+const KINDS: usize = 5;
 
 /// The lines of one kind in the current interval.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gradeshunt/src/proxy.rs
+++ b/crates/gradeshunt/src/proxy.rs
@@ -219,6 +219,9 @@
             Step::Answer(request, exchange::Answer::Part(bytes)) => {
                 self.frontend.forward_part(turn, exchange, request, &bytes)
             }
+            Step::Answer(request, exchange::Answer::Writes(body)) => {
+                self.frontend.record_write(request, body.statement())
+            }
             Step::Answer(request, exchange::Answer::Final(last)) => {
                 self.frontend.answer(turn, exchange, request, last)
             }
--- a/crates/gradeshunt/src/routing/mod.rs
+++ b/crates/gradeshunt/src/routing/mod.rs
@@ -127,6 +127,17 @@
         Router { classer, routes: rules.routes, counts: Counts::default() }
     }
 
+    /// Replaces the rules. Statements that db hosts have refused as writes stay writes.
+    pub fn with_rules(self, rules: Rules) -> Self {
+        let classer = self.classer.with_catalogue(Catalogue::new(&rules.declared), rules.shape_cache_bytes);
+        Router { classer, routes: rules.routes, counts: Counts::default() }
+    }
+
+    /// A db host has refused a statement as a write that counts as a read: from now on it counts as a write.
+    pub fn refute_read(&mut self, statement: &str) {
+        self.classer.refute_read(statement);
+    }
+
     /// Classifies a plain statement and decides how it is handled.
     pub fn decide(&mut self, settings: &Settings, origin: &Origin, statement: &str) -> Decision {
         let classified = self.classer.class(statement);
@@ -207,6 +218,7 @@
             ("shape_hits", "counter", t.hits),
             ("shape_misses", "counter", t.misses),
             ("shape_evictions", "counter", t.evictions),
+            ("refuted_shapes", "gauge", self.classer.refuted_reads() as u64),
             ("shapes", "gauge", t.entries as u64),
             ("shape_bytes", "gauge", t.bytes as u64),
         ];
--- a/crates/gradeshunt/tests/plain.rs
+++ b/crates/gradeshunt/tests/plain.rs
@@ -57,6 +57,13 @@
         self.site.sets[0].ran().iter().filter(|r| r.request.contains(text)).map(|r| r.host).collect()
     }
 
+    /// The value of a counter or gauge.
+    fn figure(&self, path: &str, name: &str) -> u64 {
+        let (_, figures) = self.process.call("GET", path).expect("an answer");
+        let value = figures.lines().find_map(|line| line.strip_prefix(name)?.trim().parse().ok());
+        value.unwrap_or_else(|| panic!("no {name} in {figures}"))
+    }
+
     /// Adds a rule to the scripts of all db hosts.
     fn script_all_hosts(&self, rule: &Rule) {
         (0..3).for_each(|n| self.site.sets[0].script(n, rule.clone()));
@@ -196,6 +203,57 @@
     assert_eq!(setup.hosts_that_ran("VALUES ('a'"), [0]);
 }
 
+/// Opens a site whose standbys refuse `turnout`, which the rules declare to be free of effects, as a write.
+fn open_with_wrong_declaration(name: &str, rules: Option<&str>) -> Setup {
+    let setup = Setup::open(name, rules);
+    let refuse = Act::Refuse { code: "25006".to_owned(), text: "read-only transaction".to_owned() };
+    (1..3).for_each(|n| setup.site.sets[0].script(n, Rule::always("turnout(", refuse.clone())));
+    setup
+}
+
+/// A write that is taken for a read is sent again like one, so it ran twice: once a standby has refused it as a write,
+/// it is not repeated behind a reset.
+#[test]
+fn a_read_that_a_standby_refused_as_a_write_is_not_repeated() {
+    let comment = "/* id=1,c=page-read,d=60000,cluster=1 */ SELECT turnout(1)";
+    for (rules, statement) in [(Some(RULES), "SELECT turnout(1)"), (Some(RULES), comment), (None, comment)] {
+        let setup = open_with_wrong_declaration("refused", rules);
+        setup.site.sets[0].script(0, Rule::always("turnout(", Act::ResetAfter));
+        let reply = ask(&mut setup.client(), statement);
+        assert_eq!(reply.outcome_name(), "failed", "{statement}: {reply:?}");
+        assert_eq!(setup.hosts_that_ran("turnout(1)"), [0], "{statement}");
+    }
+}
+
+/// A wrong verdict costs one wasted call: statements of a shape that a standby refused as a write are sent as writes from
+/// then on, also with a comment that names a reading class and with new rules.
+#[test]
+fn statements_that_a_standby_refused_as_writes_go_to_the_primary_at_once() {
+    let mut setup = open_with_wrong_declaration("refuted", Some(RULES));
+    let mut client = setup.client();
+    assert_eq!(ask(&mut client, "SELECT turnout(1)").outcome_name(), "served");
+    assert_eq!(setup.figure("/status/metrics", "app_reads_refused_as_writes"), 1);
+    assert_eq!(setup.figure("/shapes", "app_refuted_shapes"), 1);
+    (1..3).for_each(|n| setup.site.sets[0].set_lag(n, Duration::from_secs(3600)));
+    assert_eq!(ask(&mut client, "SELECT 'seen'").outcome_name(), "served");
+    assert_eq!(setup.hosts_that_ran("'seen'"), [0], "the session's reads see what it wrote");
+    let comment = "/* id=1,c=own-read,d=60000,cluster=1 */";
+    for statement in ["select turnout( 2 )", &format!("{comment} SELECT turnout(3)")] {
+        assert_eq!(ask(&mut setup.client(), statement).outcome_name(), "served", "{statement}");
+    }
+    setup.process.signal("HUP").expect("the signal is sent");
+    setup.process.until("configuration reread").expect("the process logs it");
+    assert_eq!(ask(&mut setup.client(), "SELECT turnout(4)").outcome_name(), "served");
+    for call in ["turnout(1", "turnout( 2", "turnout(3", "turnout(4"] {
+        assert_eq!(setup.hosts_that_ran(call), [0], "{call}");
+    }
+    assert_eq!(
+        setup.figure("/status/metrics", "app_reads_refused_as_writes"),
+        1,
+        "no standby was asked again"
+    );
+}
+
 /// A write whose routing comment names a reading class still goes to the primary.
 #[test]
 fn reading_class_in_a_comment_does_not_redirect_a_write() {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -146,6 +146,8 @@
 #[derive(Default)]
 struct Request {
     class: ClassId,
+    /// What a second execution would do: that of its class, unless a member has shown that the class is wrong.
+    effect: Effect,
     group: GroupId,
     bucket: Option<usize>,
     arrived: Micros,
@@ -378,6 +380,7 @@
         let sequence = if write { self.sequence } else { 0 };
         let r = Request {
             class,
+            effect: self.settings.classes[class.0].effect,
             group,
             bucket,
             arrived: now,
@@ -414,8 +417,18 @@
     }
 
     fn on_outcome(&mut self, now: Micros, outcome: Outcome, actions: &mut Vec<Action>) {
-        let Outcome { request: id, attempt, member, ending, last, elapsed, note, report, settled_at } =
-            outcome;
+        let Outcome {
+            request: id,
+            attempt,
+            member,
+            ending,
+            last,
+            elapsed,
+            note,
+            report,
+            settled_at,
+            rejected_as_write,
+        } = outcome;
         self.record_answer_report(now - elapsed, member, report);
         let class = self.requests.get(&id).map(|r| &self.settings.classes[r.class.0]);
         let write = class.is_some_and(|c| c.read == ReadLevel::Write);
@@ -430,6 +443,9 @@
         let Some(a) = r.attempts.get_mut(attempt as usize).filter(|a| a.ending.is_none()) else { return };
         a.ending = Some(ending);
         r.settled_at = r.settled_at.max(settled_at);
+        if rejected_as_write {
+            r.effect = self.settings.classes[r.class.0].effect_once_rejected_as_write();
+        }
         let (sent, class, group) = (a.sent, r.class, r.group);
         let (bucket, sequence) = (r.bucket.filter(|_| write && ending == Ending::Ok), r.sequence);
         if let Some(m) = self.members.get_mut(&member) {
--- a/src/balance/dispatch.rs
+++ b/src/balance/dispatch.rs
@@ -137,7 +137,7 @@
             zone: Some(first.zone),
         });
         let request = RequestState {
-            effect: self.settings.classes[r.class.0].effect,
+            effect: r.effect,
             deadline: r.deadline,
             answered: r.answered,
             // When a client leaves, the driver reports it and the request is closed before.
@@ -178,7 +178,7 @@
         // nearly all answers take.
         let tail_factor = if m.load > OVERLOAD_LATENCY_SHARE { TIMEOUT_FACTORS.1 } else { self.tail_factor };
         let usual_maximum = (work * m.relative_latency.max(1.0) * tail_factor) as Micros;
-        let first = attempt == 0 && self.settings.classes[r.class.0].effect != Effect::Unsafe;
+        let first = attempt == 0 && r.effect != Effect::Unsafe;
         let timeout = if first {
             usual_maximum.max(self.min_round_gap).min(r.deadline - now)
         } else {
--- a/src/balance/outcome.rs
+++ b/src/balance/outcome.rs
@@ -153,9 +153,8 @@
         let Some(r) = self.requests.get_mut(&id).filter(|r| !r.answered) else { return };
         r.answered = true;
         r.tenant_share.iter().for_each(|(t, gap)| self.tenant_share_times[*t] -= gap);
-        let effect = self.settings.classes[r.class.0].effect;
         if r.first_uncertain().is_none()
-            || matches!(effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
+            || matches!(r.effect, Effect::Safe | Effect::Keyed { scope: Scope::All, .. })
         {
             let a = &self.settings.allowed;
             let hold = brief_hold(&self.settings.classes[r.class.0]);
--- a/src/bin/leadmast-wirehost/wire.rs
+++ b/src/bin/leadmast-wirehost/wire.rs
@@ -202,6 +202,7 @@
         attempt: to_u32(row.int(7, "go")?)?,
         report: report(row, 8, names)?,
         settled_at: None,
+        rejected_as_write: false,
     }))
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -47,7 +47,7 @@
 }
 
 /// Whether requests of a class may be executed more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// May be executed any number of times, and refused at any time.
     Safe,
@@ -59,6 +59,7 @@
         window: Micros,
     },
     /// Must never be executed twice.
+    #[default]
     Unsafe,
 }
 
@@ -148,6 +149,18 @@
     pub read: ReadLevel,
 }
 
+impl Class {
+    /// The effect of a request of this class that a member has rejected as a write. If the class is for reads,
+    /// the request is not what its class says, and must not be executed twice.
+    pub fn effect_once_rejected_as_write(&self) -> Effect {
+        if self.read == ReadLevel::Write {
+            self.effect
+        } else {
+            Effect::Unsafe
+        }
+    }
+}
+
 /// Parameters of the rules that a driver has to follow and of how members behave.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
@@ -406,6 +419,9 @@
     /// The time from which another attempt may follow, if the driver closed this attempt's connection before
     /// it had ended.
     pub settled_at: Option<Micros>,
+    /// Whether the member rejected the request as a write that it may not execute. A request of a class that
+    /// changes nothing counts as one that must not be repeated from then on.
+    pub rejected_as_write: bool,
 }
 
 /// How a probe ended.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -346,37 +346,24 @@
         last: bool,
         elapsed: Micros,
     ) {
-        self.unanswered.remove(&(id, attempt));
-        let request = RequestId(id);
-        self.handle(Event::Outcome(Outcome {
-            request,
-            attempt,
-            member,
-            ending,
-            last,
-            elapsed,
-            note,
-            report: None,
-            settled_at: None,
-        }));
+        let outcome = outcome((id, attempt, member), ending);
+        self.conclude(Outcome { last, elapsed, note, ..outcome });
     }
 
     /// Ends an attempt whose connection was closed before an answer came; the next attempt is allowed from
     /// `settled_at` on.
     pub fn end_closed(&mut self, at: (u64, u32, MemberId), ending: Ending, settled_at: Micros) {
-        let (id, attempt, member) = at;
-        self.unanswered.remove(&(id, attempt));
-        self.handle(Event::Outcome(Outcome {
-            request: RequestId(id),
-            attempt,
-            member,
-            ending,
-            last: false,
-            elapsed: 20_000,
-            note: None,
-            report: None,
-            settled_at: Some(settled_at),
-        }));
+        self.conclude(Outcome { settled_at: Some(settled_at), ..outcome(at, ending) });
+    }
+
+    /// Ends an attempt whose member refused it as a write.
+    pub fn end_rejected_as_write(&mut self, at: (u64, u32, MemberId)) {
+        self.conclude(Outcome { rejected_as_write: true, ..outcome(at, Ending::Miss) });
+    }
+
+    fn conclude(&mut self, outcome: Outcome) {
+        self.unanswered.remove(&(outcome.request.0, outcome.attempt));
+        self.handle(Event::Outcome(outcome));
     }
 
     /// The members to which a request's attempts were sent, in order.
@@ -408,3 +395,19 @@
         self.log.iter().filter(|(_, a)| *a == Action::Watch).count()
     }
 }
+
+/// An attempt that ended after 20 ms, with nothing known of its member.
+fn outcome((id, attempt, member): (u64, u32, MemberId), ending: Ending) -> Outcome {
+    Outcome {
+        request: RequestId(id),
+        attempt,
+        member,
+        ending,
+        last: false,
+        elapsed: 20_000,
+        note: None,
+        report: None,
+        settled_at: None,
+        rejected_as_write: false,
+    }
+}
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -119,6 +119,44 @@
     assert_eq!(d.sent(1), vec![REPLICA, PRIMARY]);
 }
 
+/// Guards against a write that runs twice: its class took it for a read, a replica refused it as a write, and it
+/// was sent again after an attempt that may have run.
+#[test]
+fn read_that_a_replica_rejected_as_a_write_is_not_repeated_once_it_may_have_run() {
+    for (rejected_as_write, sent, failed) in
+        [(true, vec![REPLICA, PRIMARY], 1), (false, vec![REPLICA, PRIMARY, PRIMARY], 0)]
+    {
+        let mut d = Driver::new(settings(vec![SESSION]));
+        d.members(&[PRIMARY, REPLICA], PRIMARY);
+        d.position(REPLICA, 1_000_000);
+        d.at(1_000_000);
+        d.request(1, SESSION, None);
+        if rejected_as_write {
+            d.end_rejected_as_write((1, 0, REPLICA));
+        } else {
+            d.end((1, 0, REPLICA), Ending::Miss, None, false);
+        }
+        d.end((1, 1, PRIMARY), Ending::Error, None, false);
+        d.run_to(1_400_000);
+        assert_eq!((d.sent(1), d.final_answers(1) - d.refusals(1)), (sent, failed), "{rejected_as_write}");
+    }
+}
+
+/// Guards writes that may be repeated: a class for writes says what it is, and a member that is no primary any more
+/// says nothing against it.
+#[test]
+fn write_that_a_former_primary_rejected_keeps_its_effect() {
+    let mut d = Driver::new(settings(vec![WRITE]));
+    d.members(&[PRIMARY, REPLICA], PRIMARY);
+    d.at(1_000_000);
+    let first = d.write(1, 7);
+    d.end_rejected_as_write(first);
+    d.run_to(1_300_000);
+    d.end((1, 1, PRIMARY), Ending::Error, None, false);
+    d.run_to(1_800_000);
+    assert!(d.sent(1).len() > 2, "it was not sent again");
+}
+
 #[test]
 fn reads_use_a_primary_with_room_when_the_replicas_have_none() {
     // Guards against overloading the few replicas that keep up while others lag: they got all reads although
