Plain statements that make or use temporary objects get 0A000

Callers saw another client's INSERT go into their temporary table and told as served: the table stayed on the connection to its db host, which the next client got.

Cause: what changes a session was told by the first word of a statement alone, so CREATE TEMP TABLE, SELECT INTO TEMP and statements on pg_temp were sent as writes or reads. Behind a comment that names a reading class not even the first word was asked: LISTEN was sent.

Change: `temporary.rs` finds TEMP and TEMPORARY where PostgreSQL's grammar takes them, and the schema of temporary objects; Router::route refuses what changes the session on each way to it.

Tables that are called temp are as before.

--- a/crates/classing/src/lib.rs
+++ b/crates/classing/src/lib.rs
@@ -12,6 +12,7 @@
 mod refuted;
 pub mod shape;
 mod size;
+mod temporary;
 mod tokens;
 mod tree;
 mod types;
@@ -110,15 +111,7 @@
 }
 
 fn unlexable(e: Unlexable) -> Verdict {
-    Verdict {
-        access: Access::Unknown,
-        statements: verdict::Statements::One,
-        why: format!("it can't be read: {e}"),
-        verb: String::new(),
-        tables: Vec::new(),
-        functions: Vec::new(),
-        cost: 1.0,
-    }
+    Verdict::undecided("").decided(Access::Unknown, &format!("it can't be read: {e}"))
 }
 
 /// The canonical text of a statement's shape, for people to read.
--- a/crates/classing/src/verdict.rs
+++ b/crates/classing/src/verdict.rs
@@ -11,6 +11,7 @@
 use crate::objection::Objection;
 use crate::shape::{canonical, Piece};
 use crate::size::too_large;
+use crate::temporary::uses_temporary_objects;
 use crate::tokens;
 use crate::tree::Tree;
 
@@ -57,6 +58,8 @@
     pub access: Access,
     /// How many there are.
     pub statements: Statements,
+    /// Whether it makes or uses temporary objects, which only the connection sees that made them.
+    pub temporary: bool,
     /// Why, in words.
     pub why: String,
     /// What they begin with, in lower case.
@@ -71,10 +74,11 @@
 
 impl Verdict {
     /// The verdict on a statement that begins with this word, before it is judged.
-    fn undecided(verb: &str) -> Self {
+    pub(crate) fn undecided(verb: &str) -> Self {
         Verdict {
             access: Access::Unknown,
             statements: Statements::One,
+            temporary: false,
             why: String::new(),
             verb: verb.to_owned(),
             tables: Vec::new(),
@@ -83,7 +87,7 @@
         }
     }
 
-    fn decided(self, access: Access, why: &str) -> Self {
+    pub(crate) fn decided(self, access: Access, why: &str) -> Self {
         Verdict { access, why: why.to_owned(), ..self }
     }
 
@@ -143,6 +147,10 @@
         let why = "the end of a string depends on standard_conforming_strings";
         return verdict.decided(Access::Unknown, why);
     }
+    if uses_temporary_objects(statement) {
+        verdict.temporary = true;
+        return verdict.decided(Access::Session, "it makes or uses temporary objects");
+    }
     let access_by_verb = access_by_verb(verb);
     if let Some(why) = too_large(statement) {
         return verdict.decided(access_by_verb.unwrap_or(Access::Unknown), why);
--- a/crates/classing/tests/spellings.rs
+++ b/crates/classing/tests/spellings.rs
@@ -275,3 +275,69 @@
     assert_eq!(classer.refuted_reads(), 1024);
     assert_eq!(access(&mut classer, "SELECT a1999 FROM t"), Access::Write);
 }
+
+/// Guards against temporary objects on a connection that the next client gets: its statements would find them.
+#[test]
+fn statements_with_temporary_objects_change_the_session() {
+    let mut statements = Vec::new();
+    for temporary in
+        ["TEMP", "temporary", "LOCAL TEMP", "local temporary", "GLOBAL /**/ TEMP", "global temporary"]
+    {
+        for object in
+            ["TABLE t (a int)", "TABLE IF NOT EXISTS t AS SELECT 1", "SEQUENCE s", "VIEW v AS SELECT 1"]
+        {
+            statements.push(format!("CREATE {temporary} {object}"));
+        }
+        statements.push(format!("CREATE OR REPLACE {temporary} VIEW v AS SELECT 1"));
+        statements.push(format!("CREATE OR REPLACE {temporary} RECURSIVE VIEW v (a) AS SELECT 1"));
+        for query in
+            ["SELECT 1 INTO {}", "(SELECT 1 INTO {})", "WITH a AS (SELECT 1) SELECT * INTO {} FROM a"]
+        {
+            for table in ["x", "TABLE x", "\"x\"", "TABLE temp", "temp"] {
+                let statement = query.replace("{}", &format!("{temporary} {table}"));
+                statements.push(format!("EXPLAIN ANALYZE {statement}"));
+                statements.push(statement);
+            }
+        }
+    }
+    let schemas = spellings("pg_temp").into_iter().filter(|name| !name.contains('!') && !name.contains('\\'));
+    for schema in schemas.chain(["pg_temp_3".to_owned(), "\"pg_temp_12\"".to_owned()]) {
+        statements.push(format!("CREATE TABLE {schema}.t (a int)"));
+        statements.push(format!("SELECT 1 INTO {schema}.t"));
+        statements.push(format!("INSERT INTO {schema} . t VALUES (1)"));
+        statements.push(format!("SELECT a FROM {schema}.t"));
+        statements.push(format!("SELECT {schema}.f(1)"));
+        statements.push(format!("CREATE FUNCTION {schema}.f() RETURNS int LANGUAGE sql AS 'SELECT 1'"));
+    }
+    let mut classer = classer();
+    statements.retain(|statement| classer.class(statement).verdict.access != Access::Session);
+    assert!(statements.is_empty(), "not taken for changes of the session:\n{statements:#?}");
+}
+
+/// Guards statements that only look like those with temporary objects.
+#[test]
+fn tables_that_are_called_temp_are_no_temporary_objects() {
+    let writes = [
+        "INSERT INTO temp VALUES (1)",
+        "INSERT INTO temp SELECT 1",
+        "INSERT INTO temp t SELECT 1",
+        "MERGE INTO temp t USING s ON t.a = s.a WHEN MATCHED THEN DELETE",
+        "SELECT a INTO temp FROM t",
+        "CREATE TABLE temp (a int)",
+        "CREATE TABLE \"temporary\" (a int)",
+        "SELECT 1 INTO \"temp\"",
+    ];
+    let reads = [
+        "SELECT temp, local FROM temporary WHERE a = 'pg_temp'",
+        "SELECT pg_temperature FROM t",
+        "EXPLAIN CREATE TEMP TABLE t AS SELECT 1",
+        "EXPLAIN SELECT a FROM pg_temp.t",
+    ];
+    let classer = classer();
+    let access = |statement: &&str| classer.judge(statement).access;
+    let wrong: Vec<_> =
+        writes.iter().filter(|s| !matches!(access(s), Access::Write | Access::Unknown)).collect();
+    assert!(wrong.is_empty(), "not sent as writes:\n{wrong:#?}");
+    let wrong: Vec<_> = reads.iter().filter(|s| access(s) != Access::Read).collect();
+    assert!(wrong.is_empty(), "not taken for reads:\n{wrong:#?}");
+}
--- a/crates/gradeshunt/src/frontend/statements.rs
+++ b/crates/gradeshunt/src/frontend/statements.rs
@@ -175,6 +175,9 @@
         Decision::SessionState { verb } => {
             unsupported(&format!("{verb} is not supported: the proxy keeps no state of a session"))
         }
+        Decision::TemporaryObjects => {
+            unsupported("temporary objects are not supported: the proxy keeps no state of a session")
+        }
         Decision::MultipleStatements => unsupported("several statements in one query are not supported"),
         Decision::NoRoute { access } => {
             let what = format!("no route is given for a {} of this kind", access.name());
--- a/crates/gradeshunt/src/routing/mod.rs
+++ b/crates/gradeshunt/src/routing/mod.rs
@@ -95,6 +95,8 @@
     Empty,
     /// The statement would change the state of the session, which is not supported.
     SessionState { verb: String },
+    /// The statement makes or uses temporary objects, which only one connection to a db host sees.
+    TemporaryObjects,
     /// The text holds several statements.
     MultipleStatements,
     /// No route matches the statement.
@@ -148,23 +150,19 @@
             Access::Unknown => &mut self.counts.unknown,
         };
         *count += 1;
-        match (classified.verdict.statements, classified.verdict.access) {
-            (Statements::None, _) => Decision::Empty,
-            (Statements::Several, _) => Decision::MultipleStatements,
-            // COPY would switch the connection to its data transfer.
-            (Statements::One, Access::Session | Access::Write) if classified.verdict.verb == "copy" => {
-                Decision::SessionState { verb: "copy".to_owned() }
-            }
-            (Statements::One, Access::Session) => {
-                Decision::SessionState { verb: classified.verdict.verb.clone() }
-            }
-            (Statements::One, _) => self.route(settings, origin, &classified),
+        match classified.verdict.statements {
+            Statements::None => Decision::Empty,
+            Statements::Several => Decision::MultipleStatements,
+            Statements::One => self.route(settings, origin, &classified),
         }
     }
 
-    /// Finds the first route that matches a classified statement.
+    /// Finds the first route that matches a classified statement, unless it would change the session.
     fn route(&mut self, settings: &Settings, origin: &Origin, classified: &Told) -> Decision {
         let verdict = &*classified.verdict;
+        if let Some(refusal) = session_change(verdict) {
+            return refusal;
+        }
         // A statement that may write is only sent with a writing class, whatever the route's conditions say.
         // A reading class could send the statement to a replica.
         let fits = |r: &Route| verdict.access == Access::Read || is_write_class(settings, r.class);
@@ -229,6 +227,17 @@
     }
 }
 
+/// Why a statement is not sent: it would leave something on a connection that the next client gets.
+fn session_change(verdict: &Verdict) -> Option<Decision> {
+    if verdict.temporary {
+        return Some(Decision::TemporaryObjects);
+    }
+    // COPY would switch the connection to its data transfer.
+    let changes = verdict.access == Access::Session || verdict.verb == "copy";
+    (changes && verdict.statements == Statements::One)
+        .then(|| Decision::SessionState { verb: verdict.verb.clone() })
+}
+
 /// Whether a class is for writes.
 pub fn is_write_class(settings: &Settings, class: ClassId) -> bool {
     settings.classes[class.0].read == ReadLevel::Write
--- a/crates/gradeshunt/tests/plain.rs
+++ b/crates/gradeshunt/tests/plain.rs
@@ -254,6 +254,24 @@
     );
 }
 
+/// Temporary objects would stay on a connection that another client gets next: its statements found them.
+#[test]
+fn temporary_objects_do_not_reach_a_db_host() {
+    let setup = Setup::open("temporary", Some(RULES));
+    let comment = "/* id=1,c=own-read,d=60000,cluster=1 */";
+    for statement in [
+        "CREATE TEMP TABLE facts (code text)",
+        "SELECT 1 INTO TEMP facts",
+        "SELECT code FROM \"pg_temp\".facts",
+        &format!("{comment} CREATE LOCAL TEMPORARY VIEW facts AS SELECT 1"),
+        &format!("{comment} LISTEN facts"),
+    ] {
+        let reply = ask(&mut setup.client(), statement);
+        assert_eq!(reply.code(), Some("0A000"), "{statement}: {reply:?}");
+    }
+    assert_eq!(setup.hosts_that_ran("facts"), Vec::<usize>::new());
+}
+
 /// A write whose routing comment names a reading class still goes to the primary.
 #[test]
 fn reading_class_in_a_comment_does_not_redirect_a_write() {
