Classing: standard names for its types, and the judge by tokens in short functions

Cause: the crate spoke of pieces that are told and of words that open no call, and `calls` and `object_to_query` had several jobs in one loop.

Change: CanonicalToken, Classified, CacheStats, begins_no_call and constants with their unit; the loops are functions with one question each. In the proxy only the names of these types change.

--- a/crates/classing/src/cache.rs
+++ b/crates/classing/src/cache.rs
@@ -13,15 +13,15 @@
 /// The small queue's part of the bytes, as a divisor.
 const SMALL: usize = 10;
 /// Hits that count.
-const MOST_HITS: u8 = 3;
+const MAX_HITS: u8 = 3;
 /// What an entry takes beside its value's size: its slot, its place in the index and in a queue, with room to grow, and what the allocator rounds up.
-pub const OVERHEAD: usize = 320;
+pub const ENTRY_OVERHEAD_BYTES: usize = 320;
 /// Bytes of the cache for each place in the ghost.
-const PER_GHOST: usize = 256;
+const CACHE_BYTES_PER_GHOST: usize = 256;
 
-/// How a cache fares.
+/// Counters of a cache.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
+pub struct CacheStats {
     /// Asked for, and there.
     pub hits: u64,
     /// Asked for, and not there.
@@ -36,9 +36,9 @@
 
 /// A shape is a hash already.
 #[derive(Default)]
-struct AsItIs(u64);
+struct ShapeAsHash(u64);
 
-impl Hasher for AsItIs {
+impl Hasher for ShapeAsHash {
     fn finish(&self) -> u64 {
         self.0
     }
@@ -102,19 +102,19 @@
 /// The cache.
 pub struct Cache<V> {
     budget: usize,
-    index: HashMap<Shape, u32, BuildHasherDefault<AsItIs>>,
+    index: HashMap<Shape, u32, BuildHasherDefault<ShapeAsHash>>,
     entries: Vec<Option<Entry<V>>>,
     free: Vec<u32>,
     small: Queue,
     main: Queue,
     ghost: Ghost,
-    tally: Tally,
+    stats: CacheStats,
 }
 
 impl<V> Cache<V> {
     /// Holds entries in `budget` bytes, all that it needs for them included.
     pub fn new(budget: usize) -> Self {
-        let places = (budget / PER_GHOST).max(16).next_power_of_two() / 2;
+        let places = (budget / CACHE_BYTES_PER_GHOST).max(16).next_power_of_two() / 2;
         let ghost = Ghost { places: vec![(0, 0); places], drops: 0 };
         Cache {
             budget: budget.saturating_sub(places * size_of::<(u32, u32)>()),
@@ -124,7 +124,7 @@
             small: Queue::default(),
             main: Queue::default(),
             ghost,
-            tally: Tally::default(),
+            stats: CacheStats::default(),
         }
     }
 
@@ -132,18 +132,18 @@
     pub fn get(&mut self, shape: &Shape) -> Option<&V> {
         let slot = self.index.get(shape).copied();
         let Some(entry) = slot.and_then(|slot| self.entries.get_mut(slot as usize)?.as_mut()) else {
-            self.tally.misses += 1;
+            self.stats.misses += 1;
             return None;
         };
-        self.tally.hits += 1;
-        entry.hits = (entry.hits + 1).min(MOST_HITS);
+        self.stats.hits += 1;
+        entry.hits = (entry.hits + 1).min(MAX_HITS);
         Some(&entry.value)
     }
 
     /// Remembers a value that takes so many bytes. One that is there already is replaced; one that is larger than the
     /// small queue's part is not remembered, so that a few can't push out all others.
     pub fn insert(&mut self, shape: Shape, value: V, size: usize) {
-        let bytes = size + OVERHEAD;
+        let bytes = size + ENTRY_OVERHEAD_BYTES;
         if bytes > self.budget / SMALL {
             return;
         }
@@ -192,13 +192,13 @@
         if small {
             self.ghost.add(shape);
         }
-        self.tally.evictions += 1;
+        self.stats.evictions += 1;
         true
     }
 
-    /// How it fares.
-    pub fn tally(&self) -> Tally {
-        Tally { entries: self.index.len(), bytes: self.small.bytes + self.main.bytes, ..self.tally }
+    /// Its counters.
+    pub fn stats(&self) -> CacheStats {
+        CacheStats { entries: self.index.len(), bytes: self.small.bytes + self.main.bytes, ..self.stats }
     }
 }
 
--- a/crates/classing/src/cache/tests.rs
+++ b/crates/classing/src/cache/tests.rs
@@ -21,10 +21,10 @@
             cache.insert(hot, n, 100);
         }
         cache.insert(key(1_000_000 + n), n, 100);
-        assert!(cache.tally().bytes <= 64 * 1024);
+        assert!(cache.stats().bytes <= 64 * 1024);
     }
     assert!(hits > 99_000, "{hits}");
-    assert!(cache.tally().evictions > 90_000);
+    assert!(cache.stats().evictions > 90_000);
 }
 
 /// Guards the memory: what is dropped is really gone, and its slot used again.
@@ -32,10 +32,10 @@
 fn slots_are_used_again() {
     let mut cache = Cache::new(16 * 1024);
     (0..10_000).for_each(|n| cache.insert(key(n), n, n as usize % 200));
-    let tally = cache.tally();
-    assert!(cache.entries.len() < 200 && tally.entries == cache.index.len(), "{tally:?}");
+    let stats = cache.stats();
+    assert!(cache.entries.len() < 200 && stats.entries == cache.index.len(), "{stats:?}");
     let there = (0..10_000).filter(|n| cache.get(&key(*n)) == Some(n)).count();
-    assert_eq!(there, tally.entries, "each is under its own key");
+    assert_eq!(there, stats.entries, "each is under its own key");
     cache.insert(key(1), 7, 1 << 20);
     assert_eq!(cache.get(&key(1)), None, "too large to be remembered");
 }
--- a/crates/classing/src/catalogue.rs
+++ b/crates/classing/src/catalogue.rs
@@ -77,7 +77,7 @@
 ];
 
 /// Key words behind which a bracket opens no call.
-const NO_CALLS: &str = "all and any as asc between by case cast check collate cross cube current desc distinct else end except \
+const NON_CALL_KEYWORDS: &str = "all and any as asc between by case cast check collate cross cube current desc distinct else end except \
     exclude fetch filter first following for from full group grouping groups having ilike in inner intersect is isnull join \
     lateral left like limit materialized natural next not notnull nulls offset on only or order ordinality outer over \
     partition preceding range recursive repeatable right rollup rows select sets similar some symmetric table tablesample then ties \
@@ -109,7 +109,7 @@
 
 /// Key words that stand before an operand: a name behind one of them, with a bracket, is a call. Behind any other name it
 /// would be an alias with its columns.
-const BEFORE_OPERANDS: &str =
+const KEYWORDS_BEFORE_OPERANDS: &str =
     "at escape first next zone name passing variadic by rows range groups last nulls uescape to ilike overlaps ref version \
     asymmetric both default leading placing trailing \
     returning path content document value values key absent ordinality without with over of no off language";
@@ -124,7 +124,7 @@
     @> <@ ? ?| ?& #- @? @@ @@@ && &< &> -|- <-> <<| |>> &<| |&> <^ >^ ## ?# ?- ?-| ?|| @-@ ~= <<= >>= ^@ => ~>~ ~<~ ~>=~ ~<=~ !!";
 
 /// Words that a query may not hold where it is to be a read: each of them changes something, wherever it stands.
-const WRITES: &str = "insert update delete merge into truncate returning";
+const WRITING_KEYWORDS: &str = "insert update delete merge into truncate returning";
 
 /// What is free of effects.
 #[derive(Clone, Debug)]
@@ -134,8 +134,8 @@
     types: HashSet<String>,
     writing: HashSet<String>,
     operators: HashSet<&'static str>,
-    no_calls: HashSet<&'static str>,
-    before_operands: HashSet<&'static str>,
+    non_call_keywords: HashSet<&'static str>,
+    keywords_before_operands: HashSet<&'static str>,
     writes: HashSet<&'static str>,
 }
 
@@ -174,9 +174,9 @@
             types: types.collect(),
             writing: declared.writing.iter().cloned().collect(),
             operators: words(OPERATORS),
-            no_calls: words(NO_CALLS),
-            before_operands: words(BEFORE_OPERANDS),
-            writes: words(WRITES),
+            non_call_keywords: words(NON_CALL_KEYWORDS),
+            keywords_before_operands: words(KEYWORDS_BEFORE_OPERANDS),
+            writes: words(WRITING_KEYWORDS),
         }
     }
 
@@ -202,12 +202,12 @@
         self.operators.contains(text)
     }
 
-    pub(crate) fn opens_no_call(&self, word: &str) -> bool {
-        self.no_calls.contains(word)
+    pub(crate) fn begins_no_call(&self, word: &str) -> bool {
+        self.non_call_keywords.contains(word)
     }
 
     pub(crate) fn stands_before_operand(&self, word: &str) -> bool {
-        self.no_calls.contains(word) || self.before_operands.contains(word)
+        self.non_call_keywords.contains(word) || self.keywords_before_operands.contains(word)
     }
 
     pub(crate) fn writes(&self, word: &str) -> bool {
--- a/crates/classing/src/explain.rs
+++ b/crates/classing/src/explain.rs
@@ -7,7 +7,7 @@
 use sqlparser::ast::{Expr, UtilityOption, Value};
 
 use crate::lexer::Kind;
-use crate::shape::Piece;
+use crate::shape::CanonicalToken;
 
 /// Options of PostgreSQL 18 that change what is shown, and never run the statement by themselves.
 const DISPLAY_OPTIONS: &[&str] = &[
@@ -95,7 +95,7 @@
 pub(crate) struct Explain<'a> {
     pub(crate) effect: Effect,
     /// The statement that is explained.
-    pub(crate) statement: &'a [Piece],
+    pub(crate) statement: &'a [CanonicalToken],
 }
 
 impl<'a> Explain<'a> {
@@ -103,7 +103,7 @@
     ///
     /// # Errors
     /// Where the effect of the options is not known.
-    pub(crate) fn read(tokens: &'a [Piece]) -> Result<Self, Unclear> {
+    pub(crate) fn read(tokens: &'a [CanonicalToken]) -> Result<Self, Unclear> {
         match tokens {
             [open, rest @ ..] if open.is("(") && !begins_query(rest) => {
                 let (options, statement) = read_options(rest)?;
@@ -126,11 +126,11 @@
     }
 }
 
-fn is_analyze(token: &Piece) -> bool {
+fn is_analyze(token: &CanonicalToken) -> bool {
     token.is_word("analyze") || token.is_word("analyse")
 }
 
-fn without_verbose(tokens: &[Piece]) -> &[Piece] {
+fn without_verbose(tokens: &[CanonicalToken]) -> &[CanonicalToken] {
     match tokens {
         [verbose, rest @ ..] if verbose.is_word("verbose") => rest,
         _ => tokens,
@@ -138,26 +138,26 @@
 }
 
 /// Whether these tokens begin like a query.
-pub(crate) fn begins_query(tokens: &[Piece]) -> bool {
+pub(crate) fn begins_query(tokens: &[CanonicalToken]) -> bool {
     let first = tokens.iter().find(|t| !t.is("("));
     first.is_some_and(|t| QUERY_WORDS.iter().any(|word| t.is_word(word)))
 }
 
 /// Reads options up to the closing bracket, and returns the tokens behind it.
-fn read_options(tokens: &[Piece]) -> Result<(Vec<ExplainOption>, &[Piece]), Unclear> {
+fn read_options(tokens: &[CanonicalToken]) -> Result<(Vec<ExplainOption>, &[CanonicalToken]), Unclear> {
     let end = tokens.iter().position(|t| t.is(")")).ok_or(Unclear::NotOptions)?;
     let options = tokens[..end].split(|t| t.is(",")).map(read_option).collect::<Result<_, _>>()?;
     Ok((options, &tokens[end + 1..]))
 }
 
-fn read_option(tokens: &[Piece]) -> Result<ExplainOption, Unclear> {
+fn read_option(tokens: &[CanonicalToken]) -> Result<ExplainOption, Unclear> {
     let (name, argument) = tokens.split_first().ok_or(Unclear::NotOptions)?;
-    if !matches!(name.kind, Kind::Word | Kind::Quoted) {
+    if !name.is_name() {
         return Err(Unclear::NotOptions);
     }
     let setting = match argument {
         [] => Setting::MayBeOn,
-        [word] if matches!(word.kind, Kind::Word | Kind::Quoted) => Setting::of_name(&word.text),
+        [word] if word.is_name() => Setting::of_name(&word.text),
         [literal] if matches!(literal.kind, Kind::Number | Kind::Text) => Setting::MayBeOn,
         [sign, number] if sign.kind == Kind::Operator && number.kind == Kind::Number => Setting::MayBeOn,
         _ => return Err(Unclear::NotOptions),
--- a/crates/classing/src/lib.rs
+++ b/crates/classing/src/lib.rs
@@ -1,4 +1,4 @@
-//! Tells what a PostgreSQL statement does, without asking a database: read, write, session, or unknown. A read is only
+//! Determines what a PostgreSQL statement does, without asking a database: read, write, session, or unknown. A read is only
 //! what is proved to be one. Statements of one shape, which differ in their literals and looks alone, have one verdict,
 //! which is remembered.
 //!
@@ -20,7 +20,7 @@
 
 use std::rc::Rc;
 
-pub use cache::{Cache, Tally};
+pub use cache::{Cache, CacheStats};
 pub use catalogue::{Catalogue, Declared};
 pub use shape::{shape, Key, Shape};
 pub use verdict::{Access, Verdict};
@@ -28,9 +28,9 @@
 use lexer::Unlexable;
 use refuted::RefutedReads;
 
-/// What is told of one statement.
+/// The classification of one statement.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
+pub struct Classified {
     /// Its shape; `None` where it can't be lexed.
     pub shape: Option<Shape>,
     /// What it does.
@@ -57,19 +57,19 @@
     }
 
     /// Classes a statement.
-    pub fn class(&mut self, statement: &str) -> Told {
+    pub fn class(&mut self, statement: &str) -> Classified {
         let shape = match shape(self.key, statement.as_bytes()) {
             Ok(shape) => shape,
-            Err(e) => return Told { shape: None, verdict: Rc::new(unlexable(e)) },
+            Err(e) => return Classified { shape: None, verdict: Rc::new(unlexable(e)) },
         };
         if let Some(verdict) = self.cache.get(&shape) {
-            return Told { shape: Some(shape), verdict: Rc::clone(verdict) };
+            return Classified { shape: Some(shape), verdict: Rc::clone(verdict) };
         }
         let mut verdict = self.judge(statement);
         if self.refuted.contains(&shape) {
             verdict.refute_read();
         }
-        Told { shape: Some(shape), verdict: self.remember(shape, verdict) }
+        Classified { shape: Some(shape), verdict: self.remember(shape, verdict) }
     }
 
     fn remember(&mut self, shape: Shape, verdict: Verdict) -> Rc<Verdict> {
@@ -98,15 +98,15 @@
 
     /// Judges a statement without remembering it.
     pub fn judge(&self, statement: &str) -> Verdict {
-        match shape::pieces(statement.as_bytes()) {
-            Ok(pieces) => verdict::judge(&self.catalogue, &pieces),
+        match shape::canonical_tokens(statement.as_bytes()) {
+            Ok(tokens) => verdict::judge(&self.catalogue, &tokens),
             Err(e) => unlexable(e),
         }
     }
 
-    /// How the cache fares.
-    pub fn tally(&self) -> Tally {
-        self.cache.tally()
+    /// Counters of the cache of shapes.
+    pub fn stats(&self) -> CacheStats {
+        self.cache.stats()
     }
 }
 
@@ -119,5 +119,5 @@
 /// # Errors
 /// Where the statement can't be lexed.
 pub fn canonical(statement: &str) -> Result<String, Unlexable> {
-    shape::pieces(statement.as_bytes()).map(|p| shape::canonical(&p))
+    shape::canonical_tokens(statement.as_bytes()).map(|p| shape::canonical(&p))
 }
--- a/crates/classing/src/shape.rs
+++ b/crates/classing/src/shape.rs
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Key(pub u64, pub u64);
 
-/// What the tokens of a shape are told to, in order.
+/// Receives the tokens of a shape, in order.
 pub(crate) trait Sink {
     fn token(&mut self, token: &Token);
 }
@@ -38,7 +38,7 @@
 /// Where the statement can't be lexed.
 pub fn shape(key: Key, statement: &[u8]) -> Result<Shape, Unlexable> {
     let mut hash = Hash::new(key);
-    tell(statement, &mut hash)?;
+    emit_tokens(statement, &mut hash)?;
     Ok(hash.finish())
 }
 
@@ -97,13 +97,13 @@
 
 /// One token of a canonical statement.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Piece {
+pub(crate) struct CanonicalToken {
     pub kind: Kind,
     /// In lower case where case means nothing; empty for literals.
     pub text: String,
 }
 
-impl Piece {
+impl CanonicalToken {
     pub fn is(&self, mark: &str) -> bool {
         self.kind == Kind::Mark && self.text == mark
     }
@@ -111,18 +111,23 @@
     pub fn is_word(&self, word: &str) -> bool {
         self.kind == Kind::Word && self.text == word
     }
+
+    /// Whether it is an identifier or a key word, quoted or not.
+    pub fn is_name(&self) -> bool {
+        matches!(self.kind, Kind::Word | Kind::Quoted)
+    }
 }
 
 /// The tokens of a statement's shape, written out.
-pub(crate) fn pieces(statement: &[u8]) -> Result<Vec<Piece>, Unlexable> {
-    let mut pieces = Pieces(Vec::new());
-    tell(statement, &mut pieces)?;
-    Ok(pieces.0)
+pub(crate) fn canonical_tokens(statement: &[u8]) -> Result<Vec<CanonicalToken>, Unlexable> {
+    let mut tokens = CanonicalTokens(Vec::new());
+    emit_tokens(statement, &mut tokens)?;
+    Ok(tokens.0)
 }
 
-struct Pieces(Vec<Piece>);
+struct CanonicalTokens(Vec<CanonicalToken>);
 
-impl Sink for Pieces {
+impl Sink for CanonicalTokens {
     fn token(&mut self, token: &Token) {
         let text = String::from_utf8_lossy(token.text);
         let text = match token.kind {
@@ -130,29 +135,29 @@
             Kind::Word => text.to_ascii_lowercase(),
             _ => text.into_owned(),
         };
-        self.0.push(Piece { kind: token.kind, text });
+        self.0.push(CanonicalToken { kind: token.kind, text });
     }
 }
 
 /// The canonical text: the same for all statements of a shape, with a stand-in for each literal.
-pub(crate) fn canonical(pieces: &[Piece]) -> String {
+pub(crate) fn canonical(tokens: &[CanonicalToken]) -> String {
     let mut text = String::new();
-    let mut before: Option<&Piece> = None;
-    for piece in pieces {
+    let mut before: Option<&CanonicalToken> = None;
+    for token in tokens {
         // A name of several parts is written together; a number would take the dot for its own.
-        let joins = |p: &Piece| p.is(".") || matches!(p.kind, Kind::Word | Kind::Quoted);
-        let joined = before.is_none_or(|b| joins(b) && joins(piece) && (b.is(".") != piece.is(".")));
+        let joins = |p: &CanonicalToken| p.is(".") || matches!(p.kind, Kind::Word | Kind::Quoted);
+        let joined = before.is_none_or(|b| joins(b) && joins(token) && (b.is(".") != token.is(".")));
         if !joined {
             text.push(' ');
         }
-        before = Some(piece);
-        match piece.kind {
+        before = Some(token);
+        match token.kind {
             Kind::Number => text.push('1'),
             Kind::Text | Kind::Doubtful => text.push_str("'x'"),
             Kind::Bits => text.push_str("B'1'"),
             Kind::Parameter => text.push_str("$1"),
-            Kind::Quoted => text.extend(["\"", &piece.text, "\""]),
-            Kind::Word | Kind::Operator | Kind::Mark => text.push_str(&piece.text),
+            Kind::Quoted => text.extend(["\"", &token.text, "\""]),
+            Kind::Word | Kind::Operator | Kind::Mark => text.push_str(&token.text),
         }
     }
     text
@@ -175,14 +180,14 @@
     Row {
         held: Held,
     },
-    /// In a further row, of which nothing has been told so far.
+    /// In a further row, of which nothing has been emitted so far.
     Further {
         any: bool,
         held: Held,
     },
 }
 
-/// What has come and is not told yet.
+/// What has come and is not emitted yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Held {
     Nothing,
@@ -237,8 +242,8 @@
     }
 }
 
-/// Tells a statement's tokens to a sink, with lists of literals folded into their first one.
-fn tell(statement: &[u8], sink: &mut impl Sink) -> Result<(), Unlexable> {
+/// Emits a statement's tokens to a sink, with lists of literals folded into their first one.
+fn emit_tokens(statement: &[u8], sink: &mut impl Sink) -> Result<(), Unlexable> {
     let mut lexer = Lexer::new(statement);
     let mut fold = Fold::None;
     while let Some(token) = lexer.next()? {
@@ -252,7 +257,7 @@
     Ok(())
 }
 
-/// Tells what was held of a further row that turns out to hold more than literals.
+/// Emits what was held of a further row that turns out to hold more than literals.
 fn further(any: bool, held: Held, sink: &mut impl Sink) {
     sink.token(&COMMA);
     sink.token(&OPEN);
--- a/crates/classing/src/shape/tests.rs
+++ b/crates/classing/src/shape/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 fn text(statement: &str) -> String {
-    pieces(statement.as_bytes()).map(|p| canonical(&p)).unwrap_or_default()
+    canonical_tokens(statement.as_bytes()).map(|p| canonical(&p)).unwrap_or_default()
 }
 
 /// Guards the cache's use: what differs in values and looks alone is one shape, what differs in more is not.
@@ -59,7 +59,7 @@
     let key = Key(1, 2);
     for a in statements {
         for b in statements {
-            let same = pieces(a.as_bytes()) == pieces(b.as_bytes());
+            let same = canonical_tokens(a.as_bytes()) == canonical_tokens(b.as_bytes());
             assert_eq!(shape(key, a.as_bytes()) == shape(key, b.as_bytes()), same, "{a} | {b}");
         }
     }
--- a/crates/classing/src/size.rs
+++ b/crates/classing/src/size.rs
@@ -1,7 +1,7 @@
 //! Bounds on the statements that are judged: a tree of a larger one could exhaust the stack or the time.
 
 use crate::lexer::Kind;
-use crate::shape::Piece;
+use crate::shape::CanonicalToken;
 
 /// Tokens of the longest statement.
 const MAX_TOKENS: usize = 20_000;
@@ -11,12 +11,12 @@
 const MAX_LINKS: usize = 400;
 
 /// Why a statement is too large to be judged; `None` if it is not.
-pub(crate) fn too_large(pieces: &[Piece]) -> Option<&'static str> {
-    if pieces.len() > MAX_TOKENS {
+pub(crate) fn too_large(tokens: &[CanonicalToken]) -> Option<&'static str> {
+    if tokens.len() > MAX_TOKENS {
         return Some("it is too long to be judged");
     }
     let (mut depth, mut links) = (0_usize, 0);
-    for p in pieces {
+    for p in tokens {
         match p.kind {
             Kind::Mark if p.text == "(" || p.text == "[" => depth += 1,
             Kind::Mark if p.text == ")" || p.text == "]" => depth = depth.saturating_sub(1),
--- a/crates/classing/src/temporary.rs
+++ b/crates/classing/src/temporary.rs
@@ -4,13 +4,13 @@
 use crate::catalogue;
 use crate::explain::{Effect, Explain};
 use crate::lexer::Kind;
-use crate::shape::Piece;
+use crate::shape::CanonicalToken;
 
 /// The schema of the temporary objects of a connection. The server's own name for it has a number behind it.
 const SCHEMA: &str = "pg_temp";
 
 /// Whether a statement makes or uses temporary objects. What EXPLAIN only shows the plan of does neither.
-pub(crate) fn uses_temporary_objects(statement: &[Piece]) -> bool {
+pub(crate) fn uses_temporary_objects(statement: &[CanonicalToken]) -> bool {
     if let [explain, rest @ ..] = statement {
         let is_plan = |explain: Explain| explain.effect == Effect::ShowsPlan;
         if explain.is_word("explain") && Explain::read(rest).is_ok_and(is_plan) {
@@ -23,8 +23,8 @@
     })
 }
 
-fn is_temporary_schema(token: &Piece) -> bool {
-    let is_name = matches!(token.kind, Kind::Word | Kind::Quoted);
+fn is_temporary_schema(token: &CanonicalToken) -> bool {
+    let is_name = token.is_name();
     let number = token.text.strip_prefix(SCHEMA).filter(|_| is_name);
     number.is_some_and(|number| {
         number.is_empty()
@@ -33,7 +33,7 @@
 }
 
 /// Whether CREATE [OR REPLACE] TEMPORARY begins here.
-fn creates(tokens: &[Piece]) -> bool {
+fn creates(tokens: &[CanonicalToken]) -> bool {
     match tokens {
         [create, or, replace, rest @ ..]
             if create.is_word("create") && or.is_word("or") && replace.is_word("replace") =>
@@ -46,7 +46,7 @@
 }
 
 /// Whether the INTO of a query begins here and names a temporary table. A table may itself have the name `temp`.
-fn selects_into(before: &[Piece], tokens: &[Piece]) -> bool {
+fn selects_into(before: &[CanonicalToken], tokens: &[CanonicalToken]) -> bool {
     let [into, rest @ ..] = tokens else { return false };
     let names_a_table = before.last().is_some_and(|verb| verb.is_word("insert") || verb.is_word("merge"));
     if !into.is_word("into") || names_a_table {
@@ -61,8 +61,8 @@
 }
 
 /// The tokens behind [LOCAL | GLOBAL] TEMPORARY, if they begin so.
-fn without_temporary(tokens: &[Piece]) -> Option<&[Piece]> {
-    let is_temporary = |token: &Piece| token.is_word("temp") || token.is_word("temporary");
+fn without_temporary(tokens: &[CanonicalToken]) -> Option<&[CanonicalToken]> {
+    let is_temporary = |token: &CanonicalToken| token.is_word("temp") || token.is_word("temporary");
     match tokens {
         [scope, word, rest @ ..]
             if (scope.is_word("local") || scope.is_word("global")) && is_temporary(word) =>
--- a/crates/classing/src/tokens.rs
+++ b/crates/classing/src/tokens.rs
@@ -5,11 +5,11 @@
 use crate::explain::{self, Effect, Explain};
 use crate::lexer::Kind;
 use crate::objection::Objection;
-use crate::shape::Piece;
+use crate::shape::CanonicalToken;
 use crate::types;
 
 /// So far the columns of a common table expression are looked for, in tokens.
-const MOST_COLUMNS: usize = 200;
+const MAX_COLUMN_TOKENS: usize = 200;
 
 /// A call as the tokens show it.
 pub(crate) struct Call {
@@ -19,49 +19,60 @@
 }
 
 /// All calls: a name with a bracket behind it, unless it is an alias with its columns.
-pub(crate) fn calls(pieces: &[Piece], catalogue: &Catalogue) -> Vec<Call> {
-    let mut calls = Vec::new();
-    for (i, p) in pieces.iter().enumerate() {
-        let is_name = matches!(p.kind, Kind::Word | Kind::Quoted);
-        if !is_name || !pieces.get(i + 1).is_some_and(|n| n.is("(")) {
-            continue;
-        }
-        let before = |n: usize| i.checked_sub(n).and_then(|at| pieces.get(at));
-        let dotted = before(1).is_some_and(|b| b.is("."));
-        if p.kind == Kind::Word && !dotted && catalogue.opens_no_call(&p.text) && !is_function_too(&p.text) {
-            continue;
-        }
-        // The sample's own methods; elsewhere these are names like any other.
-        let sampled = before(1).is_some_and(|b| b.is_word("tablesample"));
-        let options = i == 0 && p.is_word("explain");
-        if options || (sampled && (p.is_word("bernoulli") || p.is_word("system"))) {
-            continue;
-        }
-        // A type with its measure, `numeric(10, 2)`, behind a cast.
-        let cast = before(1).is_some_and(|b| b.is("::") || b.is_word("as"));
-        if p.kind == Kind::Word && cast && catalogue.is_type(&p.text) {
-            continue;
-        }
-        let alias = match before(1) {
-            Some(b) if b.is_word("as") || b.is_word("recursive") => true,
-            Some(b) if matches!(b.kind, Kind::Word | Kind::Quoted) || b.is(")") => {
-                types::ends_operand(pieces, i - 1, catalogue)
-            }
-            _ => false,
-        };
-        // WITH a (x) AS: a name, and no call; a further one stands behind a comma, and shows by what follows.
-        let named = before(1).is_some_and(|b| b.is_word("with") || b.is(",") || b.is_word("recursive"));
-        if alias || (named && names_columns(&pieces[i + 1..])) {
-            continue;
-        }
-        let schema = before(2).filter(|b| dotted && matches!(b.kind, Kind::Word | Kind::Quoted));
-        let deeper = dotted && before(3).is_some_and(|b| b.is("."));
-        let pure =
-            !deeper && (!dotted || schema.is_some()) && catalogue.is_pure(schema.map(|s| &*s.text), &p.text);
-        let name = schema.map_or_else(|| p.text.clone(), |s| format!("{}.{}", s.text, p.text));
-        calls.push(Call { name, pure });
+pub(crate) fn calls(tokens: &[CanonicalToken], catalogue: &Catalogue) -> Vec<Call> {
+    let names = (0..tokens.len()).filter(|at| is_call(tokens, *at, catalogue));
+    names.map(|at| call_of(&tokens[..at], &tokens[at], catalogue)).collect()
+}
+
+/// Whether the token at `at` is the name of a function that is called.
+fn is_call(tokens: &[CanonicalToken], at: usize, catalogue: &Catalogue) -> bool {
+    let name = &tokens[at];
+    if !name.is_name() || !tokens.get(at + 1).is_some_and(|next| next.is("(")) {
+        return false;
+    }
+    let before = at.checked_sub(1).map(|before| &tokens[before]);
+    let is_bare = name.kind == Kind::Word && !before.is_some_and(|dot| dot.is("."));
+    if is_bare && catalogue.begins_no_call(&name.text) && !is_function_too(&name.text) {
+        return false;
+    }
+    !(has_other_bracket(before, name, catalogue) || is_alias(tokens, at, catalogue))
+}
+
+/// Whether the bracket behind a word holds something other than arguments: options, a sample's size, a type's measure.
+fn has_other_bracket(before: Option<&CanonicalToken>, word: &CanonicalToken, catalogue: &Catalogue) -> bool {
+    let Some(before) = before else { return word.is_word("explain") };
+    let is_cast = before.is("::") || before.is_word("as");
+    if is_cast && word.kind == Kind::Word && catalogue.is_type(&word.text) {
+        return true;
+    }
+    // The sample's own methods; elsewhere these are names like any other.
+    before.is_word("tablesample") && (word.is_word("bernoulli") || word.is_word("system"))
+}
+
+/// Whether the name at `at` is an alias, with its columns in brackets.
+fn is_alias(tokens: &[CanonicalToken], at: usize, catalogue: &Catalogue) -> bool {
+    let Some(before) = at.checked_sub(1).map(|before| &tokens[before]) else { return false };
+    if before.is_word("as") || before.is_word("recursive") {
+        return true;
+    }
+    if (before.is_name() || before.is(")")) && types::ends_operand(tokens, at - 1, catalogue) {
+        return true;
     }
-    calls
+    // WITH a (x) AS: a name, and no call; a further one stands behind a comma, and shows by what follows.
+    (before.is_word("with") || before.is(",")) && names_columns(&tokens[at + 1..])
+}
+
+/// The call of a function by this name, with the tokens before it.
+fn call_of(before: &[CanonicalToken], name: &CanonicalToken, catalogue: &Catalogue) -> Call {
+    let (schema, is_complete) = match before {
+        [.., deeper, schema, dot] if dot.is(".") && schema.is_name() => (Some(&schema.text), !deeper.is(".")),
+        [schema, dot] if dot.is(".") && schema.is_name() => (Some(&schema.text), true),
+        [.., dot] if dot.is(".") => (None, false),
+        _ => (None, true),
+    };
+    let pure = is_complete && catalogue.is_pure(schema.map(String::as_str), &name.text);
+    let name = schema.map_or_else(|| name.text.clone(), |schema| format!("{schema}.{}", name.text));
+    Call { name, pure }
 }
 
 /// Words that are key words, and functions as well.
@@ -70,31 +81,31 @@
 }
 
 /// Whether a bracket holds names alone and is followed by AS and a bracket: the columns of a common table expression.
-fn names_columns(pieces: &[Piece]) -> bool {
-    let Some(end) = pieces.iter().take(MOST_COLUMNS).position(|p| p.is(")")) else { return false };
-    let names = pieces[1..end].iter().all(|p| matches!(p.kind, Kind::Word | Kind::Quoted) || p.is(","));
-    let mut rest = pieces[end + 1..].iter().filter(|p| !p.is_word("not") && !p.is_word("materialized"));
+fn names_columns(tokens: &[CanonicalToken]) -> bool {
+    let Some(end) = tokens.iter().take(MAX_COLUMN_TOKENS).position(|p| p.is(")")) else { return false };
+    let names = tokens[1..end].iter().all(|p| p.is_name() || p.is(","));
+    let mut rest = tokens[end + 1..].iter().filter(|p| !p.is_word("not") && !p.is_word("materialized"));
     names && rest.next().is_some_and(|p| p.is_word("as")) && rest.next().is_some_and(|p| p.is("("))
 }
 
 /// Why the tokens alone speak against a read.
-pub(crate) fn object(pieces: &[Piece], catalogue: &Catalogue) -> Option<Objection> {
-    let (first, rest) = pieces.split_first()?;
+pub(crate) fn object(tokens: &[CanonicalToken], catalogue: &Catalogue) -> Option<Objection> {
+    let (first, rest) = tokens.split_first()?;
     if first.is_word("explain") {
         return object_to_explain(rest, catalogue);
     }
     if first.is_word("show") {
         return object_to_show(rest);
     }
-    if !explain::begins_query(pieces) {
+    if !explain::begins_query(tokens) {
         return Some(Objection::unknown_kind());
     }
-    object_to_query(pieces, catalogue).map(Objection::write)
+    object_to_query(tokens, catalogue).map(Objection::write)
 }
 
 /// Why the tokens behind EXPLAIN speak against a read.
-fn object_to_explain(pieces: &[Piece], catalogue: &Catalogue) -> Option<Objection> {
-    let explain = match Explain::read(pieces) {
+fn object_to_explain(tokens: &[CanonicalToken], catalogue: &Catalogue) -> Option<Objection> {
+    let explain = match Explain::read(tokens) {
         Ok(explain) => explain,
         Err(unclear) => return Some(Objection::write(unclear.to_string())),
     };
@@ -106,48 +117,66 @@
 }
 
 /// Why the tokens behind SHOW speak against a read: it takes a name.
-fn object_to_show(pieces: &[Piece]) -> Option<Objection> {
-    let in_name = |p: &Piece| matches!(p.kind, Kind::Word | Kind::Quoted) || p.is(".");
-    (!pieces.iter().all(in_name)).then(|| Objection::write("what is shown is no name"))
+fn object_to_show(tokens: &[CanonicalToken]) -> Option<Objection> {
+    let in_name = |p: &CanonicalToken| p.is_name() || p.is(".");
+    (!tokens.iter().all(in_name)).then(|| Objection::write("what is shown is no name"))
 }
 
 /// Why the tokens of a query alone speak against a read.
-fn object_to_query(pieces: &[Piece], catalogue: &Catalogue) -> Option<String> {
-    if let Some(call) = calls(pieces, catalogue).into_iter().find(|c| !c.pure) {
+fn object_to_query(tokens: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
+    if let Some(call) = calls(tokens, catalogue).into_iter().find(|c| !c.pure) {
         return Some(format!("{} is not known to be free of effects", call.name));
     }
-    for (i, p) in pieces.iter().enumerate() {
-        let next = pieces.get(i + 1);
-        let before = i.checked_sub(1).and_then(|at| pieces.get(at));
-        let dotted = before.is_some_and(|b| b.is("."));
-        match p.kind {
-            Kind::Word if !dotted && catalogue.writes(&p.text) => {
-                return Some(format!("{} stands in it", p.text));
-            }
-            Kind::Word if p.text == "operator" && next.is_some_and(|n| n.is("(")) => {
-                return Some("an operator is named by its schema".to_owned());
-            }
-            Kind::Word if p.text == "for" => {
-                let locks =
-                    |n: &Piece| matches!(&*n.text, "update" | "share" | "no" | "key") && n.kind == Kind::Word;
-                if next.is_some_and(locks) {
-                    return Some("it locks rows".to_owned());
-                }
-            }
-            Kind::Operator if !catalogue.is_operator(&p.text) => {
-                return Some(format!("the operator {} is not PostgreSQL's own", p.text));
-            }
-            _ => {}
+    let object = |at| {
+        let (before, from_here) = tokens.split_at(at);
+        object_to_token(before, from_here, catalogue)
+            .or_else(|| object_to_field(before, &from_here[0], catalogue))
+    };
+    (0..tokens.len()).find_map(object).or_else(|| types::object(tokens, catalogue))
+}
+
+/// Why a word or an operator speaks against a read.
+fn object_to_token(
+    before: &[CanonicalToken],
+    from_here: &[CanonicalToken],
+    catalogue: &Catalogue,
+) -> Option<String> {
+    let (token, next) = (from_here.first()?, from_here.get(1));
+    let dotted = before.last().is_some_and(|dot| dot.is("."));
+    match token.kind {
+        Kind::Word if !dotted && catalogue.writes(&token.text) => {
+            Some(format!("{} stands in it", token.text))
+        }
+        Kind::Word if token.text == "operator" && next.is_some_and(|n| n.is("(")) => {
+            Some("an operator is named by its schema".to_owned())
         }
-        if dotted && matches!(p.kind, Kind::Word | Kind::Quoted) {
-            let behind = i.checked_sub(2).and_then(|at| pieces.get(at));
-            if behind.is_some_and(|b| b.is(")") || b.is("]") || b.kind == Kind::Parameter) {
-                return Some(format!("({}) may be a call of a function", p.text));
-            }
-            if catalogue.is_writing(&p.text) {
-                return Some(format!("{} is declared to write", p.text));
-            }
+        Kind::Word if token.text == "for" && next.is_some_and(begins_lock) => {
+            Some("it locks rows".to_owned())
         }
+        Kind::Operator if !catalogue.is_operator(&token.text) => {
+            Some(format!("the operator {} is not PostgreSQL's own", token.text))
+        }
+        _ => None,
+    }
+}
+
+/// Whether a word behind FOR names a lock on rows.
+fn begins_lock(token: &CanonicalToken) -> bool {
+    ["update", "share", "no", "key"].iter().any(|word| token.is_word(word))
+}
+
+/// Why a name behind a dot may be a call of a function, written like a column.
+fn object_to_field(
+    before: &[CanonicalToken],
+    token: &CanonicalToken,
+    catalogue: &Catalogue,
+) -> Option<String> {
+    let [row @ .., dot] = before else { return None };
+    if !dot.is(".") || !token.is_name() {
+        return None;
+    }
+    if row.last().is_some_and(|end| end.is(")") || end.is("]") || end.kind == Kind::Parameter) {
+        return Some(format!("({}) may be a call of a function", token.text));
     }
-    types::object(pieces, catalogue)
+    catalogue.is_writing(&token.text).then(|| format!("{} is declared to write", token.text))
 }
--- a/crates/classing/src/types.rs
+++ b/crates/classing/src/types.rs
@@ -4,7 +4,7 @@
 use crate::catalogue::{self, Catalogue};
 use crate::explain::begins_query;
 use crate::lexer::Kind;
-use crate::shape::Piece;
+use crate::shape::CanonicalToken;
 
 /// Words that take a type behind AS.
 const CASTS: &[&str] = &["cast", "xmlserialize"];
@@ -13,7 +13,7 @@
 const PATTERN_OPERATORS: &[&str] = &["like", "ilike", "escape"];
 
 /// Why the types that these tokens name speak against a read.
-pub(crate) fn object(tokens: &[Piece], catalogue: &Catalogue) -> Option<String> {
+pub(crate) fn object(tokens: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
     (0..tokens.len()).find_map(|at| {
         let token = &tokens[at];
         if token.is("::") {
@@ -29,7 +29,7 @@
 }
 
 /// Whether an operand may end in this token, so that no other one begins right behind it.
-pub(crate) fn ends_operand(tokens: &[Piece], at: usize, catalogue: &Catalogue) -> bool {
+pub(crate) fn ends_operand(tokens: &[CanonicalToken], at: usize, catalogue: &Catalogue) -> bool {
     let token = &tokens[at];
     match token.kind {
         Kind::Word => {
@@ -43,13 +43,13 @@
 }
 
 /// Whether the bracket that is closed behind these tokens is that of DISTINCT ON, which operands follow.
-fn closes_distinct_on(tokens: &[Piece]) -> bool {
+fn closes_distinct_on(tokens: &[CanonicalToken]) -> bool {
     let before = opening_bracket(tokens).map(|open| &tokens[..open]);
     matches!(before, Some([.., distinct, on]) if distinct.is_word("distinct") && on.is_word("on"))
 }
 
 /// Where the bracket opens that is closed behind these tokens.
-fn opening_bracket(tokens: &[Piece]) -> Option<usize> {
+fn opening_bracket(tokens: &[CanonicalToken]) -> Option<usize> {
     let mut depth = 1_usize;
     tokens.iter().rposition(|token| {
         if token.is(")") {
@@ -62,7 +62,7 @@
 }
 
 /// Why a string behind these tokens may be a literal of a type that has effects.
-fn object_to_literal(before: &[Piece], catalogue: &Catalogue) -> Option<String> {
+fn object_to_literal(before: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
     let last = before.len().checked_sub(1)?;
     let name = &before[last];
     match name.kind {
@@ -75,12 +75,12 @@
     }
 }
 
-fn is_dotted(before: &[Piece]) -> bool {
+fn is_dotted(before: &[CanonicalToken]) -> bool {
     before.last().is_some_and(|token| token.is("."))
 }
 
 /// Whether the word at `at` is a key word where a string follows it, and no name of a type.
-fn stands_before_string(tokens: &[Piece], at: usize, catalogue: &Catalogue) -> bool {
+fn stands_before_string(tokens: &[CanonicalToken], at: usize, catalogue: &Catalogue) -> bool {
     let word = &tokens[at].text;
     // No type has BETWEEN for its bare name, as with the reserved words.
     if catalogue::is_reserved(word) || word == "between" {
@@ -100,7 +100,7 @@
 }
 
 /// Whether the last of these tokens is a column, though its name is a key word that is not reserved (`name`, `value`).
-fn is_column(tokens: &[Piece]) -> bool {
+fn is_column(tokens: &[CanonicalToken]) -> bool {
     let [before @ .., column] = tokens else { return false };
     if column.kind != Kind::Word || column.is_word("by") {
         return false;
@@ -119,14 +119,14 @@
 }
 
 /// Why a string behind a bracket that these tokens precede may be a literal of a type that has effects.
-fn object_to_measured(tokens: &[Piece], catalogue: &Catalogue) -> Option<String> {
+fn object_to_measured(tokens: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
     let before = &tokens[..opening_bracket(tokens)?];
     let (name, before) = before.split_last()?;
     object_to_name(name, before, catalogue)
 }
 
 /// Why the type of this name, with its schema before it, may have effects.
-fn object_to_name(name: &Piece, before: &[Piece], catalogue: &Catalogue) -> Option<String> {
+fn object_to_name(name: &CanonicalToken, before: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
     let is_own = match before {
         [.., deeper, _, dot] if dot.is(".") && deeper.is(".") => false,
         [.., schema, dot] if dot.is(".") => schema.text == "pg_catalog",
@@ -137,7 +137,7 @@
 }
 
 /// Why a type whose name begins these tokens may have effects.
-fn object_to_type(tokens: &[Piece], catalogue: &Catalogue) -> Option<String> {
+fn object_to_type(tokens: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
     let name = match tokens {
         [schema, dot, name, ..] if dot.is(".") && schema.text == "pg_catalog" => name,
         [schema, dot, ..] if dot.is(".") => {
@@ -145,12 +145,12 @@
         }
         [setof, name, ..] if setof.is_word("setof") => {
             return object_to_type(&tokens[1..], catalogue)
-                .or_else(|| (!is_name(name)).then(|| unknown_type(&name.text)))
+                .or_else(|| (!name.is_name()).then(|| unknown_type(&name.text)))
         }
         [name, ..] => name,
         [] => return None,
     };
-    let known = is_name(name) && catalogue.is_type(&name.text);
+    let known = name.is_name() && catalogue.is_type(&name.text);
     (!known).then(|| unknown_type(&name.text))
 }
 
@@ -158,12 +158,8 @@
     format!("the type {name} is not PostgreSQL's own")
 }
 
-fn is_name(token: &Piece) -> bool {
-    matches!(token.kind, Kind::Word | Kind::Quoted)
-}
-
 /// Why the types that stand in the bracket that opens at `open` may have effects.
-fn object_to_bracket(tokens: &[Piece], open: usize, catalogue: &Catalogue) -> Option<String> {
+fn object_to_bracket(tokens: &[CanonicalToken], open: usize, catalogue: &Catalogue) -> Option<String> {
     let inside = || &tokens[open + 1..open + 1 + length_of_bracket(&tokens[open + 1..])];
     let before = open.checked_sub(1).map(|at| &tokens[at])?;
     if CASTS.iter().any(|cast| before.is_word(cast)) {
@@ -176,7 +172,7 @@
 }
 
 /// Tokens up to the bracket that closes this one.
-fn length_of_bracket(tokens: &[Piece]) -> usize {
+fn length_of_bracket(tokens: &[CanonicalToken]) -> usize {
     let mut depth = 1_usize;
     let end = tokens.iter().position(|token| {
         if token.is("(") {
@@ -190,7 +186,7 @@
 }
 
 /// The parts between the commas that stand in no further bracket.
-fn split_list(tokens: &[Piece]) -> impl Iterator<Item = &[Piece]> {
+fn split_list(tokens: &[CanonicalToken]) -> impl Iterator<Item = &[CanonicalToken]> {
     let mut depth = 0_usize;
     tokens.split(move |token| {
         if token.is("(") || token.is("[") {
@@ -203,7 +199,7 @@
 }
 
 /// Why what CAST does may have effects.
-fn object_to_cast(inside: &[Piece], catalogue: &Catalogue) -> Option<String> {
+fn object_to_cast(inside: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
     let mut depth = 0_usize;
     let as_word = inside.iter().rposition(|token| {
         if token.is(")") {
@@ -221,23 +217,24 @@
 
 /// Whether the bracket that opens at `open` may hold the columns of a record: behind an alias, or behind AS where the
 /// alias is left out.
-fn may_define_columns(tokens: &[Piece], open: usize, catalogue: &Catalogue) -> bool {
+fn may_define_columns(tokens: &[CanonicalToken], open: usize, catalogue: &Catalogue) -> bool {
     let (before, inside) = (&tokens[..open], &tokens[open + 1..]);
     match before {
         [.., source, as_word] if as_word.is_word("as") => {
             (source.is(")") || source.is_word("ordinality")) && !begins_query(inside)
         }
-        [.., as_word, alias] if as_word.is_word("as") => is_name(alias),
+        [.., as_word, alias] if as_word.is_word("as") => alias.is_name(),
         [.., alias] if alias.kind == Kind::Word && catalogue::is_reserved(&alias.text) => false,
-        [.., alias] if is_name(alias) && open >= 2 => ends_operand(tokens, open - 2, catalogue),
+        [.., alias] if alias.is_name() && open >= 2 => ends_operand(tokens, open - 2, catalogue),
         _ => false,
     }
 }
 
 /// Why a column of a record (`TableFuncElement` of PostgreSQL's grammar) may have effects; what is no definition has none.
-fn object_to_column(column: &[Piece], catalogue: &Catalogue) -> Option<String> {
-    let is_free =
-        |token: &Piece| is_name(token) && !(token.kind == Kind::Word && catalogue::is_reserved(&token.text));
+fn object_to_column(column: &[CanonicalToken], catalogue: &Catalogue) -> Option<String> {
+    let is_free = |token: &CanonicalToken| {
+        token.is_name() && !(token.kind == Kind::Word && catalogue::is_reserved(&token.text))
+    };
     let (name, of_type) = column.split_first()?;
     let first_of_type = of_type.first()?;
     if !is_free(name) || !is_free(first_of_type) {
--- a/crates/classing/src/verdict.rs
+++ b/crates/classing/src/verdict.rs
@@ -9,7 +9,7 @@
 use crate::catalogue::Catalogue;
 use crate::lexer::Kind;
 use crate::objection::Objection;
-use crate::shape::{canonical, Piece};
+use crate::shape::{canonical, CanonicalToken};
 use crate::size::too_large;
 use crate::temporary::uses_temporary_objects;
 use crate::tokens;
@@ -131,7 +131,7 @@
 }
 
 /// Judges the tokens of a shape.
-pub(crate) fn judge(catalogue: &Catalogue, tokens: &[Piece]) -> Verdict {
+pub(crate) fn judge(catalogue: &Catalogue, tokens: &[CanonicalToken]) -> Verdict {
     let statement = without_final_semicolons(tokens);
     let verb = first_word(statement);
     let mut verdict = Verdict::undecided(verb);
@@ -176,18 +176,18 @@
     }
 }
 
-fn without_final_semicolons(tokens: &[Piece]) -> &[Piece] {
+fn without_final_semicolons(tokens: &[CanonicalToken]) -> &[CanonicalToken] {
     let last = tokens.iter().rposition(|token| !token.is(";"));
     last.map_or(&[], |last| &tokens[..=last])
 }
 
 /// The first word behind any brackets; empty where there is none.
-fn first_word(statement: &[Piece]) -> &str {
+fn first_word(statement: &[CanonicalToken]) -> &str {
     let first = statement.iter().find(|token| !token.is("("));
     first.filter(|token| token.kind == Kind::Word).map_or("", |token| &token.text)
 }
 
-fn parse(statement: &[Piece]) -> Result<Vec<Statement>, ParserError> {
+fn parse(statement: &[CanonicalToken]) -> Result<Vec<Statement>, ParserError> {
     // TABLE t is short for a query that the parser knows in full only.
     let text = match statement {
         [table, name @ ..] if table.is_word("table") => format!("select * from {}", canonical(name)),
--- a/crates/gradeshunt/src/cli.rs
+++ b/crates/gradeshunt/src/cli.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use gradeshunt_classing::{Access, Catalogue, Classer, Key, Told};
+use gradeshunt_classing::{Access, Catalogue, Classer, Classified, Key};
 use serde_json::json;
 
 use crate::routing::{rules, Origin};
@@ -86,7 +86,7 @@
     }
 }
 
-fn format_verdict(classified: &Told, class: Option<&str>, format: ClassFormat) -> String {
+fn format_verdict(classified: &Classified, class: Option<&str>, format: ClassFormat) -> String {
     let verdict = &*classified.verdict;
     let shape = classified.shape.map(|s| s.to_string());
     let (access, target) = (verdict.access.name(), target(verdict.access));
--- a/crates/gradeshunt/src/routing/mod.rs
+++ b/crates/gradeshunt/src/routing/mod.rs
@@ -9,7 +9,7 @@
 use std::fmt::Write as _;
 
 use gradeshunt_classing::verdict::Statements;
-use gradeshunt_classing::{Access, Catalogue, Classer, Declared, Key, Told, Verdict};
+use gradeshunt_classing::{Access, Catalogue, Classer, Classified, Declared, Key, Verdict};
 use leadmast::{ClassId, GroupId, Micros, ReadLevel, Settings};
 
 /// The identity of a client, as its startup message gives it.
@@ -158,7 +158,7 @@
     }
 
     /// Finds the first route that matches a classified statement, unless it would change the session.
-    fn route(&mut self, settings: &Settings, origin: &Origin, classified: &Told) -> Decision {
+    fn route(&mut self, settings: &Settings, origin: &Origin, classified: &Classified) -> Decision {
         let verdict = &*classified.verdict;
         if let Some(refusal) = session_change(verdict) {
             return refusal;
@@ -203,7 +203,7 @@
 
     /// Renders the counters of statements and of the shape cache in the text exposition format.
     pub fn exposition(&self) -> String {
-        let (c, t) = (self.counts, self.classer.tally());
+        let (c, t) = (self.counts, self.classer.stats());
         let mut text = String::from("# TYPE app_statements counter\n");
         for (access, n) in
             [("read", c.read), ("write", c.write), ("session", c.session), ("unknown", c.unknown)]
--- a/crates/measure/src/classing.rs
+++ b/crates/measure/src/classing.rs
@@ -5,7 +5,7 @@
 use std::num::NonZeroUsize;
 use std::time::Instant;
 
-use gradeshunt_classing::cache::OVERHEAD;
+use gradeshunt_classing::cache::ENTRY_OVERHEAD_BYTES;
 use gradeshunt_classing::{shape, Catalogue, Classer, Key, Shape};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -104,8 +104,9 @@
             |s| ours.borrow_mut().get(&s).is_some(),
             |s| ours.borrow_mut().insert(s, (), size),
         );
-        let lru =
-            lru::LruCache::new(NonZeroUsize::new(BYTES / (size + OVERHEAD)).unwrap_or(NonZeroUsize::MIN));
+        let lru = lru::LruCache::new(
+            NonZeroUsize::new(BYTES / (size + ENTRY_OVERHEAD_BYTES)).unwrap_or(NonZeroUsize::MIN),
+        );
         let lru = std::cell::RefCell::new(lru);
         let plain = rate(
             &shapes,
@@ -115,14 +116,14 @@
                 lru.borrow_mut().put(s, ());
             },
         );
-        let items = BYTES / (size + OVERHEAD);
+        let items = BYTES / (size + ENTRY_OVERHEAD_BYTES);
         let quick = quick_cache::unsync::Cache::with_weighter(items, BYTES as u64, ByBytes);
         let quick = std::cell::RefCell::new(quick);
         let library = rate(
             &shapes,
             one_off,
             |s| quick.borrow_mut().get(&s).is_some(),
-            |s| quick.borrow_mut().insert(s, size + OVERHEAD),
+            |s| quick.borrow_mut().insert(s, size + ENTRY_OVERHEAD_BYTES),
         );
         let name = if one_off { "half one-off" } else { "Zipf alone" };
         report.table.push(format!(
@@ -147,7 +148,7 @@
     report.table.push(format!(
         "flood of {told} shapes in {:.1} s: {most} bytes held at most, {share:.2} of the budget; {:?}",
         since.elapsed().as_secs_f64(),
-        classer.tally()
+        classer.stats()
     ));
     let mut bound = |holds: bool, what: &str| {
         if !holds {
