Clients are accepted no faster than they are served

Cause: a turn accepted up to 64 connections whatever waited already, and gave clients their shares for 5 ms, some ten of these peers. Connections piled up until the process was full, and requests of clients that had long been connected stood in the same queue. Counted at refusals as `full`: 332 of 691 and 583 to 629 of 659 sessions had not had their first share, 36 and 5 to 48 lingered; so it is not the linger that takes the places.

Change: while more than 64 clients wait for their share, connections wait in the listen backlog, and what their clients sent counts as waiting since.

--- a/crates/gradeshunt/src/frontend.rs
+++ b/crates/gradeshunt/src/frontend.rs
@@ -54,8 +54,8 @@
 /// The client side.
 pub struct Frontend {
     listener: Option<Polled<TcpListener>>,
-    /// The time since which connections may have waited in the listen backlog because accepting them failed:
-    /// first of clients, then of other proxies.
+    /// The time since which connections may have waited in the listen backlog because accepting them failed or
+    /// was put off: first of clients, then of other proxies.
     backlog_since: [Option<Micros>; 2],
     /// The listener for other proxies, and the names of the proxies that may connect to it.
     peer_listener: Option<Polled<TcpListener>>,
--- a/crates/gradeshunt/src/frontend/listener.rs
+++ b/crates/gradeshunt/src/frontend/listener.rs
@@ -16,6 +16,7 @@
 use crate::inbound::InputBuffer;
 use crate::log_limit::ClientLine;
 use crate::pg::{sqlstate, Writer};
+use crate::ready_queue::Phase;
 use crate::ring::Ring;
 use crate::routing::Origin;
 use crate::turn::{EventSource, Polled, Turn};
@@ -26,6 +27,9 @@
 /// for a client to close.
 const ACCEPT_TIME: Micros = 2_000;
 
+/// While more clients than this wait for their share of a turn, further connections wait in the listen backlog.
+const MAX_WAITING_CLIENTS: usize = 64;
+
 /// Pause after a failed accept.
 const ACCEPT_RETRY: Micros = 20_000;
 
@@ -39,6 +43,11 @@
     Failed,
 }
 
+/// The index of a listener in [`Frontend::backlog_since`].
+fn backlog_index(listener: Source) -> usize {
+    usize::from(listener == Source::Proxy)
+}
+
 impl Frontend {
     /// Starts to accept clients.
     pub fn listen_for_clients(&mut self, turn: &mut Turn, listener: TcpListener) -> io::Result<()> {
@@ -58,8 +67,13 @@
         Ok(())
     }
 
-    /// Accepts connections of clients.
+    /// Accepts connections of clients, unless the clients that are connected wait for their shares already:
+    /// connections that are accepted faster than they are served would fill the proxy and delay all others.
     pub fn accept(&mut self, turn: &mut Turn) {
+        if turn.ready.len(Phase::Clients) > MAX_WAITING_CLIENTS {
+            self.backlog_since[backlog_index(Source::Client)].get_or_insert(turn.now - turn.unread_for);
+            return turn.defer(EventSource::Listener);
+        }
         if self.accept_from(turn, Source::Client) == Backlog::More {
             turn.defer(EventSource::Listener);
         }
@@ -84,7 +98,7 @@
                 Source::Proxy => (&self.peer_listener, DeadlineKind::RetryAcceptPeers),
             };
             let Some(listener) = listener else { return Backlog::Empty };
-            let backlog = usize::from(from == Source::Proxy);
+            let backlog = backlog_index(from);
             match listener.socket.accept() {
                 Ok((socket, _)) => {
                     if let Err(e) = self.accept_session(turn, socket, from) {
@@ -143,7 +157,7 @@
             accepted_at: turn.now,
             last_active: turn.now,
             delivery_until: None,
-            backlogged_since: self.backlog_since[usize::from(source == Source::Proxy)],
+            backlogged_since: self.backlog_since[backlog_index(source)],
             deadline: None,
             origin: Origin::default(),
             may_write: false,
--- a/crates/gradeshunt/src/frontend/tests.rs
+++ b/crates/gradeshunt/src/frontend/tests.rs
@@ -372,6 +372,35 @@
     assert_eq!((frontend.sessions.len(), frontend.may_accept()), (1 + waiting.len(), false));
 }
 
+/// Guards other clients against peers that connect faster than they are served: accepted at once, they filled the
+/// proxy, and everyone's requests waited behind theirs.
+#[test]
+fn connections_wait_in_the_backlog_while_many_clients_wait_for_their_shares() {
+    const PUT_OFF_AT: Micros = 40_000;
+    const WAITING: u64 = 65;
+    let (mut frontend, mut turn, _client, _, _poll) = frontend_with_one_client();
+    let listener = crate::turn::listening_socket(([127, 0, 0, 1], 0).into()).expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    frontend.listen_for_clients(&mut turn, listener).expect("the listener is registered");
+    let before = frontend.sessions.len();
+    let _connected = TcpStream::connect(addr).expect("a connection");
+    while turn.ready.pop(Phase::Clients).is_some() || turn.ready.pop(Phase::Others).is_some() {}
+
+    (0..WAITING).for_each(|n| turn.defer(EventSource::Session(SessionId(1_000 + n))));
+    turn.now = PUT_OFF_AT;
+    frontend.accept(&mut turn);
+    assert_eq!(frontend.sessions.len(), before, "accepted while {WAITING} clients wait");
+    let listener = turn.ready.pop(Phase::Others).map(|(source, _)| source);
+    assert_eq!(listener, Some(EventSource::Listener), "the listener is looked at again");
+
+    turn.ready.pop(Phase::Clients);
+    turn.now += 10_000;
+    frontend.accept(&mut turn);
+    assert_eq!(frontend.sessions.len(), before + 1);
+    let session = frontend.sessions.values().next_back().expect("the accepted session");
+    assert_eq!(session.backlogged_since, Some(PUT_OFF_AT), "its wait in the backlog counts");
+}
+
 /// Guards against requests that are submitted although the end of their client's connection has arrived, behind
 /// more bytes than a share of a turn reads.
 #[test]
